Serve the thin whole path: daemon, tool, stand-ins, process tests

Cause: an empty repository; everything else stands on one request going end to end through separate processes. Ruled out: one process with threads per request (the platform's VMs are small; one libev loop holds thousands of connections) and gRPC on the loop's thread (its C++ library has no such mode; it keeps its own threads, which only post messages). jsoncpp answers were once read through a dangling temporary in a range-for; fixed, seen by make run failing. Conclusion: the path stands; the promises and the decisions under load come next.

--- /dev/null
+++ b/src/admission/admissiontypes.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "contract/contractset.h"
+#include "kernel/clock.h"
+#include "metrics/reasons.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace cardamomlift::admission {
+
+/// One request that asks to be let in.
+struct AdmissionQuestion {
+    std::shared_ptr<const contract::ContractInForce> contract;
+    contract::ServiceClass serviceClass;
+    std::string target; ///< Model or service name.
+    bool isModel = true;
+    std::int64_t estimatedTokens = 0; ///< Prompt plus the most output; what is reserved of limits and spending.
+};
+
+/// What a request used, told when it ends.
+struct Usage {
+    std::int64_t promptTokens = 0;
+    std::int64_t outputTokens = 0;
+    bool ran = false; ///< False: nothing is charged.
+};
+
+struct AdmissionDecision {
+    bool admitted = false;
+    metrics::RefusalReason reason = metrics::RefusalReason::Overloaded;
+    Duration retryAfter{0}; ///< When to come back; 0: a repeat does not help.
+    std::uint64_t ticket = 0; ///< To be given back by release().
+};
+
+} // namespace cardamomlift::admission
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,107 @@
+#include "cli/commands.h"
+#include "cli/operatorclient.h"
+
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace cardamomlift;
+
+constexpr char Usage[] = R"(cardamomlift [options] COMMAND [arguments]
+
+Commands:
+  check FILE                 check a contract file, without a daemon
+  diff FILE                  what FILE would change
+  apply FILE                 put the contract in FILE in force
+  show CUSTOMER              the contract in force
+  history CUSTOMER           who changed what, and when
+  revert CUSTOMER [VERSION]  apply an earlier version again (the one before, if none is named)
+  status                     what is in force on which VM
+  hash-key                   the hash of an API key read from standard input
+
+Options)";
+
+std::string readToken(const options::variables_map &values)
+{
+    if (!values.count("token-file")) {
+        return {};
+    }
+    std::ifstream file(values["token-file"].as<std::string>());
+    std::string token;
+    std::getline(file, token);
+    return token;
+}
+
+cli::CommandLine readLine(const options::variables_map &values)
+{
+    cli::CommandLine line;
+    line.command = values["command"].as<std::string>();
+    if (values.count("argument")) {
+        line.arguments = values["argument"].as<std::vector<std::string>>();
+    }
+    line.author = values["author"].as<std::string>();
+    line.confirm = values.count("confirm") > 0;
+    line.base = values["base"].as<std::int64_t>();
+    return line;
+}
+
+int runRemote(const options::variables_map &values, const cli::CommandLine &line)
+{
+    if (!values.count("daemon")) {
+        std::cerr << "Name at least one daemon with --daemon http://ADDRESS:PORT.\n";
+        return cli::ExitUsage;
+    }
+    auto client = cli::OperatorClient::create(values["daemon"].as<std::vector<std::string>>(), readToken(values));
+    if (!client) {
+        std::cerr << client.error().message << "\n";
+        return cli::ExitUnavailable;
+    }
+    return cli::runCommand(*client.value(), line);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const char *user = std::getenv("USER");
+    options::options_description visible(Usage);
+    visible.add_options()("help", "print this text")("version", "print the version");
+    visible.add_options()("daemon", options::value<std::vector<std::string>>(), "a daemon's operators' port; may be repeated, tried in order");
+    visible.add_options()("token-file", options::value<std::string>(), "file with the operators' token");
+    visible.add_options()("author", options::value<std::string>()->default_value(user ? user : "unknown"), "name kept in the history");
+    visible.add_options()("base", options::value<std::int64_t>()->default_value(-1), "version the edit starts from; -1: the newest");
+    visible.add_options()("confirm", "apply although the edit looks like a slip");
+    options::options_description all;
+    all.add(visible).add_options()("command", options::value<std::string>())("argument", options::value<std::vector<std::string>>());
+    options::positional_options_description positions;
+    positions.add("command", 1).add("argument", -1);
+    options::variables_map values;
+    try {
+        options::store(options::command_line_parser(argc, argv).options(all).positional(positions).run(), values);
+    } catch (const options::error &error) {
+        std::cerr << "cardamomlift: " << error.what() << "\n";
+        return cli::ExitUsage;
+    }
+    if (values.count("version")) {
+        std::cout << "cardamomlift " << CARDAMOMLIFT_VERSION << "\n";
+        return cli::ExitOk;
+    }
+    if (values.count("help") || !values.count("command")) {
+        std::cout << visible;
+        return values.count("help") ? cli::ExitOk : cli::ExitUsage;
+    }
+    const cli::CommandLine line = readLine(values);
+    if (line.command == "check") {
+        return cli::checkFile(line);
+    }
+    if (line.command == "hash-key") {
+        return cli::hashKey();
+    }
+    return runRemote(values, line);
+}
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,127 @@
+#include "daemon/daemon.h"
+
+#include "contract/contractreader.h"
+#include "contract/contractstore.h"
+#include "gateway/gateway.h"
+#include "http/json.h"
+#include "kernel/log.h"
+#include "kernel/runtime.h"
+#include "lifecycle/lifecycle.h"
+#include "operatorapi/operatorapi.h"
+#include "peers/peertransport.h"
+#include "text/digest.h"
+
+#include <ev.h>
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+namespace cardamomlift::daemon {
+
+namespace {
+
+constexpr Duration DrainBound = std::chrono::minutes(10);
+constexpr std::size_t EditIdBytes = 8;
+
+void onSignal(struct ev_loop *, ev_signal *watcher, int)
+{
+    static_cast<lifecycle::Lifecycle *>(watcher->data)->drain(DrainBound);
+}
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+Result<std::unique_ptr<Daemon>> Daemon::create(settings::Settings settings)
+{
+    std::unique_ptr<Daemon> daemon(new Daemon);
+    auto loop = EventLoop::create(daemon->clock_);
+    if (!loop) {
+        return loop.error();
+    }
+    daemon->loop_ = std::move(loop.value());
+    auto runtime = std::make_shared<Runtime>();
+    runtime->loop = daemon->loop_.get();
+    daemon->context_.set(runtime);
+    daemon->context_.set(std::make_shared<settings::Settings>(std::move(settings)));
+    auto modules = createModules();
+    if (!modules) {
+        return modules.error();
+    }
+    daemon->modules_ = std::move(modules.value());
+    for (const auto &module : daemon->modules_) {
+        auto started = module->start(daemon->context_);
+        if (!started) {
+            return failure(started.error().kind, std::string(module->name()) + ": " + started.error().message);
+        }
+    }
+    return daemon;
+}
+
+Daemon::~Daemon()
+{
+    for (auto module = modules_.rbegin(); module != modules_.rend(); ++module) {
+        (*module)->stop(context_);
+    }
+}
+
+void Daemon::run()
+{
+    applyContractFiles();
+    watchSignals();
+    printPorts();
+    loop_->run();
+}
+
+// The one line a starter of the daemon waits for: its ports, as JSON.
+void Daemon::printPorts() const
+{
+    Json::Value line;
+    line["ready"] = true;
+    line["instance"] = context_.get<settings::Settings>()->instance;
+    line["callers"] = context_.get<gateway::Gateway>()->port();
+    line["operators"] = context_.get<operatorapi::OperatorApi>()->port();
+    line["peers"] = context_.get<peers::PeerTransport>()->port();
+    std::puts(http::writeJson(line).c_str());
+    std::fflush(stdout);
+}
+
+void Daemon::watchSignals()
+{
+    static ev_signal terminate;
+    static ev_signal interrupt;
+    ev_signal_init(&terminate, &onSignal, SIGTERM);
+    ev_signal_init(&interrupt, &onSignal, SIGINT);
+    terminate.data = context_.get<lifecycle::Lifecycle>().get();
+    interrupt.data = terminate.data;
+    ev_signal_start(loop_->raw(), &terminate);
+    ev_signal_start(loop_->raw(), &interrupt);
+}
+
+void Daemon::applyContractFiles()
+{
+    const auto settings = context_.get<settings::Settings>();
+    if (!settings->platform.inMemory) {
+        return;
+    }
+    for (const std::string &file : settings->contractFiles) {
+        Findings findings;
+        const std::string text = readFile(file);
+        const contract::Contract parsed = contract::readContract(file, text, findings);
+        if (hasErrors(findings)) {
+            partLogger("daemon")->error("A contract file is wrong. {}", formatFindings(findings));
+            continue;
+        }
+        contract::Edit edit{parsed.customer, text, 0, "settings", text::randomHex(EditIdBytes)};
+        context_.get<contract::ContractStore>()->apply(edit, [](const contract::EditResult &) {});
+    }
+}
+
+} // namespace cardamomlift::daemon
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,87 @@
+#include "daemon/daemon.h"
+#include "kernel/log.h"
+#include "settings/settingsreader.h"
+
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr int ExitOk = 0;
+constexpr int ExitUsage = 2;
+constexpr int ExitSettings = 3;
+constexpr int ExitStart = 4;
+
+/// Reads the settings file; prints findings and gives nothing if it can't be used.
+std::optional<cardamomlift::settings::Settings> loadSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": error: can't be read. Check the path.\n";
+        return std::nullopt;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    cardamomlift::Findings findings;
+    auto settings = cardamomlift::settings::readSettings(path, text.str(), findings);
+    std::cerr << cardamomlift::formatFindings(findings);
+    if (cardamomlift::hasErrors(findings)) {
+        return std::nullopt;
+    }
+    return settings;
+}
+
+int runDaemon(cardamomlift::settings::Settings settings)
+{
+    cardamomlift::setLogLevel(settings.logLevel);
+    auto daemon = cardamomlift::daemon::Daemon::create(std::move(settings));
+    if (!daemon) {
+        std::cerr << "cardamomliftd: " << daemon.error().message << "\n";
+        return ExitStart;
+    }
+    daemon.value()->run();
+    return ExitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    options::options_description description("cardamomliftd [options]\n\nServes callers on this VM. Options");
+    description.add_options()("help", "print this text")("version", "print the version")("config",
+        options::value<std::string>(),
+        "settings file (JSON with comments)")("check-config", "check the settings and exit: 0 if they are right, 3 if not");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), values);
+    } catch (const options::error &error) {
+        std::cerr << "cardamomliftd: " << error.what() << "\n" << description;
+        return ExitUsage;
+    }
+    if (values.count("help")) {
+        std::cout << description;
+        return ExitOk;
+    }
+    if (values.count("version")) {
+        std::cout << "cardamomliftd " << CARDAMOMLIFT_VERSION << "\n";
+        return ExitOk;
+    }
+    if (!values.count("config")) {
+        return runDaemon(cardamomlift::settings::embeddedDefaults());
+    }
+    auto settings = loadSettings(values["config"].as<std::string>());
+    if (!settings) {
+        return ExitSettings;
+    }
+    if (values.count("check-config")) {
+        return ExitOk;
+    }
+    return runDaemon(std::move(*settings));
+}
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "gateway/chathandler.h"
+#include "gateway/gatewaytypes.h"
+#include "gateway/servicehandler.h"
+
+#include <memory>
+
+namespace cardamomlift::gateway {
+
+/// The callers' port: knows callers by their API key and hands their requests to the handlers.
+class Gateway
+{
+public:
+    static Result<std::shared_ptr<Gateway>> create(GatewayTools tools, http::ServerOptions options);
+
+    std::uint16_t port() const;
+    void stopListening();
+    std::size_t openRequests() const;
+
+private:
+    Gateway() = default;
+    void onRequest(http::Request request, std::shared_ptr<http::Responder> responder);
+    void refuse(const std::shared_ptr<http::Responder> &responder, CallerError error);
+    GatewayTools tools_;
+    std::unique_ptr<http::Server> server_;
+    std::unique_ptr<ChatHandler> chat_;
+    std::unique_ptr<ServiceHandler> services_;
+};
+
+} // namespace cardamomlift::gateway
--- /dev/null
+++ b/src/gateway/gatewaymodule.cpp
@@ -0,0 +1,62 @@
+#include "gateway/gateway.h"
+#include "kernel/module.h"
+#include "kernel/runtime.h"
+#include "settings/settingstypes.h"
+
+namespace cardamomlift::gateway {
+
+namespace {
+
+constexpr std::size_t BytesPerKilobyte = 1024;
+
+class GatewayModule : public Module
+{
+public:
+    std::string_view name() const override
+    {
+        return "gateway";
+    }
+
+    std::vector<std::string_view> dependencies() const override
+    {
+        return {"admission", "claims", "contract", "engine", "http", "lifecycle", "metrics", "routing"};
+    }
+
+    Result<void> start(Context &context) override
+    {
+        const auto settings = context.get<settings::Settings>();
+        const auto lifecycle = context.get<lifecycle::Lifecycle>();
+        GatewayTools tools;
+        tools.loop = context.get<Runtime>()->loop;
+        tools.instance = settings->instance;
+        tools.callerBufferBytes = settings->limits.callerBufferKilobytes * BytesPerKilobyte;
+        tools.client = context.get<http::Client>();
+        tools.engine = context.get<engine::EngineClient>();
+        tools.contracts = context.get<contract::ContractSet>();
+        tools.admission = context.get<admission::Admission>();
+        tools.router = context.get<routing::Router>();
+        tools.claims = context.get<claims::ClaimKeeper>();
+        tools.metrics = context.get<metrics::Metrics>();
+        tools.lifecycle = lifecycle;
+        http::ServerOptions options;
+        options.address = settings->callers.address;
+        options.port = settings->callers.port;
+        options.maxBodyBytes = settings->limits.bodyKilobytes * BytesPerKilobyte;
+        options.maxConnections = static_cast<unsigned>(settings->limits.openRequests);
+        auto gateway = Gateway::create(std::move(tools), std::move(options));
+        if (!gateway) {
+            return gateway.error();
+        }
+        const std::shared_ptr<Gateway> shared = gateway.value();
+        lifecycle->onDrain([shared] { shared->stopListening(); });
+        lifecycle->addProbe("gateway", [shared] { return shared->openRequests(); });
+        context.set(shared);
+        return success();
+    }
+};
+
+const ModuleRegistration<GatewayModule> Registration;
+
+} // namespace
+
+} // namespace cardamomlift::gateway
--- /dev/null
+++ b/src/gateway/gatewaytypes.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "admission/admission.h"
+#include "claims/claimkeeper.h"
+#include "contract/contractset.h"
+#include "engine/engineclient.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "kernel/eventloop.h"
+#include "lifecycle/lifecycle.h"
+#include "metrics/metrics.h"
+#include "routing/router.h"
+
+#include <memory>
+#include <string>
+
+namespace cardamomlift::gateway {
+
+/// What the handlers of callers' requests work with.
+struct GatewayTools {
+    EventLoop *loop = nullptr;
+    std::string instance;
+    std::size_t callerBufferBytes = 256 * 1024;
+    std::shared_ptr<http::Client> client;
+    std::shared_ptr<engine::EngineClient> engine;
+    std::shared_ptr<contract::ContractSet> contracts;
+    std::shared_ptr<admission::Admission> admission;
+    std::shared_ptr<routing::Router> router;
+    std::shared_ptr<claims::ClaimKeeper> claims;
+    std::shared_ptr<metrics::Metrics> metrics;
+    std::shared_ptr<lifecycle::Lifecycle> lifecycle;
+};
+
+/// One authenticated request.
+struct CallerRequest {
+    std::shared_ptr<const contract::ContractInForce> contract;
+    http::Request http;
+    std::shared_ptr<http::Responder> responder;
+};
+
+} // namespace cardamomlift::gateway
--- /dev/null
+++ b/src/gateway/internal/gateway.cpp
@@ -0,0 +1,97 @@
+#include "gateway/gateway.h"
+
+#include "http/json.h"
+#include "text/digest.h"
+
+namespace cardamomlift::gateway {
+
+namespace {
+
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr std::string_view ServicePrefix = "/services/";
+constexpr Duration ComeBackSoon = std::chrono::seconds(1);
+
+http::Response serverRefusal(int status)
+{
+    const auto reason = status == 413 ? metrics::RefusalReason::BodyTooLarge : metrics::RefusalReason::HeaderTooLarge;
+    return errorResponse({reason, status == 413 ? "The body is too large." : "The header is too large."});
+}
+
+} // namespace
+
+Result<std::shared_ptr<Gateway>> Gateway::create(GatewayTools tools, http::ServerOptions options)
+{
+    std::shared_ptr<Gateway> gateway(new Gateway);
+    gateway->tools_ = tools;
+    gateway->chat_ = ChatHandler::create(tools);
+    gateway->services_ = ServiceHandler::create(tools);
+    auto server = http::Server::create(*tools.loop,
+        std::move(options),
+        [raw = gateway.get()](http::Request request, std::shared_ptr<http::Responder> responder) { raw->onRequest(std::move(request), std::move(responder)); });
+    if (!server) {
+        return server.error();
+    }
+    gateway->server_ = std::move(server.value());
+    gateway->server_->setErrorBody(&serverRefusal);
+    gateway->server_->setRefusalHandler([metrics = tools.metrics](int status) {
+        metrics->refused(status == 413 ? metrics::RefusalReason::BodyTooLarge : metrics::RefusalReason::HeaderTooLarge);
+    });
+    return gateway;
+}
+
+std::uint16_t Gateway::port() const
+{
+    return server_->port();
+}
+
+void Gateway::stopListening()
+{
+    server_->stopListening();
+}
+
+std::size_t Gateway::openRequests() const
+{
+    return server_->openRequests() + chat_->openSessions() + services_->openCalls();
+}
+
+void Gateway::refuse(const std::shared_ptr<http::Responder> &responder, CallerError error)
+{
+    tools_.metrics->refused(error.reason);
+    responder->respond(errorResponse(error));
+}
+
+void Gateway::onRequest(http::Request request, std::shared_ptr<http::Responder> responder)
+{
+    const lifecycle::Phase phase = tools_.lifecycle->phase();
+    if (request.path == "/health") {
+        const bool ready = phase == lifecycle::Phase::Ready;
+        responder->respond({ready ? 200 : 503, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "not ready\n"});
+        return;
+    }
+    if (phase != lifecycle::Phase::Ready) {
+        const bool starting = phase == lifecycle::Phase::Starting;
+        const auto reason = starting ? metrics::RefusalReason::NotReady : metrics::RefusalReason::Draining;
+        refuse(responder, {reason, starting ? "This VM has no configuration yet." : "This VM is leaving.", ComeBackSoon});
+        return;
+    }
+    const std::string_view authorization = http::headerValue(request.headers, "Authorization");
+    if (!authorization.starts_with(BearerPrefix)) {
+        refuse(responder, {metrics::RefusalReason::MissingCredential, "Send an API key as a bearer token."});
+        return;
+    }
+    auto contract = tools_.contracts->findByKeyHash(text::sha256Hex(authorization.substr(BearerPrefix.size())));
+    if (!contract) {
+        refuse(responder, {metrics::RefusalReason::UnknownCredential, "No customer has this API key."});
+        return;
+    }
+    CallerRequest caller{std::move(contract), std::move(request), std::move(responder)};
+    if (caller.http.path == "/v1/chat/completions" && caller.http.method == "POST") {
+        chat_->handle(std::move(caller));
+    } else if (caller.http.path.starts_with(ServicePrefix)) {
+        services_->handle(std::move(caller));
+    } else {
+        refuse(caller.responder, {metrics::RefusalReason::UnknownPath, "There is nothing at this path."});
+    }
+}
+
+} // namespace cardamomlift::gateway
--- /dev/null
+++ b/src/gateway/servicehandler.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "gateway/callererrors.h"
+#include "gateway/gatewaytypes.h"
+
+#include <memory>
+
+namespace cardamomlift::gateway {
+
+/// Answers calls of plain services: /services/<service>/<path>.
+class ServiceHandler
+{
+public:
+    static std::unique_ptr<ServiceHandler> create(GatewayTools tools);
+
+    void handle(CallerRequest caller);
+    std::size_t openCalls() const;
+
+private:
+    struct Call;
+    ServiceHandler() = default;
+    void refuse(const std::shared_ptr<Call> &call, CallerError error);
+    void begin(const std::shared_ptr<Call> &call);
+    void onClaim(const std::shared_ptr<Call> &call, const claims::BeginResult &result);
+    void dispatch(const std::shared_ptr<Call> &call);
+    void onAnswer(const std::shared_ptr<Call> &call, const membership::Vm &server, http::ClientResult result);
+    void answer(const std::shared_ptr<Call> &call, const http::ClientResult &result, const std::string &server);
+    void end(const std::shared_ptr<Call> &call, bool ran);
+    GatewayTools tools_;
+    std::size_t open_ = 0;
+};
+
+} // namespace cardamomlift::gateway
--- /dev/null
+++ b/src/lifecycle/lifecycle.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "kernel/eventloop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cardamomlift::lifecycle {
+
+enum class Phase {
+    Starting, ///< Not yet able to serve.
+    Ready,
+    Draining, ///< Takes no new work; what is open finishes or moves.
+};
+
+/// The daemon's phase. Parts with open work register a probe; the daemon stops when it drains and all are idle.
+class Lifecycle
+{
+public:
+    static std::shared_ptr<Lifecycle> create(EventLoop &loop);
+
+    Phase phase() const;
+    void setReady();
+    /// Starts draining; a repeat logs what is still open. The loop stops when every probe gives 0, or after @p bound.
+    void drain(Duration bound);
+    void onDrain(std::function<void()> handler);
+    /// @p openCount gives the number of open pieces of work of the part @p name.
+    void addProbe(std::string name, std::function<std::size_t()> openCount);
+
+private:
+    struct Probe {
+        std::string name;
+        std::function<std::size_t()> openCount;
+    };
+    Lifecycle() = default;
+    void check();
+    void logOpen() const;
+    EventLoop *loop_ = nullptr;
+    Phase phase_ = Phase::Starting;
+    TimePoint drainEnd_;
+    std::vector<std::function<void()>> drainHandlers_;
+    std::vector<Probe> probes_;
+};
+
+} // namespace cardamomlift::lifecycle
--- /dev/null
+++ b/src/membership/internal/vmlist.cpp
@@ -0,0 +1,147 @@
+#include "membership/vmlist.h"
+
+#include "http/json.h"
+#include "kernel/log.h"
+
+#include <array>
+
+namespace cardamomlift::membership {
+
+namespace {
+
+constexpr std::array<std::pair<VmRole, std::string_view>, 3> RoleNames{{{VmRole::Entry, "entry"}, {VmRole::Model, "model"}, {VmRole::Service, "service"}}};
+constexpr std::array<std::pair<VmState, std::string_view>, 3> StateNames{{{VmState::Live, "live"}, {VmState::Leaving, "leaving"}, {VmState::Gone, "gone"}}};
+constexpr Duration ReadTimeout = std::chrono::seconds(2);
+
+template<class Enum, std::size_t Size>
+std::optional<Enum> byName(const std::array<std::pair<Enum, std::string_view>, Size> &names, const std::string &name)
+{
+    for (const auto &[value, text] : names) {
+        if (text == name) {
+            return value;
+        }
+    }
+    return std::nullopt;
+}
+
+template<class Enum, std::size_t Size>
+std::string nameOf(const std::array<std::pair<Enum, std::string_view>, Size> &names, Enum value)
+{
+    for (const auto &[entry, text] : names) {
+        if (entry == value) {
+            return std::string(text);
+        }
+    }
+    return {};
+}
+
+std::uint16_t portOf(const Json::Value &json, const char *name)
+{
+    return json[name].isUInt() ? static_cast<std::uint16_t>(json[name].asUInt()) : std::uint16_t{0};
+}
+
+} // namespace
+
+std::optional<Vm> vmFromJson(const Json::Value &json)
+{
+    if (!json.isObject() || !json["instance"].isString() || !json["address"].isString() || !json["zone"].isString()) {
+        return std::nullopt;
+    }
+    const auto role = byName(RoleNames, json.get("role", "").asString());
+    const auto state = byName(StateNames, json.get("state", "live").asString());
+    if (!role || !state) {
+        return std::nullopt;
+    }
+    Vm vm;
+    vm.instance = json["instance"].asString();
+    vm.address = json["address"].asString();
+    vm.zone = json["zone"].asString();
+    vm.region = json.get("region", "default").asString();
+    vm.role = *role;
+    vm.state = *state;
+    vm.port = portOf(json, "port");
+    vm.peerPort = portOf(json, "peerPort");
+    vm.machineClass = json.get("machineClass", "").asString();
+    vm.microsPerHour = json.get("microsPerHour", 0).asInt64();
+    vm.reclaimable = json.get("reclaimable", true).asBool();
+    vm.checksFencing = json.get("checksFencing", false).asBool();
+    for (const Json::Value &name : json["serves"]) {
+        vm.serves.push_back(name.asString());
+    }
+    return vm;
+}
+
+Json::Value vmToJson(const Vm &vm)
+{
+    Json::Value json;
+    json["instance"] = vm.instance;
+    json["address"] = vm.address;
+    json["zone"] = vm.zone;
+    json["region"] = vm.region;
+    json["role"] = nameOf(RoleNames, vm.role);
+    json["state"] = nameOf(StateNames, vm.state);
+    json["port"] = vm.port;
+    json["peerPort"] = vm.peerPort;
+    json["machineClass"] = vm.machineClass;
+    json["microsPerHour"] = static_cast<Json::Int64>(vm.microsPerHour);
+    json["reclaimable"] = vm.reclaimable;
+    json["checksFencing"] = vm.checksFencing;
+    json["serves"] = Json::Value(Json::arrayValue);
+    for (const std::string &name : vm.serves) {
+        json["serves"].append(name);
+    }
+    return json;
+}
+
+std::shared_ptr<VmListReader> VmListReader::create(
+    EventLoop &loop, std::shared_ptr<http::Client> client, std::shared_ptr<Members> members, std::string endpoint)
+{
+    std::shared_ptr<VmListReader> reader(new VmListReader);
+    reader->loop_ = &loop;
+    reader->client_ = std::move(client);
+    reader->members_ = std::move(members);
+    reader->endpoint_ = std::move(endpoint);
+    return reader;
+}
+
+void VmListReader::start(Duration period)
+{
+    read();
+    loop_->every(period, [this] { read(); });
+}
+
+bool VmListReader::hasRead() const
+{
+    return hasRead_;
+}
+
+void VmListReader::read()
+{
+    if (reading_) {
+        return;
+    }
+    reading_ = true;
+    http::ClientRequest request;
+    request.url = endpoint_ + "/vms";
+    request.timeout = ReadTimeout;
+    http::ClientHooks hooks;
+    hooks.onDone = [this](http::ClientResult result) {
+        reading_ = false;
+        const auto json = result.status == 200 ? http::parseJson(result.body) : std::nullopt;
+        if (!json || !(*json)["vms"].isArray()) {
+            partLogger("membership")->warn("The VM list can't be read. error={}", result.error);
+            return;
+        }
+        std::vector<Vm> list;
+        for (const Json::Value &entry : (*json)["vms"]) {
+            if (auto vm = vmFromJson(entry)) {
+                list.push_back(std::move(*vm));
+            }
+        }
+        hasRead_ = true;
+        members_->applyList(list);
+    };
+    client_->start(std::move(request), std::move(hooks));
+}
+
+} // namespace cardamomlift::membership
--- /dev/null
+++ b/src/operatorapi/internal/operatorjson.cpp
@@ -0,0 +1,58 @@
+#include "operatorapi/operatorjson.h"
+
+namespace cardamomlift::operatorapi {
+
+Json::Value versionToJson(const contract::ContractVersion &version)
+{
+    Json::Value json;
+    json["customer"] = version.customer;
+    json["version"] = static_cast<Json::UInt64>(version.version);
+    json["revision"] = static_cast<Json::UInt64>(version.revision);
+    json["text"] = version.text;
+    json["author"] = version.author;
+    json["editId"] = version.editId;
+    json["acceptedAtMs"] = static_cast<Json::Int64>(version.acceptedAtMs);
+    return json;
+}
+
+contract::ContractVersion versionFromJson(const Json::Value &json)
+{
+    contract::ContractVersion version;
+    version.customer = json["customer"].asString();
+    version.version = json["version"].asUInt64();
+    version.revision = json["revision"].asUInt64();
+    version.text = json["text"].asString();
+    version.author = json["author"].asString();
+    version.editId = json["editId"].asString();
+    version.acceptedAtMs = json["acceptedAtMs"].asInt64();
+    return version;
+}
+
+Json::Value findingsToJson(std::span<const Finding> findings)
+{
+    Json::Value list(Json::arrayValue);
+    for (const Finding &finding : findings) {
+        Json::Value json;
+        json["file"] = finding.file;
+        json["line"] = finding.line;
+        json["column"] = finding.column;
+        json["message"] = finding.message;
+        json["remedy"] = finding.remedy;
+        json["severity"] = finding.severity == Severity::Error ? "error" : "danger";
+        list.append(json);
+    }
+    return list;
+}
+
+Findings findingsFromJson(const Json::Value &json)
+{
+    Findings findings;
+    for (const Json::Value &entry : json) {
+        const Severity severity = entry["severity"].asString() == "danger" ? Severity::Danger : Severity::Error;
+        findings.push_back(
+            {entry["file"].asString(), entry["line"].asInt(), entry["column"].asInt(), entry["message"].asString(), entry["remedy"].asString(), severity});
+    }
+    return findings;
+}
+
+} // namespace cardamomlift::operatorapi
--- /dev/null
+++ b/src/operatorapi/operatorapi.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "contract/contractset.h"
+#include "contract/contractstore.h"
+#include "contract/contractsync.h"
+#include "http/server.h"
+#include "kernel/eventloop.h"
+#include "lifecycle/lifecycle.h"
+#include "membership/members.h"
+#include "metrics/metrics.h"
+
+#include <json/json.h>
+
+#include <memory>
+#include <string>
+
+namespace cardamomlift::operatorapi {
+
+/// What the operators' port works with.
+struct OperatorTools {
+    EventLoop *loop = nullptr;
+    std::string instance;
+    std::string tokenSha256; ///< Empty: no credential (a daemon run alone on loopback).
+    std::shared_ptr<contract::ContractStore> store;
+    std::shared_ptr<contract::ContractSet> contracts;
+    std::shared_ptr<contract::ContractSync> sync;
+    std::shared_ptr<membership::Members> members;
+    std::shared_ptr<metrics::Metrics> metrics;
+    std::shared_ptr<lifecycle::Lifecycle> lifecycle;
+};
+
+/// The operators' port: contracts, status, metrics. It shares neither port nor credential with callers.
+class OperatorApi
+{
+public:
+    static Result<std::shared_ptr<OperatorApi>> create(OperatorTools tools, http::ServerOptions options);
+    std::uint16_t port() const;
+
+private:
+    using ResponderPtr = std::shared_ptr<http::Responder>;
+    OperatorApi() = default;
+    void onRequest(http::Request request, ResponderPtr responder);
+    bool isAllowed(const http::Request &request) const;
+    void apply(const http::Request &request, const ResponderPtr &responder);
+    void show(const std::string &customer, const ResponderPtr &responder);
+    void history(const std::string &customer, const ResponderPtr &responder);
+    void list(const ResponderPtr &responder);
+    void status(const ResponderPtr &responder);
+    OperatorTools tools_;
+    std::unique_ptr<http::Server> server_;
+};
+
+} // namespace cardamomlift::operatorapi
--- /dev/null
+++ b/src/operatorapi/operatorjson.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "contract/contracttypes.h"
+#include "kernel/finding.h"
+
+#include <json/json.h>
+
+#include <span>
+
+namespace cardamomlift::operatorapi {
+
+Json::Value versionToJson(const contract::ContractVersion &version);
+contract::ContractVersion versionFromJson(const Json::Value &json);
+Json::Value findingsToJson(std::span<const Finding> findings);
+Findings findingsFromJson(const Json::Value &json);
+
+} // namespace cardamomlift::operatorapi
--- /dev/null
+++ b/src/peers/grpctransport.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "kernel/eventloop.h"
+#include "peers/peertransport.h"
+
+#include <memory>
+
+namespace cardamomlift::peers {
+
+struct GrpcOptions {
+    std::string instance;
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0;
+    std::string token; ///< Shared secret; calls without it are refused.
+    std::string certificatePem; ///< With privateKeyPem: TLS, and peers must show a certificate of the same authority.
+    std::string privateKeyPem;
+    std::string authorityPem;
+};
+
+/// Peer calls over gRPC. gRPC works on threads of its own, which only pass messages to the loop.
+class GrpcTransport : public PeerTransport
+{
+public:
+    static Result<std::shared_ptr<GrpcTransport>> create(EventLoop &loop, GrpcOptions options);
+    ~GrpcTransport() override;
+
+    void send(const PeerAddress &peer, std::string topic, std::string payload, Duration timeout, Reply reply) override;
+    void handle(std::string topic, TopicHandler handler) override;
+    const PeerCounters &counters() const override;
+    std::uint16_t port() const override;
+
+    struct Impl;
+
+private:
+    GrpcTransport() = default;
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace cardamomlift::peers
--- /dev/null
+++ b/src/peers/peersmodule.cpp
@@ -0,0 +1,44 @@
+#include "kernel/module.h"
+#include "kernel/runtime.h"
+#include "peers/grpctransport.h"
+#include "settings/settingstypes.h"
+
+namespace cardamomlift::peers {
+
+namespace {
+
+class PeersModule : public Module
+{
+public:
+    std::string_view name() const override
+    {
+        return "peers";
+    }
+
+    std::vector<std::string_view> dependencies() const override
+    {
+        return {};
+    }
+
+    Result<void> start(Context &context) override
+    {
+        const auto settings = context.get<settings::Settings>();
+        GrpcOptions options;
+        options.instance = settings->instance;
+        options.address = settings->peers.address;
+        options.port = settings->peers.port;
+        options.token = settings->peerToken;
+        auto transport = GrpcTransport::create(*context.get<Runtime>()->loop, options);
+        if (!transport) {
+            return transport.error();
+        }
+        context.set<PeerTransport>(transport.value());
+        return success();
+    }
+};
+
+const ModuleRegistration<PeersModule> Registration;
+
+} // namespace
+
+} // namespace cardamomlift::peers
--- /dev/null
+++ b/src/table/tabletypes.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cardamomlift::table {
+
+/// The primary key of an item: a partition and a sort key, both text.
+struct Key {
+    std::string partition;
+    std::string sort;
+    // NOLINTNEXTLINE(modernize-use-nullptr): a false finding on a defaulted comparison.
+    auto operator<=>(const Key &) const = default;
+};
+
+using Attributes = std::map<std::string, std::string, std::less<>>;
+
+/// One row. All attributes are text (DynamoDB type S); the modules convert to their own structs.
+struct Item {
+    Key key;
+    Attributes attributes;
+};
+
+/// The text of attribute @p name, or an empty string.
+std::string attribute(const Item &item, std::string_view name);
+
+enum class ConditionKind {
+    None,
+    ItemAbsent, ///< No item has this key.
+    AttributeEquals, ///< The item exists and the attribute has this value.
+};
+
+struct Condition {
+    ConditionKind kind = ConditionKind::None;
+    std::string attribute;
+    std::string value;
+};
+
+enum class WriteKind {
+    Put, ///< Replaces the whole item.
+    Delete,
+    Check, ///< Writes nothing; only the condition counts (inside a transaction).
+};
+
+struct Write {
+    WriteKind kind = WriteKind::Put;
+    Item item;
+    Condition condition;
+};
+
+/// What is known after a write was tried.
+enum class WriteOutcome {
+    Written, ///< The table said so.
+    ConditionFailed, ///< The table said that nothing was written, because a condition did not hold.
+    NotWritten, ///< Certainly nothing was written: refused by the table, or no byte was sent.
+    Unknown, ///< The request may have taken effect; its answer was lost.
+};
+
+struct WriteResult {
+    WriteOutcome outcome = WriteOutcome::Unknown;
+    /// With ConditionFailed in a transaction: for each write whether its condition failed.
+    std::vector<bool> failed;
+    std::string error;
+};
+
+/// Operations sent, for the figures "writes per request".
+struct TableCounters {
+    std::uint64_t reads = 0;
+    std::uint64_t writeRequests = 0; ///< Requests that write; a transaction counts once.
+    std::uint64_t itemsWritten = 0; ///< Items in those requests.
+    std::uint64_t unavailable = 0; ///< Requests that got no usable answer.
+};
+
+} // namespace cardamomlift::table
