Bound bad input, serve TLS, check settings whole

Cause: the server trusted its senders: a header of one byte a second held a connection for ever (MHD's timeout starts anew with each byte), a body over the limit was read to its end, and a 431 by MHD was not counted. Ruled out: MHD's own timeout alone (seen: it ends only silent connections) and its external logger (gives no place to count). Now a timer of ours ends a request that is not whole in time, Content-Length is judged before the body, and the request line callback tells a broken header from an idle connection. Conclusion: bad input costs bounded memory and time, and each has its counter.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 
 namespace {
 
@@ -37,6 +38,17 @@
     return token;
 }
 
+std::string readAuthority(const options::variables_map &values)
+{
+    if (!values.count("ca-file")) {
+        return {};
+    }
+    std::ifstream file(values["ca-file"].as<std::string>());
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 cli::CommandLine readLine(const options::variables_map &values)
 {
     cli::CommandLine line;
@@ -56,7 +68,7 @@
         std::cerr << "Name at least one daemon with --daemon http://ADDRESS:PORT.\n";
         return cli::ExitUsage;
     }
-    auto client = cli::OperatorClient::create(values["daemon"].as<std::vector<std::string>>(), readToken(values));
+    auto client = cli::OperatorClient::create(values["daemon"].as<std::vector<std::string>>(), readToken(values), readAuthority(values));
     if (!client) {
         std::cerr << client.error().message << "\n";
         return cli::ExitUnavailable;
@@ -74,6 +86,7 @@
     visible.add_options()("help", "print this text")("version", "print the version");
     visible.add_options()("daemon", options::value<std::vector<std::string>>(), "a daemon's operators' port; may be repeated, tried in order");
     visible.add_options()("token-file", options::value<std::string>(), "file with the operators' token");
+    visible.add_options()("ca-file", options::value<std::string>(), "authority of https daemons (PEM)");
     visible.add_options()("author", options::value<std::string>()->default_value(user ? user : "unknown"), "name kept in the history");
     visible.add_options()("base", options::value<std::int64_t>()->default_value(-1), "version the edit starts from; -1: the newest");
     visible.add_options()("confirm", "apply although the edit looks like a slip");
--- a/src/cli/operatorclient.cpp
+++ b/src/cli/operatorclient.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-Result<std::unique_ptr<OperatorClient>> OperatorClient::create(std::vector<std::string> endpoints, std::string token)
+Result<std::unique_ptr<OperatorClient>> OperatorClient::create(std::vector<std::string> endpoints, std::string token, std::string caPem)
 {
     std::unique_ptr<OperatorClient> client(new OperatorClient);
     auto loop = EventLoop::create(client->clock_);
@@ -27,6 +27,7 @@
     client->client_ = std::move(created.value());
     client->endpoints_ = std::move(endpoints);
     client->token_ = std::move(token);
+    client->caPem_ = std::move(caPem);
     return client;
 }
 
@@ -52,6 +53,7 @@
     request.url = endpoint + path;
     request.headers["Content-Type"] = "application/json";
     request.timeout = CallTimeout;
+    request.caPem = caPem_;
     if (!token_.empty()) {
         request.headers["Authorization"] = "Bearer " + token_;
     }
--- a/src/cli/operatorclient.h
+++ b/src/cli/operatorclient.h
@@ -25,8 +25,8 @@
 class OperatorClient
 {
 public:
-    /// @p endpoints as in "http://10.0.0.1:8081"; they are tried in order.
-    static Result<std::unique_ptr<OperatorClient>> create(std::vector<std::string> endpoints, std::string token);
+    /// @p endpoints as in "http://10.0.0.1:8081"; they are tried in order. @p caPem: the authority of https endpoints.
+    static Result<std::unique_ptr<OperatorClient>> create(std::vector<std::string> endpoints, std::string token, std::string caPem = {});
 
     /// The answer of the first endpoint that gives one.
     OperatorAnswer call(const std::string &method, const std::string &path, const Json::Value &body = Json::Value());
@@ -40,6 +40,7 @@
     std::unique_ptr<http::Client> client_;
     std::vector<std::string> endpoints_;
     std::string token_;
+    std::string caPem_;
 };
 
 } // namespace cardamomlift::cli
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <sstream>
 
 namespace {
--- a/src/gateway/gatewaymodule.cpp
+++ b/src/gateway/gatewaymodule.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 #include "kernel/module.h"
 #include "kernel/runtime.h"
+#include "settings/listenfiles.h"
 #include "settings/settingstypes.h"
 
 namespace cardamomlift::gateway {
@@ -38,9 +39,7 @@
         tools.claims = context.get<claims::ClaimKeeper>();
         tools.metrics = context.get<metrics::Metrics>();
         tools.lifecycle = lifecycle;
-        http::ServerOptions options;
-        options.address = settings->callers.address;
-        options.port = settings->callers.port;
+        BOOST_OUTCOME_TRY(options, settings::serverOptions(settings->callers));
         options.maxBodyBytes = settings->limits.bodyKilobytes * BytesPerKilobyte;
         options.maxConnections = static_cast<unsigned>(settings->limits.openRequests);
         auto gateway = Gateway::create(std::move(tools), std::move(options));
--- a/src/gateway/internal/callererrors.cpp
+++ b/src/gateway/internal/callererrors.cpp
@@ -36,6 +36,8 @@
     case RefusalReason::UnknownService:
     case RefusalReason::UnknownRequest:
         return 404;
+    case RefusalReason::SlowSender:
+        return 408;
     case RefusalReason::StillRunning:
         return 409;
     case RefusalReason::BodyTooLarge:
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -1,6 +1,6 @@
 #include "gateway/gateway.h"
 
-#include "http/json.h"
+#include "kernel/log.h"
 #include "text/digest.h"
 
 namespace cardamomlift::gateway {
@@ -11,10 +11,21 @@
 constexpr std::string_view ServicePrefix = "/services/";
 constexpr Duration ComeBackSoon = std::chrono::seconds(1);
 
+metrics::RefusalReason serverRefusalReason(int status)
+{
+    switch (status) {
+    case 413:
+        return metrics::RefusalReason::BodyTooLarge;
+    case 431:
+        return metrics::RefusalReason::HeaderTooLarge;
+    default:
+        return metrics::RefusalReason::SlowSender;
+    }
+}
+
 http::Response serverRefusal(int status)
 {
-    const auto reason = status == 413 ? metrics::RefusalReason::BodyTooLarge : metrics::RefusalReason::HeaderTooLarge;
-    return errorResponse({reason, status == 413 ? "The body is too large." : "The header is too large."});
+    return errorResponse({serverRefusalReason(status), status == 413 ? "The body is too large." : "The request can't be read."});
 }
 
 } // namespace
@@ -33,9 +44,7 @@
     }
     gateway->server_ = std::move(server.value());
     gateway->server_->setErrorBody(&serverRefusal);
-    gateway->server_->setRefusalHandler([metrics = tools.metrics](int status) {
-        metrics->refused(status == 413 ? metrics::RefusalReason::BodyTooLarge : metrics::RefusalReason::HeaderTooLarge);
-    });
+    gateway->server_->setRefusalHandler([metrics = tools.metrics](int status) { metrics->refused(serverRefusalReason(status)); });
     return gateway;
 }
 
@@ -57,6 +66,7 @@
 void Gateway::refuse(const std::shared_ptr<http::Responder> &responder, CallerError error)
 {
     tools_.metrics->refused(error.reason);
+    partLogger("gateway")->debug("Refused. reason={}", metrics::reasonName(error.reason));
     responder->respond(errorResponse(error));
 }
 
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -4,10 +4,12 @@
 #include <microhttpd.h>
 
 #include <arpa/inet.h>
+#include <charconv>
 #include <cstring>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -16,10 +18,22 @@
 namespace {
 
 constexpr std::size_t StreamBlockBytes = 4096;
+constexpr unsigned StallMarginSeconds = 5;
+constexpr int HttpRequestTimeout = 408;
 constexpr int HttpContentTooLarge = 413;
+constexpr int HttpHeaderTooLarge = 431;
+/// A body without announced length is read up to so many times the limit, so that its sender sees the refusal.
+constexpr std::size_t TolerancePastBodyLimit = 4;
 
 class Exchange;
 
+/// How far a connection is with its next request, until that request is whole.
+struct ReadingState {
+    TimerId timer = 0; ///< Ends the connection; 0: the request is whole.
+    bool inHeader = false; ///< The request line has come, the end of the header has not.
+    bool hasServed = false; ///< An earlier request was answered: silence is no refusal.
+};
+
 } // namespace
 
 struct Server::Impl {
@@ -37,11 +51,16 @@
     bool quiesced = false;
     int listenSocket = -1;
     std::unordered_set<Exchange *> exchanges;
+    std::unordered_map<MHD_Connection *, ReadingState> reading;
 
     void run();
     void scheduleRun();
     Result<void> start();
     void stop();
+    void startReading(MHD_Connection *connection);
+    void stopReading(MHD_Connection *connection);
+    void onReadingTooSlow(MHD_Connection *connection);
+    void refused(int status) const;
 };
 
 namespace {
@@ -128,6 +147,29 @@
     bool bodyTooLarge = false;
     bool handled = false;
 
+    /// Adds a piece of the body. False when so much too much has come that the connection is to be closed.
+    bool takeBody(std::string_view bytes)
+    {
+        const std::size_t most = server_->options.maxBodyBytes;
+        bodyBytes_ += bytes.size();
+        if (bodyBytes_ <= most) {
+            request.body.append(bytes);
+            return true;
+        }
+        bodyTooLarge = true;
+        request.body = {};
+        return bodyBytes_ <= most * TolerancePastBodyLimit;
+    }
+
+    /// True if the request says itself that its body is over the limit.
+    bool announcesTooLarge() const
+    {
+        const std::string_view length = headerValue(request.headers, "Content-Length");
+        std::size_t bytes = 0;
+        std::from_chars(length.data(), length.data() + length.size(), bytes);
+        return bytes > server_->options.maxBodyBytes;
+    }
+
     bool hasHead() const
     {
         return hasHead_;
@@ -270,6 +312,7 @@
     Response head_;
     std::string pending_;
     std::size_t taken_ = 0;
+    std::size_t bodyBytes_ = 0;
     std::function<void()> closedHandler_;
     ev_io socketWatcher_{};
     bool watching_ = false;
@@ -306,26 +349,24 @@
         MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &created->request.headers);
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery, &created->request.query);
         *slot = created.get();
-        return MHD_YES;
+        impl->reading[connection].inHeader = false;
+        if (!created->announcesTooLarge()) {
+            return MHD_YES;
+        }
+        // Answered at once, before the body: MHD then closes the connection instead of reading it.
+        exchange = created.get();
+        exchange->bodyTooLarge = true;
     }
     if (*uploadSize > 0) {
-        if (exchange->request.body.size() + *uploadSize > impl->options.maxBodyBytes) {
-            exchange->bodyTooLarge = true;
-            exchange->request.body.clear();
-            exchange->request.body.shrink_to_fit();
-        }
-        if (!exchange->bodyTooLarge) {
-            exchange->request.body.append(upload, *uploadSize);
-        }
+        const bool keepReading = exchange->takeBody({upload, *uploadSize});
         *uploadSize = 0;
-        return MHD_YES;
+        return keepReading ? MHD_YES : MHD_NO;
     }
     if (!exchange->handled) {
         exchange->handled = true;
+        impl->stopReading(connection);
         if (exchange->bodyTooLarge) {
-            if (impl->refusalHandler) {
-                impl->refusalHandler(HttpContentTooLarge);
-            }
+            impl->refused(HttpContentTooLarge);
             exchange->respond(impl->errorBody(HttpContentTooLarge));
         } else {
             impl->handler(std::move(exchange->request), exchange->self);
@@ -338,14 +379,41 @@
     return MHD_YES;
 }
 
-void onCompleted(void *, MHD_Connection *, void **slot, MHD_RequestTerminationCode code)
+void onCompleted(void *context, MHD_Connection *connection, void **slot, MHD_RequestTerminationCode code)
 {
     auto *exchange = static_cast<Exchange *>(*slot);
     if (!exchange) {
         return;
     }
     *slot = nullptr;
-    exchange->end(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+    const bool whole = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
+    if (whole) {
+        auto *impl = static_cast<Server::Impl *>(context);
+        impl->reading[connection].hasServed = true;
+        impl->startReading(connection);
+    }
+    exchange->end(whole);
+}
+
+void *onRequestLine(void *context, const char *, MHD_Connection *connection)
+{
+    static_cast<Server::Impl *>(context)->reading[connection].inHeader = true;
+    return nullptr;
+}
+
+void onConnection(void *context, MHD_Connection *connection, void **, MHD_ConnectionNotificationCode code)
+{
+    auto *impl = static_cast<Server::Impl *>(context);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        impl->startReading(connection);
+        return;
+    }
+    // MHD itself answered 431, or the caller left in the middle of a header.
+    if (impl->reading[connection].inHeader) {
+        impl->refused(HttpHeaderTooLarge);
+    }
+    impl->stopReading(connection);
+    impl->reading.erase(connection);
 }
 
 Response plainError(int status)
@@ -371,6 +439,41 @@
     }
 }
 
+// NOTE MHD's own timeout starts anew with each byte; a header sent a byte a second would never end.
+void Server::Impl::startReading(MHD_Connection *connection)
+{
+    stopReading(connection);
+    if (options.idleSeconds == 0) {
+        return;
+    }
+    reading[connection].timer = loop->after(std::chrono::seconds(options.idleSeconds), [this, connection] { onReadingTooSlow(connection); });
+}
+
+void Server::Impl::stopReading(MHD_Connection *connection)
+{
+    ReadingState &state = reading[connection];
+    loop->cancel(state.timer);
+    state.timer = 0;
+}
+
+void Server::Impl::onReadingTooSlow(MHD_Connection *connection)
+{
+    ReadingState &state = reading[connection];
+    if (state.inHeader || !state.hasServed) {
+        refused(HttpRequestTimeout);
+    }
+    state.inHeader = false;
+    const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    shutdown(info->connect_fd, SHUT_RDWR);
+}
+
+void Server::Impl::refused(int status) const
+{
+    if (refusalHandler) {
+        refusalHandler(status);
+    }
+}
+
 void Server::Impl::scheduleRun()
 {
     ev_idle_start(loop->raw(), &runWatcher);
@@ -392,6 +495,8 @@
         extra.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, options.privateKeyPem.data()});
     }
     extra.push_back({MHD_OPTION_END, 0, nullptr});
+    // MHD's timeout ends connections that don't take their answer; later than our timer, which is for those that send.
+    const unsigned stallSeconds = options.idleSeconds == 0 ? 0 : options.idleSeconds + StallMarginSeconds;
     daemon = MHD_start_daemon(flags,
         options.port,
         nullptr,
@@ -405,12 +510,18 @@
         MHD_OPTION_NOTIFY_COMPLETED,
         &onCompleted,
         this,
+        MHD_OPTION_NOTIFY_CONNECTION,
+        &onConnection,
+        this,
+        MHD_OPTION_URI_LOG_CALLBACK,
+        &onRequestLine,
+        this,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         options.maxHeaderBytes,
         MHD_OPTION_CONNECTION_LIMIT,
         options.maxConnections,
         MHD_OPTION_CONNECTION_TIMEOUT,
-        options.idleSeconds,
+        stallSeconds,
         MHD_OPTION_ARRAY,
         extra.data(),
         MHD_OPTION_END);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -31,7 +31,8 @@
 };
 
 using Handler = std::function<void(Request request, std::shared_ptr<Responder> responder)>;
-/// Called when a request is refused by the server itself: 413 or 431.
+/// Called when the server itself refuses: 408 (a request that did not end in time), 413 (body too large), 431 (header
+/// too large or broken off).
 using RefusalHandler = std::function<void(int status)>;
 
 /// An HTTP server (libmicrohttpd) on an event loop. Handlers run on the loop's thread and never block.
--- a/src/membership/membershipmodule.cpp
+++ b/src/membership/membershipmodule.cpp
@@ -28,6 +28,7 @@
         auto members = Members::create(settings->instance);
         context.set(members);
         if (settings->platform.inMemory) {
+            members->applyList(settings->platform.vms);
             return success();
         }
         auto reader = VmListReader::create(*context.get<Runtime>()->loop, context.get<http::Client>(), members, settings->platform.vmListEndpoint);
--- a/src/metrics/internal/reasons.cpp
+++ b/src/metrics/internal/reasons.cpp
@@ -9,6 +9,7 @@
     "bad_field",
     "body_too_large",
     "header_too_large",
+    "slow_sender",
     "unknown_path",
     "missing_credential",
     "unknown_credential",
--- a/src/metrics/reasons.h
+++ b/src/metrics/reasons.h
@@ -11,7 +11,8 @@
     BadJson,
     BadField,
     BodyTooLarge,
-    HeaderTooLarge,
+    HeaderTooLarge, ///< Or broken off in the middle.
+    SlowSender, ///< The request did not end in time.
     UnknownPath,
     MissingCredential,
     UnknownCredential,
--- a/src/operatorapi/operatorapimodule.cpp
+++ b/src/operatorapi/operatorapimodule.cpp
@@ -1,6 +1,7 @@
 #include "kernel/module.h"
 #include "kernel/runtime.h"
 #include "operatorapi/operatorapi.h"
+#include "settings/listenfiles.h"
 #include "settings/settingstypes.h"
 
 namespace cardamomlift::operatorapi {
@@ -33,9 +34,7 @@
         tools.members = context.get<membership::Members>();
         tools.metrics = context.get<metrics::Metrics>();
         tools.lifecycle = context.get<lifecycle::Lifecycle>();
-        http::ServerOptions options;
-        options.address = settings->operators.address;
-        options.port = settings->operators.port;
+        BOOST_OUTCOME_TRY(options, settings::serverOptions(settings->operators));
         auto api = OperatorApi::create(std::move(tools), std::move(options));
         if (!api) {
             return api.error();
--- a/src/peers/peersmodule.cpp
+++ b/src/peers/peersmodule.cpp
@@ -1,6 +1,7 @@
 #include "kernel/module.h"
 #include "kernel/runtime.h"
 #include "peers/grpctransport.h"
+#include "settings/listenfiles.h"
 #include "settings/settingstypes.h"
 
 namespace cardamomlift::peers {
@@ -28,6 +29,10 @@
         options.address = settings->peers.address;
         options.port = settings->peers.port;
         options.token = settings->peerToken;
+        BOOST_OUTCOME_TRY(files, settings::readListenFiles(settings->peers));
+        options.certificatePem = files.certificatePem;
+        options.privateKeyPem = files.privateKeyPem;
+        options.authorityPem = files.authorityPem;
         auto transport = GrpcTransport::create(*context.get<Runtime>()->loop, options);
         if (!transport) {
             return transport.error();
--- a/src/settings/internal/settingsreader.cpp
+++ b/src/settings/internal/settingsreader.cpp
@@ -1,8 +1,10 @@
 #include "settings/settingsreader.h"
 
+#include "membership/vmlist.h"
 #include "settings/jsontext.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <array>
 
 namespace cardamomlift::settings {
@@ -10,11 +12,54 @@
 namespace {
 
 constexpr std::int64_t HighestPort = 65535;
+constexpr std::int64_t MostIdleSeconds = 3600;
+constexpr std::size_t Sha256HexLength = 64;
 constexpr std::int64_t MostOpenRequests = 1'000'000;
 constexpr std::int64_t MostMegabytes = 65536;
 constexpr std::int64_t MostKilobytes = 1 << 20;
 constexpr std::array<std::string_view, 4> LogLevels{"debug", "info", "warn", "error"};
 
+bool isAddress(const std::string &text)
+{
+    in_addr parsed{};
+    return inet_pton(AF_INET, text.c_str(), &parsed) == 1;
+}
+
+/// "http://10.0.0.1:8000" or https, without a path.
+bool isEndpoint(std::string_view text)
+{
+    for (const std::string_view scheme : {"http://", "https://"}) {
+        if (!text.starts_with(scheme)) {
+            continue;
+        }
+        const std::string_view host = text.substr(scheme.size());
+        const auto colon = host.find(':');
+        const std::string_view port = colon == std::string_view::npos ? std::string_view("80") : host.substr(colon + 1);
+        const bool isNumber = !port.empty() && port.find_first_not_of("0123456789") == std::string_view::npos;
+        return isNumber && isAddress(std::string(host.substr(0, colon)));
+    }
+    return false;
+}
+
+std::string readEndpoint(ObjectReader &reader, const Json::Value &owner, const char *name, bool required)
+{
+    const std::string endpoint = reader.text(name, required);
+    if (!endpoint.empty() && !isEndpoint(endpoint)) {
+        reader.report(owner[name], std::string("\"") + name + "\" is not an endpoint.", "Write it as in \"http://10.0.0.1:8000\", with an IP number.");
+    }
+    return endpoint;
+}
+
+std::string readHash(ObjectReader &reader, const Json::Value &owner, const char *name)
+{
+    const std::string hash = reader.text(name, true);
+    const bool isHash = hash.size() == Sha256HexLength && hash.find_first_not_of("0123456789abcdef") == std::string::npos;
+    if (owner.isObject() && owner.isMember(name) && !isHash) {
+        reader.report(owner[name], std::string("\"") + name + "\" is not a SHA-256 hash.", "Write the 64 hex digits that `cardamomlift hash-key` prints.");
+    }
+    return hash;
+}
+
 ListenSettings readListen(const JsonText &text, const Json::Value *value, const char *what, Findings &findings)
 {
     ListenSettings listen;
@@ -26,6 +71,11 @@
     listen.port = static_cast<std::uint16_t>(reader.number("port", false, 0, 0, HighestPort));
     listen.certificateFile = reader.text("certificateFile", false);
     listen.privateKeyFile = reader.text("privateKeyFile", false);
+    listen.authorityFile = reader.text("authorityFile", false);
+    listen.idleSeconds = static_cast<unsigned>(reader.number("idleSeconds", false, listen.idleSeconds, 1, MostIdleSeconds));
+    if (!isAddress(listen.address)) {
+        reader.report((*value)["address"], "\"address\" is not an IPv4 number.", "Write it as in \"10.0.0.1\"; names are not looked up.");
+    }
     if (listen.certificateFile.empty() != listen.privateKeyFile.empty()) {
         reader.report(*value, "Only one of \"certificateFile\" and \"privateKeyFile\" is given.", "Give both for TLS, or none for plaintext.");
     }
@@ -33,6 +83,17 @@
     return listen;
 }
 
+void readVms(const JsonText &text, const Json::Value &list, PlatformSettings &platform, Findings &findings)
+{
+    for (const Json::Value &entry : list) {
+        if (auto vm = membership::vmFromJson(entry)) {
+            platform.vms.push_back(std::move(*vm));
+            continue;
+        }
+        findings.push_back(text.findingAt(entry, "This is not a VM.", "Give instance, address, zone, role (model or service), port and serves."));
+    }
+}
+
 PlatformSettings readPlatform(const JsonText &text, const Json::Value *value, Findings &findings)
 {
     PlatformSettings platform;
@@ -43,13 +104,16 @@
     ObjectReader reader(text, *value, "\"platform\"", findings);
     platform.inMemory = reader.boolean("inMemory", false);
     const bool required = !platform.inMemory;
-    platform.tableEndpoint = reader.text("tableEndpoint", required);
+    platform.tableEndpoint = readEndpoint(reader, *value, "tableEndpoint", required);
     platform.tableName = reader.text("tableName", false, platform.tableName);
     platform.region = reader.text("region", false, platform.region);
     platform.accessKey = reader.text("accessKey", required);
     platform.secretKey = reader.text("secretKey", required);
-    platform.vmListEndpoint = reader.text("vmListEndpoint", required);
-    platform.noticeEndpoint = reader.text("noticeEndpoint", false);
+    platform.vmListEndpoint = readEndpoint(reader, *value, "vmListEndpoint", required);
+    platform.noticeEndpoint = readEndpoint(reader, *value, "noticeEndpoint", false);
+    if (const Json::Value *vms = reader.array("vms", false)) {
+        readVms(text, *vms, platform, findings);
+    }
     reader.rejectUnknown();
     return platform;
 }
@@ -88,7 +152,7 @@
     settings.callers = readListen(*text, reader.member("callers"), "\"callers\"", findings);
     settings.operators = readListen(*text, reader.member("operators"), "\"operators\"", findings);
     settings.peers = readListen(*text, reader.member("peers"), "\"peers\"", findings);
-    settings.operatorTokenSha256 = reader.text("operatorTokenSha256", true);
+    settings.operatorTokenSha256 = readHash(reader, text->root(), "operatorTokenSha256");
     settings.peerToken = reader.text("peerToken", true);
     settings.platform = readPlatform(*text, reader.member("platform"), findings);
     settings.limits = readLimits(*text, reader.member("limits"), findings);
--- a/src/settings/settingstypes.h
+++ b/src/settings/settingstypes.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http/httptypes.h"
+#include "membership/membershiptypes.h"
 
 #include <cstdint>
 #include <string>
@@ -14,6 +14,8 @@
     std::uint16_t port = 0; ///< 0: the system picks one, printed in the ready line.
     std::string certificateFile; ///< PEM; empty: plaintext.
     std::string privateKeyFile;
+    std::string authorityFile; ///< Peers only: the authority of their certificates (PEM); peers check each other by it.
+    unsigned idleSeconds = 30; ///< A request must be whole within this time; a silent connection is closed after it.
 };
 
 /// Where the platform's services are.
@@ -26,6 +28,7 @@
     std::string secretKey;
     std::string vmListEndpoint; ///< The platform's list of VMs.
     std::string noticeEndpoint; ///< Where this VM reads its own reclaim notice.
+    std::vector<membership::Vm> vms; ///< With inMemory: the backend servers, since there is no list to read.
 };
 
 struct LimitSettings {
