Add gossip, load reports and reachability for the other modules

Cause: a leaving mark, an accepted revision or a suspected request must cross the fleet without every VM calling every other (380 x 379 connections). Ruled out: calling all peers (nodes squared), random targets (connections to all in the end), sending the full set of marks at each comparison. LocalTransport counts the bytes of replies now, as the gRPC transport does. Conclusion: the interface stands for the contract and suspect modules.

--- /dev/null
+++ b/src/membership/internal/loadreports.cpp
@@ -0,0 +1,36 @@
+#include "membership/loadreports.h"
+
+namespace cardamomlift::membership {
+
+std::shared_ptr<LoadReports> LoadReports::create(EventLoop &loop)
+{
+    std::shared_ptr<LoadReports> reports(new LoadReports);
+    reports->loop_ = &loop;
+    return reports;
+}
+
+void LoadReports::report(const std::string &instance, const LoadReport &report)
+{
+    entries_[instance] = {report, loop_->now()};
+}
+
+std::optional<AgedLoadReport> LoadReports::load(const std::string &instance) const
+{
+    const auto found = entries_.find(instance);
+    if (found == entries_.end()) {
+        return std::nullopt;
+    }
+    return AgedLoadReport{found->second.report, loop_->now() - found->second.heard};
+}
+
+void LoadReports::forget(const std::string &instance)
+{
+    entries_.erase(instance);
+}
+
+std::size_t LoadReports::size() const
+{
+    return entries_.size();
+}
+
+} // namespace cardamomlift::membership
--- a/src/membership/internal/members.cpp
+++ b/src/membership/internal/members.cpp
@@ -29,6 +29,9 @@
             entry.state = VmState::Leaving;
         }
     }
+    if (next == vms_) {
+        return;
+    }
     vms_ = std::move(next);
     notify();
 }
--- /dev/null
+++ b/src/membership/internal/overlay.cpp
@@ -0,0 +1,85 @@
+#include "membership/overlay.h"
+
+#include "text/digest.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomlift::membership {
+
+namespace {
+
+constexpr std::size_t Rings = MostNeighbours / 2;
+
+using RingPlace = std::pair<std::uint64_t, const Vm *>;
+
+bool isBefore(const RingPlace &a, const RingPlace &b)
+{
+    return a.first != b.first ? a.first < b.first : a.second->instance < b.second->instance;
+}
+
+void addOnce(std::vector<std::string> &list, const std::string &instance)
+{
+    if (std::find(list.begin(), list.end(), instance) == list.end()) {
+        list.push_back(instance);
+    }
+}
+
+/// All other VMs, if they are few enough to be neighbours all; else nothing.
+std::vector<std::string> othersIfFew(std::span<const Vm> entries, const std::string &self)
+{
+    std::vector<std::string> others;
+    for (const Vm &vm : entries) {
+        if (vm.instance == self || vm.state == VmState::Gone) {
+            continue;
+        }
+        if (others.size() == MostNeighbours) {
+            return {};
+        }
+        others.push_back(vm.instance);
+    }
+    return others;
+}
+
+/// The VMs just before and just after @p own on the ring of salt @p ring; null if there is no other VM.
+std::pair<const Vm *, const Vm *> besideOnRing(std::span<const Vm> entries, const std::string &self, std::uint64_t ring)
+{
+    const Vm own{self};
+    const RingPlace place{text::stableHash(self, ring), &own};
+    RingPlace first{}, last{}, before{}, after{};
+    for (const Vm &vm : entries) {
+        if (vm.instance == self || vm.state == VmState::Gone) {
+            continue;
+        }
+        const RingPlace other{text::stableHash(vm.instance, ring), &vm};
+        first = !first.second || isBefore(other, first) ? other : first;
+        last = !last.second || isBefore(last, other) ? other : last;
+        if (isBefore(other, place)) {
+            before = !before.second || isBefore(before, other) ? other : before;
+        } else {
+            after = !after.second || isBefore(other, after) ? other : after;
+        }
+    }
+    return {before.second ? before.second : last.second, after.second ? after.second : first.second};
+}
+
+} // namespace
+
+std::vector<std::string> chooseNeighbours(std::span<const Vm> entries, const std::string &self)
+{
+    std::vector<std::string> result = othersIfFew(entries, self);
+    if (!result.empty()) {
+        return result;
+    }
+    for (std::uint64_t ring = 0; ring < Rings; ring++) {
+        const auto [before, after] = besideOnRing(entries, self, ring);
+        if (!before) {
+            return result;
+        }
+        addOnce(result, before->instance);
+        addOnce(result, after->instance);
+    }
+    return result;
+}
+
+} // namespace cardamomlift::membership
--- /dev/null
+++ b/src/membership/internal/reachability.cpp
@@ -0,0 +1,15 @@
+#include "membership/reachability.h"
+
+namespace cardamomlift::membership {
+
+bool isAlone(const Reachability &reachability)
+{
+    return reachability.neighbours > 0 && reachability.neighboursHeard == 0;
+}
+
+bool isCutOff(const Reachability &reachability)
+{
+    return reachability.neighboursHeard * 2 < reachability.neighbours;
+}
+
+} // namespace cardamomlift::membership
--- a/src/membership/membershipmodule.cpp
+++ b/src/membership/membershipmodule.cpp
@@ -1,6 +1,10 @@
 #include "kernel/module.h"
 #include "kernel/runtime.h"
+#include "membership/gossip.h"
+#include "membership/loadreports.h"
+#include "membership/overlay.h"
 #include "membership/vmlist.h"
+#include "peers/peertransport.h"
 #include "settings/settingstypes.h"
 
 namespace cardamomlift::membership {
@@ -9,6 +13,16 @@
 
 constexpr Duration ListPeriod = std::chrono::milliseconds(500);
 
+/// Points the gossip at the neighbours that follow from the known entry VMs.
+void updateNeighbours(const Members &members, Gossip &gossip)
+{
+    std::vector<peers::PeerAddress> neighbours;
+    for (const std::string &instance : chooseNeighbours(members.peers(), members.self())) {
+        neighbours.push_back(peerAddress(*members.find(instance)));
+    }
+    gossip.setNeighbours(std::move(neighbours));
+}
+
 class MembershipModule : public Module
 {
 public:
@@ -19,7 +33,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"http"};
+        return {"http", "peers"};
     }
 
     Result<void> start(Context &context) override
@@ -27,10 +41,16 @@
         const auto settings = context.get<settings::Settings>();
         auto members = Members::create(settings->instance);
         context.set(members);
+        EventLoop &loop = *context.get<Runtime>()->loop;
+        auto gossip = Gossip::create(loop, context.get<peers::PeerTransport>());
+        members->onChange([raw = members.get(), gossip] { updateNeighbours(*raw, *gossip); });
+        gossip->start();
+        context.set(gossip);
+        context.set(LoadReports::create(loop));
         if (settings->platform.inMemory) {
             return success();
         }
-        auto reader = VmListReader::create(*context.get<Runtime>()->loop, context.get<http::Client>(), members, settings->platform.vmListEndpoint);
+        auto reader = VmListReader::create(loop, context.get<http::Client>(), members, settings->platform.vmListEndpoint);
         reader->start(ListPeriod);
         context.set(reader);
         return success();
--- a/src/membership/membershiptypes.h
+++ b/src/membership/membershiptypes.h
@@ -33,6 +33,8 @@
     std::int64_t microsPerHour = 0; ///< Price, in millionths of the currency.
     bool reclaimable = true;
     bool checksFencing = false; ///< The server refuses orders that carry an old fencing number.
+
+    bool operator==(const Vm &other) const = default;
 };
 
 } // namespace cardamomlift::membership
--- /dev/null
+++ b/src/membership/reachability.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstddef>
+
+namespace cardamomlift::membership {
+
+/// How many of the listed entry VMs this VM has heard of lately, directly or through gossip; itself not counted.
+struct Reachability {
+    std::size_t listed = 0; ///< Entry VMs in the platform's list, as last read.
+    std::size_t heard = 0; ///< Of these, with a sign of life in the last few seconds and no confirmed failure.
+    std::size_t listedInRegion = 0; ///< In this VM's own region.
+    std::size_t heardInRegion = 0;
+    std::size_t neighbours = 0; ///< VMs this VM exchanges heartbeats with.
+    std::size_t neighboursHeard = 0; ///< Of these, that answered in the last few seconds.
+};
+
+/// True if this VM hears no neighbour at all, though the list has some: it is alone, or all others are gone.
+bool isAlone(const Reachability &reachability);
+
+/// True if this VM is cut off from most of the others: it hears fewer than half of its neighbours. A VM without
+/// listed peers is not cut off.
+bool isCutOff(const Reachability &reachability);
+
+} // namespace cardamomlift::membership
--- a/src/peers/internal/localtransport.cpp
+++ b/src/peers/internal/localtransport.cpp
@@ -44,6 +44,7 @@
         if (!pending->reply) {
             return;
         }
+        counters_.bytesReceived += result ? result.value().size() : 0;
         loop_.cancel(pending->timer);
         auto once = std::move(pending->reply);
         pending->reply = nullptr;
@@ -75,7 +76,10 @@
         reply(failure(ErrorKind::Denied, "unknown topic"));
         return;
     }
-    handler->second(from, std::move(payload), std::move(reply));
+    handler->second(from, std::move(payload), [this, reply = std::move(reply)](Result<std::string> result) {
+        counters_.bytesSent += result ? result.value().size() : 0;
+        reply(std::move(result));
+    });
 }
 
 void LocalTransport::handle(std::string topic, TopicHandler handler)
