Give the engine stand-in batching, caches, lag, KV transfer and orders

Routing, limits and recovery need an engine that behaves as the platform's do: the thin one ran every stream at its own pace, knew no cache and forgot nothing. Ruled out: a timer for each stream (steps of a batch would not slow each other).

--- a/src/standins/engine/engine.cpp
+++ b/src/standins/engine/engine.cpp
@@ -1,16 +1,14 @@
 #include "standins/engine/engine.h"
 
 #include "http/json.h"
-#include "standinkit/outputtoken.h"
-
-#include <fmt/format.h>
+#include "standins/engine/streamformat.h"
 
 namespace cardamomlift::standins {
 
 namespace {
 
 constexpr std::string_view StreamsPath = "/v1/streams/";
-constexpr std::int64_t BytesPerToken = 4;
+constexpr std::string_view KvPath = "/v1/kv/";
 constexpr Duration KeepFinished = std::chrono::seconds(30);
 
 http::Response refusal(int status, const std::string &message)
@@ -20,48 +18,61 @@
     return http::jsonResponse(status, body);
 }
 
-} // namespace
+http::Response notRun(const std::string &message, bool leaving)
+{
+    http::Response response = refusal(503, message);
+    response.headers["X-Not-Run"] = "true";
+    if (leaving) {
+        response.headers["X-Leaving"] = "true";
+    }
+    return response;
+}
 
-/// One request: its tokens so far, and whoever reads them now.
-struct Engine::Stream {
-    std::string id;
-    std::string model;
-    std::string messagesJson;
-    std::uint64_t seed = 0;
-    std::int64_t maxTokens = 0;
-    std::int64_t promptTokens = 0;
-    std::uint64_t produced = 0; ///< Position after the last token made.
-    std::uint64_t sent = 0; ///< Position after the last token sent to the reader.
-    bool finished = false;
-    bool cancelled = false;
-    ResponderPtr reader;
-};
+Json::Value bodyOf(const http::Request &request)
+{
+    return http::parseJson(request.body).value_or(Json::Value(Json::objectValue));
+}
+
+} // namespace
 
 std::unique_ptr<Engine> Engine::create(EventLoop &loop, EngineOptions options)
 {
-    std::unique_ptr<Engine> engine(new Engine);
-    engine->loop_ = &loop;
-    engine->options_ = std::move(options);
-    return engine;
+    return std::unique_ptr<Engine>(new Engine(loop, std::move(options)));
 }
 
-void Engine::handle(const http::Request &request, const std::shared_ptr<http::Responder> &responder)
+Engine::Engine(EventLoop &loop, EngineOptions options)
+    : loop_(&loop)
+    , options_(std::move(options))
+    , kv_(options_)
+    , orders_(options_.checkFencing)
+    , scheduler_(loop, options_, totals_, kv_, [this](const StreamPtr &stream) { send(stream); })
+{
+}
+
+void Engine::handle(const http::Request &request, const ResponderPtr &responder)
 {
     const std::string_view meant = http::headerValue(request.headers, "X-Instance");
     if (!meant.empty() && meant != options_.instance) {
-        responder->respond(refusal(503, "another instance"));
+        responder->respond(notRun("another instance", false));
         return;
     }
     const std::string_view path = request.path;
     if (path == "/v1/chat/completions") {
         start(request, responder);
-    } else if (path.starts_with(StreamsPath) && request.method == "GET") {
-        resume(request, responder);
-    } else if (path.starts_with(StreamsPath) && request.method == "DELETE") {
-        cancel(std::string(path.substr(StreamsPath.size())));
-        responder->respond({200, {}, "ok\n"});
+    } else if (path.starts_with(StreamsPath)) {
+        handleStream(request, std::string(path.substr(StreamsPath.size())), responder);
+    } else if (path.starts_with(KvPath)) {
+        handleKv(request, std::string(path.substr(KvPath.size())), responder);
+    } else if (path == "/v1/orders") {
+        responder->respond(orders_.take(bodyOf(request)));
+    } else if (path == "/load") {
+        responder->respond(http::jsonResponse(200, loadJson()));
+    } else if (path == "/cache-events") {
+        const auto after = request.query.find("after");
+        const std::uint64_t number = after == request.query.end() ? 0 : std::strtoull(after->second.c_str(), nullptr, 10);
+        responder->respond(http::jsonResponse(200, scheduler_.cacheEvents(number)));
     } else if (path == "/control") {
-        control(http::parseJson(request.body).value_or(Json::Value(Json::objectValue)));
+        control(bodyOf(request));
         responder->respond({200, {}, "ok\n"});
     } else if (path == "/totals") {
         responder->respond(http::jsonResponse(200, totals()));
@@ -70,6 +81,30 @@
     }
 }
 
+void Engine::handleStream(const http::Request &request, const std::string &id, const ResponderPtr &responder)
+{
+    if (request.method == "DELETE") {
+        cancel(id);
+        responder->respond({200, {}, "ok\n"});
+        return;
+    }
+    const auto found = streams_.find(id);
+    if (found == streams_.end()) {
+        responder->respond(refusal(404, "unknown stream"));
+        return;
+    }
+    resume(request, found->second, responder);
+}
+
+void Engine::handleKv(const http::Request &request, const std::string &id, const ResponderPtr &responder)
+{
+    if (request.method == "PUT") {
+        importKv(id, request.body, responder);
+    } else {
+        exportKv(id, responder);
+    }
+}
+
 void Engine::start(const http::Request &request, const ResponderPtr &responder)
 {
     const auto body = http::parseJson(request.body);
@@ -78,91 +113,59 @@
         return;
     }
     if (leaving_) {
-        responder->respond(refusal(503, "leaving"));
+        totals_.refusedLeaving++;
+        responder->respond(notRun("leaving", true));
+        return;
+    }
+    const StreamPtr stream = readStream(std::string(http::headerValue(request.headers, "X-Request-Id")), *body);
+    if (!orders_.serves(stream->model)) {
+        responder->respond(notRun("model not loaded", false));
         return;
     }
-    auto stream = std::make_shared<Stream>();
-    stream->id = std::string(http::headerValue(request.headers, "X-Request-Id"));
-    stream->model = body->get("model", "").asString();
-    stream->messagesJson = http::writeJson((*body)["messages"]);
-    stream->seed = body->get("seed", 0).asUInt64();
-    stream->maxTokens = body->get("max_tokens", 16).asInt64();
-    stream->promptTokens = static_cast<std::int64_t>(stream->messagesJson.size()) / BytesPerToken + 1;
-    const std::uint64_t continued = (*body)["continue_tokens"].size();
-    stream->produced = continued;
-    stream->sent = continued;
-    stream->reader = responder;
     totals_.started++;
-    totals_.continuedTokens += continued;
+    totals_.continuedTokens += stream->continued;
     totals_.promptTokens += static_cast<std::uint64_t>(stream->promptTokens);
     streams_[stream->id] = stream;
-    responder->startStream(200, {{"Content-Type", "text/event-stream"}, {"X-Stream-Id", stream->id}});
-    responder->onClosed([stream] { stream->reader.reset(); });
-    const std::int64_t prefill = (stream->promptTokens + static_cast<std::int64_t>(continued)) / options_.prefillTokensPerMs;
-    loop_->after(std::chrono::milliseconds(prefill + options_.tokenMs), [this, stream] { step(stream); });
+    setReader(stream, responder);
+    scheduler_.add(stream);
 }
 
-void Engine::resume(const http::Request &request, const ResponderPtr &responder)
+void Engine::resume(const http::Request &request, const StreamPtr &stream, const ResponderPtr &responder)
 {
-    const auto found = streams_.find(request.path.substr(StreamsPath.size()));
-    if (found == streams_.end()) {
-        responder->respond(refusal(404, "unknown stream"));
-        return;
-    }
-    const StreamPtr stream = found->second;
     const auto after = request.query.find("starting_after");
-    stream->sent = after == request.query.end() ? 0 : static_cast<std::uint64_t>(std::stoll(after->second) + 1);
-    stream->reader = responder;
-    responder->startStream(200, {{"Content-Type", "text/event-stream"}, {"X-Stream-Id", stream->id}});
-    responder->onClosed([stream] { stream->reader.reset(); });
+    stream->sent = after == request.query.end() ? 0 : static_cast<std::uint64_t>(std::strtoll(after->second.c_str(), nullptr, 10) + 1);
+    setReader(stream, responder);
     send(stream);
 }
 
-void Engine::step(const StreamPtr &stream)
+void Engine::setReader(const StreamPtr &stream, const ResponderPtr &responder)
 {
-    if (stream->cancelled) {
-        return;
-    }
-    if (static_cast<std::int64_t>(stream->produced) < stream->maxTokens) {
-        stream->produced++;
-        totals_.tokens++;
-    }
-    stream->finished = static_cast<std::int64_t>(stream->produced) >= stream->maxTokens;
-    send(stream);
-    if (stream->finished) {
-        loop_->after(KeepFinished, [this, id = stream->id] { streams_.erase(id); });
-        return;
-    }
-    loop_->after(std::chrono::milliseconds(options_.tokenMs), [this, stream] { step(stream); });
+    stream->reader = responder;
+    responder->startStream(200, {{"Content-Type", "text/event-stream"}, {"X-Stream-Id", stream->id}});
+    responder->onClosed([stream, raw = responder.get()] {
+        // NOTE A reader that comes back may be here before the end of its old connection is seen.
+        if (stream->reader.get() == raw) {
+            stream->reader.reset();
+        }
+    });
 }
 
 void Engine::send(const StreamPtr &stream)
 {
-    if (!stream->reader) {
-        return;
-    }
-    for (; stream->sent < stream->produced; stream->sent++) {
-        Json::Value json;
-        json["id"] = stream->id;
-        json["object"] = "chat.completion.chunk";
-        json["choices"][0]["index"] = 0;
-        json["choices"][0]["delta"]["content"] = standinkit::outputToken(stream->messagesJson, stream->seed, stream->sent);
-        stream->reader->write(fmt::format("id: {}\ndata: {}\n\n", stream->sent, http::writeJson(json)));
+    if (stream->reader) {
+        for (; stream->sent < stream->produced; stream->sent++) {
+            stream->reader->write(tokenEvent(*stream, stream->sent, !stream->saidUsage));
+            stream->saidUsage = true;
+        }
     }
     if (!stream->finished) {
         return;
     }
-    Json::Value json;
-    json["id"] = stream->id;
-    json["object"] = "chat.completion.chunk";
-    json["choices"][0]["index"] = 0;
-    json["choices"][0]["delta"] = Json::Value(Json::objectValue);
-    json["choices"][0]["finish_reason"] = "length";
-    json["usage"]["prompt_tokens"] = static_cast<Json::Int64>(stream->promptTokens);
-    json["usage"]["completion_tokens"] = static_cast<Json::UInt64>(stream->produced);
-    json["usage"]["prompt_tokens_details"]["cached_tokens"] = 0;
-    stream->reader->write(fmt::format("data: {}\n\ndata: [DONE]\n\n", http::writeJson(json)));
-    stream->reader->finish();
+    if (stream->reader) {
+        stream->reader->write(endEvents(*stream));
+        stream->reader->finish();
+    }
+    loop_->after(KeepFinished, [this, id = stream->id] { streams_.erase(id); });
 }
 
 void Engine::cancel(const std::string &id)
@@ -171,22 +174,66 @@
     if (found == streams_.end()) {
         return;
     }
-    if (!found->second->finished) {
+    const StreamPtr stream = found->second;
+    streams_.erase(found);
+    if (!stream->finished) {
         totals_.cancelled++;
     }
-    found->second->cancelled = true;
-    if (found->second->reader) {
-        found->second->reader->abort();
+    stream->cancelled = true;
+    scheduler_.remove(stream);
+    if (stream->reader) {
+        stream->reader->abort();
     }
-    streams_.erase(found);
+}
+
+void Engine::exportKv(const std::string &id, const ResponderPtr &responder)
+{
+    const auto found = streams_.find(id);
+    if (found == streams_.end()) {
+        responder->respond(refusal(404, "unknown stream"));
+        return;
+    }
+    std::string body = kv_.exportOf(*found->second);
+    totals_.exportedBytes += body.size();
+    const auto wait = std::chrono::duration_cast<Duration>(kv_.transferEnd(loop_->now(), body.size()) - loop_->now());
+    loop_->after(wait, [responder, body = std::move(body)]() mutable {
+        responder->respond({200, {{"Content-Type", "application/octet-stream"}}, std::move(body)});
+    });
+}
+
+void Engine::importKv(const std::string &id, const std::string &body, const ResponderPtr &responder)
+{
+    const auto wait = std::chrono::duration_cast<Duration>(kv_.transferEnd(loop_->now(), body.size()) - loop_->now());
+    loop_->after(wait, [this, id, body, responder] {
+        if (leaving_ || !kv_.import(id, body)) {
+            responder->respond(leaving_ ? notRun("leaving", true) : refusal(400, "no exported cache"));
+            return;
+        }
+        totals_.importedBytes += body.size();
+        responder->respond({200, {}, "ok\n"});
+    });
 }
 
 void Engine::control(const Json::Value &json)
 {
-    leaving_ = json.get("leaving", leaving_).asBool();
+    if (json.get("leaving", false).asBool()) {
+        leaving_ = true;
+        scheduler_.setLeaving();
+    }
     options_.tokenMs = json.get("tokenMs", static_cast<Json::Int64>(options_.tokenMs)).asInt64();
 }
 
+Json::Value Engine::loadJson()
+{
+    const EngineLoad load = scheduler_.load();
+    Json::Value json;
+    json["running"] = static_cast<Json::UInt64>(load.running);
+    json["waiting"] = static_cast<Json::UInt64>(load.waiting);
+    json["kvUsed"] = load.kvUsed;
+    json["leaving"] = load.leaving;
+    return json;
+}
+
 Json::Value Engine::totals() const
 {
     Json::Value json;
@@ -194,8 +241,14 @@
     json["cancelled"] = static_cast<Json::UInt64>(totals_.cancelled);
     json["tokens"] = static_cast<Json::UInt64>(totals_.tokens);
     json["promptTokens"] = static_cast<Json::UInt64>(totals_.promptTokens);
+    json["prefilledTokens"] = static_cast<Json::UInt64>(totals_.prefilledTokens);
     json["continuedTokens"] = static_cast<Json::UInt64>(totals_.continuedTokens);
+    json["recomputedTokens"] = static_cast<Json::UInt64>(totals_.recomputedTokens);
+    json["exportedBytes"] = static_cast<Json::UInt64>(totals_.exportedBytes);
+    json["importedBytes"] = static_cast<Json::UInt64>(totals_.importedBytes);
+    json["refusedLeaving"] = static_cast<Json::UInt64>(totals_.refusedLeaving);
     json["open"] = static_cast<Json::UInt64>(streams_.size());
+    json["orders"] = orders_.totals();
     return json;
 }
 
--- a/src/standins/engine/engine.h
+++ b/src/standins/engine/engine.h
@@ -2,6 +2,10 @@
 
 #include "http/server.h"
 #include "kernel/eventloop.h"
+#include "standins/engine/enginetypes.h"
+#include "standins/engine/kvstore.h"
+#include "standins/engine/orders.h"
+#include "standins/engine/scheduler.h"
 
 #include <json/json.h>
 
@@ -11,21 +15,10 @@
 
 namespace cardamomlift::standins {
 
-struct EngineOptions {
-    std::string instance = "engine-1";
-    std::int64_t tokenMs = 5; ///< Between two tokens of a stream.
-    std::int64_t prefillTokensPerMs = 100;
-};
-
-struct EngineTotals {
-    std::uint64_t started = 0;
-    std::uint64_t cancelled = 0;
-    std::uint64_t tokens = 0;
-    std::uint64_t promptTokens = 0; ///< Computed, with those of continuations.
-    std::uint64_t continuedTokens = 0; ///< Output tokens given back by a continuation and computed again.
-};
-
 /// One model engine: streams chat completions whose tokens are known beforehand (standinkit::outputToken).
+///
+/// POST /v1/chat/completions; GET and DELETE /v1/streams/{id}; GET and PUT /v1/kv/{id}; POST /v1/orders; GET /load;
+/// GET /cache-events?after=n; and for tests POST /control {"leaving":true,"tokenMs":n}, GET /totals.
 class Engine
 {
 public:
@@ -33,20 +26,26 @@
     void handle(const http::Request &request, const std::shared_ptr<http::Responder> &responder);
 
 private:
-    struct Stream;
-    using StreamPtr = std::shared_ptr<Stream>;
     using ResponderPtr = std::shared_ptr<http::Responder>;
-    Engine() = default;
+    Engine(EventLoop &loop, EngineOptions options);
+    void handleStream(const http::Request &request, const std::string &id, const ResponderPtr &responder);
+    void handleKv(const http::Request &request, const std::string &id, const ResponderPtr &responder);
     void start(const http::Request &request, const ResponderPtr &responder);
-    void resume(const http::Request &request, const ResponderPtr &responder);
-    void step(const StreamPtr &stream);
+    void resume(const http::Request &request, const StreamPtr &stream, const ResponderPtr &responder);
+    void setReader(const StreamPtr &stream, const ResponderPtr &responder);
     void send(const StreamPtr &stream);
     void cancel(const std::string &id);
+    void exportKv(const std::string &id, const ResponderPtr &responder);
+    void importKv(const std::string &id, const std::string &body, const ResponderPtr &responder);
     void control(const Json::Value &json);
     Json::Value totals() const;
-    EventLoop *loop_ = nullptr;
+    Json::Value loadJson();
+    EventLoop *loop_;
     EngineOptions options_;
     EngineTotals totals_;
+    KvStore kv_;
+    Orders orders_;
+    Scheduler scheduler_;
     bool leaving_ = false;
     std::map<std::string, StreamPtr> streams_;
 };
