--- a/src/gateway/chathandler.h
+++ b/src/gateway/chathandler.h
@@ -29,6 +29,7 @@
         std::uint64_t ticket);
     void stream(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session);
     void collect(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session);
+    void countDemand(const streams::StreamState &state);
     std::string newRequestId();
     GatewayTools tools_;
     std::uint64_t nextNumber_ = 1;
--- a/src/gateway/gatewaymodule.cpp
+++ b/src/gateway/gatewaymodule.cpp
@@ -20,7 +20,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"admission", "claims", "contract", "engine", "http", "lifecycle", "metrics", "routing"};
+        return {"admission", "claims", "contract", "engine", "fleet", "http", "lifecycle", "metrics", "routing"};
     }
 
     Result<void> start(Context &context) override
@@ -37,6 +37,7 @@
         tools.admission = context.get<admission::Admission>();
         tools.router = context.get<routing::Router>();
         tools.claims = context.get<claims::ClaimKeeper>();
+        tools.demand = context.get<fleet::DemandMeter>();
         tools.metrics = context.get<metrics::Metrics>();
         tools.lifecycle = lifecycle;
         BOOST_OUTCOME_TRY(options, settings::serverOptions(settings->callers));
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -4,6 +4,7 @@
 #include "claims/claimkeeper.h"
 #include "contract/contractset.h"
 #include "engine/engineclient.h"
+#include "fleet/demand.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "kernel/eventloop.h"
@@ -28,6 +29,7 @@
     std::shared_ptr<routing::Router> router;
     std::shared_ptr<claims::ClaimKeeper> claims;
     std::shared_ptr<metrics::Metrics> metrics;
+    std::shared_ptr<fleet::DemandMeter> demand;
     std::shared_ptr<lifecycle::Lifecycle> lifecycle;
 };
 
--- a/src/gateway/internal/chathandler.cpp
+++ b/src/gateway/internal/chathandler.cpp
@@ -48,6 +48,12 @@
     return sessions_.size();
 }
 
+void ChatHandler::countDemand(const streams::StreamState &state)
+{
+    const bool isUrgent = state.priority == static_cast<int>(contract::Priority::Urgent);
+    tools_.demand->add(state.model, static_cast<std::int64_t>(state.tokens.size()), isUrgent);
+}
+
 std::string ChatHandler::newRequestId()
 {
     return fmt::format("req-{}-{}-{}", tools_.instance, nextNumber_++, text::randomHex(IdBytes));
@@ -111,6 +117,7 @@
     session->onEnded([this, requestId, ticket] {
         const auto found = sessions_.find(requestId);
         tools_.admission->release(ticket, usageOf(found->second->state()));
+        countDemand(found->second->state());
         tools_.loop->post([this, requestId] { sessions_.erase(requestId); });
     });
     caller.responder->onClosed([session] { session->cancel(); });
--- a/src/settings/internal/settingsreader.cpp
+++ b/src/settings/internal/settingsreader.cpp
@@ -110,6 +110,7 @@
     platform.accessKey = reader.text("accessKey", required);
     platform.secretKey = reader.text("secretKey", required);
     platform.vmListEndpoint = readEndpoint(reader, *value, "vmListEndpoint", required);
+    platform.cloudEndpoint = readEndpoint(reader, *value, "cloudEndpoint", false);
     platform.noticeEndpoint = readEndpoint(reader, *value, "noticeEndpoint", false);
     if (const Json::Value *vms = reader.array("vms", false)) {
         readVms(text, *vms, platform, findings);
--- a/src/settings/settingstypes.h
+++ b/src/settings/settingstypes.h
@@ -28,6 +28,7 @@
     std::string secretKey;
     std::string vmListEndpoint; ///< The platform's list of VMs.
     std::string noticeEndpoint; ///< Where this VM reads its own reclaim notice.
+    std::string cloudEndpoint; ///< Where backend VMs are ordered; empty: somebody else orders them.
     std::vector<membership::Vm> vms; ///< With inMemory: the backend servers, since there is no list to read.
 };
 
