--- a/src/fleet/internal/demand.cpp
+++ b/src/fleet/internal/demand.cpp
@@ -79,6 +79,7 @@
     if (!report.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         return demands;
     }
+    demands.reserve(static_cast<std::size_t>(report.models_size()));
     for (const wire::ModelTokens &tokens : report.models()) {
         demands.push_back({tokens.model(), tokens.urgent_per_second(), tokens.total_per_second()});
     }
--- a/src/gateway/gatewaymodule.cpp
+++ b/src/gateway/gatewaymodule.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t BytesPerKilobyte = 1024;
+constexpr std::size_t BytesPerMegabyte = 1024 * BytesPerKilobyte;
 
 class GatewayModule : public Module
 {
@@ -40,6 +41,8 @@
         tools.demand = context.get<fleet::DemandMeter>();
         tools.metrics = context.get<metrics::Metrics>();
         tools.lifecycle = lifecycle;
+        tools.memory = MemoryGuard::create(*tools.loop, settings->limits.memoryMegabytes * BytesPerMegabyte);
+        tools.metrics->gauge("resident_memory_bytes", [guard = tools.memory] { return static_cast<double>(guard->residentBytes()); });
         BOOST_OUTCOME_TRY(options, settings::serverOptions(settings->callers));
         options.maxBodyBytes = settings->limits.bodyKilobytes * BytesPerKilobyte;
         options.maxConnections = static_cast<unsigned>(settings->limits.openRequests);
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -5,6 +5,7 @@
 #include "contract/contractset.h"
 #include "engine/engineclient.h"
 #include "fleet/demand.h"
+#include "gateway/memoryguard.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "kernel/eventloop.h"
@@ -31,6 +32,7 @@
     std::shared_ptr<metrics::Metrics> metrics;
     std::shared_ptr<fleet::DemandMeter> demand;
     std::shared_ptr<lifecycle::Lifecycle> lifecycle;
+    std::shared_ptr<MemoryGuard> memory;
 };
 
 /// One authenticated request.
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -84,6 +84,10 @@
         refuse(responder, {reason, starting ? "This VM has no configuration yet." : "This VM is leaving.", ComeBackSoon});
         return;
     }
+    if (tools_.memory->isOver()) {
+        refuse(responder, {metrics::RefusalReason::Overloaded, "This VM is short of memory.", ComeBackSoon});
+        return;
+    }
     const std::string_view authorization = http::headerValue(request.headers, "Authorization");
     if (!authorization.starts_with(BearerPrefix)) {
         refuse(responder, {metrics::RefusalReason::MissingCredential, "Send an API key as a bearer token."});
--- a/tests/product_test.cpp
+++ b/tests/product_test.cpp
@@ -157,6 +157,18 @@
     EXPECT_TRUE(other->isWhole());
 }
 
+TEST(Memory, AboveItsLimitNewWorkIsRefusedAndTheVmLivesOn)
+{
+    Fleet fleet(0);
+    fleet.addEntry("entry-1", "zone-1", [](Json::Value &settings) { settings["limits"]["memoryMegabytes"] = 1; });
+    fleet.waitStatus(
+        "entry-1", [](const Json::Value &status) { return status["phase"].asString() == "ready"; }, "ready");
+    const auto refused = fleet.caller.call(fleet.chat("entry-1", "x", 1));
+    EXPECT_EQ(codeOf(refused), "overloaded");
+    EXPECT_EQ(refused->headers["Retry-After"], "1");
+    EXPECT_GT(fleet.metric("entry-1", "resident_memory_bytes"), 1 << 20);
+}
+
 TEST(Credentials, OperatorsAndCallersShareNeitherPortNorKey)
 {
     Fleet fleet(1);
