Start calls that are made inside a libcurl callback

A call started while a piece of another answer is read never left: libcurl refuses to add a handle inside its callbacks, and the refusal was ignored. So the cancel of a stream that is given up on a token, as for a slow caller, never reached the engine, and onDone never came. Ruled out: the engine (it counted no DELETE at all) and the pool of connections (the same call from a timer arrives). The start is posted now when libcurl refuses it; StreamRecovery.ReclaimWithNoticeMovesEveryStreamBeforeTheServerDies holds it.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -308,7 +308,15 @@
     const CallId id = call->id;
     CURL *easy = call->easy;
     impl_->calls.emplace(id, std::move(call));
-    curl_multi_add_handle(impl_->multi, easy);
+    // NOTE libcurl adds no handle inside one of its callbacks, as when a piece of an answer makes its reader start a call.
+    if (curl_multi_add_handle(impl_->multi, easy) == CURLM_RECURSIVE_API_CALL) {
+        impl_->loop->post([impl = impl_.get(), alive = impl_->alive, id] {
+            const bool isOpen = *alive && impl->calls.contains(id);
+            if (isOpen) {
+                curl_multi_add_handle(impl->multi, impl->calls[id]->easy);
+            }
+        });
+    }
     return id;
 }
 
