Recover streams whose backend server is reclaimed, crashes or falls silent

A broken connection cost a whole continuation elsewhere even if the engine still had the stream, a leaving server kept its streams until it died, and a frozen one held them for the 10 s of the connection. The session gives the next attempt and keeps accounts by instance; moves don't count as failures.

--- a/src/engine/enginetypes.h
+++ b/src/engine/enginetypes.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "membership/membershiptypes.h"
+
 #include <cstdint>
 #include <functional>
+#include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -16,6 +20,13 @@
     int priority = 0; ///< 0 first.
     std::string requestId; ///< Ours, with the attempt; the engine's stream has this id.
     std::vector<std::string> continueTokens; ///< Output so far; the engine goes on after it.
+    std::string kvFrom; ///< The stream whose imported KV cache the engine goes on from; empty: none.
+};
+
+/// What a stream that moves needs to go on: the next server, and the request for it.
+struct NextAttempt {
+    membership::Vm server;
+    EngineRequest request;
 };
 
 /// One piece of output. Positions count from 0 over the whole answer, also after a continuation.
@@ -35,10 +46,12 @@
 /// How an engine stream ended.
 struct EngineResult {
     StreamEnd end = StreamEnd::Broken;
+    std::string server; ///< Instance; empty if the end of the last attempt was told by onLeft.
     std::string finishReason; ///< "stop" or "length".
     std::int64_t promptTokens = 0;
     std::int64_t cachedTokens = 0; ///< Prompt tokens found in the engine's prefix cache.
     bool wasConnected = false;
+    bool isLeaving = false; ///< The engine refused because its VM is leaving.
     int status = 0;
     std::string error;
 };
@@ -47,6 +60,16 @@
 struct EngineHooks {
     std::function<void(Token token)> onToken;
     std::function<void(EngineResult result)> onEnd;
+    /// The engine's token counts, as soon as it says them. May be unset.
+    std::function<void(std::int64_t promptTokens, std::int64_t cachedTokens)> onUsage;
+
+    // The following are for a client that moves streams between servers. Unset: the stream is not moved.
+    /// Asked when the stream should move: the next attempt, or none if no server can take it.
+    std::function<std::optional<NextAttempt>()> onMove;
+    /// The output so far.
+    std::function<std::span<const std::string>()> soFar;
+    /// An attempt ended that is not the last one; the last one's end is onEnd.
+    std::function<void(const std::string &instance, StreamEnd end)> onLeft;
 };
 
 } // namespace cardamomlift::engine
--- a/src/engine/internal/engineclient.cpp
+++ b/src/engine/internal/engineclient.cpp
@@ -20,6 +20,7 @@
     EngineHooks hooks;
     EngineResult result;
     bool whole = false;
+    bool saidUsage = false;
     int status = 0;
 
     void onEvent(const SseEvent &event)
@@ -50,6 +51,10 @@
         }
         result.promptTokens = usage.get("prompt_tokens", 0).asInt64();
         result.cachedTokens = usage["prompt_tokens_details"].get("cached_tokens", 0).asInt64();
+        if (hooks.onUsage && !saidUsage) {
+            saidUsage = true;
+            hooks.onUsage(result.promptTokens, result.cachedTokens);
+        }
     }
 };
 
@@ -91,25 +96,51 @@
             body["continue_tokens"].append(token);
         }
     }
+    if (!request.kvFrom.empty()) {
+        body["kv_from"] = request.kvFrom;
+    }
     return http::writeJson(body);
 }
 
-} // namespace
-
-std::shared_ptr<EngineClient> EngineClient::create(std::shared_ptr<http::Client> client)
+std::string kvUrl(const membership::Vm &server, const std::string &requestId)
 {
-    std::shared_ptr<EngineClient> engine(new EngineClient);
-    engine->client_ = std::move(client);
-    return engine;
+    return baseUrl(server) + "/v1/kv/" + requestId;
 }
 
-http::CallId EngineClient::open(http::ClientRequest request, EngineHooks hooks)
+/// The client that speaks HTTP.
+class HttpEngineClient : public EngineClient
+{
+public:
+    explicit HttpEngineClient(std::shared_ptr<http::Client> client)
+        : client_(std::move(client))
+    {
+    }
+
+    http::CallId start(const membership::Vm &server, const EngineRequest &request, EngineHooks hooks) override;
+    http::CallId resume(const membership::Vm &server, const std::string &requestId, std::uint64_t position, EngineHooks hooks) override;
+    void cancel(const membership::Vm &server, const std::string &requestId, http::CallId call) override;
+    void leave(http::CallId call) override;
+    void exportKv(const membership::Vm &server,
+        const std::string &requestId,
+        std::size_t limit,
+        Duration timeout,
+        std::function<void(std::optional<std::string>)> done) override;
+    void importKv(
+        const membership::Vm &server, const std::string &requestId, std::string cache, Duration timeout, std::function<void(bool accepted)> done) override;
+
+private:
+    http::CallId open(const membership::Vm &server, http::ClientRequest request, EngineHooks hooks);
+    std::shared_ptr<http::Client> client_;
+};
+
+http::CallId HttpEngineClient::open(const membership::Vm &server, http::ClientRequest request, EngineHooks hooks)
 {
     request.connectTimeout = ConnectTimeout;
     request.timeout = Duration(0);
     request.stallTimeout = StallTimeout;
     auto reader = std::make_shared<StreamReader>();
     reader->hooks = std::move(hooks);
+    reader->result.server = server.instance;
     http::ClientHooks clientHooks;
     clientHooks.onHeaders = [reader](int status, const http::Headers &) {
         reader->status = status;
@@ -123,6 +154,7 @@
     clientHooks.onDone = [reader](http::ClientResult result) {
         reader->result.end = endOf(result, reader->whole);
         reader->result.wasConnected = result.transport != http::Transport::NotSent;
+        reader->result.isLeaving = !http::headerValue(result.headers, "X-Leaving").empty();
         reader->result.status = result.status;
         reader->result.error = result.error;
         reader->hooks.onEnd(reader->result);
@@ -130,7 +162,7 @@
     return client_->start(std::move(request), std::move(clientHooks));
 }
 
-http::CallId EngineClient::start(const membership::Vm &server, const EngineRequest &request, EngineHooks hooks)
+http::CallId HttpEngineClient::start(const membership::Vm &server, const EngineRequest &request, EngineHooks hooks)
 {
     http::ClientRequest http;
     http.method = "POST";
@@ -140,18 +172,20 @@
     // NOTE The engine answers refused if it is not this instance: an address may belong to a new VM by now.
     http.headers["X-Instance"] = server.instance;
     http.body = bodyOf(request);
-    return open(std::move(http), std::move(hooks));
+    return open(server, std::move(http), std::move(hooks));
 }
 
-http::CallId EngineClient::resume(const membership::Vm &server, const std::string &requestId, std::uint64_t position, EngineHooks hooks)
+http::CallId HttpEngineClient::resume(const membership::Vm &server, const std::string &requestId, std::uint64_t position, EngineHooks hooks)
 {
     http::ClientRequest http;
     http.url = fmt::format("{}/v1/streams/{}?starting_after={}", baseUrl(server), requestId, static_cast<std::int64_t>(position) - 1);
     http.headers["X-Instance"] = server.instance;
-    return open(std::move(http), std::move(hooks));
+    // NOTE The pooled connections to this server may share the fault that broke the last one.
+    http.freshConnection = true;
+    return open(server, std::move(http), std::move(hooks));
 }
 
-void EngineClient::cancel(const membership::Vm &server, const std::string &requestId, http::CallId call)
+void HttpEngineClient::cancel(const membership::Vm &server, const std::string &requestId, http::CallId call)
 {
     client_->cancel(call);
     http::ClientRequest http;
@@ -162,9 +196,55 @@
     client_->start(std::move(http), {});
 }
 
-void EngineClient::leave(http::CallId call)
+void HttpEngineClient::leave(http::CallId call)
 {
     client_->cancel(call);
 }
 
+void HttpEngineClient::exportKv(
+    const membership::Vm &server, const std::string &requestId, std::size_t limit, Duration timeout, std::function<void(std::optional<std::string>)> done)
+{
+    http::ClientRequest http;
+    http.url = kvUrl(server, requestId);
+    http.headers["X-Instance"] = server.instance;
+    http.connectTimeout = ConnectTimeout;
+    http.timeout = timeout;
+    auto cache = std::make_shared<std::string>();
+    http::ClientHooks hooks;
+    hooks.onData = [cache, limit](std::string_view bytes) {
+        cache->append(bytes);
+        return cache->size() <= limit;
+    };
+    hooks.onDone = [cache, done = std::move(done)](const http::ClientResult &result) {
+        const bool isWhole = result.transport == http::Transport::Completed && result.status == 200;
+        done(isWhole ? std::optional<std::string>(std::move(*cache)) : std::nullopt);
+    };
+    client_->start(std::move(http), std::move(hooks));
+}
+
+void HttpEngineClient::importKv(
+    const membership::Vm &server, const std::string &requestId, std::string cache, Duration timeout, std::function<void(bool accepted)> done)
+{
+    http::ClientRequest http;
+    http.method = "PUT";
+    http.url = kvUrl(server, requestId);
+    http.headers["X-Instance"] = server.instance;
+    http.headers["Content-Type"] = "application/octet-stream";
+    http.connectTimeout = ConnectTimeout;
+    http.timeout = timeout;
+    http.body = std::move(cache);
+    http::ClientHooks hooks;
+    hooks.onDone = [done = std::move(done)](const http::ClientResult &result) {
+        done(result.transport == http::Transport::Completed && result.status == 200);
+    };
+    client_->start(std::move(http), std::move(hooks));
+}
+
+} // namespace
+
+std::shared_ptr<EngineClient> EngineClient::create(std::shared_ptr<http::Client> client)
+{
+    return std::make_shared<HttpEngineClient>(std::move(client));
+}
+
 } // namespace cardamomlift::engine
--- a/src/gateway/gatewaymodule.cpp
+++ b/src/gateway/gatewaymodule.cpp
@@ -21,7 +21,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"admission", "claims", "contract", "engine", "fleet", "http", "lifecycle", "metrics", "routing"};
+        return {"admission", "claims", "contract", "engine", "fleet", "http", "lifecycle", "metrics", "recovery", "routing"};
     }
 
     Result<void> start(Context &context) override
--- a/src/streams/internal/streamsession.cpp
+++ b/src/streams/internal/streamsession.cpp
@@ -49,7 +49,7 @@
     tryNext();
 }
 
-void StreamSession::tryNext()
+std::optional<membership::Vm> StreamSession::chooseServer() const
 {
     routing::RouteQuestion question;
     question.name = state_.model;
@@ -58,17 +58,40 @@
     for (const Attempt &attempt : state_.attempts) {
         question.exclude.push_back(attempt.server);
     }
-    if (state_.attempts.size() >= MostAttempts) {
+    return tools_.router->choose(question);
+}
+
+std::optional<engine::NextAttempt> StreamSession::nextAttempt()
+{
+    const auto server = ended_ ? std::nullopt : chooseServer();
+    if (!server) {
+        return std::nullopt;
+    }
+    moves_++;
+    server_ = server;
+    return engine::NextAttempt{*server, beginAttempt(*server)};
+}
+
+void StreamSession::tryNext()
+{
+    // A move away from a leaving server is no failure.
+    if (state_.attempts.size() - moves_ >= MostAttempts) {
         fail({metrics::RefusalReason::RetriesExhausted, "The request failed on several servers."});
         return;
     }
-    server_ = tools_.router->choose(question);
+    server_ = chooseServer();
     if (!server_) {
         fail({metrics::RefusalReason::NoBackend, "No server runs this model now."});
         return;
     }
+    const engine::EngineRequest request = beginAttempt(*server_);
+    call_ = tools_.engine->start(*server_, request, hooksOf(++run_));
+}
+
+engine::EngineRequest StreamSession::beginAttempt(const membership::Vm &server)
+{
     const std::size_t number = state_.attempts.size();
-    state_.attempts.push_back({server_->instance, fmt::format("{}-{}", state_.requestId, number)});
+    state_.attempts.push_back({server.instance, fmt::format("{}-{}", state_.requestId, number)});
     engine::EngineRequest request;
     request.model = state_.model;
     request.messagesJson = state_.messagesJson;
@@ -77,23 +100,36 @@
     request.priority = state_.priority;
     request.requestId = state_.attempts.back().engineRequestId;
     request.continueTokens = state_.tokens;
-    tools_.router->started(server_->instance);
+    tools_.router->started(server.instance);
     tools_.metrics->add("attempts_total");
+    return request;
+}
+
+engine::EngineHooks StreamSession::hooksOf(std::size_t run)
+{
     engine::EngineHooks hooks;
-    hooks.onToken = [self = shared_from_this(), number](const engine::Token &token) {
-        self->onToken(number, token);
+    hooks.onToken = [self = shared_from_this(), run](const engine::Token &token) {
+        self->onToken(run, token);
     };
-    hooks.onEnd = [self = shared_from_this(), number](const engine::EngineResult &result) {
-        self->onEnd(number, result);
+    hooks.onEnd = [self = shared_from_this(), run](const engine::EngineResult &result) {
+        self->onEnd(run, result);
     };
-    call_ = tools_.engine->start(*server_, request, std::move(hooks));
+    hooks.onMove = [self = shared_from_this()] {
+        return self->nextAttempt();
+    };
+    hooks.soFar = [self = shared_from_this()] {
+        return std::span<const std::string>(self->state_.tokens);
+    };
+    hooks.onLeft = [self = shared_from_this()](const std::string &instance, engine::StreamEnd end) {
+        self->tools_.router->finished(instance, attemptEnd(end));
+    };
+    return hooks;
 }
 
-void StreamSession::onToken(std::size_t attempt, const engine::Token &token)
+void StreamSession::onToken(std::size_t run, const engine::Token &token)
 {
-    // A late byte of an earlier attempt, or a position that was seen already.
-    const bool isCurrent = attempt + 1 == state_.attempts.size();
-    if (ended_ || !isCurrent || token.position != state_.tokens.size()) {
+    // A late byte of an earlier run, or a position that was seen already.
+    if (ended_ || run != run_ || token.position != state_.tokens.size()) {
         return;
     }
     state_.tokens.push_back(token.text);
@@ -103,10 +139,12 @@
     }
 }
 
-void StreamSession::onEnd(std::size_t attempt, const engine::EngineResult &result)
+void StreamSession::onEnd(std::size_t run, const engine::EngineResult &result)
 {
-    tools_.router->finished(state_.attempts[attempt].server, attemptEnd(result.end));
-    if (ended_ || attempt + 1 != state_.attempts.size()) {
+    if (!result.server.empty()) {
+        tools_.router->finished(result.server, attemptEnd(result.end));
+    }
+    if (ended_ || run != run_) {
         return;
     }
     if (result.end == engine::StreamEnd::Finished) {
@@ -124,8 +162,7 @@
         fail({metrics::RefusalReason::BadField, "The engine rejected the request.", Duration(0)});
         return;
     }
-    partLogger("streams")->info(
-        "An attempt failed. request={} server={} status={} error={}", state_.requestId, state_.attempts[attempt].server, result.status, result.error);
+    partLogger("streams")->info("An attempt failed. request={} server={} status={} error={}", state_.requestId, result.server, result.status, result.error);
     tools_.metrics->retried(retryReason(result));
     tryNext();
 }
--- a/src/streams/streamsession.h
+++ b/src/streams/streamsession.h
@@ -38,9 +38,14 @@
 
 private:
     StreamSession() = default;
+    std::optional<membership::Vm> chooseServer() const;
+    /// Chooses the server of a move.
+    std::optional<engine::NextAttempt> nextAttempt();
     void tryNext();
-    void onToken(std::size_t attempt, const engine::Token &token);
-    void onEnd(std::size_t attempt, const engine::EngineResult &result);
+    engine::EngineRequest beginAttempt(const membership::Vm &server);
+    engine::EngineHooks hooksOf(std::size_t run);
+    void onToken(std::size_t run, const engine::Token &token);
+    void onEnd(std::size_t run, const engine::EngineResult &result);
     void fail(const StreamFailure &failure);
     void end();
     SessionTools tools_;
@@ -52,6 +57,8 @@
     std::function<void()> endedHandler_;
     std::optional<StreamFailure> failure_;
     bool ended_ = false;
+    std::size_t run_ = 0; ///< Of the engine client's streams; each may have had several attempts.
+    std::size_t moves_ = 0; ///< Attempts that are moves.
 };
 
 } // namespace cardamomlift::streams
