Close the connection when an answer is aborted before its head

Cause: Responder::abort() set no head, so the server suspended the connection instead of closing it, and a client waited for its timeout. The table stand-in's lost answers cost 2 s each, longer than a claim may take, so a call met 503 where a read-back gives 200. Ruled out: the claim's own read-back and libcurl's repeat on a reused connection; a plain curl against the stand-in alone hung as well. Before: AtMostOnce.LostAnswersOfTheTable red (503 instead of 200). After: green. Conclusion: all users of abort() before a head were affected, not only the stand-in.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -119,6 +119,7 @@
     {
         aborted_ = true;
         finished_ = true;
+        hasHead_ = true;
         wakeUp();
     }
 
