Let the table stand-in go down after a lost answer, and count held writes

Cause: tests of claims need the table down right after the effect of a write, and the holder stopped between the effect of its claim and the answer; from outside both are races. Ruled out: timing from the test (verdict would hang on the machine's load). downAfterLoss sets down with the next lost answer; totals show writes that wait for delayMs. Conclusion: both scenarios are brought about each time; defaults are unchanged.

--- a/src/standins/platform/tableservice.cpp
+++ b/src/standins/platform/tableservice.cpp
@@ -10,6 +10,11 @@
 constexpr char ErrorPrefix[] = "com.amazonaws.dynamodb.v20120810#";
 constexpr std::size_t MostTransactItems = 100;
 
+bool isWriteOperation(const std::string &operation)
+{
+    return operation != "GetItem" && operation != "Query";
+}
+
 http::Response awsError(int status, const std::string &code)
 {
     Json::Value body;
@@ -96,7 +101,12 @@
     }
     const std::string operation(target.substr(sizeof(table::TargetPrefix) - 1));
     if (faults_.delayMs > 0) {
-        loop_->after(std::chrono::milliseconds(faults_.delayMs), [this, operation, body = *body, responder] { run(operation, body, responder); });
+        const std::uint64_t held = isWriteOperation(operation) ? 1 : 0;
+        totals_.heldWrites += held;
+        loop_->after(std::chrono::milliseconds(faults_.delayMs), [this, operation, body = *body, responder, held] {
+            totals_.heldWrites -= held;
+            run(operation, body, responder);
+        });
         return;
     }
     run(operation, *body, responder);
@@ -121,7 +131,7 @@
         responder->respond(awsError(503, "ServiceUnavailable"));
         return;
     }
-    const bool isWrite = operation != "GetItem" && operation != "Query";
+    const bool isWrite = isWriteOperation(operation);
     if (isThrottled(isWrite)) {
         totals_.throttled++;
         responder->respond(awsError(400, "ProvisionedThroughputExceededException"));
@@ -186,6 +196,8 @@
     const table::WriteResult result = rows_.transact(*writes, body.get("ClientRequestToken", "").asString());
     if (faults_.loseAnswers || faults_.loseNext > 0) {
         faults_.loseNext = std::max<std::int64_t>(0, faults_.loseNext - 1);
+        faults_.down = faults_.down || faults_.downAfterLoss;
+        faults_.downAfterLoss = false;
         responder->abort();
         return;
     }
@@ -203,6 +215,7 @@
     faults_.down = json.get("down", faults_.down).asBool();
     faults_.loseAnswers = json.get("loseAnswers", faults_.loseAnswers).asBool();
     faults_.loseNext = json.get("loseNext", static_cast<Json::Int64>(faults_.loseNext)).asInt64();
+    faults_.downAfterLoss = json.get("downAfterLoss", faults_.downAfterLoss).asBool();
     faults_.delayMs = json.get("delayMs", static_cast<Json::Int64>(faults_.delayMs)).asInt64();
     faults_.writesPerSecond = json.get("writesPerSecond", static_cast<Json::Int64>(faults_.writesPerSecond)).asInt64();
     faults_.readsPerSecond = json.get("readsPerSecond", static_cast<Json::Int64>(faults_.readsPerSecond)).asInt64();
@@ -215,6 +228,7 @@
     json["writeRequests"] = static_cast<Json::UInt64>(totals_.writeRequests);
     json["itemsWritten"] = static_cast<Json::UInt64>(totals_.itemsWritten);
     json["throttled"] = static_cast<Json::UInt64>(totals_.throttled);
+    json["heldWrites"] = static_cast<Json::UInt64>(totals_.heldWrites);
     return json;
 }
 
--- a/src/standins/platform/tableservice.h
+++ b/src/standins/platform/tableservice.h
@@ -15,6 +15,7 @@
     bool down = false; ///< Every operation gets status 503 and no effect.
     bool loseAnswers = false; ///< Writes take effect, then the connection is closed without an answer.
     std::int64_t loseNext = 0; ///< Only so many writes lose their answers.
+    bool downAfterLoss = false; ///< The next lost answer sets down.
     std::int64_t delayMs = 0;
     std::int64_t writesPerSecond = 0; ///< 0: no limit; over it: ProvisionedThroughputExceededException.
     std::int64_t readsPerSecond = 0;
@@ -25,6 +26,7 @@
     std::uint64_t writeRequests = 0;
     std::uint64_t itemsWritten = 0;
     std::uint64_t throttled = 0;
+    std::uint64_t heldWrites = 0; ///< Writes received that wait for delayMs.
 };
 
 /// The platform's table: the part of the DynamoDB JSON protocol that our daemon speaks. Signatures must be present;
