Write the expiry of an item as a number

Cause: the published time-to-live convention reads an attribute of type N; all our attributes were of type S, so the platform would never have deleted a claim. Ruled out: numbers for all attributes (modules read text; only the expiry has a meaning to the platform). Reading accepts S and N. Not run: deletion itself, the stand-in has none. Conclusion: the Table interface is unchanged.

--- a/src/table/internal/dynamodbformat.cpp
+++ b/src/table/internal/dynamodbformat.cpp
@@ -14,6 +14,28 @@
     return json;
 }
 
+Json::Value number(const std::string &value)
+{
+    Json::Value json;
+    json["N"] = value;
+    return json;
+}
+
+/// The value of a typed attribute, or null.
+const Json::Value *typedValue(const Json::Value &typed)
+{
+    if (!typed.isObject()) {
+        return nullptr;
+    }
+    for (const char *type : {"S", "N"}) {
+        const Json::Value *value = typed.find(type, type + 1);
+        if (value && value->isString()) {
+            return value;
+        }
+    }
+    return nullptr;
+}
+
 } // namespace
 
 Json::Value keyToJson(const Key &key)
@@ -28,7 +50,7 @@
 {
     Json::Value json = keyToJson(item.key);
     for (const auto &[name, value] : item.attributes) {
-        json[name] = text(value);
+        json[name] = name == ExpiryAttribute ? number(value) : text(value);
     }
     return json;
 }
@@ -40,11 +62,11 @@
     }
     Item item;
     for (const std::string &name : json.getMemberNames()) {
-        const Json::Value &typed = json[name];
-        if (!typed.isObject() || !typed["S"].isString()) {
+        const Json::Value *value = typedValue(json[name]);
+        if (!value) {
             return std::nullopt;
         }
-        item.attributes[name] = typed["S"].asString();
+        item.attributes[name] = value->asString();
     }
     auto partition = item.attributes.extract(PartitionAttribute);
     auto sort = item.attributes.extract(SortAttribute);
--- a/src/table/tabletypes.h
+++ b/src/table/tabletypes.h
@@ -18,7 +18,7 @@
 
 using Attributes = std::map<std::string, std::string, std::less<>>;
 
-/// One row. All attributes are text (DynamoDB type S); the modules convert to their own structs.
+/// One row. All attributes are text (DynamoDB type S, but for the expiry); the modules convert to their own structs.
 struct Item {
     Key key;
     Attributes attributes;
