--- a/src/claims/claimsmodule.cpp
+++ b/src/claims/claimsmodule.cpp
@@ -1,12 +1,18 @@
 #include "claims/claimkeeper.h"
 #include "kernel/module.h"
 #include "kernel/runtime.h"
+#include "lifecycle/lifecycle.h"
+#include "metrics/metrics.h"
 #include "settings/settingstypes.h"
+#include "text/digest.h"
 
 namespace cardamomlift::claims {
 
 namespace {
 
+constexpr std::size_t BootBytes = 8;
+constexpr Duration LongestWait = std::chrono::seconds(60);
+
 class ClaimsModule : public Module
 {
 public:
@@ -17,16 +23,38 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"table"};
+        return {"lifecycle", "membership", "metrics", "peers", "table"};
     }
 
     Result<void> start(Context &context) override
     {
-        context.set(ClaimKeeper::create(*context.get<Runtime>()->loop, context.get<table::Table>(), context.get<settings::Settings>()->instance));
+        ClaimTools tools;
+        tools.loop = context.get<Runtime>()->loop;
+        tools.table = context.get<table::Table>();
+        tools.peers = context.get<peers::PeerTransport>();
+        tools.members = context.get<membership::Members>();
+        tools.holder = {context.get<settings::Settings>()->instance, text::randomHex(BootBytes)};
+        const auto keeper = ClaimKeeper::create(std::move(tools));
+        waitForTableWhenDraining(context, keeper);
+        context.get<metrics::Metrics>()->gauge("claims_unsettled", [keeper] { return static_cast<double>(keeper->unsettled()); });
+        context.set(keeper);
         return success();
     }
+
+private:
+    /// A VM that drains stays until the table has the ends of its calls, for a bounded time.
+    static void waitForTableWhenDraining(Context &context, const std::shared_ptr<ClaimKeeper> &keeper);
 };
 
+void ClaimsModule::waitForTableWhenDraining(Context &context, const std::shared_ptr<ClaimKeeper> &keeper)
+{
+    const auto lifecycle = context.get<lifecycle::Lifecycle>();
+    const EventLoop *loop = context.get<Runtime>()->loop;
+    auto waitBy = std::make_shared<TimePoint>(TimePoint::max());
+    lifecycle->onDrain([loop, waitBy] { *waitBy = loop->now() + LongestWait; });
+    lifecycle->addProbe("claims", [keeper, loop, waitBy] { return loop->now() < *waitBy ? keeper->unsettled() : 0; });
+}
+
 const ModuleRegistration<ClaimsModule> Registration;
 
 } // namespace
--- a/src/claims/claimtypes.h
+++ b/src/claims/claimtypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/httptypes.h"
+#include "kernel/clock.h"
 
 #include <cstdint>
 #include <string>
@@ -19,6 +20,8 @@
     std::string customer;
     std::string key; ///< The caller's Idempotency-Key.
     std::string bodyHash; ///< Of method, path and body: the same key must come with the same request.
+    Duration patience = std::chrono::milliseconds(500); ///< How long the table may take to decide the claim.
+    Duration timeout = std::chrono::seconds(10); ///< How long a repeat may wait for the answer of the running call.
 };
 
 /// The answer kept for repeats.
@@ -26,26 +29,31 @@
     int status = 0;
     std::string contentType;
     std::string body;
+    bool bodyKept = true; ///< False: the body was too large to keep.
 };
 
 enum class BeginOutcome {
     Run, ///< This VM holds the claim and must dispatch, then finish().
     Replay, ///< Answered before: give the kept answer.
-    StillRunning, ///< Another VM runs it now.
-    OutcomeUnknown, ///< A VM claimed it and never said how it ended.
+    StillRunning, ///< Another attempt runs it now.
+    OutcomeUnknown, ///< It may have run: its VM is gone or does not know either.
     KeyReused, ///< The key came with another request.
-    NotRun, ///< The table can't be asked; nothing was run for this call.
+    NotRun, ///< The key could not be claimed in time; this attempt ran nothing and never will.
 };
 
 struct Claim {
     ClaimRequest request;
-    std::string nonce; ///< Of this attempt; tells our own write from another VM's.
+    std::string nonce; ///< Of this attempt; tells our own write from another attempt's.
+    TimePoint begunAt; ///< Before the claim was written. The lease counts from here.
+    WallTime begunAtWall; ///< The same on the civil clock, which also counts while a VM is suspended.
+    std::int64_t expiresAt = 0; ///< Seconds since 1970 UTC; the platform deletes the row after it.
 };
 
 struct BeginResult {
     BeginOutcome outcome = BeginOutcome::NotRun;
     Claim claim;
     KeptAnswer answer;
+    bool keySeen = false; ///< The table was asked for the key, so the outcome speaks for earlier calls with it as well.
 };
 
 } // namespace cardamomlift::claims
--- /dev/null
+++ b/src/claims/internal/claimwire.cpp
@@ -0,0 +1,86 @@
+#include "claims/internal/claimwire.h"
+
+#include "claims/generated/claims.pb.h"
+
+namespace cardamomlift::claims {
+
+namespace {
+
+wire::HolderState toWire(HolderState state)
+{
+    switch (state) {
+    case HolderState::NotHeld:
+        return wire::NOT_HELD;
+    case HolderState::Running:
+        return wire::RUNNING;
+    case HolderState::Answered:
+        return wire::ANSWERED;
+    case HolderState::NotRun:
+        return wire::NOT_RUN;
+    case HolderState::NoAnswer:
+    case HolderState::Unknown:
+        return wire::UNKNOWN;
+    }
+    return wire::UNKNOWN;
+}
+
+HolderState fromWire(wire::HolderState state)
+{
+    switch (state) {
+    case wire::NOT_HELD:
+        return HolderState::NotHeld;
+    case wire::RUNNING:
+        return HolderState::Running;
+    case wire::ANSWERED:
+        return HolderState::Answered;
+    case wire::NOT_RUN:
+        return HolderState::NotRun;
+    default:
+        return HolderState::Unknown;
+    }
+}
+
+} // namespace
+
+std::string askPayload(const HolderQuestion &question)
+{
+    wire::Ask message;
+    message.set_boot(question.boot);
+    message.set_nonce(question.nonce);
+    message.set_wait_ms(std::chrono::duration_cast<std::chrono::milliseconds>(question.wait).count());
+    return message.SerializeAsString();
+}
+
+std::optional<HolderQuestion> askOf(const std::string &payload)
+{
+    wire::Ask message;
+    if (!message.ParseFromString(payload) || message.nonce().empty()) {
+        return std::nullopt;
+    }
+    return HolderQuestion{message.boot(), message.nonce(), std::chrono::milliseconds(message.wait_ms())};
+}
+
+std::string holderAnswerPayload(const HolderAnswer &answer)
+{
+    wire::AskReply message;
+    message.set_state(toWire(answer.state));
+    message.set_status(answer.answer.status);
+    message.set_content_type(answer.answer.contentType);
+    message.set_body(answer.answer.body);
+    message.set_body_kept(answer.answer.bodyKept);
+    return message.SerializeAsString();
+}
+
+HolderAnswer holderAnswerOf(const std::string &payload)
+{
+    wire::AskReply message;
+    if (!message.ParseFromString(payload) || message.state() == wire::UNSPECIFIED) {
+        return {};
+    }
+    HolderAnswer answer;
+    answer.state = fromWire(message.state());
+    answer.answer = {message.status(), message.content_type(), message.body(), message.body_kept()};
+    return answer;
+}
+
+} // namespace cardamomlift::claims
--- /dev/null
+++ b/src/claims/tests/claimkeeper_test.cpp
@@ -0,0 +1,111 @@
+#include "claims/claimkeeper.h"
+#include "peers/localtransport.h"
+#include "table/memorytable.h"
+
+#include <gtest/gtest.h>
+
+using namespace cardamomlift;
+using namespace cardamomlift::claims;
+
+namespace {
+
+/// Two entry VMs before one table.
+class ClaimKeeperTest : public ::testing::Test
+{
+protected:
+    ClaimKeeperTest()
+    {
+        first = keeper("entry-1");
+        second = keeper("entry-2");
+    }
+
+    std::shared_ptr<ClaimKeeper> keeper(const std::string &instance)
+    {
+        transports.push_back(peers::LocalTransport::create(*loop, network, instance));
+        auto members = membership::Members::create(instance);
+        std::vector<membership::Vm> list(2);
+        list[0].instance = "entry-1";
+        list[1].instance = "entry-2";
+        members->applyList(list);
+        return ClaimKeeper::create({loop.get(), table, transports.back(), members, {instance, "boot-" + instance}});
+    }
+
+    std::shared_ptr<BeginResult> begin(ClaimKeeper &at)
+    {
+        auto result = std::make_shared<BeginResult>();
+        result->outcome = BeginOutcome::StillRunning;
+        at.begin({"shop", "key", "hash"}, [result](BeginResult given) { *result = std::move(given); });
+        run();
+        return result;
+    }
+
+    void run(Duration time = Duration(0))
+    {
+        const Duration tick = std::chrono::milliseconds(100);
+        for (Duration passed{0}; passed <= time; passed += tick) {
+            for (int i = 0; i < 10; i++) {
+                loop->runDue();
+            }
+            clock.advance(passed < time ? tick : Duration(0));
+        }
+    }
+
+    ManualClock clock;
+    std::unique_ptr<EventLoop> loop = std::move(EventLoop::create(clock).value());
+    std::shared_ptr<peers::LocalNetwork> network = std::make_shared<peers::LocalNetwork>();
+    std::shared_ptr<table::MemoryTable> table = table::MemoryTable::create(*loop, std::make_shared<table::MemoryRows>());
+    std::vector<std::shared_ptr<peers::LocalTransport>> transports;
+    std::shared_ptr<ClaimKeeper> first;
+    std::shared_ptr<ClaimKeeper> second;
+};
+
+} // namespace
+
+TEST_F(ClaimKeeperTest, RepeatTakesOverAfterALongWait)
+{
+    const auto holder = begin(*first);
+    ASSERT_EQ(holder->outcome, BeginOutcome::Run);
+    const auto repeat = begin(*second);
+    run(std::chrono::seconds(5));
+    EXPECT_EQ(repeat->outcome, BeginOutcome::StillRunning);
+    EXPECT_FALSE(first->mayDispatch(holder->claim));
+    first->finish(holder->claim, Outcome::NotRun, {});
+    run(std::chrono::milliseconds(100));
+    EXPECT_EQ(repeat->outcome, BeginOutcome::Run);
+    EXPECT_TRUE(second->mayDispatch(repeat->claim));
+}
+
+TEST_F(ClaimKeeperTest, WaitingRepeatReadsTheTableOnce)
+{
+    begin(*first);
+    const auto repeat = begin(*second);
+    run(std::chrono::seconds(12));
+    EXPECT_EQ(repeat->outcome, BeginOutcome::StillRunning);
+    EXPECT_EQ(table->counters().reads, 1U);
+    EXPECT_LE(transports[1]->counters().callsSent, 11U);
+}
+
+TEST_F(ClaimKeeperTest, LargeAnswerIsKeptWithoutItsBody)
+{
+    const auto holder = begin(*first);
+    first->finish(holder->claim, Outcome::Answered, {200, "text/plain", std::string(300 * 1024, 'x')});
+    run();
+    const auto repeat = begin(*second);
+    EXPECT_EQ(repeat->outcome, BeginOutcome::Replay);
+    EXPECT_EQ(repeat->answer.status, 200);
+    EXPECT_FALSE(repeat->answer.bodyKept);
+}
+
+TEST_F(ClaimKeeperTest, TableDownIsNotRunAtOnceAndTakenBackLater)
+{
+    table->faults.loseAnswers = true;
+    const auto holder = begin(*first);
+    run(std::chrono::seconds(1));
+    EXPECT_EQ(holder->outcome, BeginOutcome::NotRun);
+    EXPECT_FALSE(holder->keySeen);
+    EXPECT_EQ(first->unsettled(), 1U);
+    table->faults.loseAnswers = false;
+    run(std::chrono::seconds(6));
+    EXPECT_EQ(first->unsettled(), 0U);
+    EXPECT_EQ(begin(*second)->outcome, BeginOutcome::Run);
+}
--- a/src/gateway/internal/servicehandler.cpp
+++ b/src/gateway/internal/servicehandler.cpp
@@ -1,19 +1,56 @@
 #include "gateway/servicehandler.h"
 
+#include "http/json.h"
 #include "kernel/log.h"
 #include "text/digest.h"
 
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace cardamomlift::gateway {
 
 namespace {
 
 constexpr std::string_view ServicePrefix = "/services/";
 constexpr char IdempotencyHeader[] = "Idempotency-Key";
+constexpr char NotRunHeader[] = "X-Not-Run";
+// A refusal speaks for this request; of earlier ones with the same key it knows nothing unless the key was looked up.
+constexpr char KeyOutcomeHeader[] = "Cardamomlift-Key-Outcome";
+constexpr char KeyNotLookedUp[] = "not-looked-up";
 constexpr std::size_t LongestKey = 255;
 constexpr std::size_t MostAttempts = 3;
 constexpr Duration ComeBackSoon = std::chrono::seconds(1);
+constexpr Duration ComeBackLater = std::chrono::seconds(5);
+constexpr Duration LeastTimeout = std::chrono::milliseconds(1); ///< libcurl takes 0 as "none".
+constexpr Duration LeastPatience = std::chrono::milliseconds(250);
+
+bool isUsableKey(std::string_view key)
+{
+    const auto isPrintable = [](char c) {
+        return c > ' ' && c <= '~';
+    };
+    return !key.empty() && key.size() <= LongestKey && std::all_of(key.begin(), key.end(), isPrintable);
+}
+
+std::string timeText(std::int64_t seconds)
+{
+    return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(static_cast<std::time_t>(seconds)));
+}
+
+bool saysNotRun(const http::ClientResult &result)
+{
+    return result.transport == http::Transport::Completed && http::headerValue(result.headers, NotRunHeader) == "true";
+}
+
+metrics::RetryReason retryReason(const http::ClientResult &result, bool refused)
+{
+    if (refused) {
+        return metrics::RetryReason::ServerRefused;
+    }
+    return result.transport == http::Transport::NotSent ? metrics::RetryReason::ConnectFailed : metrics::RetryReason::ServerFailed;
+}
 
 } // namespace
 
@@ -27,6 +64,8 @@
     std::uint64_t ticket = 0;
     claims::Claim claim;
     std::vector<std::string> tried;
+    TimePoint answerBy;
+    bool keyLookedUp = false;
     bool ended = false;
 };
 
@@ -45,7 +84,11 @@
 void ServiceHandler::refuse(const std::shared_ptr<Call> &call, CallerError error)
 {
     tools_.metrics->refused(error.reason);
-    call->caller.responder->respond(errorResponse(error));
+    http::Response response = errorResponse(error);
+    if (!call->grant.idempotent && !call->keyLookedUp) {
+        response.headers[KeyOutcomeHeader] = KeyNotLookedUp;
+    }
+    call->caller.responder->respond(std::move(response));
     end(call, false);
 }
 
@@ -79,8 +122,10 @@
     call->grant = *grant;
     call->serviceClass = *contract::findClass(contract, grant->serviceClass);
     const std::string_view key = http::headerValue(call->caller.http.headers, IdempotencyHeader);
-    if (!grant->idempotent && (key.empty() || key.size() > LongestKey)) {
-        refuse(call, {metrics::RefusalReason::MissingIdempotencyKey, "This call may not be repeated: send an Idempotency-Key of at most 255 characters."});
+    call->answerBy = tools_.loop->now() + std::chrono::milliseconds(grant->timeoutMs);
+    if (!grant->idempotent && !isUsableKey(key)) {
+        refuse(call,
+            {metrics::RefusalReason::MissingIdempotencyKey, "This call may not be repeated: send an Idempotency-Key of 1 to 255 printable ASCII characters."});
         return;
     }
     admission::AdmissionQuestion question;
@@ -109,29 +154,27 @@
     claim.customer = call->caller.contract->contract.customer;
     claim.key = std::string(http::headerValue(request.headers, IdempotencyHeader));
     claim.bodyHash = text::sha256Hex(request.method + " " + request.path + "\n" + request.body);
+    claim.patience = std::max(LeastPatience, Duration(std::chrono::milliseconds(call->serviceClass.waitUpToMs)));
+    claim.timeout = std::max(Duration(0), call->answerBy - tools_.loop->now());
     tools_.claims->begin(std::move(claim), [this, call](claims::BeginResult result) { onClaim(call, result); });
 }
 
 void ServiceHandler::onClaim(const std::shared_ptr<Call> &call, const claims::BeginResult &result)
 {
     call->claim = result.claim;
+    call->keyLookedUp = result.keySeen;
     switch (result.outcome) {
     case claims::BeginOutcome::Run:
         dispatch(call);
         return;
-    case claims::BeginOutcome::Replay: {
-        http::Response response{result.answer.status, {{"Content-Type", result.answer.contentType}}, result.answer.body};
-        response.headers["Idempotent-Replayed"] = "true";
-        response.headers["X-Served-By"] = tools_.instance;
-        call->caller.responder->respond(std::move(response));
-        end(call, false);
+    case claims::BeginOutcome::Replay:
+        replay(call, result.answer);
         return;
-    }
     case claims::BeginOutcome::StillRunning:
         refuse(call, {metrics::RefusalReason::StillRunning, "A call with this key is running.", ComeBackSoon, ErrorOutcome::Unknown});
         return;
     case claims::BeginOutcome::OutcomeUnknown:
-        refuse(call, {metrics::RefusalReason::OutcomeUnknown, "A call with this key may have run.", Duration(0), ErrorOutcome::Unknown});
+        refuse(call, {metrics::RefusalReason::OutcomeUnknown, "A call with this key may have run.", ComeBackLater, ErrorOutcome::Unknown});
         return;
     case claims::BeginOutcome::KeyReused:
         refuse(call, {metrics::RefusalReason::IdempotencyKeyReused, "This key was used with another request."});
@@ -142,6 +185,32 @@
     }
 }
 
+void ServiceHandler::replay(const std::shared_ptr<Call> &call, const claims::KeptAnswer &kept)
+{
+    http::Response response{kept.status, {{"Content-Type", kept.contentType}}, kept.body};
+    if (!kept.bodyKept) {
+        Json::Value body;
+        body["answered"] = true;
+        body["status"] = kept.status;
+        body["message"] = "The call with this key ran and was answered. Its answer was too large to be kept.";
+        response = http::jsonResponse(kept.status, body);
+        response.headers["Idempotent-Body-Kept"] = "false";
+    }
+    response.headers["Idempotent-Replayed"] = "true";
+    response.headers["X-Served-By"] = tools_.instance;
+    tools_.metrics->add("replayed_total");
+    call->caller.responder->respond(std::move(response));
+    end(call, false);
+}
+
+void ServiceHandler::endNotRun(const std::shared_ptr<Call> &call, const CallerError &error)
+{
+    if (!call->grant.idempotent) {
+        tools_.claims->finish(call->claim, claims::Outcome::NotRun, {});
+    }
+    refuse(call, error);
+}
+
 void ServiceHandler::dispatch(const std::shared_ptr<Call> &call)
 {
     routing::RouteQuestion question;
@@ -149,14 +218,14 @@
     question.name = call->service;
     question.customer = call->caller.contract->contract.customer;
     question.exclude = call->tried;
+    const bool isInTime = tools_.loop->now() < call->answerBy && (call->grant.idempotent || tools_.claims->mayDispatch(call->claim));
+    if (!isInTime) {
+        endNotRun(call, {metrics::RefusalReason::DeadlineImpossible, "The call could not be sent in time; it was not run.", ComeBackSoon});
+        return;
+    }
     const auto server = call->tried.size() < MostAttempts ? tools_.router->choose(question) : std::nullopt;
     if (!server) {
-        const CallerError error{metrics::RefusalReason::NoBackend, "No server runs this service now.", ComeBackSoon};
-        if (call->grant.idempotent) {
-            refuse(call, error);
-            return;
-        }
-        tools_.claims->finish(call->claim, claims::Outcome::NotRun, {}, [this, call, error] { refuse(call, error); });
+        endNotRun(call, {metrics::RefusalReason::NoBackend, "No server runs this service now.", ComeBackSoon});
         return;
     }
     call->tried.push_back(server->instance);
@@ -164,7 +233,7 @@
     request.method = call->caller.http.method;
     request.url = fmt::format("http://{}:{}{}", server->address, server->port, call->path);
     request.body = call->caller.http.body;
-    request.timeout = std::chrono::milliseconds(call->grant.timeoutMs);
+    request.timeout = std::max(LeastTimeout, call->answerBy - tools_.loop->now());
     request.freshConnection = !call->grant.idempotent;
     request.headers["X-Instance"] = server->instance;
     for (const char *name : {"Content-Type", IdempotencyHeader}) {
@@ -176,6 +245,11 @@
     tools_.router->started(server->instance);
     tools_.metrics->add("attempts_total");
     http::ClientHooks hooks;
+    if (!call->grant.idempotent) {
+        hooks.mayStillSend = [this, call] {
+            return tools_.claims->mayDispatch(call->claim);
+        };
+    }
     hooks.onDone = [this, call, server = *server](http::ClientResult result) {
         onAnswer(call, server, std::move(result));
     };
@@ -184,24 +258,23 @@
 
 void ServiceHandler::onAnswer(const std::shared_ptr<Call> &call, const membership::Vm &server, http::ClientResult result)
 {
-    const bool answered = result.transport == http::Transport::Completed;
-    tools_.router->finished(server.instance, answered ? routing::AttemptEnd::Answered : routing::AttemptEnd::Failed);
+    const bool refused = saysNotRun(result);
+    const bool answered = result.transport == http::Transport::Completed && !refused;
+    const auto attemptEnd = refused ? routing::AttemptEnd::Refused : routing::AttemptEnd::Failed;
+    tools_.router->finished(server.instance, answered ? routing::AttemptEnd::Answered : attemptEnd);
     if (answered) {
         answer(call, result, server.instance);
         return;
     }
-    // Only a connection that never carried a byte proves that the server did not run the call.
-    const bool mayRepeat = call->grant.idempotent || result.transport == http::Transport::NotSent;
-    if (mayRepeat) {
-        const bool connected = result.transport != http::Transport::NotSent;
-        tools_.metrics->retried(connected ? metrics::RetryReason::ServerFailed : metrics::RetryReason::ConnectFailed);
+    const claims::Outcome outcome = claims::afterDispatch(result.transport, refused);
+    if (call->grant.idempotent || outcome == claims::Outcome::NotRun) {
+        tools_.metrics->retried(retryReason(result, refused));
         dispatch(call);
         return;
     }
     partLogger("gateway")->warn("A call may have run. server={} error={}", server.instance, result.error);
-    tools_.claims->finish(call->claim, claims::Outcome::Unknown, {}, [this, call] {
-        refuse(call, {metrics::RefusalReason::OutcomeUnknown, "The service did not answer; the call may have run.", Duration(0), ErrorOutcome::Unknown});
-    });
+    tools_.claims->finish(call->claim, claims::Outcome::Unknown, {});
+    refuse(call, {metrics::RefusalReason::OutcomeUnknown, "The service did not answer; the call may have run.", Duration(0), ErrorOutcome::Unknown});
 }
 
 void ServiceHandler::answer(const std::shared_ptr<Call> &call, const http::ClientResult &result, const std::string &server)
@@ -211,16 +284,14 @@
     response.headers["Content-Type"] = contentType;
     response.headers["X-Served-By"] = tools_.instance;
     response.headers["X-Backend"] = server;
-    const auto send = [this, call, response] {
-        tools_.metrics->add("requests_accepted_total");
-        call->caller.responder->respond(response);
-        end(call, true);
-    };
-    if (call->grant.idempotent) {
-        send();
-        return;
+    if (!call->grant.idempotent) {
+        // NOTE The caller has its answer before the table does: it needs no repeat then. Who asks this VM gets the same.
+        tools_.claims->finish(call->claim, claims::Outcome::Answered, {result.status, contentType, result.body});
+        response.headers["Idempotency-Expires"] = timeText(call->claim.expiresAt);
     }
-    tools_.claims->finish(call->claim, claims::Outcome::Answered, {result.status, contentType, result.body}, send);
+    tools_.metrics->add("requests_accepted_total");
+    call->caller.responder->respond(std::move(response));
+    end(call, true);
 }
 
 } // namespace cardamomlift::gateway
--- a/src/gateway/servicehandler.h
+++ b/src/gateway/servicehandler.h
@@ -22,6 +22,9 @@
     void refuse(const std::shared_ptr<Call> &call, CallerError error);
     void begin(const std::shared_ptr<Call> &call);
     void onClaim(const std::shared_ptr<Call> &call, const claims::BeginResult &result);
+    void replay(const std::shared_ptr<Call> &call, const claims::KeptAnswer &kept);
+    /// Ends a call that no server ran: takes its claim back and refuses it.
+    void endNotRun(const std::shared_ptr<Call> &call, const CallerError &error);
     void dispatch(const std::shared_ptr<Call> &call);
     void onAnswer(const std::shared_ptr<Call> &call, const membership::Vm &server, http::ClientResult result);
     void answer(const std::shared_ptr<Call> &call, const http::ClientResult &result, const std::string &server);
