Share limits over entry VMs by a grantor for each customer

A customer's limits must hold for the sum under an uneven balancer and must not refuse it at one VM. So one VM a customer hands out prepaid grants by peer calls.

--- /dev/null
+++ b/src/limits/internal/grantrules.cpp
@@ -0,0 +1,123 @@
+#include "limits/grantrules.h"
+
+#include "limits/generated/limits.pb.h"
+#include "text/digest.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cardamomlift::limits {
+
+namespace {
+
+constexpr double SecondsPerMinute = 60;
+constexpr double MicrosecondsPerSecond = 1e6;
+constexpr double AheadShare = 4; ///< Ahead of need at most a quarter of what is left.
+constexpr std::int64_t TightShare = 2; ///< With less than half of the slots free nobody keeps spare ones.
+
+std::int64_t takeFrom(Bucket &bucket, std::int64_t needed, std::int64_t ahead)
+{
+    const auto whole = static_cast<std::int64_t>(std::floor(std::max(0.0, bucket.level)));
+    const std::int64_t forNeed = std::clamp<std::int64_t>(needed, 0, whole);
+    const auto plenty = static_cast<std::int64_t>((static_cast<double>(whole - forNeed)) / AheadShare);
+    const std::int64_t granted = forNeed + std::clamp<std::int64_t>(ahead, 0, plenty);
+    bucket.level -= static_cast<double>(granted);
+    return granted;
+}
+
+void giveBack(Bucket &bucket, const BucketRate &rate, std::int64_t amount)
+{
+    bucket.level = std::min(rate.capacity, bucket.level + static_cast<double>(std::max<std::int64_t>(0, amount)));
+}
+
+void grantOpen(Pool &pool, std::int64_t limit, const std::string &instance, const wire::GrantAsk &ask, wire::GrantReply &reply)
+{
+    OpenHolder &own = pool.holders[instance];
+    own.held = ask.open_held();
+    std::int64_t held = 0;
+    for (const auto &[name, holder] : pool.holders) {
+        held += holder.held;
+    }
+    const std::int64_t free = std::max<std::int64_t>(0, limit - held);
+    const std::int64_t granted = std::clamp<std::int64_t>(ask.open_needed(), 0, free);
+    own.held += granted;
+    reply.set_open(granted);
+    reply.set_open_tight((free - granted) * TightShare < limit);
+}
+
+} // namespace
+
+BucketRate requestRate(const contract::Limits &limits)
+{
+    const auto perSecond = static_cast<double>(limits.requestsPerSecond);
+    return {perSecond, perSecond};
+}
+
+BucketRate tokenRate(const contract::Limits &limits)
+{
+    const auto perMinute = static_cast<double>(limits.tokensPerMinute);
+    return {perMinute / SecondsPerMinute, perMinute};
+}
+
+BucketRate shareOf(const BucketRate &rate, std::size_t vms)
+{
+    const auto parts = static_cast<double>(std::max<std::size_t>(1, vms));
+    return {rate.perSecond / parts, rate.capacity <= 0 ? 0 : std::max(1.0, rate.capacity / parts)};
+}
+
+void refill(Bucket &bucket, const BucketRate &rate, TimePoint now)
+{
+    const double seconds = static_cast<double>((now - bucket.updatedAt).count()) / MicrosecondsPerSecond;
+    bucket.level = std::min(rate.capacity, bucket.level + std::max(0.0, seconds) * rate.perSecond);
+    bucket.updatedAt = now;
+}
+
+Duration timeUntil(const Bucket &bucket, const BucketRate &rate, double amount)
+{
+    if (rate.perSecond <= 0 || amount > rate.capacity) {
+        return Duration(0);
+    }
+    const double missing = std::max(0.0, amount - bucket.level);
+    return Duration(static_cast<std::int64_t>(std::ceil(missing / rate.perSecond * MicrosecondsPerSecond)) + 1);
+}
+
+std::string_view grantorOf(std::string_view customer, std::span<const std::string> instances)
+{
+    std::string_view best;
+    std::uint64_t bestHash = 0;
+    const std::uint64_t seed = text::stableHash(customer);
+    for (const std::string &instance : instances) {
+        const std::uint64_t hash = text::stableHash(instance, seed);
+        if (best.empty() || hash > bestHash) {
+            best = instance;
+            bestHash = hash;
+        }
+    }
+    return best;
+}
+
+wire::GrantReply grantFrom(Pool &pool, const contract::Limits &limits, const std::string &instance, const wire::GrantAsk &ask, TimePoint now)
+{
+    wire::GrantReply reply;
+    OpenHolder &holder = pool.holders[instance];
+    if (ask.sequence() <= holder.sequence) {
+        return reply;
+    }
+    holder.sequence = ask.sequence();
+    reply.set_granting(true);
+    const BucketRate requests = requestRate(limits);
+    const BucketRate tokens = tokenRate(limits);
+    refill(pool.requests, requests, now);
+    refill(pool.tokens, tokens, now);
+    giveBack(pool.requests, requests, ask.requests_returned());
+    giveBack(pool.tokens, tokens, ask.tokens_returned());
+    reply.set_requests(takeFrom(pool.requests, ask.requests_needed(), ask.requests_ahead()));
+    reply.set_tokens(takeFrom(pool.tokens, ask.tokens_needed(), ask.tokens_ahead()));
+    grantOpen(pool, limits.openRequests, instance, ask, reply);
+    reply.set_requests_wait_us(timeUntil(pool.requests, requests, 1).count());
+    const auto tokensMissing = static_cast<double>(std::max<std::int64_t>(0, ask.tokens_needed() - reply.tokens()));
+    reply.set_tokens_wait_us(timeUntil(pool.tokens, tokens, tokensMissing).count());
+    return reply;
+}
+
+} // namespace cardamomlift::limits
