Admit by priority, fairness and deadline into a room that adapts

Everything came in at once up to a count. Now a request passes limits, spending and the room at its model, which follows the first token and the time between tokens against the tightest target; what can't be in time is told at once with the expected wait. A caller who hung up while waiting is not run.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -1,9 +1,15 @@
 #pragma once
 
 #include "admission/admissiontypes.h"
+#include "admission/roomrules.h"
+#include "admission/waitqueue.h"
 #include "kernel/eventloop.h"
+#include "limits/limitkeeper.h"
+#include "metrics/metrics.h"
+#include "spending/spendingkeeper.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <unordered_map>
 
@@ -11,24 +17,56 @@
 
 using DecisionHandler = std::function<void(AdmissionDecision decision)>;
 
-/// Decides which requests come in, in which order, and which are told at once that they can't.
-class Admission
+/// What admission works with. Without @c limits or @c spending that check is left out.
+struct AdmissionTools {
+    EventLoop *loop = nullptr;
+    std::size_t maxOpen = 0; ///< Requests held at once, waiting ones too.
+    std::shared_ptr<limits::LimitKeeper> limits;
+    std::shared_ptr<spending::SpendingKeeper> spending;
+    std::shared_ptr<metrics::Metrics> metrics; ///< May be null.
+};
+
+/// Decides which requests come in, in which order, and which are told at once that they can't: first the customer's
+/// limits, then its spending bound, then room at the backend servers.
+class Admission : public std::enable_shared_from_this<Admission>
 {
 public:
-    static std::shared_ptr<Admission> create(EventLoop &loop, std::size_t maxOpen);
+    static std::shared_ptr<Admission> create(AdmissionTools tools);
 
     /// @p handler is called once, perhaps from inside this call.
     void ask(AdmissionQuestion question, DecisionHandler handler);
+    /// The first token of an admitted model request has come. Optional; once.
+    void firstToken(std::uint64_t ticket);
     /// Ends an admitted request. Call once for each ticket.
     void release(std::uint64_t ticket, const Usage &usage);
+    /// Requests that run.
     std::size_t open() const;
+    std::size_t waiting() const;
 
 private:
+    struct Request;
+    using RequestPtr = std::shared_ptr<Request>;
+    struct Target {
+        Room room;
+        WaitQueue queue;
+    };
     Admission() = default;
-    EventLoop *loop_ = nullptr;
-    std::size_t maxOpen_ = 0;
+    Target &targetOf(const AdmissionQuestion &question);
+    bool refuseAtOnce(const RequestPtr &request);
+    void takeLimits(const RequestPtr &request);
+    void reserveSpending(const RequestPtr &request);
+    void enterRoom(const RequestPtr &request);
+    void waitForRoom(const RequestPtr &request);
+    void admit(const RequestPtr &request);
+    void serve(Target &target);
+    void refuse(const RequestPtr &request, metrics::RefusalReason reason, Duration retryAfter);
+    void giveBack(const RequestPtr &request);
+    AdmissionTools tools_;
     std::uint64_t nextTicket_ = 1;
-    std::unordered_map<std::uint64_t, AdmissionQuestion> open_;
+    std::size_t asked_ = 0; ///< Asked and not yet decided.
+    std::map<std::string, Target, std::less<>> targets_;
+    std::unordered_map<std::uint64_t, RequestPtr> open_;
+    std::unordered_map<std::uint64_t, RequestPtr> waiting_;
 };
 
 } // namespace cardamomlift::admission
--- a/src/admission/admissionmodule.cpp
+++ b/src/admission/admissionmodule.cpp
@@ -17,12 +17,21 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"contract"};
+        return {"contract", "limits", "metrics", "spending"};
     }
 
     Result<void> start(Context &context) override
     {
-        context.set(Admission::create(*context.get<Runtime>()->loop, context.get<settings::Settings>()->limits.openRequests));
+        AdmissionTools tools;
+        tools.loop = context.get<Runtime>()->loop;
+        tools.maxOpen = context.get<settings::Settings>()->limits.openRequests;
+        tools.limits = context.get<limits::LimitKeeper>();
+        tools.spending = context.get<spending::SpendingKeeper>();
+        tools.metrics = context.get<metrics::Metrics>();
+        auto admission = Admission::create(std::move(tools));
+        context.get<metrics::Metrics>()->gauge("admission_waiting", [admission] { return static_cast<double>(admission->waiting()); });
+        context.get<metrics::Metrics>()->gauge("admission_open", [admission] { return static_cast<double>(admission->open()); });
+        context.set(admission);
         return success();
     }
 };
--- a/src/admission/admissiontypes.h
+++ b/src/admission/admissiontypes.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace cardamomlift::admission {
 
@@ -16,7 +17,10 @@
     contract::ServiceClass serviceClass;
     std::string target; ///< Model or service name.
     bool isModel = true;
-    std::int64_t estimatedTokens = 0; ///< Prompt plus the most output; what is reserved of limits and spending.
+    std::int64_t estimatedTokens = 0; ///< Prompt plus the most output; what is reserved of tokensPerMinute.
+    /// What the request can't pass, for the spending bound: no tokenizer makes more tokens of a text than it has bytes.
+    std::int64_t mostPromptTokens = 0;
+    std::int64_t mostOutputTokens = 0;
 };
 
 /// What a request used, told when it ends.
@@ -33,4 +37,7 @@
     std::uint64_t ticket = 0; ///< To be given back by release().
 };
 
+/// What a refused caller is told: what was passed, and whose it is.
+std::string_view refusalMessage(metrics::RefusalReason reason);
+
 } // namespace cardamomlift::admission
--- /dev/null
+++ b/src/admission/internal/waitqueue.cpp
@@ -0,0 +1,73 @@
+#include "admission/waitqueue.h"
+
+#include <algorithm>
+
+namespace cardamomlift::admission {
+
+void enqueue(WaitQueue &queue, WaitEntry entry)
+{
+    PriorityQueue &priority = queue.priorities[static_cast<std::size_t>(entry.priority)];
+    const auto [customer, isNew] = priority.customers.try_emplace(entry.customer);
+    if (isNew) {
+        customer->second.served = priority.servedNow;
+    }
+    customer->second.entries.emplace(entry.deadline, std::move(entry));
+    queue.size++;
+}
+
+std::optional<WaitEntry> takeNext(WaitQueue &queue, const std::array<bool, Priorities> &mayServe)
+{
+    for (std::size_t i = 0; i < Priorities; i++) {
+        PriorityQueue &priority = queue.priorities[i];
+        if (!mayServe[i] || priority.customers.empty()) {
+            continue;
+        }
+        const auto customer = std::min_element(
+            priority.customers.begin(), priority.customers.end(), [](const auto &a, const auto &b) { return a.second.served < b.second.served; });
+        CustomerQueue &entries = customer->second;
+        WaitEntry entry = std::move(entries.entries.begin()->second);
+        entries.entries.erase(entries.entries.begin());
+        priority.servedNow = entries.served;
+        entries.served += std::max<std::int64_t>(1, entry.cost);
+        if (entries.entries.empty()) {
+            priority.customers.erase(customer);
+        }
+        queue.size--;
+        return entry;
+    }
+    return std::nullopt;
+}
+
+bool removeEntry(WaitQueue &queue, const WaitEntry &entry)
+{
+    PriorityQueue &priority = queue.priorities[static_cast<std::size_t>(entry.priority)];
+    const auto customer = priority.customers.find(entry.customer);
+    if (customer == priority.customers.end()) {
+        return false;
+    }
+    auto &entries = customer->second.entries;
+    const auto [first, last] = entries.equal_range(entry.deadline);
+    const auto found = std::find_if(first, last, [&entry](const auto &other) { return other.second.ticket == entry.ticket; });
+    if (found == last) {
+        return false;
+    }
+    entries.erase(found);
+    if (entries.empty()) {
+        priority.customers.erase(customer);
+    }
+    queue.size--;
+    return true;
+}
+
+std::size_t countAhead(const WaitQueue &queue, contract::Priority priority)
+{
+    std::size_t ahead = 0;
+    for (std::size_t i = 0; i <= static_cast<std::size_t>(priority); i++) {
+        for (const auto &[name, customer] : queue.priorities[i].customers) {
+            ahead += customer.entries.size();
+        }
+    }
+    return ahead;
+}
+
+} // namespace cardamomlift::admission
--- a/src/gateway/chathandler.h
+++ b/src/gateway/chathandler.h
@@ -27,8 +27,8 @@
         const contract::ModelGrant &grant,
         const contract::ServiceClass &serviceClass,
         std::uint64_t ticket);
-    void stream(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session);
-    void collect(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session);
+    void stream(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session, std::uint64_t ticket);
+    void collect(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session, std::uint64_t ticket);
     void countDemand(const streams::StreamState &state);
     std::string newRequestId();
     GatewayTools tools_;
--- a/src/gateway/internal/chathandler.cpp
+++ b/src/gateway/internal/chathandler.cpp
@@ -84,10 +84,16 @@
     question.contract = caller.contract;
     question.serviceClass = *serviceClass;
     question.target = request->model;
-    question.estimatedTokens = request->estimatedPromptTokens + std::min(request->maxTokens.value_or(grant->maxOutputTokens), grant->maxOutputTokens);
+    question.mostPromptTokens = static_cast<std::int64_t>(request->messagesJson.size());
+    question.mostOutputTokens = std::min(request->maxTokens.value_or(grant->maxOutputTokens), grant->maxOutputTokens);
+    question.estimatedTokens = request->estimatedPromptTokens + question.mostOutputTokens;
     tools_.admission->ask(question, [this, caller, request = *request, grant = *grant, serviceClass = *serviceClass](admission::AdmissionDecision decision) {
         if (!decision.admitted) {
-            refuse(caller, {decision.reason, "The request was not let in.", decision.retryAfter});
+            refuse(caller, {decision.reason, std::string(admission::refusalMessage(decision.reason)), decision.retryAfter});
+            return;
+        }
+        if (caller.responder->isClosed()) {
+            tools_.admission->release(decision.ticket, {});
             return;
         }
         start(caller, request, grant, serviceClass, decision.ticket);
@@ -122,14 +128,14 @@
     });
     caller.responder->onClosed([session] { session->cancel(); });
     if (request.stream) {
-        stream(caller, session);
+        stream(caller, session, ticket);
     } else {
-        collect(caller, session);
+        collect(caller, session, ticket);
     }
     session->start();
 }
 
-void ChatHandler::stream(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session)
+void ChatHandler::stream(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session, std::uint64_t ticket)
 {
     // The view is owned by the session, so it must not own it.
     streams::StreamSession *raw = session.get();
@@ -144,7 +150,8 @@
         responder->startStream(200, std::move(headers));
     };
     streams::StreamView view;
-    view.onToken = [this, raw, responder, startHead](std::uint64_t position, const std::string &text) {
+    view.onToken = [this, raw, responder, startHead, ticket](std::uint64_t position, const std::string &text) {
+        tools_.admission->firstToken(ticket);
         startHead();
         responder->write(tokenEvent(raw->state(), position, text));
         if (responder->bufferedBytes() > tools_.callerBufferBytes) {
@@ -171,11 +178,12 @@
     session->attach(0, std::move(view));
 }
 
-void ChatHandler::collect(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session)
+void ChatHandler::collect(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session, std::uint64_t ticket)
 {
     streams::StreamSession *raw = session.get();
     streams::StreamView view;
-    view.onToken = [](std::uint64_t, const std::string &) {
+    view.onToken = [this, ticket](std::uint64_t, const std::string &) {
+        tools_.admission->firstToken(ticket);
     };
     view.onFinished = [this, raw, responder = caller.responder] {
         http::Response response = wholeAnswer(raw->state());
--- a/src/gateway/internal/servicehandler.cpp
+++ b/src/gateway/internal/servicehandler.cpp
@@ -135,10 +135,14 @@
     question.isModel = false;
     tools_.admission->ask(question, [this, call](admission::AdmissionDecision decision) {
         if (!decision.admitted) {
-            refuse(call, {decision.reason, "The call was not let in.", decision.retryAfter});
+            refuse(call, {decision.reason, std::string(admission::refusalMessage(decision.reason)), decision.retryAfter});
             return;
         }
         call->ticket = decision.ticket;
+        if (call->caller.responder->isClosed()) {
+            end(call, false);
+            return;
+        }
         begin(call);
     });
 }
