Count the bytes of control on the metrics page

The capacity page needs what an entry VM spends on control: bytes and calls to peers, to the table and to the VM list, its processor time and its resident memory. None of them was on the metrics page; payload counters of peers existed without a reader. HTTP bytes come from libcurl's own counts of whole exchanges.

The stand-in of the VM list kept a copy of the list for each change until the next reading; at 1,480 VMs put before the first reading that would be a million entries. It now forgets what no reader can be shown any more.

--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,142 @@
+#!/usr/bin/env bash
+# Measures what an entry VM spends on control at several sizes, with real daemons on loopback, and prints the slopes.
+#
+#   scripts/capacity.sh                       all sizes below, then the slopes
+#   scripts/capacity.sh --points "8x50 64x50" only these (entry VMs x workers)
+#   scripts/capacity.sh --seconds 20          length of each idle window
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/lib/fleet.sh
+
+points="4x50 8x50 16x50 32x50 64x50 8x250 8x550 8x1100"
+seconds=10
+target_entries=380
+target_workers=1100
+while [ $# -gt 0 ]; do
+    case $1 in
+    --points) points=$2 ;;
+    --seconds) seconds=$2 ;;
+    *) echo "unknown option $1" >&2; exit 2 ;;
+    esac
+    shift 2
+done
+start_work_folder
+ticks=$(getconf CLK_TCK)
+
+# page_sum SUFFIX NAME...: the sum of these gauges over all entry VMs.
+page_sum()
+{
+    local suffix=$1 name files=()
+    shift
+    for name in "${entry_names[@]}"; do
+        files+=("$work/$name.$suffix")
+    done
+    awk -v names="$*" 'BEGIN { count = split(names, list, " "); for (i = 1; i <= count; i++) wanted["cardamomlift_" list[i]] = 1 }
+        $1 in wanted { sum += $2 } END { printf "%.0f", sum }' "${files[@]}"
+}
+
+grown() # NAME...: growth of gauges over the window, a second and an entry VM
+{
+    awk -v a="$(page_sum before "$@")" -v b="$(page_sum after "$@")" -v s="$elapsed" -v n="${#entry_names[@]}" 'BEGIN { printf "%.2f", (b - a) / s / n }'
+}
+
+total_ticks()
+{
+    local name sum=0
+    for name in "${entry_names[@]}"; do
+        sum=$((sum + $(cpu_ticks "$name")))
+    done
+    echo "$sum"
+}
+
+average_resident()
+{
+    for name in "${entry_names[@]}"; do
+        resident_kilobytes "$name"
+    done | awk '{ sum += $1 } END { printf "%.1f", sum / NR / 1024 }'
+}
+
+platform_total() # KEY FILE
+{
+    grep -oE "\"$1\":[0-9]+" "$2" | cut -d: -f2
+}
+
+has_version() # VERSION FILE
+{
+    tr -d '\n' < "$2" | grep -q "\"print-co-op\":$1[,}]"
+}
+
+# Time from the tool's start until every entry VM shows the new version, asked one after the other.
+edit_in_force()
+{
+    local begin
+    sed "s/\"requestsPerSecond\": 200/\"requestsPerSecond\": 201/" examples/co-op/contract.json > "$work/edit.json"
+    begin=$(date +%s%N)
+    apply_contract "$work/edit.json"
+    await_all /v1/status status has_version 2
+    awk -v a="$begin" -v b="$(date +%s%N)" 'BEGIN { printf "%.2f", (b - a) / 1e9 }'
+}
+
+measure() # ENTRIES WORKERS
+{
+    local before_ticks after_ticks begin
+    start_platform
+    start_engines "$2"
+    start_entries "$1"
+    await_all /v1/status status knows_vms $(($1 + $2))
+    sleep 3
+    fetch_all /metrics before
+    curl -s "$platform/totals" > "$work/totals.before"
+    before_ticks=$(total_ticks)
+    begin=$(date +%s%N)
+    sleep "$seconds"
+    after_ticks=$(total_ticks)
+    elapsed=$(awk -v a="$begin" -v b="$(date +%s%N)" 'BEGIN { printf "%.3f", (b - a) / 1e9 }')
+    curl -s "$platform/totals" > "$work/totals.after"
+    fetch_all /metrics after
+    local cpu
+    cpu=$(awk -v t=$((after_ticks - before_ticks)) -v c="$ticks" -v s="$elapsed" -v n="$1" 'BEGIN { printf "%.3f", 100 * t / c / s / n }')
+    local reads writes
+    reads=$(awk -v a="$(platform_total reads "$work/totals.before")" -v b="$(platform_total reads "$work/totals.after")" -v s="$elapsed" 'BEGIN { printf "%.2f", (b - a) / s }')
+    writes=$(awk -v a="$(platform_total writeRequests "$work/totals.before")" -v b="$(platform_total writeRequests "$work/totals.after")" -v s="$elapsed" 'BEGIN { printf "%.2f", (b - a) / s }')
+    printf '%s %s %s %s %s %s %s %s %s %s %s %s\n' "$1" "$2" "$cpu" "$(average_resident)" \
+        "$(grown vm_list_bytes_sent_total vm_list_bytes_received_total)" \
+        "$(grown table_bytes_sent_total table_bytes_received_total)" \
+        "$(grown peer_bytes_sent_total peer_bytes_received_total)" \
+        "$(grown peer_calls_sent_total)" "$(grown vm_list_reads_total)" "$reads" "$writes" "$(edit_in_force)"
+    stop_fleet
+}
+
+columns="entries workers cpu_percent resident_mb list_bytes_s table_bytes_s peer_bytes_s peer_calls_s list_reads_s table_reads_s_all table_writes_s_all edit_s"
+echo "$columns" | tr ' ' '\t'
+for point in $points; do
+    measure "${point%x*}" "${point#*x}" | tr ' ' '\t' | tee -a "$work/rows"
+done
+
+# Least squares: value = base + perEntry * entries + perWorker * workers, and the value it gives at the target size.
+echo
+awk -v columns="$columns" -v te="$target_entries" -v tw="$target_workers" '
+    function solve(column,    i, e, w, y, d, da, db, dc) {
+        n = se = sw = see = sww = sew = sy = sey = swy = 0
+        for (i = 1; i <= rows; i++) {
+            e = cell[i, 1]; w = cell[i, 2]; y = cell[i, column]
+            n++; se += e; sw += w; see += e * e; sww += w * w; sew += e * w; sy += y; sey += e * y; swy += w * y
+        }
+        d = n * (see * sww - sew * sew) - se * (se * sww - sew * sw) + sw * (se * sew - see * sw)
+        if (d == 0) { return 0 }
+        da = sy * (see * sww - sew * sew) - se * (sey * sww - sew * swy) + sw * (sey * sew - see * swy)
+        db = n * (sey * sww - swy * sew) - sy * (se * sww - sew * sw) + sw * (se * swy - sey * sw)
+        dc = n * (see * swy - sew * sey) - se * (se * swy - sey * sw) + sy * (se * sew - see * sw)
+        base = da / d; slope_entry = db / d; slope_worker = dc / d
+        return 1
+    }
+    { rows++; for (i = 1; i <= NF; i++) cell[rows, i] = $i }
+    END {
+        count = split(columns, name, " ")
+        printf "%-20s %12s %14s %14s %16s\n", "slope of", "base", "per entry VM", "per worker", "at " te "x" tw
+        for (c = 3; c <= count; c++) {
+            if (solve(c)) {
+                printf "%-20s %12.3f %14.5f %14.5f %16.2f\n", name[c], base, slope_entry, slope_worker, base + slope_entry * te + slope_worker * tw
+            }
+        }
+    }' "$work/rows"
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -90,6 +90,8 @@
     std::string body; ///< Empty when onData consumed it.
     bool timedOut = false; ///< One of the request's time limits ended it; the connection itself did not break.
     std::string error; ///< A sentence, for logs.
+    std::uint64_t bytesSent = 0; ///< Head and body as written, without TLS and below.
+    std::uint64_t bytesReceived = 0; ///< Head and body as read.
 };
 
 /// What the caller of the client wants to hear. All run on the loop's thread.
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -186,6 +186,20 @@
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
 }
 
+/// Fills in how many bytes the exchange took on the wire.
+void countBytes(CURL *easy, ClientResult &result)
+{
+    long sent = 0;
+    long head = 0;
+    curl_off_t body = 0;
+    // NOTE libcurl counts the body among the request's bytes if it left in one piece with the head (below 64 KiB).
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+    curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &head);
+    curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &body);
+    result.bytesSent = static_cast<std::uint64_t>(sent);
+    result.bytesReceived = static_cast<std::uint64_t>(head) + static_cast<std::uint64_t>(body);
+}
+
 int onSocket(CURL *, curl_socket_t socket, int what, void *context, void *)
 {
     auto *impl = static_cast<Client::Impl *>(context);
@@ -254,6 +268,7 @@
     calls.erase(call->id);
     curl_multi_remove_handle(multi, owned->easy);
     ClientResult result = std::move(owned->result);
+    countBytes(owned->easy, result);
     if (owned->cancelled) {
         result.transport = Transport::Cancelled;
     } else if (code == CURLE_OK) {
--- a/src/membership/internal/vmlist.cpp
+++ b/src/membership/internal/vmlist.cpp
@@ -115,6 +115,11 @@
     return hasRead_;
 }
 
+const VmListCounters &VmListReader::counters() const
+{
+    return counters_;
+}
+
 void VmListReader::read()
 {
     if (reading_) {
@@ -127,6 +132,9 @@
     http::ClientHooks hooks;
     hooks.onDone = [this](http::ClientResult result) {
         reading_ = false;
+        counters_.reads++;
+        counters_.bytesSent += result.bytesSent;
+        counters_.bytesReceived += result.bytesReceived;
         const auto json = result.status == 200 ? http::parseJson(result.body) : std::nullopt;
         if (!json || !(*json)["vms"].isArray()) {
             partLogger("membership")->warn("The VM list can't be read. error={}", result.error);
--- a/src/membership/membershipmodule.cpp
+++ b/src/membership/membershipmodule.cpp
@@ -4,6 +4,7 @@
 #include "membership/loadreports.h"
 #include "membership/overlay.h"
 #include "membership/vmlist.h"
+#include "metrics/metrics.h"
 #include "peers/peertransport.h"
 #include "settings/settingstypes.h"
 
@@ -33,7 +34,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"http", "peers"};
+        return {"http", "metrics", "peers"};
     }
 
     Result<void> start(Context &context) override
@@ -54,8 +55,21 @@
         auto reader = VmListReader::create(loop, context.get<http::Client>(), members, settings->platform.vmListEndpoint);
         reader->start(ListPeriod);
         context.set(reader);
+        publishCounters(context, reader);
         return success();
     }
+
+private:
+    static void publishCounters(const Context &context, const std::shared_ptr<VmListReader> &reader)
+    {
+        const auto metrics = context.get<metrics::Metrics>();
+        const auto publish = [&](const char *name, std::uint64_t VmListCounters::*member) {
+            metrics->gauge(name, [reader, member] { return static_cast<double>(reader->counters().*member); });
+        };
+        publish("vm_list_reads_total", &VmListCounters::reads);
+        publish("vm_list_bytes_sent_total", &VmListCounters::bytesSent);
+        publish("vm_list_bytes_received_total", &VmListCounters::bytesReceived);
+    }
 };
 
 const ModuleRegistration<MembershipModule> Registration;
--- a/src/membership/vmlist.h
+++ b/src/membership/vmlist.h
@@ -15,6 +15,13 @@
 std::optional<Vm> vmFromJson(const Json::Value &json);
 Json::Value vmToJson(const Vm &vm);
 
+/// Readings of the list, for docs/CAPACITY.md.
+struct VmListCounters {
+    std::uint64_t reads = 0;
+    std::uint64_t bytesSent = 0; ///< Whole HTTP exchanges.
+    std::uint64_t bytesReceived = 0;
+};
+
 /// Reads the platform's list of VMs again and again into Members.
 class VmListReader
 {
@@ -23,6 +30,7 @@
     void start(Duration period);
     /// True after the first whole reading.
     bool hasRead() const;
+    const VmListCounters &counters() const;
 
 private:
     VmListReader() = default;
@@ -31,6 +39,7 @@
     std::shared_ptr<http::Client> client_;
     std::shared_ptr<Members> members_;
     std::string endpoint_;
+    VmListCounters counters_;
     bool hasRead_ = false;
     bool reading_ = false;
 };
--- a/src/metrics/metricsmodule.cpp
+++ b/src/metrics/metricsmodule.cpp
@@ -1,6 +1,7 @@
 #include "kernel/module.h"
 #include "kernel/runtime.h"
 #include "metrics/metrics.h"
+#include "metrics/processusage.h"
 
 namespace cardamomlift::metrics {
 
@@ -21,7 +22,10 @@
 
     Result<void> start(Context &context) override
     {
-        context.set(Metrics::create());
+        auto metrics = Metrics::create();
+        metrics->gauge("process_cpu_seconds_total", [] { return processCpuSeconds(); });
+        metrics->gauge("process_resident_bytes", [] { return static_cast<double>(processResidentBytes()); });
+        context.set(metrics);
         return success();
     }
 };
--- a/src/peers/peersmodule.cpp
+++ b/src/peers/peersmodule.cpp
@@ -1,5 +1,6 @@
 #include "kernel/module.h"
 #include "kernel/runtime.h"
+#include "metrics/metrics.h"
 #include "peers/grpctransport.h"
 #include "settings/listenfiles.h"
 #include "settings/settingstypes.h"
@@ -18,7 +19,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {};
+        return {"metrics"};
     }
 
     Result<void> start(Context &context) override
@@ -38,8 +39,24 @@
             return transport.error();
         }
         context.set<PeerTransport>(transport.value());
+        publishCounters(context);
         return success();
     }
+
+private:
+    static void publishCounters(const Context &context)
+    {
+        const auto metrics = context.get<metrics::Metrics>();
+        const auto transport = context.get<PeerTransport>();
+        const auto publish = [&](const char *name, std::uint64_t PeerCounters::*member) {
+            metrics->gauge(name, [transport, member] { return static_cast<double>(transport->counters().*member); });
+        };
+        publish("peer_calls_sent_total", &PeerCounters::callsSent);
+        publish("peer_calls_received_total", &PeerCounters::callsReceived);
+        publish("peer_calls_failed_total", &PeerCounters::failed);
+        publish("peer_bytes_sent_total", &PeerCounters::bytesSent);
+        publish("peer_bytes_received_total", &PeerCounters::bytesReceived);
+    }
 };
 
 const ModuleRegistration<PeersModule> Registration;
--- a/src/standins/platform/vmservice.cpp
+++ b/src/standins/platform/vmservice.cpp
@@ -18,19 +18,26 @@
     for (const auto &[instance, vm] : vms_) {
         list.append(vm);
     }
+    prune();
     history_.push_back({loop_->now(), std::move(list)});
 }
 
+// Forgets what no reader can be shown any more; else filling a long list keeps a copy of it for each VM.
+void VmService::prune()
+{
+    const TimePoint seen = loop_->now() - lag_;
+    while (history_.size() > 1 && history_[1].at <= seen) {
+        history_.pop_front();
+    }
+}
+
 void VmService::list(const std::shared_ptr<http::Responder> &responder)
 {
     if (down_) {
         responder->respond({503, {}, "down\n"});
         return;
     }
-    const TimePoint seen = loop_->now() - lag_;
-    while (history_.size() > 1 && history_[1].at <= seen) {
-        history_.pop_front();
-    }
+    prune();
     Json::Value body;
     body["vms"] = history_.front().vms;
     responder->respond(http::jsonResponse(200, body));
--- a/src/standins/platform/vmservice.h
+++ b/src/standins/platform/vmservice.h
@@ -39,6 +39,7 @@
     };
     VmService() = default;
     void record();
+    void prune();
     EventLoop *loop_ = nullptr;
     std::map<std::string, Json::Value> vms_;
     std::map<std::string, std::int64_t> notices_;
--- a/src/table/internal/dynamodbtable.cpp
+++ b/src/table/internal/dynamodbtable.cpp
@@ -123,6 +123,8 @@
     request.mayResend = isRead(operation);
     http::ClientHooks hooks;
     hooks.onDone = [this, handler = std::move(handler)](http::ClientResult result) {
+        counters_.bytesSent += result.bytesSent;
+        counters_.bytesReceived += result.bytesReceived;
         if (result.transport != http::Transport::Completed || result.status >= 500) {
             counters_.unavailable++;
         }
--- a/src/table/tabletypes.h
+++ b/src/table/tabletypes.h
@@ -72,6 +72,8 @@
     std::uint64_t writeRequests = 0; ///< Requests that write; a transaction counts once.
     std::uint64_t itemsWritten = 0; ///< Items in those requests.
     std::uint64_t unavailable = 0; ///< Requests that got no usable answer.
+    std::uint64_t bytesSent = 0; ///< Whole HTTP exchanges, for docs/CAPACITY.md.
+    std::uint64_t bytesReceived = 0;
 };
 
 } // namespace cardamomlift::table
