--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -83,6 +83,12 @@
     curl -s -K "$1"
 }
 
+# engine_ports NAME: a line "INSTANCE PORT" for each engine of a process.
+engine_ports()
+{
+    grep -oE '"instance":"[^"]+","port":[0-9]+' "$work/$1.ready" | sed -E 's/"instance":"([^"]+)","port":([0-9]+)/\1 \2/'
+}
+
 # start_engines COUNT [ARGUMENT...]: COUNT engines in few processes, all put into the VM list.
 start_engines()
 {
@@ -96,7 +102,7 @@
         while read -r line; do
             vm_request "${line%% *}" model "${line##* }" 0 "$number" '"proofreader","leaflet-writer","crew-desk","dossier-writer"' >> "$work/engines.curl"
             number=$((number + 1))
-        done < <(grep -oE '"instance":"[^"]+","port":[0-9]+' "$work/engines-$process.ready" | sed -E 's/"instance":"([^"]+)","port":([0-9]+)/\1 \2/')
+        done < <(engine_ports "engines-$process")
         left=$((left - count))
         process=$((process + 1))
     done
--- a/src/bench/load/loadcall.h
+++ b/src/bench/load/loadcall.h
@@ -34,12 +34,14 @@
 
 private:
     LoadCall() = default;
+    void send();
     void startStream();
     void startService();
     void open(http::ClientRequest request);
     void resume();
     void onEvent(const engine::SseEvent &event);
     void onToken(std::uint64_t position, std::string_view text);
+    bool sentElsewhere(const http::ClientResult &result);
     void onStreamEnd(const http::ClientResult &result);
     void onServiceEnd(const http::ClientResult &result);
     void end(CallEnd how);
@@ -55,6 +57,7 @@
     bool whole_ = false;
     std::uint64_t next_ = 0; ///< Position of the token that must come next.
     TimePoint startedAt_;
+    std::string idempotencyKey_;
     TimePoint lastTokenAt_;
 };
 
--- a/src/bench/load/loadrun.h
+++ b/src/bench/load/loadrun.h
@@ -19,7 +19,11 @@
 
 private:
     LoadRun() = default;
-    void readPages(std::function<void(PageTotals metrics, PageTotals engines)> handler);
+    /// Reads every page that answers; a page that does not keeps its last values, so that nothing of a VM that went is lost.
+    void readPages(std::function<void()> handler);
+    void readPage(const std::string &url, const std::function<void()> &closeOne);
+    void watchPages();
+    PageTotals sumOf(const std::vector<std::string> &urls) const;
     void sendAll();
     void send(const Arrival &arrival);
     void finish();
@@ -29,9 +33,11 @@
     http::Client *client_ = nullptr;
     LoadOptions options_;
     LoadResult result_;
+    std::map<std::string, PageTotals> pages_; ///< Last values, by the page's URL.
     PageTotals metricsBefore_;
     PageTotals enginesBefore_;
     std::size_t open_ = 0;
+    TimerId watch_ = 0;
     std::mt19937_64 random_;
     TimePoint startedAt_;
     std::function<void(const LoadResult &)> onDone_;
--- a/src/bench/load/loadtypes.h
+++ b/src/bench/load/loadtypes.h
@@ -81,6 +81,7 @@
     std::uint64_t wrongTokens = 0; ///< Wrong text, repeated or out of order.
     std::uint64_t missingTokens = 0;
     std::uint64_t resumes = 0;
+    std::uint64_t reroutes = 0; ///< Sent again at another entry VM, as a balancer does when one is closed or draining.
 };
 
 /// All outcomes of one kind on one path.
@@ -95,6 +96,7 @@
     std::uint64_t wrongTokens = 0;
     std::uint64_t missingTokens = 0;
     std::uint64_t resumes = 0;
+    std::uint64_t reroutes = 0;
     std::map<std::string, std::uint64_t> refusals; ///< By reason.
     std::vector<Duration> firstTokens;
     std::vector<Duration> gaps;
--- a/src/bench/load/report.cpp
+++ b/src/bench/load/report.cpp
@@ -52,6 +52,7 @@
         sum.wrongTokens += kind.wrongTokens;
         sum.missingTokens += kind.missingTokens;
         sum.resumes += kind.resumes;
+        sum.reroutes += kind.reroutes;
         for (const auto &[reason, count] : kind.refusals) {
             sum.refusals[reason] += count;
         }
@@ -103,6 +104,25 @@
     }
 }
 
+/// How much later the system's quantile is than the direct one, kind by kind, weighted by the direct requests: prompts of
+/// other kinds have other lengths.
+double added(const LoadResult &result, std::vector<Duration> KindResult::*samples, double part)
+{
+    double sum = 0;
+    double weight = 0;
+    for (std::size_t i = 0; i < result.kinds.size(); i++) {
+        const KindResult &system = result.results.at(Path::System)[i];
+        const KindResult &direct = result.results.at(Path::Direct)[i];
+        if (system.whole == 0 || direct.whole == 0) {
+            continue;
+        }
+        const auto count = static_cast<double>(direct.whole);
+        sum += count * (quantile(system.*samples, part) - quantile(direct.*samples, part));
+        weight += count;
+    }
+    return ratio(sum, weight);
+}
+
 std::string kindLine(const std::string &name, const char *path, const KindResult &kind)
 {
     const double onTime = ratio(static_cast<double>(kind.onTime), static_cast<double>(kind.offered));
@@ -140,6 +160,7 @@
     figures["wrong_tokens"] = static_cast<double>(sum.wrongTokens);
     figures["missing_tokens"] = static_cast<double>(sum.missingTokens);
     figures["resumes"] = static_cast<double>(sum.resumes);
+    figures["reroutes"] = static_cast<double>(sum.reroutes);
     const double seconds = static_cast<double>(result.elapsed.count()) / MicrosecondsPerSecond;
     figures["tokens_per_second"] = ratio(static_cast<double>(sum.tokens), seconds);
     figures["requests_per_second"] = ratio(static_cast<double>(sum.whole), seconds);
@@ -152,10 +173,10 @@
     const KindResult direct = sumOf(result, Path::Direct);
     if (direct.offered > 0) {
         addLatencies("direct_", direct, figures);
-        figures["added_first_token_p50_ms"] = figures["first_token_p50_ms"] - figures["direct_first_token_p50_ms"];
-        figures["added_first_token_p99_ms"] = figures["first_token_p99_ms"] - figures["direct_first_token_p99_ms"];
-        figures["added_between_p50_ms"] = figures["between_p50_ms"] - figures["direct_between_p50_ms"];
-        figures["added_between_p99_ms"] = figures["between_p99_ms"] - figures["direct_between_p99_ms"];
+        figures["added_first_token_p50_ms"] = added(result, &KindResult::firstTokens, Median);
+        figures["added_first_token_p99_ms"] = added(result, &KindResult::firstTokens, P99);
+        figures["added_between_p50_ms"] = added(result, &KindResult::gaps, Median);
+        figures["added_between_p99_ms"] = added(result, &KindResult::gaps, P99);
     }
     return figures;
 }
