--- a/src/bench/load/loadrun.cpp
+++ b/src/bench/load/loadrun.cpp
@@ -123,9 +123,28 @@
 
 void LoadRun::watchPages()
 {
+    notePeaks();
     watch_ = loop_->after(PagePeriod, [this] { readPages([this] { watchPages(); }); });
 }
 
+void LoadRun::notePeaks()
+{
+    for (const auto &[url, page] : pages_) {
+        const auto resident = page.find("cardamomlift_process_resident_bytes");
+        if (resident != page.end()) {
+            result_.peakResidentBytes = std::max(result_.peakResidentBytes, resident->second);
+        }
+    }
+    const TimePoint now = loop_->now();
+    const double tokens = sumOf(options_.engines)["tokens"];
+    const double seconds = std::chrono::duration<double>(now - lastTokensAt_).count();
+    if (lastTokens_ > 0 && seconds > 0) {
+        result_.peakTokensPerSecond = std::max(result_.peakTokensPerSecond, (tokens - lastTokens_) / seconds);
+    }
+    lastTokens_ = tokens;
+    lastTokensAt_ = now;
+}
+
 void LoadRun::readPages(std::function<void()> handler)
 {
     auto open = std::make_shared<std::size_t>(1 + options_.operatorPages.size() + options_.engines.size());
--- a/src/bench/load/loadrun.h
+++ b/src/bench/load/loadrun.h
@@ -23,6 +23,7 @@
     void readPages(std::function<void()> handler);
     void readPage(const std::string &url, const std::function<void()> &closeOne);
     void watchPages();
+    void notePeaks();
     PageTotals sumOf(const std::vector<std::string> &urls) const;
     void sendAll();
     void send(const Arrival &arrival);
@@ -36,6 +37,8 @@
     std::map<std::string, PageTotals> pages_; ///< Last values, by the page's URL.
     PageTotals metricsBefore_;
     PageTotals enginesBefore_;
+    double lastTokens_ = 0;
+    TimePoint lastTokensAt_;
     std::size_t open_ = 0;
     TimerId watch_ = 0;
     std::mt19937_64 random_;
--- a/src/bench/load/loadtypes.h
+++ b/src/bench/load/loadtypes.h
@@ -110,6 +110,8 @@
     std::map<Path, std::vector<KindResult>> results; ///< In the order of the kinds.
     PageTotals metrics; ///< Growth of the daemons' counters over the run.
     PageTotals engines; ///< Growth of the engines' totals.
+    double peakResidentBytes = 0; ///< The most that one daemon showed.
+    double peakTokensPerSecond = 0; ///< Of all engines, over the best second.
     Duration elapsed{0};
 };
 
--- a/src/bench/load/report.cpp
+++ b/src/bench/load/report.cpp
@@ -10,6 +10,7 @@
 
 constexpr double MicrosecondsPerMillisecond = 1000.0;
 constexpr double MicrosecondsPerSecond = 1e6;
+constexpr double BytesPerMegabyte = 1024.0 * 1024.0;
 constexpr double Median = 0.5;
 constexpr double P95 = 0.95;
 constexpr double P99 = 0.99;
@@ -95,6 +96,8 @@
     figures["attempts_per_request"] = ratio(attempts, static_cast<double>(sum.accepted));
     figures["daemon_cpu_us_per_token"] = ratio(cpu * MicrosecondsPerSecond, static_cast<double>(sum.tokens));
     figures["daemon_cpu_us_per_request"] = ratio(cpu * MicrosecondsPerSecond, static_cast<double>(sum.whole));
+    figures["daemon_peak_resident_mb"] = result.peakResidentBytes / BytesPerMegabyte;
+    figures["peak_tokens_per_second"] = result.peakTokensPerSecond;
     figures["daemon_cpu_cores"] = ratio(cpu * MicrosecondsPerSecond, static_cast<double>(result.elapsed.count()));
     figures["table_writes_per_request"] = ratio(totalOf(result.metrics, "cardamomlift_table_write_requests_total"), static_cast<double>(sum.accepted));
     for (const auto &[name, value] : result.metrics) {
