Spread contracts between entry VMs and stop work on stale ones

Cause: every VM polled the head of the table twice a second (756 reads/s at 380 VMs, of 2,000 for everybody), a VM cut off from the table served an old contract for ever, and an edit was answered before it was known to be in force anywhere. VMs pull edits, heartbeats and the age of the last table reading from a few peers in turn; table readings are bounded for the whole fleet (10/s at 380). A VM with neither recent evidence from the table nor a majority takes no new work (Lifecycle gate, "not_ready"). The edit flow needs a majority in reach, judges danger against the replaced version in the table, and answers where the edit is in force. An edit reads three items, not the whole history. Ruled out: ages in questions (a delayed message would look fresh); polls in step (all VMs read in the same second; each pause is now spread); heartbeats from before a VM's start (a first boot served version 1 of 2).

--- a/src/contract/contractmodule.cpp
+++ b/src/contract/contractmodule.cpp
@@ -1,15 +1,40 @@
+#include "contract/contractexchange.h"
 #include "contract/contractset.h"
 #include "contract/contractstore.h"
 #include "contract/contractsync.h"
 #include "kernel/module.h"
 #include "kernel/runtime.h"
 #include "lifecycle/lifecycle.h"
+#include "membership/vmlist.h"
+#include "metrics/metrics.h"
+#include "settings/settingstypes.h"
+
+#include <fmt/format.h>
 
 namespace cardamomlift::contract {
 
 namespace {
 
-constexpr Duration PollPeriod = std::chrono::milliseconds(500);
+void serveWhileFresh(lifecycle::Lifecycle &lifecycle, ContractSync &sync, const std::shared_ptr<ContractExchange> &exchange)
+{
+    lifecycle.setGate([exchange] { return mayTakeNewWork(exchange->freshness()); });
+    sync.onReady([&lifecycle] { lifecycle.setReady(); });
+}
+
+/// The delay is on the civil clocks of two VMs: as good as they agree.
+void publishFigures(metrics::Metrics &metrics, EventLoop &loop, const std::shared_ptr<ContractSet> &set, const std::shared_ptr<ContractExchange> &exchange)
+{
+    metrics.gauge("contract_revision", [set] { return static_cast<double>(set->revision()); });
+    metrics.gauge("contract_may_take_new_work", [exchange] { return mayTakeNewWork(exchange->freshness()) ? 1.0 : 0.0; });
+    metrics.gauge("contract_exchange_questions", [exchange] { return static_cast<double>(exchange->counters().questions); });
+    metrics.gauge("contract_exchange_bytes_sent", [exchange] { return static_cast<double>(exchange->counters().bytesSent); });
+    metrics.gauge("contract_exchange_bytes_received", [exchange] { return static_cast<double>(exchange->counters().bytesReceived); });
+    set->onChange([&metrics, &loop](const ContractInForce &entry) {
+        metrics.add(fmt::format("contract_versions_in_force_total{{hops=\"{}\"}}", entry.version.hops));
+        const auto now = std::chrono::duration_cast<Duration>(loop.clock().wallNow().time_since_epoch());
+        metrics.observe("contract_edit_delay_seconds", now - std::chrono::milliseconds(entry.version.acceptedAtMs));
+    });
+}
 
 class ContractModule : public Module
 {
@@ -21,7 +46,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"table", "lifecycle"};
+        return {"table", "lifecycle", "peers", "membership", "metrics"};
     }
 
     Result<void> start(Context &context) override
@@ -30,9 +55,21 @@
         auto store = ContractStore::create(loop, context.get<table::Table>());
         auto set = ContractSet::create();
         auto sync = ContractSync::create(loop, store, set);
-        auto lifecycle = context.get<lifecycle::Lifecycle>();
-        sync->onReady([lifecycle] { lifecycle->setReady(); });
-        sync->start(PollPeriod);
+        ExchangeTools tools;
+        tools.loop = &loop;
+        tools.transport = context.get<peers::PeerTransport>();
+        tools.members = context.get<membership::Members>();
+        tools.set = set;
+        tools.sync = sync;
+        tools.listKnown = [reader = context.find<membership::VmListReader>()] {
+            return !reader || reader->hasRead();
+        };
+        auto exchange = ContractExchange::create(tools);
+        serveWhileFresh(*context.get<lifecycle::Lifecycle>(), *sync, exchange);
+        sync->start(context.get<settings::Settings>()->instance, [exchange] { return exchange->facts().listed; });
+        exchange->start();
+        publishFigures(*context.get<metrics::Metrics>(), loop, set, exchange);
+        context.set(exchange);
         context.set(store);
         context.set(set);
         context.set(sync);
--- a/src/contract/contractstore.h
+++ b/src/contract/contractstore.h
@@ -2,6 +2,7 @@
 
 #include "contract/contracttypes.h"
 #include "kernel/eventloop.h"
+#include "kernel/finding.h"
 #include "table/table.h"
 
 #include <memory>
@@ -20,6 +21,7 @@
 enum class EditOutcome {
     Accepted, ///< In the table, once; also for a repeat of the same edit.
     Conflict, ///< Another edit came first; nothing was changed.
+    Rejected, ///< The judge had findings; nothing was changed.
     Unknown, ///< The table did not answer: repeat with the same edit id.
     Unavailable, ///< The table is down: nothing was changed.
 };
@@ -28,8 +30,11 @@
     EditOutcome outcome = EditOutcome::Unknown;
     ContractVersion current; ///< The accepted version, or with Conflict the one that is in the way.
     std::string message;
+    Findings findings; ///< With Rejected.
 };
 
+/// Findings against an edit, given the version it replaces; null if there is none.
+using EditJudge = std::function<Findings(const ContractVersion *replaced)>;
 using EditHandler = std::function<void(EditResult result)>;
 using VersionsHandler = std::function<void(Result<std::vector<ContractVersion>> versions)>;
 using RevisionHandler = std::function<void(Result<std::uint64_t> revision)>;
@@ -39,22 +44,29 @@
 class ContractStore
 {
 public:
+    static constexpr std::size_t PageLimit = 100;
     static std::shared_ptr<ContractStore> create(EventLoop &loop, std::shared_ptr<table::Table> table);
 
-    void apply(Edit edit, EditHandler handler);
+    /// @p judge sees the version in the table that the edit replaces, whatever this VM has in force.
+    void apply(Edit edit, EditJudge judge, EditHandler handler);
     /// The newest revision; 0 if there is none.
     void headRevision(RevisionHandler handler);
     /// The current version of every customer.
     void readAll(VersionsHandler handler);
-    /// All versions of one customer, oldest first.
-    void history(std::string customer, VersionsHandler handler);
-    /// Log entries after @p revision, in order, at most 100.
+    /// The current version of one customer: one element, or none.
+    void current(std::string customer, VersionsHandler handler);
+    /// Versions of one customer after version @p after, oldest first, at most PageLimit.
+    void history(std::string customer, std::uint64_t after, VersionsHandler handler);
+    /// Log entries after @p revision, in order, at most PageLimit.
     void changesAfter(std::uint64_t revision, VersionsHandler handler);
 
 private:
     struct Attempt;
     ContractStore() = default;
+    void getVersion(table::Key key, VersionsHandler handler);
     void tryOnce(std::shared_ptr<Attempt> attempt);
+    void judge(std::shared_ptr<Attempt> attempt);
+    void tryAgain(std::shared_ptr<Attempt> attempt, const std::string &error);
     void write(std::shared_ptr<Attempt> attempt, std::uint64_t head);
     void onWritten(std::shared_ptr<Attempt> attempt, const ContractVersion &written, const table::WriteResult &result);
     EventLoop *loop_ = nullptr;
--- a/src/contract/contracttypes.h
+++ b/src/contract/contracttypes.h
@@ -20,6 +20,8 @@
 struct ApiKey {
     std::string name;
     std::string sha256; ///< Lower-case hex.
+    int line = 0; ///< Where "sha256" stands in the text.
+    int column = 0;
 };
 
 /// What is promised to one class of requests.
@@ -83,6 +85,7 @@
     std::string author;
     std::string editId; ///< Chosen by the tool; a repeat with the same id is the same edit.
     std::int64_t acceptedAtMs = 0; ///< Civil time, milliseconds since 1970 UTC.
+    std::uint32_t hops = 0; ///< Peers it passed on its way here from the table; not stored.
 };
 
 } // namespace cardamomlift::contract
--- a/src/contract/internal/contractchange.cpp
+++ b/src/contract/internal/contractchange.cpp
@@ -61,11 +61,6 @@
     return all;
 }
 
-Finding danger(const std::string &file, std::string message, std::string remedy)
-{
-    return Finding{file, 0, 0, std::move(message), std::move(remedy), Severity::Danger};
-}
-
 bool isSlip(std::int64_t before, std::int64_t after)
 {
     if (before <= 0 || after <= 0) {
@@ -74,11 +69,44 @@
     return after >= before * SlipFactor || before >= after * SlipFactor;
 }
 
+/// True for the one text of a key, model or service whose loss means that the whole of it is gone.
+bool isGrant(std::string_view path)
+{
+    return path.starts_with("keys.") || ((path.starts_with("models.") || path.starts_with("services.")) && path.ends_with(".class"));
+}
+
+/// The changes from one contract to another by path, each as "before -> after".
+std::map<std::string, std::string> changesByPath(const Contract &before, const Contract &after)
+{
+    const auto old = asTexts(flatten(before));
+    const auto now = asTexts(flatten(after));
+    std::map<std::string, std::string> changes;
+    for (const auto &[path, value] : old) {
+        const auto found = now.find(path);
+        if (found == now.end()) {
+            changes[path] = value + " -> (removed)";
+        } else if (found->second != value) {
+            changes[path] = value + " -> " + found->second;
+        }
+    }
+    for (const auto &[path, value] : now) {
+        if (!old.contains(path)) {
+            changes[path] = "(new) -> " + value;
+        }
+    }
+    return changes;
+}
+
 } // namespace
 
-Findings dangerousChanges(const std::string &file, const Contract &before, const Contract &after)
+Findings dangerousChanges(const std::string &file, const Contract &before, const Contract &after, const ContractPlaces &places)
 {
     Findings findings;
+    const auto report = [&](const std::string &path, const std::string &what, const std::string &remedy) {
+        Finding finding{file, 0, 0, path + " " + what, remedy, Severity::Danger};
+        places.place(finding, path);
+        findings.push_back(std::move(finding));
+    };
     const FlatContract old = flatten(before);
     const FlatContract now = flatten(after);
     for (const auto &[path, number] : now.numbers) {
@@ -87,19 +115,17 @@
             continue;
         }
         if (number == 0 && found->second > 0) {
-            findings.push_back(danger(file, fmt::format("{} is cut from {} to 0.", path, found->second), "Confirm if nothing more is to be allowed."));
+            report(path, fmt::format("is cut from {} to 0.", found->second), "Confirm if nothing more is to be allowed.");
         } else if (isSlip(found->second, number)) {
-            findings.push_back(danger(file, fmt::format("{} changes from {} to {}, a thousandfold.", path, found->second, number), "Check the unit."));
+            report(path, fmt::format("changes from {} to {}, a thousandfold.", found->second, number), "Check the unit.");
         }
     }
     for (const auto &[path, text] : old.texts) {
-        const bool isGrant = path.starts_with("models.") || path.starts_with("services.") || path.starts_with("keys.");
-        if (isGrant && !path.ends_with(".idempotent") && !now.texts.contains(path)) {
-            findings.push_back(danger(file, fmt::format("{} is taken away.", path), "Confirm if its callers are to be refused."));
-        }
         const auto found = now.texts.find(path);
-        if (path.ends_with(".idempotent") && found != now.texts.end() && text == "false" && found->second == "true") {
-            findings.push_back(danger(file, fmt::format("{} becomes true: calls may run more than once.", path), "Confirm if a repeat does no harm."));
+        if (found == now.texts.end() && isGrant(path)) {
+            report(path, "is taken away.", "Confirm if its callers are to be refused.");
+        } else if (found != now.texts.end() && path.ends_with(".idempotent") && text == "false" && found->second == "true") {
+            report(path, "becomes true: calls may run more than once.", "Confirm if a repeat does no harm.");
         }
     }
     return findings;
@@ -107,22 +133,37 @@
 
 std::string describeChanges(const Contract &before, const Contract &after)
 {
-    const auto old = asTexts(flatten(before));
-    const auto now = asTexts(flatten(after));
     std::string text;
-    for (const auto &[path, value] : old) {
-        const auto found = now.find(path);
-        if (found == now.end()) {
-            text += fmt::format("{}: {} -> (removed)\n", path, value);
-        } else if (found->second != value) {
-            text += fmt::format("{}: {} -> {}\n", path, value, found->second);
+    for (const auto &[path, change] : changesByPath(before, after)) {
+        text += fmt::format("{}: {}\n", path, change);
+    }
+    return text;
+}
+
+std::string describeConflict(const Contract &base, const Contract &theirs, const Contract &mine)
+{
+    const auto theirChanges = changesByPath(base, theirs);
+    const auto myChanges = changesByPath(base, mine);
+    std::string onlyTheirs;
+    std::string onlyMine;
+    std::string both;
+    for (const auto &[path, change] : theirChanges) {
+        const auto found = myChanges.find(path);
+        if (found == myChanges.end()) {
+            onlyTheirs += fmt::format("  {}: {}\n", path, change);
+        } else if (found->second != change) {
+            both += fmt::format("  {}: theirs {}, yours {}\n", path, change, found->second);
         }
     }
-    for (const auto &[path, value] : now) {
-        if (!old.contains(path)) {
-            text += fmt::format("{}: (new) -> {}\n", path, value);
+    for (const auto &[path, change] : myChanges) {
+        if (!theirChanges.contains(path)) {
+            onlyMine += fmt::format("  {}: {}\n", path, change);
         }
     }
+    std::string text;
+    text += onlyTheirs.empty() ? "" : "Only the other edit changes:\n" + onlyTheirs;
+    text += onlyMine.empty() ? "" : "Only your edit changes:\n" + onlyMine;
+    text += both.empty() ? "" : "Both change, differently:\n" + both;
     return text;
 }
 
--- a/src/contract/internal/contractreader.cpp
+++ b/src/contract/internal/contractreader.cpp
@@ -92,14 +92,29 @@
     findings.push_back(text.findingAt(place["class"], "No class is called \"" + name + "\".", "Name one of \"classes\", or add it there."));
 }
 
+ApiKey readKey(const JsonText &text, ObjectReader &reader, const Json::Value &place)
+{
+    ApiKey key{reader.text("name", true), reader.text("sha256", true)};
+    if (!place.isObject() || !place.isMember("sha256")) {
+        return key;
+    }
+    const Finding at = text.findingAt(place["sha256"], {}, {});
+    key.line = at.line;
+    key.column = at.column;
+    if (!key.sha256.empty() && !isSha256(key.sha256)) {
+        reader.report(place["sha256"], "\"sha256\" is not a SHA-256 hash.", "Write the 64 hex digits that `cardamomlift hash-key` prints.");
+    }
+    return key;
+}
+
 void readKeys(const JsonText &text, ObjectReader &owner, Contract &contract, Findings &findings)
 {
+    std::set<std::string> names;
+    std::set<std::string> hashes;
     readList(text, owner, "keys", true, "a key", findings, [&](ObjectReader &reader, const Json::Value &place) {
-        ApiKey key{reader.text("name", true), reader.text("sha256", true)};
-        if (!key.sha256.empty() && !isSha256(key.sha256)) {
-            reader.report(place["sha256"], "\"sha256\" is not a SHA-256 hash.", "Write the 64 hex digits that `cardamomlift hash-key` prints.");
-        }
-        contract.keys.push_back(std::move(key));
+        contract.keys.push_back(readKey(text, reader, place));
+        checkUnique(text, place, names, contract.keys.back().name, findings);
+        checkUnique(text, place, hashes, contract.keys.back().sha256, findings);
     });
 }
 
--- a/src/contract/internal/contractset.cpp
+++ b/src/contract/internal/contractset.cpp
@@ -27,21 +27,42 @@
         return false;
     }
     if (known != byCustomer_.end()) {
-        for (const ApiKey &key : known->second->contract.keys) {
-            customerByKeyHash_.erase(key.sha256);
-        }
-    }
-    for (const ApiKey &key : entry->contract.keys) {
-        customerByKeyHash_[key.sha256] = version.customer;
+        forgetKeys(known->second->contract);
     }
+    addKeys(entry->contract);
     byCustomer_[version.customer] = entry;
-    partLogger("contract")->info("Version {} of {} is in force. revision={}", version.version, version.customer, version.revision);
+    partLogger("contract")->info("Version {} of {} is in force. revision={} hops={}", version.version, version.customer, version.revision, version.hops);
     for (const auto &handler : handlers_) {
         handler(*entry);
     }
     return true;
 }
 
+void ContractSet::forgetKeys(const Contract &contract)
+{
+    for (const ApiKey &key : contract.keys) {
+        const auto found = customersByKeyHash_.find(key.sha256);
+        if (found == customersByKeyHash_.end()) {
+            continue;
+        }
+        found->second.erase(contract.customer);
+        if (found->second.empty()) {
+            customersByKeyHash_.erase(found);
+        }
+    }
+}
+
+void ContractSet::addKeys(const Contract &contract)
+{
+    for (const ApiKey &key : contract.keys) {
+        auto &customers = customersByKeyHash_[key.sha256];
+        customers.insert(contract.customer);
+        if (customers.size() > 1) {
+            partLogger("contract")->error("Two contracts have the same API key. customer={} other={}", *customers.begin(), *customers.rbegin());
+        }
+    }
+}
+
 std::shared_ptr<const ContractInForce> ContractSet::find(std::string_view customer) const
 {
     const auto found = byCustomer_.find(customer);
@@ -50,8 +71,8 @@
 
 std::shared_ptr<const ContractInForce> ContractSet::findByKeyHash(std::string_view sha256) const
 {
-    const auto found = customerByKeyHash_.find(sha256);
-    return found == customerByKeyHash_.end() ? nullptr : find(found->second);
+    const auto found = customersByKeyHash_.find(sha256);
+    return found == customersByKeyHash_.end() ? nullptr : find(*found->second.begin());
 }
 
 std::vector<std::shared_ptr<const ContractInForce>> ContractSet::all() const
@@ -63,6 +84,18 @@
     return result;
 }
 
+std::vector<std::shared_ptr<const ContractInForce>> ContractSet::newerThan(std::uint64_t revision) const
+{
+    std::vector<std::shared_ptr<const ContractInForce>> result;
+    for (const auto &[customer, entry] : byCustomer_) {
+        if (entry->version.revision > revision) {
+            result.push_back(entry);
+        }
+    }
+    std::sort(result.begin(), result.end(), [](const auto &a, const auto &b) { return a->version.revision < b->version.revision; });
+    return result;
+}
+
 std::uint64_t ContractSet::revision() const
 {
     return revision_;
@@ -70,7 +103,13 @@
 
 void ContractSet::setRevision(std::uint64_t revision)
 {
-    revision_ = std::max(revision_, revision);
+    if (revision <= revision_) {
+        return;
+    }
+    revision_ = revision;
+    for (const auto &handler : revisionHandlers_) {
+        handler();
+    }
 }
 
 void ContractSet::onChange(std::function<void(const ContractInForce &)> handler)
@@ -78,4 +117,9 @@
     handlers_.push_back(std::move(handler));
 }
 
+void ContractSet::onRevision(std::function<void()> handler)
+{
+    revisionHandlers_.push_back(std::move(handler));
+}
+
 } // namespace cardamomlift::contract
--- a/src/contract/internal/contractstore.cpp
+++ b/src/contract/internal/contractstore.cpp
@@ -1,5 +1,7 @@
 #include "contract/contractstore.h"
 
+#include "text/digest.h"
+
 #include <fmt/format.h>
 
 namespace cardamomlift::contract {
@@ -10,9 +12,9 @@
 constexpr char CurrentPartition[] = "contracts";
 constexpr char LogPartition[] = "contracts-log";
 constexpr char HistoryPrefix[] = "contract-history#";
-constexpr std::size_t PageLimit = 100;
 constexpr std::size_t MostCustomers = 10000;
-constexpr int MostTries = 8;
+constexpr int MostTries = 20;
+constexpr Duration LongestPause = std::chrono::milliseconds(20); ///< Per try made before.
 
 std::string sortKey(std::uint64_t number)
 {
@@ -79,13 +81,19 @@
 /// One apply(), over its tries.
 struct ContractStore::Attempt {
     Edit edit;
+    EditJudge judge;
     EditHandler handler;
     int tries = 0;
     bool mayBeWritten = false; ///< An earlier try ended with an unknown outcome.
 
     void end(EditOutcome outcome, ContractVersion current, std::string message)
     {
-        handler(EditResult{outcome, std::move(current), std::move(message)});
+        handler(EditResult{outcome, std::move(current), std::move(message), {}});
+    }
+
+    void endUnanswered(const std::string &error)
+    {
+        end(mayBeWritten ? EditOutcome::Unknown : EditOutcome::Unavailable, {}, error);
     }
 };
 
@@ -97,39 +105,64 @@
     return store;
 }
 
-void ContractStore::apply(Edit edit, EditHandler handler)
+void ContractStore::apply(Edit edit, EditJudge judge, EditHandler handler)
 {
     auto attempt = std::make_shared<Attempt>();
     attempt->edit = std::move(edit);
+    attempt->judge = std::move(judge);
     attempt->handler = std::move(handler);
     tryOnce(attempt);
 }
 
-// Looks first whether this very edit is in the table already, so that a repeat after a lost answer is no conflict.
+// The version after the one that the edit replaces tells all: it is this very edit (so a repeat after a lost answer is no
+// conflict), another one, or not there yet.
 void ContractStore::tryOnce(std::shared_ptr<Attempt> attempt)
 {
     attempt->tries++;
-    history(attempt->edit.customer, [this, attempt](Result<std::vector<ContractVersion>> versions) {
-        if (!versions) {
-            const EditOutcome outcome = attempt->mayBeWritten ? EditOutcome::Unknown : EditOutcome::Unavailable;
-            attempt->end(outcome, {}, versions.error().message);
+    const Edit &edit = attempt->edit;
+    getVersion({HistoryPrefix + edit.customer, sortKey(edit.baseVersion + 1)}, [this, attempt](Result<std::vector<ContractVersion>> next) {
+        if (!next) {
+            attempt->endUnanswered(next.error().message);
             return;
         }
-        for (const ContractVersion &version : versions.value()) {
-            if (version.editId == attempt->edit.editId) {
-                attempt->end(EditOutcome::Accepted, version, "accepted");
-                return;
-            }
+        if (next.value().empty()) {
+            judge(attempt);
+            return;
         }
-        const ContractVersion newest = versions.value().empty() ? ContractVersion{} : versions.value().back();
-        if (newest.version != attempt->edit.baseVersion) {
-            attempt->end(EditOutcome::Conflict, newest, fmt::format("version {} by {} came first", newest.version, newest.author));
+        const ContractVersion &version = next.value().front();
+        if (version.editId == attempt->edit.editId) {
+            attempt->end(EditOutcome::Accepted, version, "accepted");
+            return;
+        }
+        attempt->end(EditOutcome::Conflict, version, fmt::format("version {} by {} came first", version.version, version.author));
+    });
+}
+
+void ContractStore::judge(std::shared_ptr<Attempt> attempt)
+{
+    current(attempt->edit.customer, [this, attempt](Result<std::vector<ContractVersion>> found) {
+        if (!found) {
+            attempt->endUnanswered(found.error().message);
+            return;
+        }
+        const ContractVersion *replaced = found.value().empty() ? nullptr : &found.value().front();
+        const std::uint64_t version = replaced ? replaced->version : 0;
+        if (version > attempt->edit.baseVersion) {
+            tryAgain(attempt, "another edit came first");
+            return;
+        }
+        if (version < attempt->edit.baseVersion) {
+            attempt->end(EditOutcome::Conflict, replaced ? *replaced : ContractVersion{}, fmt::format("there is no version {}", attempt->edit.baseVersion));
+            return;
+        }
+        Findings findings = attempt->judge(replaced);
+        if (!findings.empty()) {
+            attempt->handler(EditResult{EditOutcome::Rejected, {}, "rejected", std::move(findings)});
             return;
         }
         headRevision([this, attempt](Result<std::uint64_t> head) {
             if (!head) {
-                const EditOutcome outcome = attempt->mayBeWritten ? EditOutcome::Unknown : EditOutcome::Unavailable;
-                attempt->end(outcome, {}, head.error().message);
+                attempt->endUnanswered(head.error().message);
                 return;
             }
             write(attempt, head.value());
@@ -167,11 +200,39 @@
         return;
     }
     attempt->mayBeWritten = attempt->mayBeWritten || result.outcome == table::WriteOutcome::Unknown;
-    if (attempt->tries < MostTries) {
-        tryOnce(attempt);
+    tryAgain(attempt, result.error);
+}
+
+// Edits of different customers race for the head revision; a pause that differs between them lets each through.
+void ContractStore::tryAgain(std::shared_ptr<Attempt> attempt, const std::string &error)
+{
+    if (attempt->tries >= MostTries) {
+        attempt->endUnanswered(error);
         return;
     }
-    attempt->end(attempt->mayBeWritten ? EditOutcome::Unknown : EditOutcome::Unavailable, {}, result.error);
+    const auto longest = static_cast<std::uint64_t>(LongestPause.count()) * static_cast<std::uint64_t>(attempt->tries);
+    const std::uint64_t pause = text::stableHash(attempt->edit.editId, static_cast<std::uint64_t>(attempt->tries)) % longest;
+    loop_->after(Duration(static_cast<std::int64_t>(pause)), [this, attempt] { tryOnce(attempt); });
+}
+
+void ContractStore::getVersion(table::Key key, VersionsHandler handler)
+{
+    table_->get(std::move(key), [handler = std::move(handler)](Result<std::optional<table::Item>> item) {
+        if (!item) {
+            handler(item.error());
+            return;
+        }
+        std::vector<ContractVersion> versions;
+        if (item.value()) {
+            versions.push_back(fromItem(*item.value()));
+        }
+        handler(std::move(versions));
+    });
+}
+
+void ContractStore::current(std::string customer, VersionsHandler handler)
+{
+    getVersion({CurrentPartition, std::move(customer)}, std::move(handler));
 }
 
 void ContractStore::headRevision(RevisionHandler handler)
@@ -190,9 +251,9 @@
     table_->query(CurrentPartition, {}, MostCustomers, toVersions(std::move(handler)));
 }
 
-void ContractStore::history(std::string customer, VersionsHandler handler)
+void ContractStore::history(std::string customer, std::uint64_t after, VersionsHandler handler)
 {
-    table_->query(HistoryPrefix + customer, {}, MostCustomers, toVersions(std::move(handler)));
+    table_->query(HistoryPrefix + customer, sortKey(after), PageLimit, toVersions(std::move(handler)));
 }
 
 void ContractStore::changesAfter(std::uint64_t revision, VersionsHandler handler)
--- a/src/contract/internal/contractsync.cpp
+++ b/src/contract/internal/contractsync.cpp
@@ -1,7 +1,29 @@
 #include "contract/contractsync.h"
 
+#include "text/digest.h"
+
+#include <algorithm>
+
 namespace cardamomlift::contract {
 
+namespace {
+
+constexpr Duration ShortestPeriod = std::chrono::milliseconds(500);
+constexpr Duration PeriodPerVm = std::chrono::milliseconds(100);
+
+} // namespace
+
+Duration pollPeriod(std::size_t listed)
+{
+    return std::max(ShortestPeriod, PeriodPerVm * static_cast<std::int64_t>(listed));
+}
+
+Duration pollPause(Duration period, std::string_view instance, std::uint64_t count)
+{
+    const auto spread = static_cast<std::uint64_t>(period.count());
+    return period / 2 + Duration(static_cast<std::int64_t>(text::stableHash(instance, count) % spread));
+}
+
 std::shared_ptr<ContractSync> ContractSync::create(EventLoop &loop, std::shared_ptr<ContractStore> store, std::shared_ptr<ContractSet> set)
 {
     std::shared_ptr<ContractSync> sync(new ContractSync);
@@ -11,10 +33,22 @@
     return sync;
 }
 
-void ContractSync::start(Duration period)
+void ContractSync::start(std::string instance, std::function<std::size_t()> listed)
 {
+    instance_ = std::move(instance);
+    listed_ = std::move(listed);
     poll();
-    loop_->every(period, [this] { poll(); });
+    schedule();
+}
+
+// A VM that has not got the contracts yet does not wait for its turn.
+void ContractSync::schedule()
+{
+    const Duration period = hasAll_ ? pollPeriod(listed_()) : ShortestPeriod;
+    loop_->after(pollPause(period, instance_, polls_++), [this] {
+        poll();
+        schedule();
+    });
 }
 
 bool ContractSync::hasAll() const
@@ -22,61 +56,106 @@
     return hasAll_;
 }
 
+void ContractSync::setHasAll()
+{
+    if (hasAll_) {
+        return;
+    }
+    hasAll_ = true;
+    if (readyHandler_) {
+        readyHandler_();
+    }
+}
+
 void ContractSync::onReady(std::function<void()> handler)
 {
     readyHandler_ = std::move(handler);
 }
 
+void ContractSync::confirm(TimePoint asOf)
+{
+    confirmedAsOf_ = confirmedAsOf_ ? std::max(*confirmedAsOf_, asOf) : asOf;
+}
+
+std::optional<TimePoint> ContractSync::confirmedAsOf() const
+{
+    return confirmedAsOf_;
+}
+
 void ContractSync::poll()
 {
     if (busy_) {
         return;
     }
     busy_ = true;
-    store_->headRevision([this](Result<std::uint64_t> head) {
-        if (!head || (hasAll_ && head.value() <= set_->revision())) {
-            busy_ = false;
-            return;
-        }
-        if (hasAll_) {
-            readChanges();
-        } else {
-            readAll(head.value());
-        }
-    });
+    store_->headRevision([this, asked = loop_->now()](Result<std::uint64_t> head) { onHead(std::move(head), asked); });
 }
 
-// The head was read first: contracts read after it are at least as new.
-void ContractSync::readAll(std::uint64_t revision)
+void ContractSync::onHead(Result<std::uint64_t> head, TimePoint asked)
 {
-    store_->readAll([this, revision](Result<std::vector<ContractVersion>> versions) {
+    if (!head) {
         busy_ = false;
+        return;
+    }
+    if (!hasAll_) {
+        readAll(head.value());
+        return;
+    }
+    if (head.value() > set_->revision()) {
+        readChanges(head.value(), asked);
+        return;
+    }
+    busy_ = false;
+    confirm(asked);
+}
+
+// The head was read first: contracts read after it are at least as new. Some may be newer; the log up to those follows.
+void ContractSync::readAll(std::uint64_t revision)
+{
+    store_->readAll([this, revision, asked = loop_->now()](Result<std::vector<ContractVersion>> versions) {
         if (!versions) {
+            busy_ = false;
             return;
         }
         for (const ContractVersion &version : versions.value()) {
             set_->offer(version);
         }
         set_->setRevision(revision);
-        hasAll_ = true;
-        if (readyHandler_) {
-            readyHandler_();
-        }
+        readChanges(revision, asked);
     });
 }
 
-void ContractSync::readChanges()
+void ContractSync::readChanges(std::uint64_t head, TimePoint asked)
 {
-    store_->changesAfter(set_->revision(), [this](Result<std::vector<ContractVersion>> versions) {
-        busy_ = false;
+    store_->changesAfter(set_->revision(), [this, head, asked](Result<std::vector<ContractVersion>> versions) {
         if (!versions) {
+            busy_ = false;
             return;
         }
-        for (const ContractVersion &version : versions.value()) {
-            set_->offer(version);
-            set_->setRevision(version.revision);
+        if (takeOver(versions.value())) {
+            readChanges(head, asked);
+            return;
+        }
+        busy_ = false;
+        if (set_->revision() >= head) {
+            setHasAll();
+            confirm(asked);
         }
     });
 }
 
+// NOTE A query is no snapshot: entries written while it runs may be seen without the ones before them. What comes after
+// a gap is left to the next reading. Says whether more may follow.
+bool ContractSync::takeOver(const std::vector<ContractVersion> &versions)
+{
+    for (const ContractVersion &version : versions) {
+        if (version.revision > set_->revision() + 1) {
+            return false;
+        }
+        set_->offer(version);
+        set_->setRevision(version.revision);
+    }
+    return versions.size() >= ContractStore::PageLimit;
+}
+
 } // namespace cardamomlift::contract
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -120,7 +120,8 @@
             continue;
         }
         contract::Edit edit{parsed.customer, text, 0, "settings", text::randomHex(EditIdBytes)};
-        context_.get<contract::ContractStore>()->apply(edit, [](const contract::EditResult &) {});
+        context_.get<contract::ContractStore>()->apply(
+            edit, [](const contract::ContractVersion *) { return Findings(); }, [](const contract::EditResult &) {});
     }
 }
 
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -23,6 +23,15 @@
     }
 }
 
+CallerError notServing(lifecycle::Phase phase)
+{
+    if (phase == lifecycle::Phase::Draining) {
+        return {metrics::RefusalReason::Draining, "This VM is leaving.", ComeBackSoon};
+    }
+    const bool isStarting = phase == lifecycle::Phase::Starting;
+    return {metrics::RefusalReason::NotReady, isStarting ? "This VM has no configuration yet." : "This VM's configuration may be out of date.", ComeBackSoon};
+}
+
 http::Response serverRefusal(int status)
 {
     return errorResponse({serverRefusalReason(status), status == 413 ? "The body is too large." : "The request can't be read."});
@@ -79,9 +88,7 @@
         return;
     }
     if (phase != lifecycle::Phase::Ready) {
-        const bool starting = phase == lifecycle::Phase::Starting;
-        const auto reason = starting ? metrics::RefusalReason::NotReady : metrics::RefusalReason::Draining;
-        refuse(responder, {reason, starting ? "This VM has no configuration yet." : "This VM is leaving.", ComeBackSoon});
+        refuse(responder, notServing(phase));
         return;
     }
     if (tools_.memory->isOver()) {
--- a/src/lifecycle/internal/lifecycle.cpp
+++ b/src/lifecycle/internal/lifecycle.cpp
@@ -21,6 +21,9 @@
 
 Phase Lifecycle::phase() const
 {
+    if (phase_ == Phase::Ready && gate_ && !gate_()) {
+        return Phase::Suspended;
+    }
     return phase_;
 }
 
@@ -31,6 +34,11 @@
     }
 }
 
+void Lifecycle::setGate(std::function<bool()> mayTakeNewWork)
+{
+    gate_ = std::move(mayTakeNewWork);
+}
+
 void Lifecycle::drain(Duration bound)
 {
     if (phase_ == Phase::Draining) {
--- a/src/lifecycle/lifecycle.h
+++ b/src/lifecycle/lifecycle.h
@@ -12,6 +12,7 @@
 enum class Phase {
     Starting, ///< Not yet able to serve.
     Ready,
+    Suspended, ///< Was ready; takes no new work while the gate is closed. What is open goes on.
     Draining, ///< Takes no new work; what is open finishes or moves.
 };
 
@@ -23,6 +24,8 @@
 
     Phase phase() const;
     void setReady();
+    /// Asked at each phase() while ready; false makes that Suspended.
+    void setGate(std::function<bool()> mayTakeNewWork);
     /// Starts draining; a repeat logs what is still open. The loop stops when every probe gives 0, or after @p bound.
     void drain(Duration bound);
     void onDrain(std::function<void()> handler);
@@ -39,6 +42,7 @@
     void logOpen() const;
     EventLoop *loop_ = nullptr;
     Phase phase_ = Phase::Starting;
+    std::function<bool()> gate_;
     TimePoint drainEnd_;
     std::vector<std::function<void()>> drainHandlers_;
     std::vector<Probe> probes_;
--- /dev/null
+++ b/src/operatorapi/internal/editflow.cpp
@@ -0,0 +1,167 @@
+#include "operatorapi/editflow.h"
+
+#include "http/json.h"
+#include "operatorapi/operatorjson.h"
+
+namespace cardamomlift::operatorapi {
+
+namespace {
+
+constexpr Duration WaitBound = std::chrono::seconds(5);
+constexpr Duration WaitStep = std::chrono::milliseconds(50);
+
+int statusOf(contract::EditOutcome outcome)
+{
+    switch (outcome) {
+    case contract::EditOutcome::Accepted:
+        return 200;
+    case contract::EditOutcome::Conflict:
+        return 409;
+    case contract::EditOutcome::Rejected:
+        return 422;
+    case contract::EditOutcome::Unknown:
+        return 502;
+    case contract::EditOutcome::Unavailable:
+        return 503;
+    }
+    return 500;
+}
+
+bool hasMembers(const Json::Value &body)
+{
+    return body.isObject() && body["customer"].isString() && body["text"].isString() && body["author"].isString() && body["editId"].isString()
+        && body["baseVersion"].isUInt64();
+}
+
+} // namespace
+
+void addWhere(Json::Value &answer, const contract::ContractExchange &exchange, std::uint64_t revision)
+{
+    Json::UInt64 inForce = 0;
+    answer["vms"] = Json::Value(Json::arrayValue);
+    for (const contract::VmInForce &vm : exchange.where()) {
+        Json::Value entry;
+        entry["instance"] = vm.instance;
+        entry["zone"] = vm.zone;
+        entry["revision"] = static_cast<Json::UInt64>(vm.revision);
+        entry["inForce"] = vm.revision >= revision;
+        entry["heardMsAgo"] = vm.age ? static_cast<Json::Int64>(vm.age->count() / 1000) : Json::Int64{-1};
+        inForce += vm.revision >= revision ? 1 : 0;
+        answer["vms"].append(entry);
+    }
+    answer["inForce"] = inForce;
+    answer["listed"] = answer["vms"].size();
+}
+
+void EditFlow::run(EditTools tools, const http::Request &request, std::shared_ptr<http::Responder> responder)
+{
+    std::shared_ptr<EditFlow> flow(new EditFlow);
+    flow->tools_ = std::move(tools);
+    flow->responder_ = std::move(responder);
+    if (!flow->read(request)) {
+        flow->responder_->respond(errorAnswer(400, "bad_edit", "Send customer, text, author, editId and baseVersion."));
+        return;
+    }
+    const auto others = flow->tools_.contracts->all();
+    const Findings findings = contract::checkEdit(flow->text_, nullptr, others);
+    if (!findings.empty()) {
+        flow->respondRejected(findings);
+        return;
+    }
+    flow->waitEnd_ = flow->tools_.loop->now() + WaitBound;
+    flow->awaitMajority();
+}
+
+bool EditFlow::read(const http::Request &request)
+{
+    const auto body = http::parseJson(request.body);
+    if (!body || !hasMembers(*body)) {
+        return false;
+    }
+    const Json::Value &json = *body;
+    edit_ = {json["customer"].asString(), json["text"].asString(), json["baseVersion"].asUInt64(), json["author"].asString(), json["editId"].asString()};
+    const Json::Value file = json.get("file", edit_.customer);
+    const Json::Value confirmed = json.get("confirmDanger", false);
+    text_ = {file.isString() ? file.asString() : edit_.customer, edit_.customer, edit_.text, confirmed.isBool() && confirmed.asBool()};
+    return true;
+}
+
+// Without a majority in reach, VMs that can't reach the table may be serving because they hear one another: an edit
+// accepted now would stay unknown to them.
+void EditFlow::awaitMajority()
+{
+    if (contract::hearsMajority(tools_.exchange->facts())) {
+        write();
+        return;
+    }
+    if (tools_.loop->now() >= waitEnd_) {
+        responder_->respond(errorAnswer(503, "no_majority", "This VM can't reach a majority of the entry VMs. Nothing was changed."));
+        return;
+    }
+    tools_.loop->after(WaitStep, [self = shared_from_this()] { self->awaitMajority(); });
+}
+
+void EditFlow::write()
+{
+    const auto judge = [self = shared_from_this()](const contract::ContractVersion *replaced) {
+        const auto others = self->tools_.contracts->all();
+        return contract::checkEdit(self->text_, replaced, others);
+    };
+    tools_.store->apply(edit_, judge, [self = shared_from_this()](contract::EditResult result) { self->onResult(std::move(result)); });
+}
+
+void EditFlow::onResult(contract::EditResult result)
+{
+    if (result.outcome == contract::EditOutcome::Rejected) {
+        respondRejected(result.findings);
+        return;
+    }
+    if (result.outcome != contract::EditOutcome::Accepted) {
+        Json::Value answer;
+        answer["version"] = versionToJson(result.current);
+        answer["error"]["message"] = result.message;
+        responder_->respond(http::jsonResponse(statusOf(result.outcome), answer));
+        return;
+    }
+    result_ = std::move(result);
+    waitEnd_ = tools_.loop->now() + WaitBound;
+    awaitEverywhere();
+}
+
+bool EditFlow::isEverywhere() const
+{
+    for (const contract::VmInForce &vm : tools_.exchange->where()) {
+        if (vm.revision < result_.current.revision) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void EditFlow::awaitEverywhere()
+{
+    const std::uint64_t revision = result_.current.revision;
+    if (isEverywhere() || tools_.loop->now() >= waitEnd_) {
+        Json::Value answer;
+        answer["version"] = versionToJson(result_.current);
+        addWhere(answer, *tools_.exchange, revision);
+        responder_->respond(http::jsonResponse(200, answer));
+        return;
+    }
+    if (tools_.contracts->revision() < revision) {
+        tools_.sync->poll();
+    } else {
+        tools_.exchange->chase(revision);
+    }
+    tools_.loop->after(WaitStep, [self = shared_from_this()] { self->awaitEverywhere(); });
+}
+
+void EditFlow::respondRejected(const Findings &findings)
+{
+    Json::Value answer;
+    answer["error"]["code"] = hasErrors(findings) ? "rejected" : "needs_confirmation";
+    answer["findings"] = findingsToJson(findings);
+    responder_->respond(http::jsonResponse(422, answer));
+}
+
+} // namespace cardamomlift::operatorapi
--- a/src/operatorapi/internal/operatorapi.cpp
+++ b/src/operatorapi/internal/operatorapi.cpp
@@ -1,7 +1,7 @@
 #include "operatorapi/operatorapi.h"
 
-#include "contract/contractreader.h"
 #include "http/json.h"
+#include "operatorapi/editflow.h"
 #include "operatorapi/operatorjson.h"
 #include "text/digest.h"
 
@@ -11,45 +11,18 @@
 
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr std::string_view ContractsPath = "/v1/contracts/";
-constexpr std::string_view HistorySuffix = "/history";
-
-http::Response plainError(int status, const std::string &code, const std::string &message)
-{
-    Json::Value body;
-    body["error"]["code"] = code;
-    body["error"]["message"] = message;
-    return http::jsonResponse(status, body);
-}
+constexpr std::string_view HistoryAction = "history";
+constexpr std::string_view WhereAction = "where";
 
 http::Response unavailable(const Error &error)
 {
-    return plainError(503, "table_unavailable", error.message);
-}
-
-int statusOf(contract::EditOutcome outcome)
-{
-    switch (outcome) {
-    case contract::EditOutcome::Accepted:
-        return 200;
-    case contract::EditOutcome::Conflict:
-        return 409;
-    case contract::EditOutcome::Unknown:
-        return 502;
-    case contract::EditOutcome::Unavailable:
-        return 503;
-    }
-    return 500;
+    return errorAnswer(503, "table_unavailable", error.message);
 }
 
-/// The edit in @p body, or empty if a member is missing or has the wrong type.
-std::optional<contract::Edit> readEdit(const Json::Value &body)
+std::uint64_t numberOf(const http::Query &query, std::string_view name)
 {
-    if (!body.isObject() || !body["customer"].isString() || !body["text"].isString() || !body["author"].isString() || !body["editId"].isString()
-        || !body["baseVersion"].isUInt64()) {
-        return std::nullopt;
-    }
-    return contract::Edit{
-        body["customer"].asString(), body["text"].asString(), body["baseVersion"].asUInt64(), body["author"].asString(), body["editId"].asString()};
+    const auto found = query.find(name);
+    return found == query.end() ? 0 : std::strtoull(found->second.c_str(), nullptr, 10);
 }
 
 } // namespace
@@ -85,7 +58,7 @@
 void OperatorApi::onRequest(http::Request request, ResponderPtr responder)
 {
     if (!isAllowed(request)) {
-        responder->respond(plainError(401, "unknown_credential", "Send the operators' token as a bearer token."));
+        responder->respond(errorAnswer(401, "unknown_credential", "Send the operators' token as a bearer token."));
         return;
     }
     const std::string &path = request.path;
@@ -96,68 +69,62 @@
     } else if (path == "/v1/contracts" && request.method == "GET") {
         list(responder);
     } else if (path == "/v1/contracts" && request.method == "POST") {
-        apply(request, responder);
-    } else if (path.starts_with(ContractsPath) && path.ends_with(HistorySuffix) && request.method == "GET") {
-        history(path.substr(ContractsPath.size(), path.size() - ContractsPath.size() - HistorySuffix.size()), responder);
+        EditFlow::run({tools_.loop, tools_.store, tools_.contracts, tools_.sync, tools_.exchange}, request, responder);
     } else if (path.starts_with(ContractsPath) && request.method == "GET") {
-        show(path.substr(ContractsPath.size()), responder);
+        onContract(request, responder);
     } else {
-        responder->respond(plainError(404, "unknown_path", "There is nothing at this path."));
+        responder->respond(errorAnswer(404, "unknown_path", "There is nothing at this path."));
     }
 }
 
-void OperatorApi::apply(const http::Request &request, const ResponderPtr &responder)
+void OperatorApi::onContract(const http::Request &request, const ResponderPtr &responder)
 {
-    const auto body = http::parseJson(request.body);
-    auto edit = body ? readEdit(*body) : std::nullopt;
-    if (!edit) {
-        responder->respond(plainError(400, "bad_edit", "Send customer, text, author, editId and baseVersion."));
-        return;
-    }
-    Findings findings;
-    const std::string file = body->get("file", edit->customer).asString();
-    const contract::Contract after = contract::readContract(file, edit->text, findings);
-    if (!hasErrors(findings) && after.customer != edit->customer) {
-        findings.push_back({file, 0, 0, "The text is the contract of another customer.", "Apply it under the name in \"customer\"."});
-    }
-    const auto current = tools_.contracts->find(edit->customer);
-    if (!hasErrors(findings) && current && !body->get("confirmDanger", false).asBool()) {
-        findings = contract::dangerousChanges(file, current->contract, after);
-    }
-    if (!findings.empty()) {
-        Json::Value answer;
-        answer["error"]["code"] = hasErrors(findings) ? "rejected" : "needs_confirmation";
-        answer["findings"] = findingsToJson(findings);
-        responder->respond(http::jsonResponse(422, answer));
-        return;
+    const std::string rest = request.path.substr(ContractsPath.size());
+    const auto slash = rest.find('/');
+    const std::string customer = rest.substr(0, slash);
+    const std::string action = slash == std::string::npos ? std::string() : rest.substr(slash + 1);
+    if (action.empty()) {
+        show(customer, responder);
+    } else if (action == HistoryAction) {
+        history(customer, numberOf(request.query, "after"), responder);
+    } else if (action == WhereAction) {
+        where(customer, responder);
+    } else {
+        responder->respond(errorAnswer(404, "unknown_path", "There is nothing at this path."));
     }
-    tools_.store->apply(std::move(*edit), [this, responder](contract::EditResult result) {
-        Json::Value answer;
-        answer["version"] = versionToJson(result.current);
-        answer["message"] = result.message;
-        responder->respond(http::jsonResponse(statusOf(result.outcome), answer));
-        tools_.sync->poll();
-    });
 }
 
 void OperatorApi::show(const std::string &customer, const ResponderPtr &responder)
 {
-    tools_.store->history(customer, [responder, customer](Result<std::vector<contract::ContractVersion>> versions) {
+    tools_.store->current(customer, [responder, customer](Result<std::vector<contract::ContractVersion>> versions) {
         if (!versions) {
             responder->respond(unavailable(versions.error()));
             return;
         }
         if (versions.value().empty()) {
-            responder->respond(plainError(404, "unknown_customer", "There is no contract of " + customer + "."));
+            responder->respond(errorAnswer(404, "unknown_customer", "There is no contract of " + customer + "."));
             return;
         }
-        responder->respond(http::jsonResponse(200, versionToJson(versions.value().back())));
+        responder->respond(http::jsonResponse(200, versionToJson(versions.value().front())));
     });
 }
 
-void OperatorApi::history(const std::string &customer, const ResponderPtr &responder)
+void OperatorApi::where(const std::string &customer, const ResponderPtr &responder)
+{
+    const auto entry = tools_.contracts->find(customer);
+    if (!entry) {
+        responder->respond(errorAnswer(404, "unknown_customer", "There is no contract of " + customer + "."));
+        return;
+    }
+    Json::Value answer;
+    answer["version"] = versionToJson(entry->version);
+    addWhere(answer, *tools_.exchange, entry->version.revision);
+    responder->respond(http::jsonResponse(200, answer));
+}
+
+void OperatorApi::history(const std::string &customer, std::uint64_t after, const ResponderPtr &responder)
 {
-    tools_.store->history(customer, [responder](Result<std::vector<contract::ContractVersion>> versions) {
+    tools_.store->history(customer, after, [responder](Result<std::vector<contract::ContractVersion>> versions) {
         if (!versions) {
             responder->respond(unavailable(versions.error()));
             return;
@@ -187,6 +154,7 @@
     answer["instance"] = tools_.instance;
     answer["phase"] = tools_.lifecycle->phase() == lifecycle::Phase::Ready ? "ready" : "not ready";
     answer["revision"] = static_cast<Json::UInt64>(tools_.contracts->revision());
+    answer["freshness"] = std::string(contract::freshnessName(tools_.exchange->freshness()));
     for (const auto &entry : tools_.contracts->all()) {
         answer["contracts"][entry->contract.customer] = static_cast<Json::UInt64>(entry->version.version);
     }
--- a/src/operatorapi/internal/operatorjson.cpp
+++ b/src/operatorapi/internal/operatorjson.cpp
@@ -1,5 +1,7 @@
 #include "operatorapi/operatorjson.h"
 
+#include "http/json.h"
+
 namespace cardamomlift::operatorapi {
 
 Json::Value versionToJson(const contract::ContractVersion &version)
@@ -55,4 +57,12 @@
     return findings;
 }
 
+http::Response errorAnswer(int status, const std::string &code, const std::string &message)
+{
+    Json::Value body;
+    body["error"]["code"] = code;
+    body["error"]["message"] = message;
+    return http::jsonResponse(status, body);
+}
+
 } // namespace cardamomlift::operatorapi
--- a/src/operatorapi/operatorapi.h
+++ b/src/operatorapi/operatorapi.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "contract/contractexchange.h"
 #include "contract/contractset.h"
 #include "contract/contractstore.h"
 #include "contract/contractsync.h"
@@ -24,6 +25,7 @@
     std::shared_ptr<contract::ContractStore> store;
     std::shared_ptr<contract::ContractSet> contracts;
     std::shared_ptr<contract::ContractSync> sync;
+    std::shared_ptr<contract::ContractExchange> exchange;
     std::shared_ptr<membership::Members> members;
     std::shared_ptr<metrics::Metrics> metrics;
     std::shared_ptr<lifecycle::Lifecycle> lifecycle;
@@ -41,9 +43,10 @@
     OperatorApi() = default;
     void onRequest(http::Request request, ResponderPtr responder);
     bool isAllowed(const http::Request &request) const;
-    void apply(const http::Request &request, const ResponderPtr &responder);
+    void onContract(const http::Request &request, const ResponderPtr &responder);
     void show(const std::string &customer, const ResponderPtr &responder);
-    void history(const std::string &customer, const ResponderPtr &responder);
+    void history(const std::string &customer, std::uint64_t after, const ResponderPtr &responder);
+    void where(const std::string &customer, const ResponderPtr &responder);
     void list(const ResponderPtr &responder);
     void status(const ResponderPtr &responder);
     OperatorTools tools_;
--- a/src/operatorapi/operatorapimodule.cpp
+++ b/src/operatorapi/operatorapimodule.cpp
@@ -31,6 +31,7 @@
         tools.store = context.get<contract::ContractStore>();
         tools.contracts = context.get<contract::ContractSet>();
         tools.sync = context.get<contract::ContractSync>();
+        tools.exchange = context.get<contract::ContractExchange>();
         tools.members = context.get<membership::Members>();
         tools.metrics = context.get<metrics::Metrics>();
         tools.lifecycle = context.get<lifecycle::Lifecycle>();
--- a/src/operatorapi/operatorjson.h
+++ b/src/operatorapi/operatorjson.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "contract/contracttypes.h"
+#include "http/httptypes.h"
 #include "kernel/finding.h"
 
 #include <json/json.h>
@@ -13,5 +14,7 @@
 contract::ContractVersion versionFromJson(const Json::Value &json);
 Json::Value findingsToJson(std::span<const Finding> findings);
 Findings findingsFromJson(const Json::Value &json);
+/// An error as every path of the operators' port gives it.
+http::Response errorAnswer(int status, const std::string &code, const std::string &message);
 
 } // namespace cardamomlift::operatorapi
