Apply directories, show conflicts three ways, say where an edit is

Cause: the tool took the newest version as the base of every edit, so two operators with copies of their own undid each other without a conflict; it worked on single files and ended before the edit was in force. A daemon that answers 503 did nothing, so the next one named is tried. Ruled out: writing a base-version file beside each contract (the tool would write into the operators' version control).

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -15,16 +15,20 @@
 
 constexpr char Usage[] = R"(cardamomlift [options] COMMAND [arguments]
 
-Commands:
-  check FILE                 check a contract file, without a daemon
-  diff FILE                  what FILE would change
-  apply FILE                 put the contract in FILE in force
-  show CUSTOMER              the contract in force
+Commands (PATH: a contract file, or a directory of them):
+  check PATH                 check contracts, without a daemon
+  diff PATH                  what PATH would change
+  apply PATH                 put the contracts that differ in force; says where they are
+  show CUSTOMER              the contract in force, as it was written
   history CUSTOMER           who changed what, and when
   revert CUSTOMER [VERSION]  apply an earlier version again (the one before, if none is named)
-  status                     what is in force on which VM
+  where CUSTOMER             on which VMs the newest version is in force
+  status                     what is in force on each daemon named
   hash-key                   the hash of an API key read from standard input
 
+Exit codes: 0 done; 1 the contract has findings, or needs --confirm; 2 wrong use; 3 another edit came first; 4 no
+daemon could do it; 5 accepted or asked about, but not yet in force everywhere.
+
 Options)";
 
 std::string readToken(const options::variables_map &values)
@@ -59,6 +63,7 @@
     line.author = values["author"].as<std::string>();
     line.confirm = values.count("confirm") > 0;
     line.base = values["base"].as<std::int64_t>();
+    line.revision = values["revision"].as<std::int64_t>();
     return line;
 }
 
@@ -88,7 +93,9 @@
     visible.add_options()("token-file", options::value<std::string>(), "file with the operators' token");
     visible.add_options()("ca-file", options::value<std::string>(), "authority of https daemons (PEM)");
     visible.add_options()("author", options::value<std::string>()->default_value(user ? user : "unknown"), "name kept in the history");
-    visible.add_options()("base", options::value<std::int64_t>()->default_value(-1), "version the edit starts from; -1: the newest");
+    visible.add_options()(
+        "base", options::value<std::int64_t>()->default_value(-1), "version the edit starts from; -1: the newest, if it is by the same author");
+    visible.add_options()("revision", options::value<std::int64_t>()->default_value(-1), "with status: is this revision in force?");
     visible.add_options()("confirm", "apply although the edit looks like a slip");
     options::options_description all;
     all.add(visible).add_options()("command", options::value<std::string>())("argument", options::value<std::vector<std::string>>());
@@ -111,7 +118,7 @@
     }
     const cli::CommandLine line = readLine(values);
     if (line.command == "check") {
-        return cli::checkFile(line);
+        return cli::checkFiles(line);
     }
     if (line.command == "hash-key") {
         return cli::hashKey();
--- a/src/cli/operatorclient.cpp
+++ b/src/cli/operatorclient.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Duration CallTimeout = std::chrono::seconds(15);
+constexpr Duration CallTimeout = std::chrono::seconds(20);
 
 } // namespace
 
@@ -38,7 +38,7 @@
     for (const std::string &endpoint : endpoints_) {
         answer = callOne(endpoint, method, path, body);
         mayHaveTakenEffect = mayHaveTakenEffect || answer.mayHaveTakenEffect;
-        if (answer.answered) {
+        if (answer.answered && answer.status != StatusUnavailable) {
             break;
         }
     }
--- a/src/cli/operatorclient.h
+++ b/src/cli/operatorclient.h
@@ -11,6 +11,8 @@
 
 namespace cardamomlift::cli {
 
+inline constexpr int StatusUnavailable = 503; ///< Nothing was done by this daemon; another may be able to.
+
 /// One answer of a daemon's operators' port.
 struct OperatorAnswer {
     bool answered = false; ///< False: no endpoint gave a whole answer.
@@ -28,7 +30,7 @@
     /// @p endpoints as in "http://10.0.0.1:8081"; they are tried in order. @p caPem: the authority of https endpoints.
     static Result<std::unique_ptr<OperatorClient>> create(std::vector<std::string> endpoints, std::string token, std::string caPem = {});
 
-    /// The answer of the first endpoint that gives one.
+    /// The answer of the first endpoint that gives one other than "unavailable" (503), else the last answer.
     OperatorAnswer call(const std::string &method, const std::string &path, const Json::Value &body = Json::Value());
     OperatorAnswer callOne(const std::string &endpoint, const std::string &method, const std::string &path, const Json::Value &body = Json::Value());
     const std::vector<std::string> &endpoints() const;
