--- a/src/contract/tests/contractreader_test.cpp
+++ b/src/contract/tests/contractreader_test.cpp
@@ -59,3 +59,30 @@
     EXPECT_EQ(dangerousChanges("a", before, slip).size(), 1U);
     EXPECT_TRUE(dangerousChanges("a", before, small).empty());
 }
+
+TEST(ContractReader, DangersStandAtTheirPlaces)
+{
+    Findings findings;
+    const Contract before = readContract("a", Good, findings);
+    std::string text = replaced(Good, "\"perDayCents\": 500", "\"perDayCents\": 0");
+    text = replaced(text, R"({"model": "m", "class": "quick", "maxOutputTokens": 100})", "");
+    const Contract after = readContract("a", text, findings);
+    const Findings dangers = dangerousChanges("a", before, after, ContractPlaces::read("a", text));
+    ASSERT_EQ(dangers.size(), 2U) << formatFindings(dangers);
+    EXPECT_EQ(dangers[0].line, 7) << "perDayCents";
+    EXPECT_EQ(dangers[1].line, 5) << "the list the model is gone from";
+}
+
+TEST(ContractReader, AConflictIsShownThreeWays)
+{
+    Findings findings;
+    const Contract base = readContract("a", Good, findings);
+    const std::string theirText = replaced(Good, "\"openRequests\": 20", "\"openRequests\": 30");
+    const Contract theirs = readContract("a", replaced(theirText, "\"perDayCents\": 500", "\"perDayCents\": 600"), findings);
+    const std::string myText = replaced(Good, "\"openRequests\": 20", "\"openRequests\": 40");
+    const Contract mine = readContract("a", replaced(myText, "\"tokensPerMinute\": 30000", "\"tokensPerMinute\": 40000"), findings);
+    EXPECT_EQ(describeConflict(base, theirs, mine),
+        "Only the other edit changes:\n  spending.perDayCents: 500 -> 600\n"
+        "Only your edit changes:\n  limits.tokensPerMinute: 30000 -> 40000\n"
+        "Both change, differently:\n  limits.openRequests: theirs 20 -> 30, yours 20 -> 40\n");
+}
--- /dev/null
+++ b/src/contract/tests/editcheck_test.cpp
@@ -0,0 +1,41 @@
+#include "contract/editcheck.h"
+
+#include <gtest/gtest.h>
+
+using namespace cardamomlift;
+using namespace cardamomlift::contract;
+
+namespace {
+
+std::string textOf(const std::string &customer)
+{
+    return "{\"customer\": \"" + customer + R"(", "classes": [],
+        "keys": [{"name": "desk", "sha256": "77cfb708cdcd1d984dbd52883ce90662fd3f0395f7b13ea489aaae44aa22ed23"}],
+        "limits": {"requestsPerSecond": 1, "openRequests": 1, "tokensPerMinute": 1},
+        "spending": {"perDayCents": 1, "centsPerMillionTokens": 1, "centsPerThousandCalls": 1}})";
+}
+
+} // namespace
+
+TEST(EditCheck, AKeyOfAnotherCustomerIsAFinding)
+{
+    const auto set = ContractSet::create();
+    set->offer({"shop", 1, 1, textOf("shop"), "ann", "edit"});
+    const auto others = set->all();
+    EXPECT_TRUE(checkEdit({"shop.json", "shop", textOf("shop")}, nullptr, others).empty()) << "its own key";
+    const Findings findings = checkEdit({"desk.json", "desk", textOf("desk")}, nullptr, others);
+    ASSERT_EQ(findings.size(), 1U) << formatFindings(findings);
+    EXPECT_EQ(findings[0].line, 2);
+    EXPECT_GT(findings[0].column, 0);
+    EXPECT_TRUE(hasErrors(findings)) << "not to be confirmed away";
+}
+
+TEST(EditCheck, DangerIsMeasuredAgainstTheReplacedVersionUnlessConfirmed)
+{
+    const ContractVersion replaced{"shop", 1, 1, textOf("shop"), "ann", "edit"};
+    std::string text = textOf("shop");
+    text.replace(text.find("\"perDayCents\": 1"), 16, "\"perDayCents\": 0");
+    EXPECT_EQ(checkEdit({"f", "shop", text, false}, &replaced, {}).size(), 1U);
+    EXPECT_TRUE(checkEdit({"f", "shop", text, true}, &replaced, {}).empty());
+    EXPECT_TRUE(checkEdit({"f", "shop", text, false}, nullptr, {}).empty());
+}
