Stop dispatch to leaving backend servers on all entry VMs

Cause: a VM learned of a leaving server only from its own reading of the platform's list, each VM read the whole list twice a second, and a VM that was dead, frozen or not listed yet went unnoticed. Marks now spread over the gossip, stay with the instance whatever the list says later, and carry who saw them; entry VMs exchange heartbeats with at most 8 neighbours, suspect by several missed rounds and refute; servers that refuse two VMs are left out for 10 s; all VMs together read the list four times a second; each VM watches the load of a subset of the servers. Ruled out: calls to every VM, marks through the table, random targets, elected list readers, a phi detector, subsets picked by the VMs alone.

--- a/src/membership/internal/loadreports.cpp
+++ b/src/membership/internal/loadreports.cpp
@@ -28,6 +28,11 @@
     entries_.erase(instance);
 }
 
+void LoadReports::keepOnly(const std::function<bool(const std::string &)> &isKept)
+{
+    std::erase_if(entries_, [&](const auto &entry) { return !isKept(entry.first); });
+}
+
 std::size_t LoadReports::size() const
 {
     return entries_.size();
--- /dev/null
+++ b/src/membership/internal/loadwatcher.cpp
@@ -0,0 +1,133 @@
+#include "membership/loadwatcher.h"
+
+#include "http/json.h"
+#include "membership/subset.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+
+namespace cardamomlift::membership {
+
+namespace {
+
+constexpr Duration TickPeriod = std::chrono::seconds(1);
+constexpr Duration PollAfter = std::chrono::seconds(5);
+constexpr Duration PollTimeout = std::chrono::seconds(1);
+constexpr std::size_t MostPollsATick = 4;
+
+std::uint32_t countOf(const Json::Value &json, const char *name)
+{
+    return json[name].isUInt() ? json[name].asUInt() : 0;
+}
+
+} // namespace
+
+std::optional<LoadReport> loadReportFromJson(const Json::Value &json)
+{
+    if (!json.isObject() || !json["running"].isUInt()) {
+        return std::nullopt;
+    }
+    LoadReport report;
+    report.running = countOf(json, "running");
+    report.waiting = countOf(json, "waiting");
+    report.kvUsed = json["kvUsed"].isNumeric() ? json["kvUsed"].asDouble() : 0.0;
+    report.leaving = json["leaving"].isBool() && json["leaving"].asBool();
+    return report;
+}
+
+std::vector<std::string> watchedServers(const Members &members)
+{
+    std::map<std::string, std::vector<std::string>> byModel;
+    std::vector<std::string> entries{members.self()};
+    for (const auto &[instance, vm] : members.all()) {
+        if (vm.state != VmState::Live) {
+            continue;
+        }
+        if (vm.role == VmRole::Entry && instance != members.self()) {
+            entries.push_back(instance);
+        }
+        for (const std::string &model : vm.serves) {
+            if (vm.role == VmRole::Model) {
+                byModel[model].push_back(instance);
+            }
+        }
+    }
+    std::set<std::string> all;
+    std::map<std::vector<std::string>, bool> done; // Models served by the same servers have the same subset.
+    for (const auto &[model, servers] : byModel) {
+        if (!done.emplace(servers, true).second) {
+            continue;
+        }
+        const std::vector<std::string> subset = chooseSubset(servers, entries, members.self());
+        all.insert(subset.begin(), subset.end());
+    }
+    return {all.begin(), all.end()};
+}
+
+std::shared_ptr<LoadWatcher> LoadWatcher::create(
+    EventLoop &loop, std::shared_ptr<http::Client> client, std::shared_ptr<Members> members, std::shared_ptr<LoadReports> reports)
+{
+    std::shared_ptr<LoadWatcher> watcher(new LoadWatcher);
+    watcher->loop_ = &loop;
+    watcher->client_ = std::move(client);
+    watcher->members_ = std::move(members);
+    watcher->reports_ = std::move(reports);
+    watcher->members_->onChange([raw = watcher.get()] { raw->isStale_ = true; });
+    return watcher;
+}
+
+void LoadWatcher::start()
+{
+    loop_->every(TickPeriod, [this] { tick(); });
+}
+
+const std::vector<std::string> &LoadWatcher::watched() const
+{
+    return watched_;
+}
+
+void LoadWatcher::tick()
+{
+    if (isStale_) {
+        isStale_ = false;
+        watched_ = watchedServers(*members_);
+        reports_->keepOnly([this](const std::string &instance) { return members_->find(instance) != nullptr; });
+    }
+    std::size_t polls = 0;
+    for (std::size_t i = 0; i < watched_.size() && polls < MostPollsATick; i++) {
+        const std::string &instance = watched_[next_++ % watched_.size()];
+        const auto last = reports_->load(instance);
+        const Vm *server = members_->find(instance);
+        if (server && server->state == VmState::Live && !asked_.contains(instance) && (!last || last->age >= PollAfter)) {
+            polls++;
+            poll(*server);
+        }
+    }
+}
+
+void LoadWatcher::poll(const Vm &server)
+{
+    asked_.insert(server.instance);
+    http::ClientRequest request;
+    request.url = fmt::format("http://{}:{}/load", server.address, server.port);
+    request.headers["X-Instance"] = server.instance;
+    request.timeout = PollTimeout;
+    http::ClientHooks hooks;
+    hooks.onDone = [this, instance = server.instance](const http::ClientResult &result) {
+        asked_.erase(instance);
+        const auto json = result.status == 200 ? http::parseJson(result.body) : std::nullopt;
+        const auto report = json ? loadReportFromJson(*json) : std::nullopt;
+        if (!report) {
+            return;
+        }
+        reports_->report(instance, *report);
+        if (report->leaving) {
+            members_->markLeaving(instance, LeavingSource::LoadReport);
+        }
+    };
+    client_->start(std::move(request), std::move(hooks));
+}
+
+} // namespace cardamomlift::membership
--- a/src/membership/internal/vmlist.cpp
+++ b/src/membership/internal/vmlist.cpp
@@ -2,7 +2,9 @@
 
 #include "http/json.h"
 #include "kernel/log.h"
+#include "text/digest.h"
 
+#include <algorithm>
 #include <array>
 
 namespace cardamomlift::membership {
@@ -12,6 +14,9 @@
 constexpr std::array<std::pair<VmRole, std::string_view>, 3> RoleNames{{{VmRole::Entry, "entry"}, {VmRole::Model, "model"}, {VmRole::Service, "service"}}};
 constexpr std::array<std::pair<VmState, std::string_view>, 3> StateNames{{{VmState::Live, "live"}, {VmState::Leaving, "leaving"}, {VmState::Gone, "gone"}}};
 constexpr Duration ReadTimeout = std::chrono::seconds(2);
+constexpr Duration ShortestPeriod = std::chrono::milliseconds(500);
+constexpr Duration LongestPeriod = std::chrono::minutes(2);
+constexpr Duration FleetPeriod = std::chrono::milliseconds(250); // Between two readings of any VMs.
 
 template<class Enum, std::size_t Size>
 std::optional<Enum> byName(const std::array<std::pair<Enum, std::string_view>, Size> &names, const std::string &name)
@@ -42,6 +47,22 @@
 
 } // namespace
 
+Duration listPeriod(std::size_t entries)
+{
+    return std::clamp(FleetPeriod * static_cast<std::int64_t>(entries), ShortestPeriod, LongestPeriod);
+}
+
+Duration listWait(std::size_t entries, const std::string &self, std::uint64_t reading)
+{
+    constexpr std::uint64_t Steps = 1000;
+    const Duration period = listPeriod(entries);
+    const auto part = static_cast<std::int64_t>(text::stableHash(self, reading) % Steps);
+    const auto steps = static_cast<std::int64_t>(Steps);
+    // The first wait spreads the VMs over a whole period, later ones keep them apart.
+    const Duration wait = reading == 1 ? period * part / steps : period * (steps + part) * 2 / (steps * 3);
+    return std::max(wait, ShortestPeriod);
+}
+
 std::optional<Vm> vmFromJson(const Json::Value &json)
 {
     if (!json.isObject() || !json["instance"].isString() || !json["address"].isString() || !json["zone"].isString()) {
@@ -104,10 +125,14 @@
     return reader;
 }
 
-void VmListReader::start(Duration period)
+void VmListReader::start()
 {
     read();
-    loop_->every(period, [this] { read(); });
+}
+
+void VmListReader::onFirstSeen(std::function<void(const Vm &vm)> handler)
+{
+    firstSeenHandler_ = std::move(handler);
 }
 
 bool VmListReader::hasRead() const
@@ -120,24 +145,27 @@
     return counters_;
 }
 
+void VmListReader::readLater()
+{
+    // Until the list was read once, this VM knows of no peers that could tell it anything.
+    const Duration wait = hasRead_ ? listWait(members_->peers().size() + 1, members_->self(), ++readings_) : ShortestPeriod;
+    loop_->after(wait, [this] { read(); });
+}
+
 void VmListReader::read()
 {
-    if (reading_) {
-        return;
-    }
-    reading_ = true;
     http::ClientRequest request;
     request.url = endpoint_ + "/vms";
     request.timeout = ReadTimeout;
     http::ClientHooks hooks;
-    hooks.onDone = [this](http::ClientResult result) {
-        reading_ = false;
+    hooks.onDone = [this](const http::ClientResult &result) {
         counters_.reads++;
         counters_.bytesSent += result.bytesSent;
         counters_.bytesReceived += result.bytesReceived;
         const auto json = result.status == 200 ? http::parseJson(result.body) : std::nullopt;
         if (!json || !(*json)["vms"].isArray()) {
             partLogger("membership")->warn("The VM list can't be read. error={}", result.error);
+            readLater();
             return;
         }
         std::vector<Vm> list;
@@ -146,10 +174,27 @@
                 list.push_back(std::move(*vm));
             }
         }
-        hasRead_ = true;
-        members_->applyList(list);
+        takeList(list);
+        readLater();
     };
     client_->start(std::move(request), std::move(hooks));
 }
 
+void VmListReader::takeList(std::span<const Vm> list)
+{
+    std::vector<Vm> firstSeen;
+    for (const Vm &vm : list) {
+        if (hasRead_ && !members_->find(vm.instance)) {
+            firstSeen.push_back(vm);
+        }
+    }
+    hasRead_ = true;
+    members_->applyList(list);
+    for (const Vm &vm : firstSeen) {
+        if (firstSeenHandler_) {
+            firstSeenHandler_(vm);
+        }
+    }
+}
+
 } // namespace cardamomlift::membership
--- a/src/membership/loadreports.h
+++ b/src/membership/loadreports.h
@@ -3,6 +3,7 @@
 #include "kernel/eventloop.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,6 +36,8 @@
     /// The latest report, or none if the server was never heard or its report was forgotten.
     std::optional<AgedLoadReport> load(const std::string &instance) const;
     void forget(const std::string &instance);
+    /// Forgets the reports of all instances for which @p isKept is false.
+    void keepOnly(const std::function<bool(const std::string &instance)> &isKept);
     std::size_t size() const;
 
 private:
--- a/src/membership/membershipmodule.cpp
+++ b/src/membership/membershipmodule.cpp
@@ -1,8 +1,10 @@
 #include "kernel/module.h"
 #include "kernel/runtime.h"
 #include "membership/gossip.h"
+#include "membership/heartbeat.h"
 #include "membership/loadreports.h"
-#include "membership/overlay.h"
+#include "membership/loadwatcher.h"
+#include "membership/spread.h"
 #include "membership/vmlist.h"
 #include "metrics/metrics.h"
 #include "peers/peertransport.h"
@@ -12,16 +14,27 @@
 
 namespace {
 
-constexpr Duration ListPeriod = std::chrono::milliseconds(500);
+constexpr Duration ForgetPeriod = std::chrono::seconds(30);
 
-/// Points the gossip at the neighbours that follow from the known entry VMs.
-void updateNeighbours(const Members &members, Gossip &gossip)
+Vm selfOf(const settings::Settings &settings, const peers::PeerTransport &transport)
 {
-    std::vector<peers::PeerAddress> neighbours;
-    for (const std::string &instance : chooseNeighbours(members.peers(), members.self())) {
-        neighbours.push_back(peerAddress(*members.find(instance)));
-    }
-    gossip.setNeighbours(std::move(neighbours));
+    Vm self;
+    self.instance = settings.instance;
+    self.address = settings.peers.address;
+    self.port = settings.callers.port;
+    self.peerPort = transport.port();
+    self.zone = settings.zone;
+    self.region = settings.region;
+    return self;
+}
+
+void addGauges(
+    metrics::Metrics &metrics, const std::shared_ptr<Members> &members, const std::shared_ptr<Gossip> &gossip, const std::shared_ptr<Heartbeat> &heartbeat)
+{
+    metrics.gauge("entry_vms_listed", [heartbeat] { return static_cast<double>(heartbeat->reachability().listed); });
+    metrics.gauge("entry_vms_heard", [heartbeat] { return static_cast<double>(heartbeat->reachability().heard); });
+    metrics.gauge("leaving_marks", [members] { return static_cast<double>(members->markCount()); });
+    metrics.gauge("rumours", [gossip] { return static_cast<double>(gossip->size()); });
 }
 
 class MembershipModule : public Module
@@ -40,20 +53,33 @@
     Result<void> start(Context &context) override
     {
         const auto settings = context.get<settings::Settings>();
-        auto members = Members::create(settings->instance);
-        context.set(members);
         EventLoop &loop = *context.get<Runtime>()->loop;
-        auto gossip = Gossip::create(loop, context.get<peers::PeerTransport>());
-        members->onChange([raw = members.get(), gossip] { updateNeighbours(*raw, *gossip); });
+        const auto transport = context.get<peers::PeerTransport>();
+        const auto client = context.get<http::Client>();
+        auto members = Members::create(settings->instance, &loop.clock());
+        auto gossip = Gossip::create(loop, transport);
+        auto spread = MemberSpread::create(loop, members, gossip);
+        auto heartbeat = Heartbeat::create(loop, transport, members, gossip, selfOf(*settings, *transport));
+        auto reports = LoadReports::create(loop);
+        auto watcher = LoadWatcher::create(loop, client, members, reports);
         gossip->start();
+        heartbeat->start();
+        watcher->start();
+        loop.every(ForgetPeriod, [raw = members.get()] { raw->forgetOld(); });
+        addGauges(*context.get<metrics::Metrics>(), members, gossip, heartbeat);
+        context.set(members);
         context.set(gossip);
-        context.set(LoadReports::create(loop));
+        context.set(spread);
+        context.set(heartbeat);
+        context.set(reports);
+        context.set(watcher);
         if (settings->platform.inMemory) {
             members->applyList(settings->platform.vms);
             return success();
         }
-        auto reader = VmListReader::create(loop, context.get<http::Client>(), members, settings->platform.vmListEndpoint);
-        reader->start(ListPeriod);
+        auto reader = VmListReader::create(loop, client, members, settings->platform.vmListEndpoint);
+        reader->onFirstSeen([spread](const Vm &vm) { spread->spreadListed(vm); });
+        reader->start();
         context.set(reader);
         publishCounters(context, reader);
         return success();
--- a/src/membership/membershiptypes.h
+++ b/src/membership/membershiptypes.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "kernel/clock.h"
+
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cardamomlift::membership {
@@ -37,4 +40,30 @@
     bool operator==(const Vm &other) const = default;
 };
 
+/// What showed that a VM is leaving.
+enum class LeavingSource {
+    Notice, ///< The VM itself was told, or a part of this daemon says so.
+    List, ///< The platform's list.
+    Answer, ///< The backend server refused a request because it is leaving.
+    LoadReport, ///< The backend server's load report.
+};
+
+/// Why a VM counts as leaving. Marks are never taken back.
+struct LeavingMark {
+    LeavingSource source = LeavingSource::Notice;
+    std::string reporter; ///< The entry VM that saw it first.
+    WallTime seen; ///< By the reporter's clock.
+    WallTime known; ///< When this VM learned it.
+};
+
+/// What the heartbeats say about an entry VM.
+enum class Health {
+    Alive,
+    Suspected, ///< Some VM gets no answer, directly or through others.
+    Failed, ///< Still no answer after the suspicion timeout.
+};
+
+std::string_view nameOf(LeavingSource source);
+std::string_view nameOf(Health health);
+
 } // namespace cardamomlift::membership
--- /dev/null
+++ b/src/membership/tests/members_test.cpp
@@ -0,0 +1,218 @@
+#include "memberfleet.h"
+#include "membership/health.h"
+#include "membership/vmlist.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <set>
+
+using namespace cardamomlift;
+using namespace cardamomlift::membership;
+
+namespace {
+
+constexpr char Model[] = "proofreader";
+
+/// What can happen to one backend server's entry on one VM.
+enum class Step { ListLive, ListLeaving, ListWithout, MarkHere, MarkTaken, ListedByRumour, ForgetOld, Count };
+
+void take(Step step, Members &members, ManualClock &clock)
+{
+    Vm vm = engineVm("engine-1");
+    switch (step) {
+    case Step::ListLive:
+        members.applyList(std::vector<Vm>{vm});
+        return;
+    case Step::ListLeaving:
+        vm.state = VmState::Leaving;
+        members.applyList(std::vector<Vm>{vm});
+        return;
+    case Step::ListWithout:
+        members.applyList({});
+        return;
+    case Step::MarkHere:
+        members.markLeaving(vm.instance);
+        return;
+    case Step::MarkTaken:
+        members.takeMark(vm.instance, {});
+        return;
+    case Step::ListedByRumour:
+        members.addProvisional(vm);
+        return;
+    case Step::ForgetOld:
+        clock.advance(std::chrono::hours(2));
+        members.forgetOld();
+        return;
+    case Step::Count:
+        return;
+    }
+}
+
+bool marks(Step step)
+{
+    return step == Step::ListLeaving || step == Step::MarkHere || step == Step::MarkTaken;
+}
+
+} // namespace
+
+TEST(Members, NoOrderOfStepsMakesALeavingServerLiveAgain)
+{
+    constexpr int Length = 6;
+    constexpr int Steps = static_cast<int>(Step::Count);
+    const int walks = static_cast<int>(std::pow(Steps, Length));
+    for (int walk = 0; walk < walks; walk++) {
+        ManualClock clock;
+        const auto members = Members::create("entry-1", &clock);
+        bool wasMarked = false;
+        for (int i = 0, rest = walk; i < Length; i++, rest /= Steps) {
+            const auto step = static_cast<Step>(rest % Steps);
+            take(step, *members, clock);
+            wasMarked = wasMarked || marks(step);
+            ASSERT_EQ(members->isLeaving("engine-1"), wasMarked) << "walk " << walk << " step " << i;
+            ASSERT_TRUE(!wasMarked || members->backends(VmRole::Model, Model).empty()) << "walk " << walk << " step " << i;
+        }
+    }
+}
+
+TEST(Members, MarksAreDroppedADayAfterTheListForgotTheVm)
+{
+    ManualClock clock;
+    const auto members = Members::create("entry-1", &clock);
+    const std::vector<Vm> listed{engineVm("engine-1")};
+    members->applyList(listed);
+    members->markLeaving("engine-1");
+    for (int hour = 0; hour < 48; hour++) {
+        clock.advance(std::chrono::hours(1));
+        members->applyList(listed);
+        members->forgetOld();
+    }
+    EXPECT_TRUE(members->isLeaving("engine-1"));
+    members->applyList({});
+    clock.advance(std::chrono::hours(25));
+    members->forgetOld();
+    EXPECT_EQ(members->markCount(), 0U);
+}
+
+TEST(Members, ReadingTheSameListTwiceIsNoChange)
+{
+    const auto members = Members::create("entry-1");
+    int changes = 0;
+    members->onChange([&] { changes++; });
+    const std::vector<Vm> listed{engineVm("engine-1")};
+    members->applyList(listed);
+    members->applyList(listed);
+    EXPECT_EQ(changes, 1);
+}
+
+TEST(Members, AnUnreachableServerIsLeftOutUnlessItIsTheOnlyOne)
+{
+    ManualClock clock;
+    const auto members = Members::create("entry-1", &clock);
+    members->applyList(std::vector<Vm>{engineVm("engine-1"), engineVm("engine-2")});
+    members->setUnreachable("engine-1", clock.wallNow() + std::chrono::seconds(10));
+    ASSERT_EQ(members->backends(VmRole::Model, Model).size(), 1U);
+    EXPECT_EQ(members->backends(VmRole::Model, Model)[0].instance, "engine-2");
+    members->setUnreachable("engine-2", clock.wallNow() + std::chrono::seconds(10));
+    EXPECT_EQ(members->backends(VmRole::Model, Model).size(), 2U);
+    clock.advance(std::chrono::seconds(11));
+    EXPECT_FALSE(members->isUnreachable("engine-1"));
+}
+
+TEST(RumourBoard, TheOrderOfOffersDoesNotMatter)
+{
+    const WallTime now;
+    std::vector<Rumour> rumours;
+    for (const std::uint64_t version : {1, 2, 3}) {
+        rumours.push_back({"health", "entry-1", version, fmt::format("{}", version), now + std::chrono::hours(1)});
+        rumours.push_back({"leaving", "engine-1", version, "", now + std::chrono::hours(1)});
+    }
+    std::vector<std::size_t> order(rumours.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::set<std::uint64_t> digests;
+    do {
+        RumourBoard board;
+        for (const std::size_t i : order) {
+            board.offer(rumours[i], now);
+            board.offer(rumours[i], now);
+        }
+        digests.insert(board.digest(now));
+        ASSERT_EQ(board.find("health", "entry-1")->payload, "3");
+    } while (std::next_permutation(order.begin(), order.end()));
+    EXPECT_EQ(digests.size(), 1U);
+}
+
+TEST(Health, NoJudgementLowersAStatementAndACutOffVmJudgesNobody)
+{
+    const ProbeLimits limits;
+    for (unsigned missed = 0; missed <= limits.roundsToSuspect + 1; missed++) {
+        for (int bits = 0; bits < 8; bits++) {
+            for (std::uint64_t version = 0; version < 6; version++) {
+                ProbeRecord record;
+                record.missedRounds = missed;
+                JudgeFacts facts;
+                facts.silentFor = (bits & 1) != 0 ? limits.silenceToSuspect : Duration(0);
+                facts.heldFor = (bits & 2) != 0 ? limits.suspicionTimeout : Duration(0);
+                facts.selfIsCutOff = (bits & 4) != 0;
+                const HealthStatement held = statementOf(version);
+                const std::uint64_t next = versionOf(judge(record, held, facts, limits));
+                const bool mayJudge = !facts.selfIsCutOff && missed >= limits.roundsToSuspect && (bits & 1) != 0;
+                const bool isDue = held.health == Health::Alive || (held.health == Health::Suspected && (bits & 2) != 0);
+                EXPECT_EQ(next, version + (mayJudge && isDue ? 1 : 0));
+                EXPECT_EQ(statementOf(next).incarnation, held.incarnation);
+                const HealthStatement refuted{held.incarnation + 1, Health::Alive};
+                EXPECT_GT(versionOf(refuted), next);
+            }
+        }
+    }
+}
+
+TEST(Unreachable, TwoReportersOrThreeRefusalsConfirm)
+{
+    const WallTime now(std::chrono::hours(1));
+    const auto single = nextWord("entry-1", {1, now}, std::nullopt, now);
+    ASSERT_TRUE(single);
+    EXPECT_FALSE(single->confirmed);
+    EXPECT_FALSE(nextWord("entry-1", {2, now}, single, now)) << "the same VM again is no second witness";
+    const auto second = nextWord("entry-2", {1, now}, single, now);
+    ASSERT_TRUE(second && second->confirmed);
+    EXPECT_GT(second->version, single->version);
+    const auto third = nextWord("entry-1", {3, now}, single, now);
+    ASSERT_TRUE(third && third->confirmed);
+    EXPECT_FALSE(nextWord("entry-1", {3, now}, second, now)) << "confirmed already";
+    EXPECT_TRUE(nextWord("entry-1", {1, now}, second, second->until)) << "it has run out";
+}
+
+TEST(VmList, AllVmsTogetherReadItAtAConstantRate)
+{
+    EXPECT_EQ(listPeriod(1), std::chrono::milliseconds(500));
+    EXPECT_EQ(listPeriod(9), std::chrono::milliseconds(2250));
+    EXPECT_EQ(listPeriod(380), std::chrono::seconds(95));
+    EXPECT_EQ(listPeriod(10000), std::chrono::minutes(2));
+}
+
+TEST(VmList, VmsStartedAtOnceSpreadTheirReadings)
+{
+    constexpr std::size_t Entries = 380;
+    constexpr Duration Watched = std::chrono::minutes(10);
+    std::vector<Duration> readings;
+    for (std::size_t i = 0; i < Entries; i++) {
+        Duration at{0};
+        for (std::uint64_t reading = 1; at < Watched; reading++) {
+            readings.push_back(at);
+            at += listWait(Entries, fmt::format("entry-{}", i), reading);
+        }
+    }
+    std::sort(readings.begin(), readings.end());
+    Duration longest{0};
+    for (std::size_t i = 1; i < readings.size(); i++) {
+        longest = std::max(longest, readings[i] - readings[i - 1]);
+    }
+    const double perSecond = static_cast<double>(readings.size()) / 600;
+    fmt::print("380 VMs: {:.2f} readings a second, longest gap {} ms\n", perSecond, longest.count() / 1000);
+    EXPECT_LE(perSecond, 6);
+    EXPECT_LE(longest, std::chrono::seconds(3));
+}
--- a/src/operatorapi/internal/operatorapi.cpp
+++ b/src/operatorapi/internal/operatorapi.cpp
@@ -1,6 +1,7 @@
 #include "operatorapi/operatorapi.h"
 
 #include "http/json.h"
+#include "membership/memberstatus.h"
 #include "operatorapi/editflow.h"
 #include "operatorapi/operatorjson.h"
 #include "text/digest.h"
@@ -160,11 +161,7 @@
     }
     answer["vms"] = Json::Value(Json::arrayValue);
     for (const auto &[instance, vm] : tools_.members->all()) {
-        Json::Value entry;
-        entry["instance"] = instance;
-        entry["zone"] = vm.zone;
-        entry["leaving"] = vm.state != membership::VmState::Live;
-        answer["vms"].append(entry);
+        answer["vms"].append(membership::memberStatus(*tools_.members, vm));
     }
     responder->respond(http::jsonResponse(200, answer));
 }
--- a/src/recovery/internal/recoveringstream.cpp
+++ b/src/recovery/internal/recoveringstream.cpp
@@ -177,7 +177,7 @@
         dropLeg(id, result.end);
     }
     if (result.isLeaving) {
-        tools_.members->markLeaving(instance);
+        tools_.members->markLeaving(instance, membership::LeavingSource::Answer);
     }
 }
 
