--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -21,12 +21,12 @@
 
 namespace {
 
-constexpr Duration DrainBound = std::chrono::minutes(10);
 constexpr std::size_t EditIdBytes = 8;
 
 void onSignal(struct ev_loop *, ev_signal *watcher, int)
 {
-    static_cast<lifecycle::Lifecycle *>(watcher->data)->drain(DrainBound);
+    const auto &context = *static_cast<const Context *>(watcher->data);
+    context.get<lifecycle::Lifecycle>()->drain(std::chrono::seconds(context.get<settings::Settings>()->limits.drainSeconds));
 }
 
 std::string readFile(const std::string &path)
@@ -99,7 +99,7 @@
     static ev_signal interrupt;
     ev_signal_init(&terminate, &onSignal, SIGTERM);
     ev_signal_init(&interrupt, &onSignal, SIGINT);
-    terminate.data = context_.get<lifecycle::Lifecycle>().get();
+    terminate.data = &context_;
     interrupt.data = terminate.data;
     ev_signal_start(loop_->raw(), &terminate);
     ev_signal_start(loop_->raw(), &interrupt);
--- a/src/engine/internal/engineclient.cpp
+++ b/src/engine/internal/engineclient.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr char DoneMarker[] = "[DONE]";
+constexpr char StreamIdHeader[] = "X-Stream-Id";
 constexpr Duration StallTimeout = std::chrono::seconds(10);
 constexpr Duration ConnectTimeout = std::chrono::seconds(1);
 constexpr Duration CancelTimeout = std::chrono::seconds(2);
@@ -19,12 +20,17 @@
     SseParser parser;
     EngineHooks hooks;
     EngineResult result;
+    std::string requestId; ///< The attempt's; the engine says it with each chunk.
     bool whole = false;
+    bool isOther = false; ///< The stream is of another request.
     bool saidUsage = false;
     int status = 0;
 
     void onEvent(const SseEvent &event)
     {
+        if (isOther) {
+            return;
+        }
         if (event.data == DoneMarker) {
             whole = true;
             return;
@@ -33,6 +39,10 @@
         if (!json || !json->isObject()) {
             return;
         }
+        if ((*json)["id"].isString() && (*json)["id"].asString() != requestId) {
+            isOther = true;
+            return;
+        }
         readUsage((*json)["usage"]);
         const Json::Value &choice = (*json)["choices"][0];
         if (choice["finish_reason"].isString()) {
@@ -129,27 +139,31 @@
         const membership::Vm &server, const std::string &requestId, std::string cache, Duration timeout, std::function<void(bool accepted)> done) override;
 
 private:
-    http::CallId open(const membership::Vm &server, http::ClientRequest request, EngineHooks hooks);
+    http::CallId open(const membership::Vm &server, http::ClientRequest request, const std::string &requestId, EngineHooks hooks);
     std::shared_ptr<http::Client> client_;
 };
 
-http::CallId HttpEngineClient::open(const membership::Vm &server, http::ClientRequest request, EngineHooks hooks)
+http::CallId HttpEngineClient::open(const membership::Vm &server, http::ClientRequest request, const std::string &requestId, EngineHooks hooks)
 {
     request.connectTimeout = ConnectTimeout;
     request.timeout = Duration(0);
     request.stallTimeout = StallTimeout;
     auto reader = std::make_shared<StreamReader>();
     reader->hooks = std::move(hooks);
+    reader->requestId = requestId;
     reader->result.server = server.instance;
     http::ClientHooks clientHooks;
-    clientHooks.onHeaders = [reader](int status, const http::Headers &) {
+    clientHooks.onHeaders = [reader](int status, const http::Headers &headers) {
+        const std::string_view streamId = http::headerValue(headers, StreamIdHeader);
+        reader->isOther = !streamId.empty() && streamId != reader->requestId;
         reader->status = status;
     };
     clientHooks.onData = [reader](std::string_view bytes) {
         if (reader->status != 200) {
             return true;
         }
-        return reader->parser.feed(bytes, [&](const SseEvent &event) { reader->onEvent(event); });
+        // NOTE Bytes of another request are never passed on: the stream ends as broken.
+        return reader->parser.feed(bytes, [&](const SseEvent &event) { reader->onEvent(event); }) && !reader->isOther;
     };
     clientHooks.onDone = [reader](http::ClientResult result) {
         reader->result.end = endOf(result, reader->whole);
@@ -175,7 +189,7 @@
     // NOTE The engine answers refused if it is not this instance: an address may belong to a new VM by now.
     http.headers["X-Instance"] = server.instance;
     http.body = bodyOf(request);
-    return open(server, std::move(http), std::move(hooks));
+    return open(server, std::move(http), request.requestId, std::move(hooks));
 }
 
 http::CallId HttpEngineClient::resume(const membership::Vm &server, const std::string &requestId, std::uint64_t position, EngineHooks hooks)
@@ -185,7 +199,7 @@
     http.headers["X-Instance"] = server.instance;
     // NOTE The pooled connections to this server may share the fault that broke the last one.
     http.freshConnection = true;
-    return open(server, std::move(http), std::move(hooks));
+    return open(server, std::move(http), requestId, std::move(hooks));
 }
 
 void HttpEngineClient::cancel(const membership::Vm &server, const std::string &requestId, http::CallId call)
--- a/src/gateway/chathandler.h
+++ b/src/gateway/chathandler.h
@@ -18,22 +18,24 @@
 
     void handle(CallerRequest caller);
     std::size_t openSessions() const;
+    /// Ends the calls that are not streamed, which no other VM can go on with.
+    void giveUpOpen();
 
 private:
     ChatHandler() = default;
-    void refuse(const CallerRequest &caller, CallerError error);
+    void refuse(const CallerRequest &caller, const CallerError &error);
     void start(const CallerRequest &caller,
         const ChatRequest &request,
         const contract::ModelGrant &grant,
         const contract::ServiceClass &serviceClass,
         std::uint64_t ticket);
-    void stream(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session, std::uint64_t ticket);
-    void collect(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session, std::uint64_t ticket);
-    void countDemand(const streams::StreamState &state);
-    std::string newRequestId();
+    void stream(const CallerRequest &caller, streams::StreamState state, std::uint64_t ticket);
+    void collect(const CallerRequest &caller, streams::StreamState state, std::uint64_t ticket);
+    void releaseAtEnd(const std::shared_ptr<streams::StreamSession> &session, std::uint64_t ticket);
+    void endRequest(const streams::StreamState &state, std::uint64_t ticket);
+    streams::StreamView wholeView(const CallerRequest &caller, const streams::StreamSession &session, std::uint64_t ticket);
     GatewayTools tools_;
-    std::uint64_t nextNumber_ = 1;
-    std::unordered_map<std::string, std::shared_ptr<streams::StreamSession>> sessions_;
+    std::unordered_map<std::string, std::shared_ptr<streams::StreamSession>> sessions_; ///< Not streamed.
 };
 
 } // namespace cardamomlift::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "gateway/chathandler.h"
 #include "gateway/gatewaytypes.h"
+#include "gateway/resumehandler.h"
 #include "gateway/servicehandler.h"
 
 #include <memory>
@@ -16,6 +17,8 @@
 
     std::uint16_t port() const;
     void stopListening();
+    /// Ends the chat calls that can't be resumed elsewhere, with the outcome "unknown".
+    void giveUpOpen();
     std::size_t openRequests() const;
 
 private:
@@ -25,6 +28,7 @@
     GatewayTools tools_;
     std::unique_ptr<http::Server> server_;
     std::unique_ptr<ChatHandler> chat_;
+    std::unique_ptr<ResumeHandler> resume_;
     std::unique_ptr<ServiceHandler> services_;
 };
 
--- a/src/gateway/gatewaymodule.cpp
+++ b/src/gateway/gatewaymodule.cpp
@@ -21,7 +21,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"admission", "claims", "contract", "engine", "fleet", "http", "lifecycle", "metrics", "recovery", "retry"};
+        return {"admission", "claims", "contract", "engine", "fleet", "http", "lifecycle", "membership", "metrics", "recovery", "retry", "streams"};
     }
 
     Result<void> start(Context &context) override
@@ -41,6 +41,8 @@
         tools.demand = context.get<fleet::DemandMeter>();
         tools.metrics = context.get<metrics::Metrics>();
         tools.lifecycle = lifecycle;
+        tools.members = context.get<membership::Members>();
+        tools.keeper = context.get<streams::StreamKeeper>();
         tools.memory = MemoryGuard::create(*tools.loop, settings->limits.memoryMegabytes * BytesPerMegabyte);
         tools.metrics->gauge("resident_memory_bytes", [guard = tools.memory] { return static_cast<double>(guard->residentBytes()); });
         BOOST_OUTCOME_TRY(options, settings::serverOptions(settings->callers));
@@ -51,7 +53,8 @@
             return gateway.error();
         }
         const std::shared_ptr<Gateway> shared = gateway.value();
-        lifecycle->onDrain([shared] { shared->stopListening(); });
+        lifecycle->onLastWork([shared] { shared->stopListening(); });
+        lifecycle->onDrainBound([shared] { shared->giveUpOpen(); });
         lifecycle->addProbe("gateway", [shared] { return shared->openRequests(); });
         context.set(shared);
         return success();
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -12,6 +12,7 @@
 #include "lifecycle/lifecycle.h"
 #include "metrics/metrics.h"
 #include "retry/attemptplanner.h"
+#include "streams/streamkeeper.h"
 
 #include <memory>
 #include <string>
@@ -32,6 +33,8 @@
     std::shared_ptr<metrics::Metrics> metrics;
     std::shared_ptr<fleet::DemandMeter> demand;
     std::shared_ptr<lifecycle::Lifecycle> lifecycle;
+    std::shared_ptr<membership::Members> members;
+    std::shared_ptr<streams::StreamKeeper> keeper;
     std::shared_ptr<MemoryGuard> memory;
 };
 
--- a/src/gateway/internal/chathandler.cpp
+++ b/src/gateway/internal/chathandler.cpp
@@ -1,6 +1,7 @@
 #include "gateway/chathandler.h"
 
 #include "gateway/chatformat.h"
+#include "gateway/chatstream.h"
 #include "kernel/log.h"
 #include "text/digest.h"
 
@@ -12,23 +13,6 @@
 
 namespace {
 
-constexpr std::size_t IdBytes = 6;
-
-/// Headers of every answer: which VM and which backend server gave it.
-void addServedBy(http::Headers &headers, const std::string &instance, const streams::StreamState &state)
-{
-    headers["X-Request-Id"] = state.requestId;
-    headers["X-Served-By"] = instance;
-    if (!state.attempts.empty()) {
-        headers["X-Backend"] = state.attempts.back().server;
-    }
-}
-
-CallerError toCallerError(const streams::StreamFailure &failure)
-{
-    return {failure.reason, failure.message, failure.retryAfter, ErrorOutcome::Unknown};
-}
-
 admission::Usage usageOf(const streams::StreamState &state)
 {
     return {state.promptTokens, static_cast<std::int64_t>(state.tokens.size()), !state.tokens.empty()};
@@ -48,21 +32,24 @@
     return sessions_.size();
 }
 
-void ChatHandler::countDemand(const streams::StreamState &state)
+void ChatHandler::endRequest(const streams::StreamState &state, std::uint64_t ticket)
 {
+    tools_.admission->release(ticket, usageOf(state));
     const bool isUrgent = state.priority == static_cast<int>(contract::Priority::Urgent);
     tools_.demand->add(state.model, static_cast<std::int64_t>(state.tokens.size()), isUrgent);
 }
 
-std::string ChatHandler::newRequestId()
+void ChatHandler::giveUpOpen()
 {
-    return fmt::format("req-{}-{}-{}", tools_.instance, nextNumber_++, text::randomHex(IdBytes));
+    const auto open = sessions_;
+    for (const auto &[requestId, session] : open) {
+        session->giveUp({metrics::RefusalReason::Draining, "This VM is leaving. Send the request again."});
+    }
 }
 
-void ChatHandler::refuse(const CallerRequest &caller, CallerError error)
+void ChatHandler::refuse(const CallerRequest &caller, const CallerError &error)
 {
-    tools_.metrics->refused(error.reason);
-    caller.responder->respond(errorResponse(error));
+    gateway::refuse(tools_, caller.responder, error);
 }
 
 void ChatHandler::handle(CallerRequest caller)
@@ -107,7 +94,7 @@
     std::uint64_t ticket)
 {
     streams::StreamState state;
-    state.requestId = newRequestId();
+    state.requestId = tools_.keeper->newRequestId();
     state.customer = caller.contract->contract.customer;
     state.serviceClass = serviceClass.name;
     state.model = request.model;
@@ -117,84 +104,72 @@
     state.seed = request.seed.value_or(text::stableHash(state.requestId) >> 1);
     state.priority = static_cast<int>(serviceClass.priority);
     state.prefixHash = request.prefixHash;
-    auto session = streams::StreamSession::create({tools_.loop, tools_.engine, tools_.planner, tools_.metrics}, std::move(state));
-    const std::string requestId = session->state().requestId;
-    sessions_[requestId] = session;
-    session->onEnded([this, requestId, ticket] {
-        const auto found = sessions_.find(requestId);
-        tools_.admission->release(ticket, usageOf(found->second->state()));
-        countDemand(found->second->state());
-        tools_.loop->post([this, requestId] { sessions_.erase(requestId); });
-    });
-    caller.responder->onClosed([session] { session->cancel(); });
     if (request.stream) {
-        stream(caller, session, ticket);
+        stream(caller, std::move(state), ticket);
     } else {
-        collect(caller, session, ticket);
+        collect(caller, std::move(state), ticket);
     }
-    session->start();
 }
 
-void ChatHandler::stream(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session, std::uint64_t ticket)
+void ChatHandler::releaseAtEnd(const std::shared_ptr<streams::StreamSession> &session, std::uint64_t ticket)
+{
+    // NOTE The handler is owned by the session, so it must not own it.
+    session->onEnded([this, raw = session.get(), ticket] { endRequest(raw->state(), ticket); });
+}
+
+void ChatHandler::stream(const CallerRequest &caller, streams::StreamState state, std::uint64_t ticket)
 {
-    // The view is owned by the session, so it must not own it.
-    streams::StreamSession *raw = session.get();
-    const auto responder = caller.responder;
-    const auto startHead = [this, raw, responder] {
-        if (responder->isStreaming()) {
+    const auto session = std::make_shared<std::weak_ptr<streams::StreamSession>>();
+    // Not accepted before the copy stands: until then nothing is sent, and a caller who leaves ends the request.
+    const auto onAccepted = [this, responder = caller.responder, session, ticket] {
+        const auto open = session->lock();
+        if (!open || responder->isClosed()) {
             return;
         }
-        http::Headers headers{{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}};
-        addServedBy(headers, tools_.instance, raw->state());
         tools_.metrics->add("requests_accepted_total");
-        responder->startStream(200, std::move(headers));
+        streamTo(tools_, open, responder, 0, [admission = tools_.admission, ticket] { admission->firstToken(ticket); });
     };
-    streams::StreamView view;
-    view.onToken = [this, raw, responder, startHead, ticket](std::uint64_t position, const std::string &text) {
-        tools_.admission->firstToken(ticket);
-        startHead();
-        responder->write(tokenEvent(raw->state(), position, text));
-        if (responder->bufferedBytes() > tools_.callerBufferBytes) {
-            // A caller who does not read: end the request rather than buffer or pay for it.
-            tools_.metrics->add("slow_callers_total");
-            responder->abort();
-            raw->cancel();
-        }
-    };
-    view.onFinished = [raw, responder, startHead] {
-        startHead();
-        responder->write(endEvents(raw->state()));
-        responder->finish();
-    };
-    view.onFailed = [this, caller, responder](const streams::StreamFailure &failure) {
-        if (!responder->isStreaming()) {
-            refuse(caller, toCallerError(failure));
-            return;
+    const auto opened = tools_.keeper->open(std::move(state), onAccepted);
+    *session = opened;
+    releaseAtEnd(opened, ticket);
+    caller.responder->onClosed([session] {
+        if (const auto open = session->lock()) {
+            open->cancel();
         }
-        tools_.metrics->refused(failure.reason);
-        responder->write(errorEvent(std::string(metrics::reasonName(failure.reason)), failure.message));
-        responder->finish();
-    };
-    session->attach(0, std::move(view));
+    });
+}
+
+void ChatHandler::collect(const CallerRequest &caller, streams::StreamState state, std::uint64_t ticket)
+{
+    const std::string requestId = state.requestId;
+    streams::SessionTools sessionTools{tools_.loop, tools_.engine, tools_.planner, tools_.metrics, tools_.members};
+    const auto session = streams::StreamSession::create(std::move(sessionTools), std::move(state));
+    sessions_[requestId] = session;
+    session->onEnded([this, requestId, raw = session.get(), ticket] {
+        endRequest(raw->state(), ticket);
+        tools_.loop->post([this, requestId] { sessions_.erase(requestId); });
+    });
+    caller.responder->onClosed([session] { session->cancel(); });
+    session->attach(0, wholeView(caller, *session, ticket));
+    session->start();
 }
 
-void ChatHandler::collect(const CallerRequest &caller, const std::shared_ptr<streams::StreamSession> &session, std::uint64_t ticket)
+streams::StreamView ChatHandler::wholeView(const CallerRequest &caller, const streams::StreamSession &session, std::uint64_t ticket)
 {
-    streams::StreamSession *raw = session.get();
     streams::StreamView view;
     view.onToken = [this, ticket](std::uint64_t, const std::string &) {
         tools_.admission->firstToken(ticket);
     };
-    view.onFinished = [this, raw, responder = caller.responder] {
-        http::Response response = wholeAnswer(raw->state());
-        addServedBy(response.headers, tools_.instance, raw->state());
+    view.onFinished = [this, &session, responder = caller.responder] {
+        http::Response response = wholeAnswer(session.state());
+        addServedBy(response.headers, tools_.instance, session.state());
         tools_.metrics->add("requests_accepted_total");
         responder->respond(std::move(response));
     };
     view.onFailed = [this, caller](const streams::StreamFailure &failure) {
         refuse(caller, toCallerError(failure));
     };
-    session->attach(0, std::move(view));
+    return view;
 }
 
 } // namespace cardamomlift::gateway
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr std::string_view ServicePrefix = "/services/";
+constexpr std::string_view RequestsPrefix = "/v1/requests/";
 constexpr Duration ComeBackSoon = std::chrono::seconds(1);
 
 metrics::RefusalReason serverRefusalReason(int status)
@@ -44,6 +45,7 @@
     std::shared_ptr<Gateway> gateway(new Gateway);
     gateway->tools_ = tools;
     gateway->chat_ = ChatHandler::create(tools);
+    gateway->resume_ = ResumeHandler::create(tools);
     gateway->services_ = ServiceHandler::create(tools);
     auto server = http::Server::create(*tools.loop,
         std::move(options),
@@ -67,6 +69,11 @@
     server_->stopListening();
 }
 
+void Gateway::giveUpOpen()
+{
+    chat_->giveUpOpen();
+}
+
 std::size_t Gateway::openRequests() const
 {
     return server_->openRequests() + chat_->openSessions() + services_->openCalls();
@@ -87,7 +94,7 @@
         responder->respond({ready ? 200 : 503, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "not ready\n"});
         return;
     }
-    if (phase != lifecycle::Phase::Ready) {
+    if (!tools_.lifecycle->takesWork()) {
         refuse(responder, notServing(phase));
         return;
     }
@@ -108,6 +115,8 @@
     CallerRequest caller{std::move(contract), std::move(request), std::move(responder)};
     if (caller.http.path == "/v1/chat/completions" && caller.http.method == "POST") {
         chat_->handle(std::move(caller));
+    } else if (caller.http.path.starts_with(RequestsPrefix)) {
+        resume_->handle(caller);
     } else if (caller.http.path.starts_with(ServicePrefix)) {
         services_->handle(std::move(caller));
     } else {
--- /dev/null
+++ b/src/gateway/internal/resumehandler.cpp
@@ -0,0 +1,87 @@
+#include "gateway/resumehandler.h"
+
+#include "gateway/chatstream.h"
+
+#include <charconv>
+#include <optional>
+
+namespace cardamomlift::gateway {
+
+namespace {
+
+constexpr std::string_view RequestsPrefix = "/v1/requests/";
+constexpr Duration ComeBackSoon = std::chrono::seconds(1);
+
+std::optional<std::uint64_t> readNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+/// The first token the caller wants: after "starting_after", or the Last-Event-ID header, or from the start.
+std::optional<std::uint64_t> readPosition(const http::Request &request)
+{
+    const auto query = request.query.find("starting_after");
+    std::string_view last = http::headerValue(request.headers, "Last-Event-ID");
+    if (query != request.query.end()) {
+        last = query->second;
+    }
+    if (last.empty() || last == "-1") {
+        return 0;
+    }
+    const auto number = readNumber(last);
+    return number ? std::optional(*number + 1) : std::nullopt;
+}
+
+} // namespace
+
+std::unique_ptr<ResumeHandler> ResumeHandler::create(GatewayTools tools)
+{
+    std::unique_ptr<ResumeHandler> handler(new ResumeHandler);
+    handler->tools_ = std::move(tools);
+    return handler;
+}
+
+void ResumeHandler::handle(const CallerRequest &caller)
+{
+    const auto position = readPosition(caller.http);
+    if (caller.http.method != "GET" && caller.http.method != "DELETE") {
+        refuse(tools_, caller.responder, {metrics::RefusalReason::UnknownPath, "Use GET to resume, DELETE to cancel."});
+        return;
+    }
+    if (!position) {
+        refuse(tools_, caller.responder, {metrics::RefusalReason::BadField, "\"starting_after\" must be the id of an event."});
+        return;
+    }
+    const std::string requestId = caller.http.path.substr(RequestsPrefix.size());
+    const auto &customer = caller.contract->contract.customer;
+    tools_.keeper->find(requestId, customer, [this, caller, position = *position](const streams::FindResult &result) { onFound(caller, position, result); });
+}
+
+void ResumeHandler::onFound(const CallerRequest &caller, std::uint64_t position, const streams::FindResult &result)
+{
+    if (result.end == streams::FindEnd::NotNow) {
+        CallerError error{metrics::RefusalReason::NotReady, "The request is being moved. Resume it again.", ComeBackSoon, ErrorOutcome::Unknown};
+        refuse(tools_, caller.responder, error);
+        return;
+    }
+    if (result.end == streams::FindEnd::Unknown) {
+        CallerError error{metrics::RefusalReason::UnknownRequest, "There is no such request, or it can't be resumed any more."};
+        error.outcome = ErrorOutcome::Unknown;
+        refuse(tools_, caller.responder, error);
+        return;
+    }
+    if (caller.http.method == "DELETE") {
+        result.session->giveUp({metrics::RefusalReason::UnknownRequest, "The request was cancelled.", Duration(0)});
+        caller.responder->respond({204, {}, {}});
+        return;
+    }
+    tools_.metrics->add("requests_resumed_total");
+    streamTo(tools_, result.session, caller.responder, position);
+}
+
+} // namespace cardamomlift::gateway
--- a/src/lifecycle/internal/lifecycle.cpp
+++ b/src/lifecycle/internal/lifecycle.cpp
@@ -9,6 +9,17 @@
 namespace {
 
 constexpr Duration CheckPeriod = std::chrono::milliseconds(50);
+/// The balancer sees the failing health check within this time; connections it made meanwhile are served.
+constexpr Duration TakeWorkFor = std::chrono::seconds(1);
+/// For handing over what is open after the bound.
+constexpr Duration HandoverTime = std::chrono::seconds(3);
+
+void callAll(const std::vector<std::function<void()>> &handlers)
+{
+    for (const auto &handler : handlers) {
+        handler();
+    }
+}
 
 } // namespace
 
@@ -39,18 +50,25 @@
     gate_ = std::move(mayTakeNewWork);
 }
 
+bool Lifecycle::takesWork() const
+{
+    return phase() == Phase::Ready || (phase_ == Phase::Draining && !isPastLastWork_ && wasReady_);
+}
+
 void Lifecycle::drain(Duration bound)
 {
+    const TimePoint end = loop_->now() + bound;
     if (phase_ == Phase::Draining) {
+        drainEnd_ = std::min(drainEnd_, end);
         logOpen();
         return;
     }
+    wasReady_ = phase_ == Phase::Ready;
     phase_ = Phase::Draining;
-    drainEnd_ = loop_->now() + bound;
+    lastWork_ = loop_->now() + (wasReady_ ? std::min(TakeWorkFor, bound / 2) : Duration(0));
+    drainEnd_ = end;
     partLogger("lifecycle")->info("Draining.");
-    for (const auto &handler : drainHandlers_) {
-        handler();
-    }
+    callAll(drainHandlers_);
     loop_->every(CheckPeriod, [this] { check(); });
 }
 
@@ -64,15 +82,45 @@
     probes_.push_back({std::move(name), std::move(openCount)});
 }
 
+void Lifecycle::onLastWork(std::function<void()> handler)
+{
+    lastWorkHandlers_.push_back(std::move(handler));
+}
+
+void Lifecycle::onDrainBound(std::function<void()> handler)
+{
+    boundHandlers_.push_back(std::move(handler));
+}
+
 void Lifecycle::check()
 {
-    const bool idle = std::all_of(probes_.begin(), probes_.end(), [](const Probe &probe) { return probe.openCount() == 0; });
-    if (!idle && loop_->now() < drainEnd_) {
+    const TimePoint now = loop_->now();
+    if (!isPastLastWork_ && now >= lastWork_) {
+        isPastLastWork_ = true;
+        callAll(lastWorkHandlers_);
+    }
+    if (!isPastLastWork_) {
         return;
     }
-    if (!idle) {
+    if (isIdle()) {
+        stop();
+    } else if (isPastBound_ && now >= drainEnd_ + HandoverTime) {
+        logOpen();
+        stop();
+    } else if (!isPastBound_ && now >= drainEnd_) {
+        isPastBound_ = true;
         logOpen();
+        callAll(boundHandlers_);
     }
+}
+
+bool Lifecycle::isIdle() const
+{
+    return std::all_of(probes_.begin(), probes_.end(), [](const Probe &probe) { return probe.openCount() == 0; });
+}
+
+void Lifecycle::stop()
+{
     partLogger("lifecycle")->info("Stopped.");
     loop_->stop();
 }
--- a/src/lifecycle/lifecycle.h
+++ b/src/lifecycle/lifecycle.h
@@ -26,9 +26,17 @@
     void setReady();
     /// Asked at each phase() while ready; false makes that Suspended.
     void setGate(std::function<bool()> mayTakeNewWork);
-    /// Starts draining; a repeat logs what is still open. The loop stops when every probe gives 0, or after @p bound.
+    /// Whether new work may start: when ready, and for a moment after the drain began, until callers have gone elsewhere.
+    bool takesWork() const;
+    /// Starts draining. The loop stops when every probe gives 0. What is open after @p bound is handed over, and the loop
+    /// stops a few seconds later. A repeat logs what is still open; it can shorten the bound, not lengthen it.
     void drain(Duration bound);
+    /// Called when the drain begins.
     void onDrain(std::function<void()> handler);
+    /// Called a moment later, when no new work is taken any more.
+    void onLastWork(std::function<void()> handler);
+    /// Called when the bound has passed with work still open.
+    void onDrainBound(std::function<void()> handler);
     /// @p openCount gives the number of open pieces of work of the part @p name.
     void addProbe(std::string name, std::function<std::size_t()> openCount);
 
@@ -39,12 +47,20 @@
     };
     Lifecycle() = default;
     void check();
+    void stop();
+    bool isIdle() const;
     void logOpen() const;
     EventLoop *loop_ = nullptr;
     Phase phase_ = Phase::Starting;
     std::function<bool()> gate_;
+    TimePoint lastWork_;
     TimePoint drainEnd_;
+    bool wasReady_ = false;
+    bool isPastLastWork_ = false;
+    bool isPastBound_ = false;
     std::vector<std::function<void()>> drainHandlers_;
+    std::vector<std::function<void()>> lastWorkHandlers_;
+    std::vector<std::function<void()>> boundHandlers_;
     std::vector<Probe> probes_;
 };
 
--- /dev/null
+++ b/src/reclaim/internal/reclaimwatch.cpp
@@ -0,0 +1,83 @@
+#include "reclaim/reclaimwatch.h"
+
+#include "http/json.h"
+#include "kernel/log.h"
+
+#include <algorithm>
+
+namespace cardamomlift::reclaim {
+
+namespace {
+
+constexpr Duration ReadTimeout = std::chrono::milliseconds(1000);
+constexpr Duration HandoverTime = std::chrono::milliseconds(1500);
+/// Assumed when only the list says that this VM is leaving.
+constexpr Duration UnknownTimeLeft = std::chrono::seconds(10);
+
+} // namespace
+
+Duration drainBoundOf(Duration left)
+{
+    return std::max(left - HandoverTime, left / 2);
+}
+
+std::shared_ptr<ReclaimWatch> ReclaimWatch::create(
+    EventLoop &loop, std::shared_ptr<http::Client> client, std::shared_ptr<lifecycle::Lifecycle> lifecycle, std::shared_ptr<membership::Members> members)
+{
+    std::shared_ptr<ReclaimWatch> watch(new ReclaimWatch);
+    watch->loop_ = &loop;
+    watch->client_ = std::move(client);
+    watch->lifecycle_ = std::move(lifecycle);
+    watch->members_ = std::move(members);
+    return watch;
+}
+
+void ReclaimWatch::start(const std::string &endpoint, Duration period)
+{
+    const std::weak_ptr<ReclaimWatch> weak = weak_from_this();
+    members_->onChange([weak] {
+        const auto self = weak.lock();
+        // NOTE A drain marks this VM as leaving by itself; that is no news.
+        if (self && self->lifecycle_->phase() != lifecycle::Phase::Draining && self->members_->isLeaving(self->members_->self())) {
+            self->onNotice(UnknownTimeLeft);
+        }
+    });
+    if (endpoint.empty()) {
+        return;
+    }
+    url_ = endpoint + "/notice/" + members_->self();
+    loop_->every(period, [weak] {
+        if (const auto self = weak.lock()) {
+            self->read();
+        }
+    });
+}
+
+void ReclaimWatch::read()
+{
+    if (isReading_ || isNoticed_) {
+        return;
+    }
+    isReading_ = true;
+    http::ClientRequest request;
+    request.url = url_;
+    request.timeout = ReadTimeout;
+    http::ClientHooks hooks;
+    hooks.onDone = [self = shared_from_this()](const http::ClientResult &result) {
+        self->isReading_ = false;
+        const auto json = result.status == 200 ? http::parseJson(result.body) : std::nullopt;
+        if (json && json->isObject() && (*json)["secondsLeft"].isNumeric()) {
+            self->isNoticed_ = true;
+            self->onNotice(std::chrono::milliseconds(static_cast<std::int64_t>((*json)["secondsLeft"].asDouble() * 1000)));
+        }
+    };
+    client_->start(std::move(request), std::move(hooks));
+}
+
+void ReclaimWatch::onNotice(Duration left)
+{
+    partLogger("reclaim")->warn("This VM is being reclaimed. seconds={}", std::chrono::duration_cast<std::chrono::seconds>(left).count());
+    lifecycle_->drain(drainBoundOf(left));
+}
+
+} // namespace cardamomlift::reclaim
--- a/src/retry/attemptplanner.h
+++ b/src/retry/attemptplanner.h
@@ -64,6 +64,8 @@
     AttemptPlan next(RequestRecord &record);
     /// Another server for an answer that its server can't go on with, or none. The attempt counts as started.
     std::optional<membership::Vm> move(RequestRecord &record);
+    /// The attempt that another VM started at @p server goes on here; it is among the tried.
+    void joined(RequestRecord &record, const membership::Vm &server);
     /// The connection to @p instance broke.
     void broken(const std::string &instance);
     /// The attempt at @p instance ended, but another one goes on.
--- a/src/retry/internal/attemptplanner.cpp
+++ b/src/retry/internal/attemptplanner.cpp
@@ -141,6 +141,12 @@
     return server;
 }
 
+void AttemptPlanner::joined(RequestRecord &record, const membership::Vm &server)
+{
+    record.running[server.instance] = tools_.suspects->started(server.instance, record.fingerprint, record.position);
+    tools_.router->started(server.instance, record.route.customer);
+}
+
 void AttemptPlanner::broken(const std::string &instance)
 {
     tools_.suspects->serverBroke(instance);
--- a/src/settings/internal/settingsreader.cpp
+++ b/src/settings/internal/settingsreader.cpp
@@ -17,6 +17,7 @@
 constexpr std::int64_t MostOpenRequests = 1'000'000;
 constexpr std::int64_t MostMegabytes = 65536;
 constexpr std::int64_t MostKilobytes = 1 << 20;
+constexpr std::int64_t MostDrainSeconds = 24 * 3600;
 constexpr std::array<std::string_view, 4> LogLevels{"debug", "info", "warn", "error"};
 
 bool isAddress(const std::string &text)
@@ -133,6 +134,7 @@
     limits.memoryMegabytes = read("memoryMegabytes", limits.memoryMegabytes, MostMegabytes);
     limits.bodyKilobytes = read("bodyKilobytes", limits.bodyKilobytes, MostKilobytes);
     limits.callerBufferKilobytes = read("callerBufferKilobytes", limits.callerBufferKilobytes, MostKilobytes);
+    limits.drainSeconds = read("drainSeconds", limits.drainSeconds, MostDrainSeconds);
     reader.rejectUnknown();
     return limits;
 }
--- a/src/settings/settingstypes.h
+++ b/src/settings/settingstypes.h
@@ -37,6 +37,7 @@
     std::size_t memoryMegabytes = 256; ///< Above it new work is refused.
     std::size_t bodyKilobytes = 1024; ///< Of one request.
     std::size_t callerBufferKilobytes = 256; ///< Answer bytes held for one slow caller.
+    std::size_t drainSeconds = 600; ///< At shutdown: what is open after this time is handed to other VMs.
 };
 
 /// The settings of one daemon, read once at the start.
--- /dev/null
+++ b/src/streams/internal/streamkeeper.cpp
@@ -0,0 +1,484 @@
+#include "streams/streamkeeper.h"
+
+#include "kernel/log.h"
+#include "streams/internal/keeperentry.h"
+#include "streams/streamcodec.h"
+#include "text/digest.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace cardamomlift::streams {
+
+namespace {
+
+constexpr std::size_t IdBytes = 6;
+constexpr std::size_t MostPlaces = 3; ///< VMs tried for one copy.
+constexpr Duration SweepPeriod = std::chrono::seconds(1);
+constexpr Duration ResumeWindow = std::chrono::seconds(10); ///< After its caller was lost, a request runs on for so long.
+constexpr Duration KeepEnded = std::chrono::seconds(10);
+constexpr std::size_t MostEnded = 1000;
+constexpr Duration KeepOrphan = std::chrono::minutes(5); ///< A copy whose owner is gone.
+constexpr Duration KeepCopy = std::chrono::minutes(15);
+constexpr Duration CopyAgain = std::chrono::minutes(5);
+constexpr Duration AvoidFailedHolder = std::chrono::seconds(5);
+
+} // namespace
+
+std::shared_ptr<StreamKeeper> StreamKeeper::create(KeeperTools tools)
+{
+    std::shared_ptr<StreamKeeper> keeper(new StreamKeeper);
+    keeper->self_ = tools.session.members->self();
+    keeper->sender_ = CopySender::create(*tools.session.loop, tools.transport, tools.session.metrics);
+    keeper->tools_ = std::move(tools);
+    keeper->handleTopics();
+    const std::weak_ptr<StreamKeeper> weak = keeper;
+    keeper->tools_.session.members->onChange([weak] {
+        if (const auto self = weak.lock()) {
+            self->onMembersChange();
+        }
+    });
+    keeper->tools_.session.loop->every(SweepPeriod, [weak] {
+        if (const auto self = weak.lock()) {
+            self->sweep();
+        }
+    });
+    return keeper;
+}
+
+void StreamKeeper::handleTopics()
+{
+    const std::weak_ptr<StreamKeeper> weak = weak_from_this();
+    tools_.transport->handle("streams.copy", [weak](const std::string &from, const std::string &payload, const peers::Reply &reply) {
+        const auto self = weak.lock();
+        reply(self ? Result<std::string>(self->onCopies(from, payload)) : failure(ErrorKind::Unavailable, "stopping"));
+    });
+    tools_.transport->handle("streams.take", [weak](const std::string &from, const std::string &payload, const peers::Reply &reply) {
+        const auto self = weak.lock();
+        reply(self ? Result<std::string>(self->onTake(from, payload)) : failure(ErrorKind::Unavailable, "stopping"));
+    });
+}
+
+std::string StreamKeeper::newRequestId()
+{
+    const auto ranked = holders({self_, tools_.zone, {}});
+    const std::string unique = fmt::format("{}{}", text::randomHex(IdBytes), nextNumber_++);
+    return makeRequestId(unique, {self_, tools_.zone, ranked.empty() ? std::string() : ranked.front()});
+}
+
+std::vector<std::string> StreamKeeper::holders(const RequestIdParts &id) const
+{
+    std::vector<membership::Vm> entries;
+    for (const auto &[instance, vm] : tools_.session.members->all()) {
+        if (vm.role == membership::VmRole::Entry) {
+            entries.push_back(vm);
+        }
+    }
+    auto ranked = rankHolders(id.home, id.homeZone, entries);
+    std::erase(ranked, self_);
+    // A VM that did not answer a moment ago comes last.
+    const TimePoint now = tools_.session.loop->now();
+    std::stable_partition(ranked.begin(), ranked.end(), [&](const std::string &instance) {
+        const auto failed = failedHolders_.find(instance);
+        return failed == failedHolders_.end() || failed->second < now;
+    });
+    return ranked;
+}
+
+StreamKeeper::EntryPtr StreamKeeper::add(StreamState state)
+{
+    removeEntry(state.requestId);
+    auto entry = std::make_shared<Entry>();
+    entry->requestId = state.requestId;
+    entry->customer = state.customer;
+    entry->owner = self_;
+    entry->since = tools_.session.loop->now();
+    entry->session = StreamSession::create(tools_.session, std::move(state));
+    entries_[entry->requestId] = entry;
+    // The copy must name the stream that a taker can join.
+    entry->session->onNewAttempt([this, weak = std::weak_ptr<Entry>(entry)] {
+        const EntryPtr current = weak.lock();
+        if (current && current->session) {
+            placeCopy(current, [](bool) {});
+        }
+    });
+    return entry;
+}
+
+std::shared_ptr<StreamSession> StreamKeeper::open(StreamState state, std::function<void()> onAccepted)
+{
+    const EntryPtr entry = add(std::move(state));
+    // NOTE Before the copy, which then names the first attempt.
+    entry->session->start();
+    if (entry->session->hasEnded()) {
+        tools_.session.loop->post(std::move(onAccepted));
+        return entry->session;
+    }
+    placeCopy(entry, [this, entry, onAccepted = std::move(onAccepted)](bool stored) {
+        tools_.session.metrics->observe("copy_seconds", tools_.session.loop->now() - entry->since);
+        if (!stored) {
+            tools_.session.metrics->add("copies_missing_total");
+        }
+        onAccepted();
+    });
+    return entry->session;
+}
+
+void StreamKeeper::placeCopy(const EntryPtr &entry, std::function<void(bool stored)> done)
+{
+    auto targets = holders(readRequestId(entry->requestId).value_or(RequestIdParts()));
+    std::erase(targets, entry->owner);
+    targets.resize(std::min(targets.size(), MostPlaces));
+    entry->copiedAt = tools_.session.loop->now();
+    tryPlace(entry, std::move(targets), std::move(done));
+}
+
+void StreamKeeper::tryPlace(const EntryPtr &entry, std::vector<std::string> targets, std::function<void(bool stored)> done)
+{
+    auto &members = *tools_.session.members;
+    const membership::Vm *vm = nullptr;
+    while (!targets.empty() && !vm) {
+        vm = members.find(targets.front());
+        vm = members.isLeaving(targets.front()) ? nullptr : vm;
+        if (!vm) {
+            targets.erase(targets.begin());
+        }
+    }
+    if (!vm) {
+        tools_.session.loop->post([done = std::move(done)] { done(false); });
+        return;
+    }
+    const peers::PeerAddress target = membership::peerAddress(*vm);
+    targets.erase(targets.begin());
+    sender_->copy(target, entry->state(), entry->owner, [this, entry, target, targets, done](CopyResult result) {
+        if (result == CopyResult::Stored) {
+            entry->addPlace(target.instance);
+            done(true);
+            return;
+        }
+        if (result == CopyResult::Superseded) {
+            if (entry->session) {
+                entry->session->leave();
+            }
+            done(true);
+            return;
+        }
+        if (result == CopyResult::RefusedAsLeaving) {
+            tools_.session.members->markLeaving(target.instance);
+        }
+        failedHolders_[target.instance] = tools_.session.loop->now() + AvoidFailedHolder;
+        tryPlace(entry, targets, done);
+    });
+}
+
+std::string StreamKeeper::onCopies(const std::string &from, const std::string &payload)
+{
+    wire::Copies message;
+    wire::CopiesReply reply;
+    if (!message.ParseFromString(payload)) {
+        return reply.SerializeAsString();
+    }
+    if (message.sender_is_leaving()) {
+        tools_.session.members->markLeaving(from);
+    }
+    for (const wire::Drop &drop : message.drops()) {
+        dropCopy(drop);
+    }
+    reply.set_refused_as_leaving(isLeaving_);
+    for (const wire::Copy &copy : message.copies()) {
+        storeCopy(copy, reply);
+    }
+    evictCopies();
+    return reply.SerializeAsString();
+}
+
+void StreamKeeper::storeCopy(const wire::Copy &copy, wire::CopiesReply &reply)
+{
+    const std::string &requestId = copy.state().request_id();
+    const auto found = entries_.find(requestId);
+    const Holding offered{Role::Copy, copy.owner(), copy.state().generation(), static_cast<std::uint64_t>(copy.state().tokens_size())};
+    const bool isKnown = found != entries_.end();
+    const Holding mine = isKnown ? found->second->holding() : Holding();
+    if (isSuperseded(isKnown ? &mine : nullptr, offered)) {
+        reply.add_superseded(requestId);
+        return;
+    }
+    const bool isOwner = isKnown && found->second->session;
+    if (!isNewer(isKnown ? &mine : nullptr, offered) || (isLeaving_ && !isOwner)) {
+        return;
+    }
+    if (isOwner) {
+        // Another VM took it over, though this one still drives it: the newer owner reads the engine's stream now.
+        found->second->session->leave();
+        found->second->places.clear();
+    }
+    removeEntry(requestId);
+    auto entry = std::make_shared<Entry>();
+    entry->requestId = requestId;
+    entry->customer = copy.state().customer();
+    entry->owner = copy.owner();
+    entry->since = tools_.session.loop->now();
+    entry->copy = readState(copy.state());
+    entry->bytes = copy.ByteSizeLong();
+    copyBytes_ += entry->bytes;
+    entries_[requestId] = entry;
+    const std::string told = ownerToTell(isKnown ? &mine : nullptr, offered);
+    if (const membership::Vm *vm = tools_.session.members->find(told)) {
+        sender_->copy(membership::peerAddress(*vm), entry->copy, entry->owner, [](CopyResult) {});
+    }
+}
+
+void StreamKeeper::dropCopy(const wire::Drop &drop)
+{
+    const auto found = entries_.find(drop.request_id());
+    if (found == entries_.end() || found->second->session || found->second->copy.generation > drop.generation()) {
+        return;
+    }
+    removeEntry(drop.request_id());
+}
+
+std::string StreamKeeper::onTake(const std::string &from, const std::string &payload)
+{
+    wire::Take question;
+    wire::TakeReply reply;
+    if (!question.ParseFromString(payload)) {
+        return reply.SerializeAsString();
+    }
+    const auto found = entries_.find(question.request_id());
+    const bool isKnown = found != entries_.end() && found->second->customer == question.customer();
+    const Holding mine = isKnown ? found->second->holding() : Holding();
+    const std::vector<std::string> withoutIt(question.without_it().begin(), question.without_it().end());
+    const TakeDecision decision = decideTake(isKnown ? &mine : nullptr, searches_.contains(question.request_id()), {from, withoutIt});
+    if (decision.verdict == TakeVerdict::Give) {
+        reply.set_verdict(wire::TakeReply::GIVEN);
+        writeState(give(found->second, from), *reply.mutable_state());
+    } else if (decision.verdict == TakeVerdict::AskOther) {
+        reply.set_verdict(wire::TakeReply::ASK_OTHER);
+        reply.set_other(decision.other);
+    } else if (decision.verdict == TakeVerdict::Busy) {
+        reply.set_verdict(wire::TakeReply::BUSY);
+    }
+    return reply.SerializeAsString();
+}
+
+StreamState StreamKeeper::give(const EntryPtr &entry, const std::string &asker)
+{
+    const Holding left = afterGive(entry->holding(), asker);
+    if (entry->session) {
+        const auto session = std::exchange(entry->session, nullptr);
+        entry->copy = session->state();
+        session->leave();
+    }
+    entry->copy.generation = left.generation;
+    entry->owner = left.owner;
+    entry->since = tools_.session.loop->now();
+    tools_.session.metrics->add("requests_given_total");
+    return entry->copy;
+}
+
+void StreamKeeper::readerLost(const std::string &requestId)
+{
+    const auto found = entries_.find(requestId);
+    if (found == entries_.end() || !found->second->session) {
+        return;
+    }
+    const EntryPtr entry = found->second;
+    entry->session->detach();
+    entry->detachedAt = tools_.session.loop->now();
+    if (isLeaving_) {
+        sendOn(entry);
+    }
+}
+
+// Nobody reads a detached session here any more, so the copy's holder may have it.
+void StreamKeeper::sendOn(const EntryPtr &entry)
+{
+    sendingOn_++;
+    placeCopy(entry, [this, entry](bool stored) {
+        if (stored && entry->session && entry->session->isDetached()) {
+            entry->session->leave();
+        }
+        onSentOn(stored);
+    });
+}
+
+void StreamKeeper::onSentOn(bool stored)
+{
+    sendingOn_--;
+    sentOn_ += stored ? 1 : 0;
+    if (sendingOn_ == 0) {
+        partLogger("streams")->info("Handed over. copies={}", sentOn_);
+    }
+}
+
+void StreamKeeper::handOver()
+{
+    isLeaving_ = true;
+    sender_->setLeaving();
+    tools_.session.members->markLeaving(self_);
+    std::size_t count = 0;
+    for (const auto &[id, entry] : entries_) {
+        const membership::Vm *owner = tools_.session.members->find(entry->owner);
+        const bool isOwnerThere = owner && !tools_.session.members->isLeaving(entry->owner);
+        if (entry->session || !isOwnerThere) {
+            sendOn(entry);
+            count++;
+        }
+    }
+    partLogger("streams")->info("Handing over. requests={}", count);
+}
+
+void StreamKeeper::handOverAndLeave()
+{
+    for (const auto &item : entries_) {
+        const EntryPtr entry = item.second;
+        if (!entry->session || entry->session->hasEnded()) {
+            continue;
+        }
+        sendingOn_++;
+        placeCopy(entry, [this, entry](bool stored) {
+            if (!stored) {
+                tools_.session.metrics->add("requests_cut_total");
+                partLogger("streams")->error("A request is cut: no VM takes it. request={}", entry->requestId);
+            }
+            if (entry->session) {
+                entry->session->leave();
+            }
+            onSentOn(stored);
+        });
+    }
+}
+
+std::size_t StreamKeeper::open() const
+{
+    std::size_t count = sender_->open();
+    for (const auto &[id, entry] : entries_) {
+        count += entry->session && !entry->session->hasEnded() ? 1 : 0;
+    }
+    return count;
+}
+
+std::size_t StreamKeeper::copies() const
+{
+    return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), [](const auto &item) { return !item.second->session; }));
+}
+
+void StreamKeeper::onMembersChange()
+{
+    if (isLeaving_) {
+        return;
+    }
+    auto &members = *tools_.session.members;
+    std::vector<EntryPtr> unsafe;
+    for (const auto &[id, entry] : entries_) {
+        const bool isOpen = entry->session && !entry->session->hasEnded() && !entry->places.empty();
+        const bool isHeld =
+            std::any_of(entry->places.begin(), entry->places.end(), [&](const std::string &place) { return members.find(place) && !members.isLeaving(place); });
+        if (isOpen && !isHeld) {
+            unsafe.push_back(entry);
+        }
+    }
+    for (const EntryPtr &entry : unsafe) {
+        entry->places.clear();
+        tools_.session.metrics->add("copies_moved_total");
+        placeCopy(entry, [](bool) {});
+    }
+}
+
+void StreamKeeper::sweep()
+{
+    const TimePoint now = tools_.session.loop->now();
+    std::vector<std::string> over;
+    std::vector<EntryPtr> stale;
+    for (const auto &[id, entry] : entries_) {
+        if (isOver(*entry, now)) {
+            over.push_back(id);
+        } else if (entry->session && !entry->session->hasEnded() && now - entry->copiedAt > CopyAgain) {
+            stale.push_back(entry);
+        }
+    }
+    for (const std::string &id : over) {
+        removeEntry(id);
+    }
+    boundEnded();
+    for (const EntryPtr &entry : stale) {
+        placeCopy(entry, [](bool) {});
+    }
+    std::erase_if(failedHolders_, [&](const auto &item) { return item.second < now; });
+}
+
+// Under a high rate answers that ended are kept for a shorter time.
+void StreamKeeper::boundEnded()
+{
+    std::vector<std::pair<TimePoint, std::string>> ended;
+    for (const auto &[id, entry] : entries_) {
+        if (entry->session && entry->endedAt) {
+            ended.emplace_back(*entry->endedAt, id);
+        }
+    }
+    if (ended.size() <= MostEnded) {
+        return;
+    }
+    std::sort(ended.begin(), ended.end());
+    ended.resize(ended.size() - MostEnded);
+    for (const auto &[endedAt, id] : ended) {
+        removeEntry(id);
+    }
+}
+
+bool StreamKeeper::isOver(Entry &entry, TimePoint now)
+{
+    if (entry.session && entry.session->hasEnded()) {
+        entry.endedAt = entry.endedAt.value_or(now);
+        return now - *entry.endedAt > KeepEnded;
+    }
+    if (entry.session) {
+        return entry.session->isDetached() && now - entry.detachedAt > ResumeWindow;
+    }
+    if (tools_.session.members->find(entry.owner)) {
+        entry.orphanAt.reset();
+        return now - entry.since > KeepCopy;
+    }
+    entry.orphanAt = entry.orphanAt.value_or(now);
+    return now - *entry.orphanAt > KeepOrphan;
+}
+
+void StreamKeeper::removeEntry(const std::string &requestId)
+{
+    const auto found = entries_.find(requestId);
+    if (found == entries_.end()) {
+        return;
+    }
+    const EntryPtr entry = found->second;
+    entries_.erase(found);
+    copyBytes_ -= entry->bytes;
+    if (!entry->session) {
+        return;
+    }
+    if (!entry->session->hasEnded()) {
+        tools_.session.metrics->add("callers_lost_total");
+        entry->session->cancel();
+    }
+    for (const std::string &place : entry->places) {
+        if (const membership::Vm *vm = tools_.session.members->find(place)) {
+            sender_->drop(membership::peerAddress(*vm), requestId, entry->session->state().generation);
+        }
+    }
+}
+
+void StreamKeeper::evictCopies()
+{
+    while (copyBytes_ > tools_.mostCopyBytes) {
+        const auto oldest = std::min_element(entries_.begin(), entries_.end(), [](const auto &a, const auto &b) {
+            return std::pair(a.second->session != nullptr, a.second->since) < std::pair(b.second->session != nullptr, b.second->since);
+        });
+        if (oldest == entries_.end() || oldest->second->session) {
+            return;
+        }
+        tools_.session.metrics->add("copies_evicted_total");
+        removeEntry(std::string(oldest->first));
+    }
+}
+
+} // namespace cardamomlift::streams
--- /dev/null
+++ b/src/streams/internal/streamkeepersearch.cpp
@@ -0,0 +1,155 @@
+// The part of StreamKeeper that finds a request at other VMs and takes it over.
+
+#include "streams/internal/keeperentry.h"
+#include "streams/streamcodec.h"
+
+namespace cardamomlift::streams {
+
+namespace {
+
+constexpr Duration TakeTimeout = std::chrono::milliseconds(500);
+constexpr std::size_t MostRanked = 3; ///< VMs asked beside those the id names.
+
+} // namespace
+
+void StreamKeeper::find(const std::string &requestId, const std::string &customer, FoundHandler handler)
+{
+    const auto id = readRequestId(requestId);
+    const auto found = entries_.find(requestId);
+    const bool isHere = found != entries_.end();
+    if (!id || (isHere && found->second->customer != customer)) {
+        handler({FindEnd::Unknown, nullptr});
+        return;
+    }
+    if (isHere && found->second->session) {
+        handler({FindEnd::Found, found->second->session});
+        return;
+    }
+    auto &waiting = searches_[requestId];
+    waiting.push_back(std::move(handler));
+    if (waiting.size() > 1) {
+        return;
+    }
+    std::vector<std::string> candidates{id->home, id->holder};
+    if (isHere) {
+        candidates = {found->second->owner, self_};
+    } else {
+        auto ranked = holders(*id);
+        ranked.resize(std::min(ranked.size(), MostRanked));
+        candidates.insert(candidates.end(), ranked.begin(), ranked.end());
+    }
+    ask(std::make_shared<Search>(Search{requestId, customer, TakeSearch(self_, std::move(candidates)), false}));
+}
+
+void StreamKeeper::ask(const SearchPtr &search)
+{
+    const auto instance = search->search.next();
+    if (!instance) {
+        finishSearch(search, {search->someDidNotAnswer ? FindEnd::NotNow : FindEnd::Unknown, nullptr});
+    } else if (*instance == self_) {
+        takeOwnCopy(search);
+    } else {
+        askPeer(search, *instance);
+    }
+}
+
+void StreamKeeper::askPeer(const SearchPtr &search, const std::string &instance)
+{
+    const membership::Vm *vm = tools_.session.members->find(instance);
+    if (!vm) {
+        search->search.hasNothing(instance);
+        ask(search);
+        return;
+    }
+    wire::Take question;
+    question.set_request_id(search->requestId);
+    question.set_customer(search->customer);
+    const auto &withoutIt = search->search.withoutIt();
+    question.mutable_without_it()->Add(withoutIt.begin(), withoutIt.end());
+    tools_.session.metrics->add("takes_asked_total");
+    tools_.transport->send(membership::peerAddress(*vm),
+        "streams.take",
+        question.SerializeAsString(),
+        TakeTimeout,
+        [self = shared_from_this(), search, instance](const Result<std::string> &answer) {
+            wire::TakeReply reply;
+            if (!answer || !reply.ParseFromString(answer.value())) {
+                search->someDidNotAnswer = search->someDidNotAnswer || !self->tools_.session.members->isLeaving(instance);
+                search->search.hasNothing(instance);
+                self->ask(search);
+                return;
+            }
+            self->onTakeReply(search, instance, reply);
+        });
+}
+
+void StreamKeeper::onTakeReply(const SearchPtr &search, const std::string &instance, const wire::TakeReply &reply)
+{
+    switch (reply.verdict()) {
+    case wire::TakeReply::GIVEN:
+        finishSearch(search, {FindEnd::Found, adopt(readState(reply.state()), instance)});
+        return;
+    case wire::TakeReply::ASK_OTHER:
+        search->search.isSentOn(instance, reply.other());
+        ask(search);
+        return;
+    case wire::TakeReply::BUSY:
+        finishSearch(search, {FindEnd::NotNow, nullptr});
+        return;
+    default:
+        search->search.hasNothing(instance);
+        ask(search);
+    }
+}
+
+void StreamKeeper::takeOwnCopy(const SearchPtr &search)
+{
+    const auto found = entries_.find(search->requestId);
+    if (found == entries_.end()) {
+        ask(search);
+        return;
+    }
+    if (found->second->session) {
+        finishSearch(search, {FindEnd::Found, found->second->session});
+        return;
+    }
+    StreamState state = found->second->copy;
+    state.generation = afterGive(found->second->holding(), self_).generation;
+    finishSearch(search, {FindEnd::Found, adopt(std::move(state), {})});
+}
+
+std::shared_ptr<StreamSession> StreamKeeper::adopt(StreamState state, const std::string &giver)
+{
+    tools_.session.metrics->add("requests_taken_total");
+    const EntryPtr entry = add(std::move(state));
+    if (!giver.empty()) {
+        entry->addPlace(giver);
+    }
+    entry->detachedAt = tools_.session.loop->now();
+    entry->session->detach();
+    entry->session->join();
+    placeCopy(entry, [](bool) {});
+    tellHome(entry, giver);
+    return entry->session;
+}
+
+// The VM that accepted the request may still drive it, if only our question to it was lost.
+void StreamKeeper::tellHome(const EntryPtr &entry, const std::string &giver)
+{
+    const std::string home = readRequestId(entry->requestId).value_or(RequestIdParts()).home;
+    const membership::Vm *vm = tools_.session.members->find(home);
+    if (!vm || home == giver || home == self_) {
+        return;
+    }
+    sender_->copy(membership::peerAddress(*vm), entry->state(), self_, [](CopyResult) {});
+}
+
+void StreamKeeper::finishSearch(const SearchPtr &search, const FindResult &result)
+{
+    const auto node = searches_.extract(search->requestId);
+    for (const FoundHandler &handler : node.mapped()) {
+        handler(result);
+    }
+}
+
+} // namespace cardamomlift::streams
--- a/src/streams/internal/streamsession.cpp
+++ b/src/streams/internal/streamsession.cpp
@@ -4,11 +4,15 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace cardamomlift::streams {
 
 namespace {
 
 constexpr std::size_t BytesPerToken = 4;
+constexpr int UnknownStream = 404;
 
 routing::AttemptEnd attemptEnd(engine::StreamEnd end)
 {
@@ -65,7 +69,9 @@
     record.position = state_.tokens.size();
     record.accepted = !state_.tokens.empty();
     for (const Attempt &attempt : state_.attempts) {
-        record.tried.push_back(attempt.server);
+        if (!attempt.isForgotten) {
+            record.tried.push_back(attempt.server);
+        }
     }
     return record;
 }
@@ -87,7 +93,9 @@
         return;
     }
     tools_.loop->after(plan.wait, [self = shared_from_this()] {
-        if (!self->ended_) {
+        if (self->isDetached_) {
+            self->isDormant_ = true;
+        } else if (!self->ended_) {
             self->tryNext();
         }
     });
@@ -102,6 +110,12 @@
     }
     server_ = plan.server;
     const engine::EngineRequest request = beginAttempt(*server_);
+    if (viewPosition_ > state_.tokens.size()) {
+        // The caller has seen tokens that this VM never had: they are made again. (The engine client counts the others.)
+        tools_.metrics->add("tokens_recomputed_total", viewPosition_ - state_.tokens.size());
+    }
+    positionsHeard_ = 0;
+    isJoining_ = false;
     call_ = tools_.engine->start(*server_, request, hooksOf(++run_));
 }
 
@@ -117,9 +131,36 @@
     request.priority = state_.priority;
     request.requestId = state_.attempts.back().engineRequestId;
     request.continueTokens = state_.tokens;
+    if (number > 0 && attemptHandler_) {
+        attemptHandler_();
+    }
     return request;
 }
 
+void StreamSession::join()
+{
+    if (state_.finished) {
+        end();
+        return;
+    }
+    // Its caller has seen a part of the answer.
+    record_.accepted = true;
+    if (state_.attempts.empty()) {
+        tryNext();
+        return;
+    }
+    const membership::Vm *server = tools_.members->find(state_.attempts.back().server);
+    if (!server || server->state == membership::VmState::Gone) {
+        tryNext();
+        return;
+    }
+    server_ = *server;
+    isJoining_ = true;
+    tools_.planner->joined(record_, *server_);
+    tools_.metrics->add("streams_joined_total");
+    call_ = tools_.engine->resume(*server_, state_.attempts.back().engineRequestId, state_.tokens.size(), hooksOf(++run_));
+}
+
 engine::EngineHooks StreamSession::hooksOf(std::size_t run)
 {
     engine::EngineHooks hooks;
@@ -147,14 +188,20 @@
 void StreamSession::onToken(std::size_t run, const engine::Token &token)
 {
     // A late byte of an earlier run, or a position that was seen already.
-    if (ended_ || run != run_ || token.position != state_.tokens.size()) {
+    if (ended_ || run != run_) {
+        return;
+    }
+    positionsHeard_ = std::max(positionsHeard_, token.position + 1);
+    if (token.position != state_.tokens.size()) {
         return;
     }
+    isJoining_ = false;
     state_.tokens.push_back(token.text);
     tools_.planner->progressed(record_, state_.tokens.size());
-    if (view_ && viewPosition_ == token.position) {
+    const auto view = view_;
+    if (view && viewPosition_ == token.position) {
         viewPosition_++;
-        view_->onToken(token.position, token.text);
+        view->onToken(token.position, token.text);
     }
 }
 
@@ -168,43 +215,71 @@
     if (!isLast) {
         return;
     }
-    if (result.end == engine::StreamEnd::Finished) {
+    // NOTE An end with a token missing is no end: the rest comes from another attempt.
+    if (result.end == engine::StreamEnd::Finished && positionsHeard_ <= state_.tokens.size()) {
         state_.finished = true;
         state_.finishReason = result.finishReason;
         state_.promptTokens = result.promptTokens;
         state_.cachedTokens = result.cachedTokens;
-        if (view_) {
-            view_->onFinished();
+        if (const auto view = view_) {
+            view->onFinished();
         }
         end();
         return;
     }
-    if (result.end == engine::StreamEnd::Rejected) {
+    // NOTE By the status: a client that looked for another way first reports a broken stream.
+    const bool isForgotten = isJoining_ && result.status == UnknownStream;
+    if (isForgotten) {
+        state_.attempts.back().isForgotten = true;
+        std::erase(record_.tried, result.server);
+    } else if (result.end == engine::StreamEnd::Rejected) {
         fail({metrics::RefusalReason::BadField, "The engine rejected the request.", Duration(0)});
         return;
     }
     partLogger("streams")->info("An attempt failed. request={} server={} status={} error={}", state_.requestId, result.server, result.status, result.error);
-    follow(tools_.planner->failed(record_, result.server, evidenceOf(result)));
+    const retry::Evidence evidence = isForgotten ? retry::Evidence::Refused : evidenceOf(result);
+    const retry::AttemptPlan plan = tools_.planner->failed(record_, result.server, evidence);
+    if (isDetached_) {
+        isDormant_ = true;
+        return;
+    }
+    follow(plan);
 }
 
 void StreamSession::attach(std::uint64_t position, StreamView view)
 {
-    view_ = std::move(view);
+    const auto replaced = std::exchange(view_, std::make_shared<StreamView>(std::move(view)));
+    if (replaced && replaced->onReplaced) {
+        replaced->onReplaced();
+    }
+    isDetached_ = false;
     viewPosition_ = position;
-    while (view_ && viewPosition_ < state_.tokens.size()) {
+    const auto reader = view_;
+    while (view_ == reader && viewPosition_ < state_.tokens.size()) {
         const std::uint64_t next = viewPosition_++;
-        view_->onToken(next, state_.tokens[next]);
+        reader->onToken(next, state_.tokens[next]);
     }
-    if (view_ && state_.finished) {
-        view_->onFinished();
-    } else if (view_ && failure_) {
-        view_->onFailed(*failure_);
+    if (view_ != reader) {
+        return;
+    }
+    if (state_.finished) {
+        reader->onFinished();
+    } else if (failure_) {
+        reader->onFailed(*failure_);
+    } else if (std::exchange(isDormant_, false)) {
+        tryNext();
     }
 }
 
 void StreamSession::detach()
 {
     view_.reset();
+    isDetached_ = true;
+}
+
+bool StreamSession::isDetached() const
+{
+    return isDetached_;
 }
 
 void StreamSession::cancel()
@@ -218,6 +293,34 @@
     end();
 }
 
+void StreamSession::leave()
+{
+    const auto reader = std::exchange(view_, nullptr);
+    if (!ended_) {
+        tools_.engine->leave(call_);
+        end();
+    }
+    if (reader && reader->onReplaced) {
+        reader->onReplaced();
+    }
+}
+
+void StreamSession::giveUp(const StreamFailure &failure)
+{
+    if (ended_) {
+        return;
+    }
+    if (server_) {
+        tools_.engine->cancel(*server_, state_.attempts.back().engineRequestId, call_);
+    }
+    fail(failure);
+}
+
+bool StreamSession::hasEnded() const
+{
+    return ended_;
+}
+
 const StreamState &StreamSession::state() const
 {
     return state_;
@@ -225,14 +328,23 @@
 
 void StreamSession::onEnded(std::function<void()> handler)
 {
+    if (ended_) {
+        handler();
+        return;
+    }
     endedHandler_ = std::move(handler);
 }
 
+void StreamSession::onNewAttempt(std::function<void()> handler)
+{
+    attemptHandler_ = std::move(handler);
+}
+
 void StreamSession::fail(const StreamFailure &failure)
 {
     failure_ = failure;
-    if (view_) {
-        view_->onFailed(failure);
+    if (const auto view = view_) {
+        view->onFailed(failure);
     }
     end();
 }
--- /dev/null
+++ b/src/streams/streamcodec.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "streams/generated/streams.pb.h"
+#include "streams/streamtypes.h"
+
+namespace cardamomlift::streams {
+
+void writeState(const StreamState &state, wire::StreamState &message);
+StreamState readState(const wire::StreamState &message);
+
+} // namespace cardamomlift::streams
--- a/src/streams/streamtypes.h
+++ b/src/streams/streamtypes.h
@@ -15,6 +15,7 @@
 struct Attempt {
     std::string server; ///< Instance.
     std::string engineRequestId; ///< "<request id>-<number>": identity of the attempt, never the address.
+    bool isForgotten = false; ///< The server no longer has the stream, which says nothing against the server.
 };
 
 /// All that is known of one model request; enough to go on with it on any VM.
@@ -34,6 +35,7 @@
     std::string finishReason;
     std::int64_t promptTokens = 0;
     std::int64_t cachedTokens = 0;
+    std::uint64_t generation = 1; ///< Counts changes of the VM that drives it.
 };
 
 /// Why a request ended without a whole answer.
@@ -48,6 +50,8 @@
     std::function<void(std::uint64_t position, const std::string &text)> onToken;
     std::function<void()> onFinished;
     std::function<void(const StreamFailure &failure)> onFailed;
+    /// Another reader takes over, here or at another VM; nothing more comes.
+    std::function<void()> onReplaced;
 };
 
 } // namespace cardamomlift::streams
