--- a/src/streams/tests/streamkeeper_test.cpp
+++ b/src/streams/tests/streamkeeper_test.cpp
@@ -114,12 +114,24 @@
         node.members = membership::Members::create(instance);
         node.members->applyList(list_);
         KeeperTools tools;
-        tools.session = {loop_.get(), engine::EngineClient::create(client_), routing::Router::create(node.members), node.metrics, node.members};
+        tools.session = {loop_.get(), engine::EngineClient::create(client_), makePlanner(node), node.metrics, node.members};
         tools.transport = node.transport;
         tools.zone = zone;
         node.keeper = StreamKeeper::create(std::move(tools));
     }
 
+    std::shared_ptr<retry::AttemptPlanner> makePlanner(Node &node)
+    {
+        const auto gossip = membership::Gossip::create(*loop_, node.transport);
+        retry::PlannerTools tools;
+        tools.clock = &clock_;
+        tools.router = routing::Router::create(clock_, node.members);
+        tools.suspects = suspects::SuspectTracker::create({loop_.get(), node.members, gossip, node.metrics});
+        tools.members = node.members;
+        tools.metrics = node.metrics;
+        return retry::AttemptPlanner::create(std::move(tools));
+    }
+
     void onEngine(const http::Request &request, const std::shared_ptr<http::Responder> &responder)
     {
         if (request.method == "DELETE") {
@@ -262,7 +274,7 @@
     readers_[0]->write("data: [DONE]\n\n");
     readers_[0]->finish();
     turnUntil([&] { return session->hasEnded(); });
-    EXPECT_EQ(heard_, "0a failed: No server runs this model now.");
+    EXPECT_EQ(heard_, "0a failed: No server that has not failed is left for this now.");
 }
 
 TEST_F(StreamKeeperTest, ATakerJoinsTheEnginesStreamAndTheGiverStops)
