Charge a request that moves to another VM at its worst case

Cause: a spending bound was passed when requests moved: the VM they left settled the few tokens so far and gave the rest of the reservation back, while the VM that went on had no reservation at all. Ruled out: a reservation at the taking VM (it may be refused, and an accepted answer must go on) and handing money over in the message (lost with it). The VM left keeps the worst case as spent; that is safe, and costs what the answer did not use. Also: instance and zone names are checked, since request ids are made of them. Conclusion: the bound holds over moves; a customer may pay up to the worst case of each moved answer.

--- a/src/admission/admissiontypes.h
+++ b/src/admission/admissiontypes.h
@@ -28,6 +28,7 @@
     std::int64_t promptTokens = 0;
     std::int64_t outputTokens = 0;
     bool ran = false; ///< False: nothing is charged.
+    bool goesOnElsewhere = false; ///< Another VM drives the request now: charged at its worst case.
 };
 
 struct AdmissionDecision {
--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -26,6 +26,15 @@
     return spending::tokenCost(prices, prompt + usage.outputTokens);
 }
 
+/// Of tokensPerMinute.
+std::int64_t usedTokens(const AdmissionQuestion &question, const Usage &usage)
+{
+    if (usage.goesOnElsewhere) {
+        return question.estimatedTokens;
+    }
+    return usage.ran ? usage.promptTokens + usage.outputTokens : 0;
+}
+
 spending::Micros worstCost(const AdmissionQuestion &question)
 {
     return costOf(question, {question.mostPromptTokens, question.mostOutputTokens, true});
@@ -277,11 +286,11 @@
         notePace(target.room, (now - request->firstTokenAt) / (usage.outputTokens - 1), request->admittedAt, now);
     }
     if (tools_.limits) {
-        const std::int64_t used = usage.ran ? usage.promptTokens + usage.outputTokens : 0;
-        tools_.limits->release(question.contract->contract.customer, question.estimatedTokens - used);
+        tools_.limits->release(question.contract->contract.customer, question.estimatedTokens - usedTokens(question, usage));
     }
     if (tools_.spending) {
-        tools_.spending->settle(request->reservation, costOf(question, usage));
+        // NOTE The VM that goes on with a request has no reservation: what it may still use is spent here.
+        tools_.spending->settle(request->reservation, usage.goesOnElsewhere ? request->reservation.micros : costOf(question, usage));
     }
     serve(target);
 }
--- a/src/gateway/chathandler.h
+++ b/src/gateway/chathandler.h
@@ -32,7 +32,7 @@
     void stream(const CallerRequest &caller, streams::StreamState state, std::uint64_t ticket);
     void collect(const CallerRequest &caller, streams::StreamState state, std::uint64_t ticket);
     void releaseAtEnd(const std::shared_ptr<streams::StreamSession> &session, std::uint64_t ticket);
-    void endRequest(const streams::StreamState &state, std::uint64_t ticket);
+    void endRequest(const streams::StreamSession &session, std::uint64_t ticket);
     streams::StreamView wholeView(const CallerRequest &caller, const streams::StreamSession &session, std::uint64_t ticket);
     GatewayTools tools_;
     std::unordered_map<std::string, std::shared_ptr<streams::StreamSession>> sessions_; ///< Not streamed.
--- a/src/gateway/internal/chathandler.cpp
+++ b/src/gateway/internal/chathandler.cpp
@@ -13,9 +13,10 @@
 
 namespace {
 
-admission::Usage usageOf(const streams::StreamState &state)
+admission::Usage usageOf(const streams::StreamSession &session)
 {
-    return {state.promptTokens, static_cast<std::int64_t>(state.tokens.size()), !state.tokens.empty()};
+    const streams::StreamState &state = session.state();
+    return {state.promptTokens, static_cast<std::int64_t>(state.tokens.size()), !state.tokens.empty(), session.goesOnElsewhere()};
 }
 
 } // namespace
@@ -32,9 +33,10 @@
     return sessions_.size();
 }
 
-void ChatHandler::endRequest(const streams::StreamState &state, std::uint64_t ticket)
+void ChatHandler::endRequest(const streams::StreamSession &session, std::uint64_t ticket)
 {
-    tools_.admission->release(ticket, usageOf(state));
+    tools_.admission->release(ticket, usageOf(session));
+    const streams::StreamState &state = session.state();
     const bool isUrgent = state.priority == static_cast<int>(contract::Priority::Urgent);
     tools_.demand->add(state.model, static_cast<std::int64_t>(state.tokens.size()), isUrgent);
 }
@@ -114,7 +116,7 @@
 void ChatHandler::releaseAtEnd(const std::shared_ptr<streams::StreamSession> &session, std::uint64_t ticket)
 {
     // NOTE The handler is owned by the session, so it must not own it.
-    session->onEnded([this, raw = session.get(), ticket] { endRequest(raw->state(), ticket); });
+    session->onEnded([this, raw = session.get(), ticket] { endRequest(*raw, ticket); });
 }
 
 void ChatHandler::stream(const CallerRequest &caller, streams::StreamState state, std::uint64_t ticket)
@@ -146,7 +148,7 @@
     const auto session = streams::StreamSession::create(std::move(sessionTools), std::move(state));
     sessions_[requestId] = session;
     session->onEnded([this, requestId, raw = session.get(), ticket] {
-        endRequest(raw->state(), ticket);
+        endRequest(*raw, ticket);
         tools_.loop->post([this, requestId] { sessions_.erase(requestId); });
     });
     caller.responder->onClosed([session] { session->cancel(); });
--- a/src/settings/internal/settingsreader.cpp
+++ b/src/settings/internal/settingsreader.cpp
@@ -51,6 +51,17 @@
     return endpoint;
 }
 
+/// A name that goes into request ids, whose parts are parted by other characters.
+std::string readName(ObjectReader &reader, const Json::Value &owner, const char *name)
+{
+    constexpr char Allowed[] = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+    const std::string text = reader.text(name, true);
+    if (text.find_first_not_of(Allowed) != std::string::npos) {
+        reader.report(owner[name], std::string("\"") + name + "\" is not a name.", "Use letters, digits, hyphens, underscores and dots.");
+    }
+    return text;
+}
+
 std::string readHash(ObjectReader &reader, const Json::Value &owner, const char *name)
 {
     const std::string hash = reader.text(name, true);
@@ -149,8 +160,8 @@
         return settings;
     }
     ObjectReader reader(*text, text->root(), "the settings", findings);
-    settings.instance = reader.text("instance", true);
-    settings.zone = reader.text("zone", true);
+    settings.instance = readName(reader, text->root(), "instance");
+    settings.zone = readName(reader, text->root(), "zone");
     settings.region = reader.text("region", false, settings.region);
     settings.callers = readListen(*text, reader.member("callers"), "\"callers\"", findings);
     settings.operators = readListen(*text, reader.member("operators"), "\"operators\"", findings);
--- a/src/streams/internal/streamsession.cpp
+++ b/src/streams/internal/streamsession.cpp
@@ -293,11 +293,17 @@
     end();
 }
 
+bool StreamSession::goesOnElsewhere() const
+{
+    return goesOnElsewhere_;
+}
+
 void StreamSession::leave()
 {
     const auto reader = std::exchange(view_, nullptr);
     if (!ended_) {
         tools_.engine->leave(call_);
+        goesOnElsewhere_ = true;
         end();
     }
     if (reader && reader->onReplaced) {
--- a/src/streams/streamsession.h
+++ b/src/streams/streamsession.h
@@ -45,6 +45,8 @@
     /// Ends the request; its reader hears @p failure.
     void giveUp(const StreamFailure &failure);
     bool hasEnded() const;
+    /// Ended by leave() before its answer was whole.
+    bool goesOnElsewhere() const;
     const StreamState &state() const;
     /// Called once when the session has ended, in whatever way; at once if it has.
     void onEnded(std::function<void()> handler);
@@ -76,6 +78,7 @@
     std::uint64_t positionsHeard_ = 0; ///< After the last token of this attempt, also one that came too early.
     std::optional<StreamFailure> failure_;
     bool ended_ = false;
+    bool goesOnElsewhere_ = false;
     bool isDetached_ = false;
     bool isDormant_ = false; ///< Detached, and its attempt failed: waits for a reader before it tries again.
     bool isJoining_ = false; ///< The current attempt was started by another VM.
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -1,5 +1,6 @@
 #include "http/json.h"
 #include "support/fleet.h"
+#include "support/streaming.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -171,6 +172,26 @@
     EXPECT_GE(made, TokensOfBound - 200) << "a lost answer loses no money";
 }
 
+TEST(SpendingBound, HoldsWhenRequestsMoveToAnotherVm)
+{
+    constexpr int Moved = 6;
+    constexpr int LongOutput = 100;
+    Fleet fleet(2);
+    fleet.addEngine("engine-1", "zone-1", {"--token-ms", "20"});
+    fleet.waitReady();
+    applyContract(fleet, limitsLine(1000, 1000), LowBound);
+    std::vector<test::StreamedAnswer> answers = test::startStreams(fleet, "entry-1", Moved, LongOutput);
+    test::waitTokens(fleet, answers, 3);
+    for (const test::StreamedAnswer &answer : answers) {
+        fleet.caller.hangUp(answer.call);
+    }
+    test::resumeAll(fleet, answers, {"entry-2"});
+    EXPECT_EQ(test::faultsOf(answers), "");
+    spendToTheBound(fleet, "entry-1");
+    spendToTheBound(fleet, "entry-2");
+    EXPECT_LE(tokensMade(fleet, {"engine-1"}), TokensOfBound);
+}
+
 TEST(SpendingBound, PlainCallsCountToo)
 {
     constexpr int CallsOfBound = 50;
--- a/tests/product_test.cpp
+++ b/tests/product_test.cpp
@@ -231,7 +231,7 @@
 {
     const std::string file = test::writeScratchFile("wrong.json", R"({
     // a comment
-    "instance": "entry-1",
+    "instance": "entry~1",
     "zone": 4,
     "operatorTokenSha256": "abc",
     "peerToken": "x",
@@ -240,7 +240,14 @@
 })");
     std::string output;
     EXPECT_EQ(test::Process::run("cardamomliftd", {"--check-config", "--config", file}, output), 3);
-    for (const char *part : {":4:", "\"zone\" must be a text", "SHA-256", "70000", "unknown member \"addres\"", "not an endpoint", "vmListEndpoint"}) {
+    for (const char *part : {":3:17: error: \"instance\" is not a name",
+             ":4:",
+             "\"zone\" must be a text",
+             "SHA-256",
+             "70000",
+             "unknown member \"addres\"",
+             "not an endpoint",
+             "vmListEndpoint"}) {
         EXPECT_NE(output.find(part), std::string::npos) << part << " in\n" << output;
     }
 }
