Read an account's stored item in one place

readItem() and resolve() of the spending keeper stood twice for 14 lines: read, give up when the keeper is gone, back off when the table is down. readStored() does that for both, and what a read means for a write in doubt is judgeStep(). The order of reads, writes and state changes is as before; the walk and the keeper's tests are unchanged.

--- a/src/spending/internal/spendingrules.cpp
+++ b/src/spending/internal/spendingrules.cpp
@@ -12,7 +12,7 @@
 constexpr std::int64_t TokensPerPrice = 1000000;
 constexpr std::int64_t CallsPerPrice = 1000;
 constexpr std::int64_t ChunkSeconds = 1800;
-constexpr std::int64_t LargestChunkShare = 16; ///< Of what is left, with few holders: one taker leaves 15/16 to the others.
+constexpr std::int64_t LargestChunkShare = 16; ///< Of what is left, with few holders: one holder leaves 15/16 to the others.
 constexpr std::int64_t SmallestChunkShare = 2048; ///< Of the bound: keeps writes few while little is known.
 constexpr std::size_t MostHolders = 512;
 
--- a/src/spending/internal/spendingsteps.cpp
+++ b/src/spending/internal/spendingsteps.cpp
@@ -18,11 +18,11 @@
 
 } // namespace
 
-void SpendingKeeper::readItem(const AccountPtr &account)
+void SpendingKeeper::readStored(const AccountPtr &account, std::function<void(const AllotmentItem &stored)> handler)
 {
     account->isReading = true;
     const std::weak_ptr<SpendingKeeper> weak = weak_from_this();
-    tools_.table->get(keyOf(account->key), [weak, account](Result<std::optional<table::Item>> item) {
+    tools_.table->get(keyOf(account->key), [weak, account, handler = std::move(handler)](Result<std::optional<table::Item>> item) {
         const auto self = weak.lock();
         if (!self) {
             return;
@@ -33,10 +33,18 @@
             self->onTableDown(account);
             return;
         }
-        account->item = *stored;
+        handler(*stored);
+    });
+}
+
+void SpendingKeeper::readItem(const AccountPtr &account)
+{
+    // NOTE readStored() calls its handler only while the keeper lives.
+    readStored(account, [this, account](const AllotmentItem &stored) {
+        account->item = stored;
         account->isKnown = true;
         account->isFresh = true;
-        self->next(account);
+        next(account);
     });
 }
 
@@ -103,39 +111,30 @@
     onTableDown(account);
 }
 
+void SpendingKeeper::resolve(const AccountPtr &account)
+{
+    readStored(account, [this, account](const AllotmentItem &stored) { judgeStep(account, stored); });
+}
+
 // Finds out whether a write whose answer was lost took effect. Only an item that is newer than the one the write was
 // based on proves that it did not and never will.
-void SpendingKeeper::resolve(const AccountPtr &account)
+void SpendingKeeper::judgeStep(const AccountPtr &account, const AllotmentItem &stored)
 {
-    account->isReading = true;
-    const std::weak_ptr<SpendingKeeper> weak = weak_from_this();
-    tools_.table->get(keyOf(account->key), [weak, account](Result<std::optional<table::Item>> item) {
-        const auto self = weak.lock();
-        if (!self) {
-            return;
-        }
-        account->isReading = false;
-        const auto stored = item && item.value() ? fromTableItem(*item.value()) : AllotmentItem();
-        if (!item || !stored) {
-            self->onTableDown(account);
-            return;
-        }
-        Step &step = *account->step;
-        if (stored->version == step.after.version - 1) {
-            self->tools_.loop->after(RewriteAfter, [weak, account] {
-                if (const auto keeper = weak.lock()) {
-                    keeper->writeStep(account);
-                }
-            });
-            return;
-        }
-        account->item = *stored;
-        const std::string &nonce = step.after.holders[self->tools_.instance].nonce;
-        const auto own = stored->holders.find(self->tools_.instance);
-        // A VM that finds itself forgotten assumes the worse: not taken, but given back.
-        const bool tookEffect = own == stored->holders.end() ? step.amount < 0 : own->second.nonce == nonce;
-        self->endStep(account, tookEffect);
-    });
+    Step &step = *account->step;
+    if (stored.version == step.after.version - 1) {
+        tools_.loop->after(RewriteAfter, [weak = weak_from_this(), account] {
+            if (const auto keeper = weak.lock()) {
+                keeper->writeStep(account);
+            }
+        });
+        return;
+    }
+    account->item = stored;
+    const std::string &nonce = step.after.holders[tools_.instance].nonce;
+    const auto own = stored.holders.find(tools_.instance);
+    // A VM that finds itself forgotten assumes the worse: not taken, but given back.
+    const bool tookEffect = own == stored.holders.end() ? step.amount < 0 : own->second.nonce == nonce;
+    endStep(account, tookEffect);
 }
 
 void SpendingKeeper::endStep(const AccountPtr &account, bool tookEffect)
--- a/src/spending/spendingkeeper.h
+++ b/src/spending/spendingkeeper.h
@@ -14,6 +14,7 @@
 
 namespace cardamomlift::spending {
 
+/// The answer to a reservation.
 struct ReserveResult {
     ReserveOutcome outcome = ReserveOutcome::TableDown;
     Reservation reservation;
@@ -69,6 +70,7 @@
     void next(const AccountPtr &account);
     void serveWaiting(const AccountPtr &account);
     void failWaiting(const AccountPtr &account, ReserveOutcome outcome, Duration retryAfter);
+    void readStored(const AccountPtr &account, std::function<void(const AllotmentItem &stored)> handler);
     void readItem(const AccountPtr &account);
     bool returnsNow(const AccountPtr &account) const;
     void take(const AccountPtr &account);
@@ -77,6 +79,7 @@
     void writeStep(const AccountPtr &account);
     void onWritten(const AccountPtr &account, table::WriteOutcome outcome);
     void resolve(const AccountPtr &account);
+    void judgeStep(const AccountPtr &account, const AllotmentItem &stored);
     void endStep(const AccountPtr &account, bool tookEffect);
     void onTableDown(const AccountPtr &account);
     bool askHolders(const AccountPtr &account);
--- a/src/spending/spendingtypes.h
+++ b/src/spending/spendingtypes.h
@@ -49,6 +49,7 @@
     Micros micros = 0;
 };
 
+/// What became of a reservation.
 enum class ReserveOutcome {
     Reserved,
     BoundReached, ///< The day's bound leaves no room for the worst case of this request.
