Name owners of requests by the usual terms

giver and taker are now previous and new owner; ownerToTell, tellHome and isSentOn are ownerToNotify, notifyHome and isRedirected; the walks say replied and expectInvariants. Comments and notes follow.

--- a/src/claims/tests/claimwalk_test.cpp
+++ b/src/claims/tests/claimwalk_test.cpp
@@ -124,7 +124,7 @@
     table::TableCounters counters_;
 };
 
-/// One entry VM with one attempt, and what its caller was told.
+/// One entry VM with one attempt, and what was replied to its caller.
 struct Node {
     std::unique_ptr<EventLoop> loop;
     std::shared_ptr<StepTable> table;
@@ -136,9 +136,9 @@
     bool paused = false;
     bool permitted = false; ///< May dispatch and has not yet.
     bool ran = false;
-    bool told = false;
-    Outcome toldOutcome = Outcome::Unknown;
-    std::string toldBody;
+    bool replied = false;
+    Outcome repliedOutcome = Outcome::Unknown;
+    std::string repliedBody;
     BeginResult result;
 
     bool isActive() const
@@ -147,7 +147,7 @@
     }
     bool isOver() const
     {
-        return !begun || crashed || (told && keeper->unsettled() == 0);
+        return !begun || crashed || (replied && keeper->unsettled() == 0);
     }
 };
 
@@ -232,9 +232,9 @@
 
     static void tell(Node &node, Outcome outcome, const std::string &body)
     {
-        node.told = true;
-        node.toldOutcome = outcome;
-        node.toldBody = body;
+        node.replied = true;
+        node.repliedOutcome = outcome;
+        node.repliedBody = body;
     }
 
     void dispatch(Node &node, http::Transport transport, bool reached)
@@ -447,27 +447,27 @@
     int falseNotRun = 0;
     int otherAnswer = 0;
     int sentLate = 0;
-    int neverTold = 0;
+    int neverReplied = 0;
     int stuck = 0; ///< Nobody crashed and no connection broke, and yet the repeat afterwards was not answered.
-    int unknownNotRun = 0; ///< The repeat was told "unknown" though nothing had run.
+    int unknownNotRun = 0; ///< The repeat got "unknown" though nothing had run.
     std::string example;
 };
 
 void check(const World &world, const Choices &choices, Findings &findings)
 {
-    int before = findings.ranTwice + findings.falseNotRun + findings.otherAnswer + findings.sentLate + findings.neverTold + findings.stuck;
+    int before = findings.ranTwice + findings.falseNotRun + findings.otherAnswer + findings.sentLate + findings.neverReplied + findings.stuck;
     findings.paths++;
     findings.ranTwice += world.runs > 1 ? 1 : 0;
     findings.sentLate += world.sentLate ? 1 : 0;
     for (const Node &node : world.nodes) {
-        findings.neverTold += !node.crashed && !node.told ? 1 : 0;
-        findings.falseNotRun += node.told && node.toldOutcome == Outcome::NotRun && node.ran ? 1 : 0;
-        findings.otherAnswer += node.told && node.toldOutcome == Outcome::Answered && node.toldBody != "answer 1" ? 1 : 0;
+        findings.neverReplied += !node.crashed && !node.replied ? 1 : 0;
+        findings.falseNotRun += node.replied && node.repliedOutcome == Outcome::NotRun && node.ran ? 1 : 0;
+        findings.otherAnswer += node.replied && node.repliedOutcome == Outcome::Answered && node.repliedBody != "answer 1" ? 1 : 0;
     }
-    const bool answered = world.nodes[2].told && world.nodes[2].toldOutcome == Outcome::Answered;
+    const bool answered = world.nodes[2].replied && world.nodes[2].repliedOutcome == Outcome::Answered;
     findings.stuck += !answered && !world.mayStayUnknown ? 1 : 0;
     findings.unknownNotRun += !answered && world.runs == 0 ? 1 : 0;
-    before -= findings.ranTwice + findings.falseNotRun + findings.otherAnswer + findings.sentLate + findings.neverTold + findings.stuck;
+    before -= findings.ranTwice + findings.falseNotRun + findings.otherAnswer + findings.sentLate + findings.neverReplied + findings.stuck;
     if (before != 0 && findings.example.empty()) {
         findings.example = choices.text();
     }
@@ -490,6 +490,6 @@
     EXPECT_EQ(findings.falseNotRun, 0) << findings.example;
     EXPECT_EQ(findings.otherAnswer, 0) << findings.example;
     EXPECT_EQ(findings.sentLate, 0) << findings.example;
-    EXPECT_EQ(findings.neverTold, 0) << findings.example;
+    EXPECT_EQ(findings.neverReplied, 0) << findings.example;
     EXPECT_EQ(findings.stuck, 0) << findings.example;
 }
--- a/src/streams/internal/streamdecision.cpp
+++ b/src/streams/internal/streamdecision.cpp
@@ -121,9 +121,9 @@
     return precedence(offered) == precedence(*mine) && mine->role == Role::Copy && offered.tokens >= mine->tokens;
 }
 
-std::string ownerToTell(const Holding *replaced, const Holding &stored)
+std::string ownerToNotify(const Holding *replaced, const Holding &stored)
 {
-    // The first owner, the home, is told by the taker itself.
+    // The first owner, the home, is notified by the new owner itself.
     const bool wasMoved = replaced && replaced->role == Role::Copy && replaced->generation > 1;
     return wasMoved && replaced->owner != stored.owner ? replaced->owner : std::string();
 }
@@ -162,11 +162,11 @@
     }
 }
 
-void TakeSearch::isSentOn(const std::string &instance, const std::string &owner)
+void TakeSearch::isRedirected(const std::string &instance, const std::string &owner)
 {
-    sentOn_.insert(instance);
-    if (sentOn_.contains(owner)) {
-        // The VMs point at each other, since a word between them was lost; what this one named is not the owner.
+    redirected_.insert(instance);
+    if (redirected_.contains(owner)) {
+        // The VMs point at each other, since a message between them was lost; what this one named is not the owner.
         hasNothing(owner);
     }
     // The owner first; if it turns out to have nothing, the VM that sent us on again: it then gives its copy.
--- a/src/streams/internal/streamkeeper.cpp
+++ b/src/streams/internal/streamkeeper.cpp
@@ -91,7 +91,7 @@
     entry->since = tools_.session.loop->now();
     entry->session = StreamSession::create(tools_.session, std::move(state));
     entries_[entry->requestId] = entry;
-    // The copy must name the stream that a taker can join.
+    // The copy must name the stream that a new owner can join.
     entry->session->onNewAttempt([this, weak = std::weak_ptr<Entry>(entry)] {
         const EntryPtr current = weak.lock();
         if (current && current->session) {
@@ -218,8 +218,8 @@
     entry->bytes = copy.ByteSizeLong();
     copyBytes_ += entry->bytes;
     entries_[requestId] = entry;
-    const std::string told = ownerToTell(isKnown ? &mine : nullptr, offered);
-    if (const membership::Vm *vm = tools_.session.members->find(told)) {
+    const std::string notified = ownerToNotify(isKnown ? &mine : nullptr, offered);
+    if (const membership::Vm *vm = tools_.session.members->find(notified)) {
         sender_->copy(membership::peerAddress(*vm), entry->copy, entry->owner, [](CopyResult) {});
     }
 }
--- a/src/streams/internal/streamkeepersearch.cpp
+++ b/src/streams/internal/streamkeepersearch.cpp
@@ -90,7 +90,7 @@
         finishSearch(search, {FindEnd::Found, adopt(readState(reply.state()), instance)});
         return;
     case wire::TakeReply::ASK_OTHER:
-        search->search.isSentOn(instance, reply.other());
+        search->search.isRedirected(instance, reply.other());
         ask(search);
         return;
     case wire::TakeReply::BUSY:
@@ -118,27 +118,27 @@
     finishSearch(search, {FindEnd::Found, adopt(std::move(state), {})});
 }
 
-std::shared_ptr<StreamSession> StreamKeeper::adopt(StreamState state, const std::string &giver)
+std::shared_ptr<StreamSession> StreamKeeper::adopt(StreamState state, const std::string &previousOwner)
 {
     tools_.session.metrics->add("requests_taken_total");
     const EntryPtr entry = add(std::move(state));
-    if (!giver.empty()) {
-        entry->addPlace(giver);
+    if (!previousOwner.empty()) {
+        entry->addPlace(previousOwner);
     }
     entry->detachedAt = tools_.session.loop->now();
     entry->session->detach();
     entry->session->join();
     placeCopy(entry, [](bool) {});
-    tellHome(entry, giver);
+    notifyHome(entry, previousOwner);
     return entry->session;
 }
 
 // The VM that accepted the request may still drive it, if only our question to it was lost.
-void StreamKeeper::tellHome(const EntryPtr &entry, const std::string &giver)
+void StreamKeeper::notifyHome(const EntryPtr &entry, const std::string &previousOwner)
 {
     const std::string home = readRequestId(entry->requestId).value_or(RequestIdParts()).home;
     const membership::Vm *vm = tools_.session.members->find(home);
-    if (!vm || home == giver || home == self_) {
+    if (!vm || home == previousOwner || home == self_) {
         return;
     }
     sender_->copy(membership::peerAddress(*vm), entry->state(), self_, [](CopyResult) {});
--- a/src/streams/streamdecision.h
+++ b/src/streams/streamdecision.h
@@ -34,6 +34,7 @@
     Copy, ///< Has a state that may be older; the owner is, or was, another VM.
 };
 
+/// The role, owner and progress by which VMs compare what they have of a request.
 struct Holding {
     Role role = Role::Copy;
     std::string owner; ///< Who owns it as far as this VM knows.
@@ -47,6 +48,7 @@
     std::span<const std::string> withoutIt; ///< VMs that did not answer the asker or do not have the request.
 };
 
+/// The answer of a VM that was asked for a request.
 enum class TakeVerdict {
     Unknown,
     Give,
@@ -54,6 +56,7 @@
     Busy, ///< The asked VM is taking the request itself right now.
 };
 
+/// A verdict, with the VM it points to.
 struct TakeDecision {
     TakeVerdict verdict = TakeVerdict::Unknown;
     std::string other; ///< With AskOther.
@@ -61,12 +64,12 @@
 
 /// Answers a TakeQuestion. @p mine is null if this VM has nothing of the request.
 TakeDecision decideTake(const Holding *mine, bool isTaking, const TakeQuestion &question);
-/// What the giver has left after it gave to @p asker. Giving twice to the same asker changes nothing more.
+/// What the previous owner has left after it handed over to @p asker. Handing over twice to the same asker changes nothing more.
 Holding afterGive(const Holding &mine, const std::string &asker);
 /// Whether a copy that came in replaces what this VM has.
 bool isNewer(const Holding *mine, const Holding &offered);
-/// The VM to send a stored copy on to, or empty: an earlier taker that may still drive the request.
-std::string ownerToTell(const Holding *replaced, const Holding &stored);
+/// The VM to send a stored copy on to, or empty: an earlier owner that may still drive the request.
+std::string ownerToNotify(const Holding *replaced, const Holding &stored);
 /// Whether the sender of a copy must stop driving the request, since this VM knows of another owner that comes first.
 bool isSuperseded(const Holding *mine, const Holding &offered);
 
@@ -82,7 +85,7 @@
     /// @p instance did not answer, or has nothing of the request.
     void hasNothing(const std::string &instance);
     /// @p instance says that @p owner owns it.
-    void isSentOn(const std::string &instance, const std::string &owner);
+    void isRedirected(const std::string &instance, const std::string &owner);
     const std::vector<std::string> &withoutIt() const;
 
 private:
@@ -90,7 +93,7 @@
     std::string self_;
     std::vector<std::string> queue_; ///< First is next.
     std::vector<std::string> withoutIt_;
-    std::set<std::string> sentOn_; ///< VMs that named another owner.
+    std::set<std::string> redirected_; ///< VMs that named another owner.
     std::size_t questions_ = 0;
 };
 
--- a/src/streams/streamkeeper.h
+++ b/src/streams/streamkeeper.h
@@ -32,6 +32,7 @@
     NotNow, ///< Another VM takes it over right now; a repeat helps.
 };
 
+/// What a search for a request gave.
 struct FindResult {
     FindEnd end = FindEnd::Unknown;
     std::shared_ptr<StreamSession> session; ///< Driven by this VM from now on.
@@ -73,7 +74,7 @@
     void handleTopics();
     std::string onCopies(const std::string &from, const std::string &payload);
     void storeCopy(const wire::Copy &copy, wire::CopiesReply &reply);
-    void tellHome(const EntryPtr &entry, const std::string &giver);
+    void notifyHome(const EntryPtr &entry, const std::string &previousOwner);
     void dropCopy(const wire::Drop &drop);
     std::string onTake(const std::string &from, const std::string &payload);
     StreamState give(const EntryPtr &entry, const std::string &asker);
@@ -82,7 +83,7 @@
     void onTakeReply(const SearchPtr &search, const std::string &instance, const wire::TakeReply &reply);
     void takeOwnCopy(const SearchPtr &search);
     void finishSearch(const SearchPtr &search, const FindResult &result);
-    std::shared_ptr<StreamSession> adopt(StreamState state, const std::string &giver);
+    std::shared_ptr<StreamSession> adopt(StreamState state, const std::string &previousOwner);
     EntryPtr add(StreamState state);
     void placeCopy(const EntryPtr &entry, std::function<void(bool stored)> done);
     void tryPlace(const EntryPtr &entry, std::vector<std::string> targets, std::function<void(bool stored)> done);
--- a/src/streams/tests/handoverwalk_test.cpp
+++ b/src/streams/tests/handoverwalk_test.cpp
@@ -14,8 +14,8 @@
 
 const std::string Home = "home";
 const std::string Holder = "holder";
-const std::vector<std::string> Takers{"taker-1", "taker-2"};
-const std::vector<std::string> Vms{Home, Holder, Takers[0], Takers[1]};
+const std::vector<std::string> NewOwners{"new-owner-1", "new-owner-2"};
+const std::vector<std::string> Vms{Home, Holder, NewOwners[0], NewOwners[1]};
 constexpr std::uint64_t MostTokens = 1;
 constexpr int MostFaults = 2;
 
@@ -40,7 +40,7 @@
 struct World {
     std::map<std::string, Holding> has;
     std::set<std::string> dead;
-    std::map<std::string, Search> searches; ///< By taker.
+    std::map<std::string, Search> searches; ///< By new owner.
     std::vector<Message> messages;
     bool isNoticed = false;
     int faults = 0;
@@ -109,41 +109,41 @@
             sender->second.owner = mine->owner;
         }
     } else if (isNewer(mine, message.copy)) {
-        const std::string told = ownerToTell(mine, message.copy);
-        if (!told.empty()) {
-            world.messages.push_back({message.to, told, message.copy});
+        const std::string notified = ownerToNotify(mine, message.copy);
+        if (!notified.empty()) {
+            world.messages.push_back({message.to, notified, message.copy});
         }
         world.has[message.to] = message.copy;
     }
 }
 
 /// The asked VM answers.
-void giveAnswer(World &world, const std::string &taker)
+void giveAnswer(World &world, const std::string &newOwner)
 {
-    Search &search = world.searches.at(taker);
+    Search &search = world.searches.at(newOwner);
     search.step = Search::Step::ReplySent;
     search.reply = {TakeVerdict::Unknown, {}};
     if (world.isAlive(search.target)) {
-        search.reply = decideTake(world.held(search.target), world.isTaking(search.target), {taker, search.search.withoutIt()});
+        search.reply = decideTake(world.held(search.target), world.isTaking(search.target), {newOwner, search.search.withoutIt()});
     }
     search.history += "a" + std::to_string(static_cast<int>(search.reply.verdict)) + search.reply.other;
     if (search.reply.verdict == TakeVerdict::Give) {
-        world.has[search.target] = afterGive(world.has[search.target], taker);
+        world.has[search.target] = afterGive(world.has[search.target], newOwner);
         search.given = world.has[search.target];
     }
 }
 
-/// The taker becomes the owner and tells the VMs that may think otherwise.
-void own(World &world, const std::string &taker, Holding given, const std::string &giver)
+/// The new owner becomes the owner and tells the VMs that may think otherwise.
+void own(World &world, const std::string &newOwner, Holding given, const std::string &previousOwner)
 {
     given.role = Role::Owner;
-    given.owner = taker;
-    world.has[taker] = given;
-    world.searches.at(taker).step = Search::Step::Over;
-    for (const std::string &told : {Home, Holder}) {
+    given.owner = newOwner;
+    world.has[newOwner] = given;
+    world.searches.at(newOwner).step = Search::Step::Over;
+    for (const std::string &notified : {Home, Holder}) {
         // The holder also when it gave the request: it may have heard of another owner meanwhile.
-        if (told != giver || told == Holder) {
-            world.messages.push_back({taker, told, copyOf(given)});
+        if (notified != previousOwner || notified == Holder) {
+            world.messages.push_back({newOwner, notified, copyOf(given)});
         }
     }
 }
@@ -156,7 +156,7 @@
     for (const auto &[vm, held] : world.has) {
         owners += world.isAlive(vm) && held.role == Role::Owner ? 1 : 0;
     }
-    const bool isQuiet = world.messages.empty() && !world.isTaking(Takers[0]) && !world.isTaking(Takers[1]);
+    const bool isQuiet = world.messages.empty() && !world.isTaking(NewOwners[0]) && !world.isTaking(NewOwners[1]);
     const bool hasArbiter = world.isAlive(Home) || world.isAlive(Holder);
     if (isQuiet && hasArbiter && !world.wasMessageLost) {
         EXPECT_LE(owners, 1U) << world.key();
@@ -179,7 +179,7 @@
             return;
         }
         if (reply.verdict == TakeVerdict::AskOther) {
-            search.isSentOn(*target, reply.other);
+            search.isRedirected(*target, reply.other);
         } else {
             search.hasNothing(*target);
         }
@@ -226,9 +226,9 @@
         for (std::size_t i = 0; i < world.messages.size(); i++) {
             deliver(world, i);
         }
-        for (const std::string &taker : Takers) {
-            if (world.isAlive(taker)) {
-                search(world, taker);
+        for (const std::string &newOwner : NewOwners) {
+            if (world.isAlive(newOwner)) {
+                search(world, newOwner);
             }
         }
     }
@@ -288,45 +288,45 @@
         }
     }
 
-    void search(const World &world, const std::string &taker)
+    void search(const World &world, const std::string &newOwner)
     {
-        const auto found = world.searches.find(taker);
+        const auto found = world.searches.find(newOwner);
         if (found == world.searches.end()) {
-            startSearch(world, taker);
+            startSearch(world, newOwner);
         } else if (found->second.step == Search::Step::Ask) {
-            ask(world, taker);
+            ask(world, newOwner);
         } else if (found->second.step == Search::Step::QuestionSent) {
-            answer(world, taker);
+            answer(world, newOwner);
         } else if (found->second.step == Search::Step::ReplySent) {
-            hear(world, taker);
+            hear(world, newOwner);
         }
     }
 
-    void startSearch(const World &world, const std::string &taker)
+    void startSearch(const World &world, const std::string &newOwner)
     {
-        const Holding *held = world.held(taker);
+        const Holding *held = world.held(newOwner);
         if (held && held->role == Role::Owner) {
             return;
         }
         World next = world;
         std::vector<std::string> candidates{Home, Holder};
         if (held) {
-            candidates = {held->owner, taker};
+            candidates = {held->owner, newOwner};
         }
-        next.searches.emplace(taker, Search{TakeSearch(taker, candidates), Search::Step::Ask, {}, {}, {}, "start"});
+        next.searches.emplace(newOwner, Search{TakeSearch(newOwner, candidates), Search::Step::Ask, {}, {}, {}, "start"});
         visit(next);
     }
 
-    void ask(const World &world, const std::string &taker)
+    void ask(const World &world, const std::string &newOwner)
     {
         World next = world;
-        Search &search = next.searches.at(taker);
+        Search &search = next.searches.at(newOwner);
         const auto target = search.search.next();
         search.history += ">" + target.value_or("none");
         if (!target) {
             search.step = Search::Step::Over;
-        } else if (*target == taker) {
-            own(next, taker, afterGive(next.has.at(taker), taker), taker);
+        } else if (*target == newOwner) {
+            own(next, newOwner, afterGive(next.has.at(newOwner), newOwner), newOwner);
         } else if (!world.isAlive(*target)) {
             search.search.hasNothing(*target);
             search.history += "dead";
@@ -337,46 +337,46 @@
         visit(next);
     }
 
-    void answer(const World &world, const std::string &taker)
+    void answer(const World &world, const std::string &newOwner)
     {
         World next = world;
-        giveAnswer(next, taker);
+        giveAnswer(next, newOwner);
         visit(next);
         if (world.faults < MostFaults) {
             World doubled = world;
             doubled.faults++;
-            giveAnswer(doubled, taker);
-            giveAnswer(doubled, taker);
+            giveAnswer(doubled, newOwner);
+            giveAnswer(doubled, newOwner);
             visit(doubled);
-            loseCall(world, taker);
+            loseCall(world, newOwner);
         }
     }
 
-    void loseCall(const World &world, const std::string &taker)
+    void loseCall(const World &world, const std::string &newOwner)
     {
         World lost = world;
         lost.faults++;
         lost.wasMessageLost = true;
-        Search &search = lost.searches.at(taker);
+        Search &search = lost.searches.at(newOwner);
         search.search.hasNothing(search.target);
         search.step = Search::Step::Ask;
         search.history += "lost";
         visit(lost);
     }
 
-    void hear(const World &world, const std::string &taker)
+    void hear(const World &world, const std::string &newOwner)
     {
         if (world.faults < MostFaults) {
-            loseCall(world, taker);
+            loseCall(world, newOwner);
         }
         World next = world;
-        Search &search = next.searches.at(taker);
+        Search &search = next.searches.at(newOwner);
         search.step = Search::Step::Ask;
         search.history += "h";
         if (search.reply.verdict == TakeVerdict::Give) {
-            own(next, taker, search.given, search.target);
+            own(next, newOwner, search.given, search.target);
         } else if (search.reply.verdict == TakeVerdict::AskOther) {
-            search.search.isSentOn(search.target, search.reply.other);
+            search.search.isRedirected(search.target, search.reply.other);
         } else if (search.reply.verdict == TakeVerdict::Busy) {
             search.step = Search::Step::Over;
         } else {
--- a/src/streams/tests/streamkeeper_test.cpp
+++ b/src/streams/tests/streamkeeper_test.cpp
@@ -277,7 +277,7 @@
     EXPECT_EQ(heard_, "0a failed: No server that has not failed is left for this now.");
 }
 
-TEST_F(StreamKeeperTest, ATakerJoinsTheEnginesStreamAndTheGiverStops)
+TEST_F(StreamKeeperTest, ANewOwnerJoinsTheEnginesStreamAndThePreviousOneStops)
 {
     const auto session = openStream();
     const std::string own = session->state().attempts[0].engineRequestId;
@@ -290,7 +290,7 @@
     read(taken, 1);
     EXPECT_TRUE(session->hasEnded());
     EXPECT_EQ(asked_[1], "GET /v1/streams/" + own);
-    // A late byte at the giver changes nothing.
+    // A late byte at the previous owner changes nothing.
     readers_[0]->write(chunk(own, 1, "late"));
     readers_[1]->write(chunk(own, 1, "b"));
     readers_[1]->write("data: [DONE]\n\n");
--- a/src/suspects/crashstore.h
+++ b/src/suspects/crashstore.h
@@ -9,7 +9,7 @@
 
 namespace cardamomlift::suspects {
 
-/// Crashes and convictions this VM knows of, its own and those it was told. Bounded: the oldest go first, and all are
+/// Crashes and convictions this VM knows of, its own and those of other VMs. Bounded: the oldest go first, and all are
 /// forgotten after a time.
 class CrashStore
 {
--- a/src/suspects/tests/crashwalk_test.cpp
+++ b/src/suspects/tests/crashwalk_test.cpp
@@ -95,7 +95,7 @@
     return world;
 }
 
-void expectSound(const World &world, int poisons, const std::string &what)
+void expectInvariants(const World &world, int poisons, const std::string &what)
 {
     for (const Runner &runner : world.runners) {
         EXPECT_FALSE(runner.refused && !runner.isPoison) << "an innocent was refused: " << what;
@@ -151,7 +151,7 @@
                     }
                 }
                 finish(world);
-                expectSound(world, 1, std::to_string(crashAt) + " " + std::to_string(first) + " " + std::to_string(second));
+                expectInvariants(world, 1, std::to_string(crashAt) + " " + std::to_string(first) + " " + std::to_string(second));
                 walked++;
                 if (testing::Test::HasFailure()) {
                     return;
@@ -181,7 +181,7 @@
             }
         }
         finish(world);
-        expectSound(world, poisons, "seed " + std::to_string(seed));
+        expectInvariants(world, poisons, "seed " + std::to_string(seed));
         if (testing::Test::HasFailure()) {
             return;
         }
