--- a/tests/atmostonce_test.cpp
+++ b/tests/atmostonce_test.cpp
@@ -1,14 +1,11 @@
 #include "http/json.h"
+#include "support/contracts.h"
 #include "support/fleet.h"
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <csignal>
 #include <cstdio>
-#include <fstream>
-#include <sstream>
-#include <utility>
 
 using namespace cardamomlift;
 using test::Fleet;
@@ -34,15 +31,8 @@
 /// The co-op's contract with limits that don't matter here and calls without a price: all writes to the table are claims.
 std::string freeOrdersContract()
 {
-    std::ifstream file(std::string(CARDAMOMLIFT_SOURCES) + "/examples/co-op/contract.json");
-    std::stringstream text;
-    text << file.rdbuf();
-    std::string contract = text.str();
-    for (const auto &[from, to] : {std::pair<std::string, std::string>{"\"requestsPerSecond\": 200", "\"requestsPerSecond\": 100000"},
-             {"\"centsPerThousandCalls\": 5", "\"centsPerThousandCalls\": 0"}}) {
-        contract.replace(contract.find(from), from.size(), to);
-    }
-    return contract;
+    const std::string contract = test::withReplaced(test::exampleContract(), "\"requestsPerSecond\": 200", "\"requestsPerSecond\": 100000");
+    return test::withReplaced(contract, "\"centsPerThousandCalls\": 5", "\"centsPerThousandCalls\": 0");
 }
 
 /// Three entry VMs and plain services, which count their runs.
@@ -55,8 +45,7 @@
         std::string output;
         EXPECT_EQ(fleet.tool({"apply", "--confirm", test::writeScratchFile("free-orders.json", freeOrdersContract())}, output), 0) << output;
         const auto isInForce = [](const Json::Value &status) {
-            const Json::Value &contract = status["contracts"]["print-co-op"];
-            return (contract.isObject() ? contract["version"] : contract).asInt() == 2;
+            return test::versionInForce(status) == 2;
         };
         for (const std::string &entry : fleet.entryNames) {
             fleet.waitStatus(entry, isInForce, "the contract with free orders");
@@ -91,10 +80,7 @@
         for (int i = 0; i < count; i++) {
             calls.push_back(start("entry-1", "many-" + std::to_string(count) + "-" + std::to_string(i)));
         }
-        const auto allEnded = [&] {
-            return std::all_of(calls.begin(), calls.end(), [](const TestCallPtr &each) { return each->ended; });
-        };
-        fleet.caller.waitUntil(allEnded, "the end of all calls");
+        fleet.caller.waitEnded(calls, "the end of all calls");
         for (const TestCallPtr &each : calls) {
             EXPECT_EQ(each->status, 200) << each->body;
         }
@@ -124,10 +110,7 @@
         for (const std::string &entry : fleet.entryNames) {
             calls.push_back(start(entry, key));
         }
-        const auto allEnded = [&] {
-            return std::all_of(calls.begin(), calls.end(), [](const TestCallPtr &each) { return each->ended; });
-        };
-        fleet.caller.waitUntil(allEnded, "the end of the calls at all entry VMs");
+        fleet.caller.waitEnded(calls, "the end of the calls at all entry VMs");
         return calls;
     }
 
--- a/tests/contracts_test.cpp
+++ b/tests/contracts_test.cpp
@@ -1,3 +1,4 @@
+#include "support/contracts.h"
 #include "support/fleet.h"
 
 #include "http/json.h"
@@ -8,32 +9,19 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 using namespace cardamomlift;
 using test::Fleet;
 
 namespace {
 
-constexpr char Customer[] = "print-co-op";
 constexpr int StatusOk = 200;
 constexpr int StatusNotReady = 503;
 
-std::string exampleText()
-{
-    std::ifstream file(std::string(CARDAMOMLIFT_SOURCES) + "/examples/co-op/contract.json");
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 /// The example contract with another limit; the daemon's own file of this test.
 std::string editedText(int requestsPerSecond)
 {
-    std::string text = exampleText();
-    const std::string from = "\"requestsPerSecond\": 200";
-    text.replace(text.find(from), from.size(), fmt::format("\"requestsPerSecond\": {}", requestsPerSecond));
-    return text;
+    return test::withReplaced(test::exampleContract(), "\"requestsPerSecond\": 200", fmt::format("\"requestsPerSecond\": {}", requestsPerSecond));
 }
 
 std::string writeEdit(int requestsPerSecond)
@@ -43,13 +31,13 @@
 
 std::uint64_t versionAt(Fleet &fleet, const std::string &instance)
 {
-    return fleet.status(instance)["contracts"][Customer].asUInt64();
+    return test::versionInForce(fleet.status(instance));
 }
 
 void waitVersion(Fleet &fleet, const std::string &instance, std::uint64_t version)
 {
     fleet.waitStatus(
-        instance, [&](const Json::Value &status) { return status["contracts"][Customer].asUInt64() >= version; }, fmt::format("version {}", version));
+        instance, [&](const Json::Value &status) { return test::versionInForce(status) >= version; }, fmt::format("version {}", version));
 }
 
 void waitFreshness(Fleet &fleet, const std::string &instance, const std::string &freshness)
@@ -63,14 +51,6 @@
     return fleet.caller.get(fleet.processes[instance]->port("callers"), "/health")->status;
 }
 
-void setCut(Fleet &fleet, test::Process &proxy, bool isCut)
-{
-    Json::Value faults;
-    faults["refuse"] = isCut;
-    faults["closeAll"] = isCut;
-    fleet.controlProxy(proxy, faults);
-}
-
 /// Two entry VMs, and a third whose ways to the table, to its peers and from them lead through proxies.
 class CuttableFleet
 {
@@ -98,13 +78,13 @@
 
     void cutTable(bool isCut)
     {
-        setCut(fleet, *table_, isCut);
+        fleet.setCut(*table_, isCut);
     }
 
     void cutPeers(bool isCut)
     {
         for (test::Process *proxy : peers_) {
-            setCut(fleet, *proxy, isCut);
+            fleet.setCut(*proxy, isCut);
         }
     }
 
@@ -141,7 +121,7 @@
 Json::Value editBody(int requestsPerSecond, std::uint64_t base, const std::string &author, const std::string &editId)
 {
     Json::Value body;
-    body["customer"] = Customer;
+    body["customer"] = test::ExampleCustomer;
     body["text"] = editedText(requestsPerSecond);
     body["author"] = author;
     body["editId"] = editId;
@@ -171,7 +151,7 @@
     for (const std::string &entry : fleet.entryNames) {
         EXPECT_EQ(versionAt(fleet, entry), 2U) << entry;
     }
-    EXPECT_EQ(fleet.tool({"where", Customer}, output), 0) << output;
+    EXPECT_EQ(fleet.tool({"where", test::ExampleCustomer}, output), 0) << output;
 }
 
 TEST(ContractsInForce, UndoIsAnEditAndHistoryTellsBoth)
@@ -180,13 +160,13 @@
     fleet.waitReady();
     std::string output;
     EXPECT_EQ(fleet.tool({"apply", writeEdit(150)}, output), 0) << output;
-    EXPECT_EQ(fleet.tool({"revert", Customer}, output), 0) << output;
-    EXPECT_EQ(fleet.tool({"history", Customer}, output), 0) << output;
+    EXPECT_EQ(fleet.tool({"revert", test::ExampleCustomer}, output), 0) << output;
+    EXPECT_EQ(fleet.tool({"history", test::ExampleCustomer}, output), 0) << output;
     EXPECT_NE(output.find("version 2 by tester"), std::string::npos) << output;
     EXPECT_NE(output.find("limits.requestsPerSecond: 200 -> 150"), std::string::npos) << output;
     EXPECT_NE(output.find("limits.requestsPerSecond: 150 -> 200"), std::string::npos) << output;
-    EXPECT_EQ(fleet.tool({"show", Customer}, output), 0);
-    EXPECT_NE(output.find(exampleText()), std::string::npos) << "comments and all, as it was written";
+    EXPECT_EQ(fleet.tool({"show", test::ExampleCustomer}, output), 0);
+    EXPECT_NE(output.find(test::exampleContract()), std::string::npos) << "comments and all, as it was written";
 }
 
 TEST(ContractsInForce, ADangerousEditIsShownWithItsPlaceAndNeedsConfirmation)
@@ -240,7 +220,7 @@
         EXPECT_EQ(loser->json()["version"]["editId"], winner->json()["version"]["editId"]);
     }
     std::string output;
-    EXPECT_EQ(fleet.tool({"history", Customer}, output), 0);
+    EXPECT_EQ(fleet.tool({"history", test::ExampleCustomer}, output), 0);
     EXPECT_NE(output.find("version 4 by"), std::string::npos) << output;
     EXPECT_EQ(output.find("version 5 by"), std::string::npos) << output;
 }
@@ -309,7 +289,7 @@
     cuttable.cutPeers(false);
     std::uint64_t versionWhenReady = 0;
     const auto isReady = [&](const Json::Value &status) {
-        versionWhenReady = status["contracts"][Customer].asUInt64();
+        versionWhenReady = test::versionInForce(status);
         return status["phase"].asString() == "ready";
     };
     fleet.waitStatus("entry-3", isReady, "ready again, through its peers");
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -35,7 +35,7 @@
             const std::string &entry = entries[static_cast<std::size_t>(i) % entries.size()];
             calls.push_back(fleet.caller.start(fleet.chat(entry, fmt::format("wave {} chat {}", wave, i), Tokens)));
         }
-        fleet.caller.waitUntil([&] { return std::all_of(calls.begin(), calls.end(), [](const auto &call) { return call->ended; }); }, "the end of a wave");
+        fleet.caller.waitEnded(calls, "the end of a wave");
         for (const auto &call : calls) {
             EXPECT_TRUE(call->isWhole()) << call->body;
         }
@@ -56,25 +56,12 @@
     ADD_FAILURE() << "Not all of the entry VMs learned that " << vm << " is leaving.";
 }
 
-int total(Fleet &fleet, const std::string &engine, const char *name)
-{
-    return fleet.caller.get(fleet.processes[engine]->port(), "/totals")->json()[name].asInt();
-}
-
 /// Adds an entry VM that reads the platform's list through @p proxy.
 test::Process &addBehindProxy(Fleet &fleet, const std::string &entry, const std::string &zone, int proxyPort)
 {
     return fleet.addEntry(entry, zone, [&](Json::Value &settings) { settings["platform"]["vmListEndpoint"] = fmt::format("http://127.0.0.1:{}", proxyPort); });
 }
 
-void cutAll(Fleet &fleet, test::Process &proxy)
-{
-    Json::Value faults;
-    faults["refuse"] = true;
-    faults["closeAll"] = true;
-    fleet.controlProxy(proxy, faults);
-}
-
 /// Three entry VMs, of which only the first reads the platform's list once cutLists() was called.
 struct OneReader {
     Fleet fleet{1};
@@ -92,7 +79,7 @@
 
     void cutLists()
     {
-        cutAll(fleet, proxy);
+        fleet.setCut(proxy, true);
     }
 };
 
@@ -103,14 +90,14 @@
     OneReader system;
     Fleet &fleet = system.fleet;
     runChats(fleet, fleet.entryNames, 5);
-    EXPECT_GT(total(fleet, "engine-1", "started"), 0);
+    EXPECT_GT(fleet.engineTotal("engine-1", "started"), 0);
     system.cutLists();
     fleet.reclaim("engine-1", 60);
-    const int atNotice = total(fleet, "engine-1", "started");
+    const std::int64_t atNotice = fleet.engineTotal("engine-1", "started");
     runChatsUntilMarked(fleet, fleet.entryNames, "engine-1");
-    const int atMark = total(fleet, "engine-1", "started");
+    const std::int64_t atMark = fleet.engineTotal("engine-1", "started");
     runChats(fleet, fleet.entryNames, 10);
-    EXPECT_EQ(total(fleet, "engine-1", "started"), atMark);
+    EXPECT_EQ(fleet.engineTotal("engine-1", "started"), atMark);
     for (const std::string &entry : fleet.entryNames) {
         const Json::Value shown = believed(fleet, entry, "engine-1");
         EXPECT_EQ(shown["leavingReporter"].asString(), "entry-1");
@@ -130,10 +117,10 @@
     leaving["leaving"] = true;
     fleet.caller.post(fleet.processes["engine-1"]->port(), "/control", leaving);
     runChatsUntilMarked(fleet, fleet.entryNames, "engine-1");
-    const int refused = total(fleet, "engine-1", "refusedLeaving");
+    const std::int64_t refused = fleet.engineTotal("engine-1", "refusedLeaving");
     EXPECT_LE(refused, WaveSize) << "requests of the first wave only";
     runChats(fleet, fleet.entryNames, 10);
-    EXPECT_EQ(total(fleet, "engine-1", "refusedLeaving"), refused);
+    EXPECT_EQ(fleet.engineTotal("engine-1", "refusedLeaving"), refused);
 }
 
 TEST(Leaving, StaysWhenTheListForgetsTheServerAndShowsItAgain)
@@ -151,14 +138,14 @@
             entry, [&](const Json::Value &status) { return status["vms"].size() == 2; }, "the list without the server");
     }
     fleet.announce("engine-1", "model", "zone-1", fleet.processes["engine-1"]->port());
-    const int before = total(fleet, "engine-1", "started");
+    const std::int64_t before = fleet.engineTotal("engine-1", "started");
     for (const std::string &entry : fleet.entryNames) {
         fleet.waitStatus(
             entry, [&](const Json::Value &status) { return status["vms"].size() == 3; }, "the list with the server again");
         EXPECT_TRUE(believed(fleet, entry, "engine-1")["leaving"].asBool());
     }
     runChats(fleet, fleet.entryNames, 5);
-    EXPECT_EQ(total(fleet, "engine-1", "started"), before);
+    EXPECT_EQ(fleet.engineTotal("engine-1", "started"), before);
 }
 
 TEST(Leaving, AFrozenEntryVmIsNoticedAndLearnsTheMarkWhenItWakes)
@@ -190,15 +177,15 @@
     int peerPort = 0;
     test::Process &peerProxy = fleet.addProxy(fleet.processes["entry-2"]->port("peers"), peerPort);
     // From now on the others reach entry-2 through a proxy only, which refuses.
-    cutAll(fleet, peerProxy);
+    fleet.setCut(peerProxy, true);
     fleet.announce("entry-2", "entry", "zone-2", fleet.processes["entry-2"]->port("callers"), peerPort);
     runChats(fleet, fleet.entryNames, 2);
     system.cutLists();
     fleet.reclaim("engine-1", 60);
     runChatsUntilMarked(fleet, fleet.entryNames, "engine-1");
-    const int atMark = total(fleet, "engine-1", "started");
+    const std::int64_t atMark = fleet.engineTotal("engine-1", "started");
     runChats(fleet, fleet.entryNames, 5);
-    EXPECT_EQ(total(fleet, "engine-1", "started"), atMark);
+    EXPECT_EQ(fleet.engineTotal("engine-1", "started"), atMark);
 }
 
 TEST(Leaving, NineVmsStopForServersThatLeaveOneAfterAnother)
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -1,4 +1,5 @@
 #include "http/json.h"
+#include "support/contracts.h"
 #include "support/fleet.h"
 #include "support/streaming.h"
 
@@ -7,7 +8,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <fstream>
 #include <sstream>
 
 // The limits and the spending bound of one customer, over several entry VMs that die, pause and lose the table.
@@ -37,16 +37,12 @@
 /// Puts the co-op's contract in force everywhere with other limits and another spending bound.
 void applyContract(Fleet &fleet, const std::string &limits, const std::string &spending)
 {
-    std::ifstream file(std::string(CARDAMOMLIFT_SOURCES) + "/examples/co-op/contract.json");
-    std::stringstream text;
-    text << file.rdbuf();
-    const std::string changed = replaceLine(replaceLine(text.str(), "limits", limits), "spending", spending);
+    const std::string changed = replaceLine(replaceLine(test::exampleContract(), "limits", limits), "spending", spending);
     std::string output;
     ASSERT_EQ(fleet.tool({"apply", test::writeScratchFile("contract.json", changed), "--confirm"}, output), 0) << output;
     for (const std::string &entry : fleet.entryNames) {
         const auto isInForce = [](const Json::Value &status) {
-            const Json::Value &contract = status["contracts"]["print-co-op"];
-            return (contract.isObject() ? contract["version"] : contract).asInt() >= 2;
+            return test::versionInForce(status) >= 2;
         };
         fleet.waitStatus(entry, isInForce, "the second version");
     }
@@ -59,7 +55,7 @@
 
 std::string codeOf(const test::TestCallPtr &call)
 {
-    return call->status == 200 ? "" : call->json()["error"]["code"].asString();
+    return call->status == 200 ? "" : call->errorCode();
 }
 
 /// Sends @p count requests to each entry VM at once and waits for those of VMs that run. Returns the refusals by code.
@@ -71,7 +67,7 @@
             calls.push_back(fleet.caller.start(fleet.chat(entry, "a proof", OutputTokens, false)));
         }
     }
-    fleet.caller.waitUntil([&] { return std::all_of(calls.begin(), calls.end(), [](const auto &call) { return call->ended; }); }, "the end of a wave");
+    fleet.caller.waitEnded(calls, "the end of a wave");
     std::map<std::string, int> codes;
     for (const auto &call : calls) {
         codes[codeOf(call)]++;
--- a/tests/product_test.cpp
+++ b/tests/product_test.cpp
@@ -9,9 +9,7 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
-#include <fstream>
 #include <netinet/in.h>
-#include <sstream>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,11 +18,6 @@
 
 namespace {
 
-std::string codeOf(const test::TestCallPtr &call)
-{
-    return call->json()["error"]["code"].asString();
-}
-
 std::string refusalMetric(metrics::RefusalReason reason)
 {
     return fmt::format("refusals_total{{reason=\"{}\"}}", metrics::reasonName(reason));
@@ -72,14 +65,6 @@
     int fd_;
 };
 
-std::string readFile(const std::string &path)
-{
-    std::ifstream file(path);
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 } // namespace
 
 TEST(BadInput, EachHasAClearErrorAndACounter)
@@ -97,20 +82,20 @@
         body[name] = value;
         return withBody(http::writeJson(body));
     };
-    EXPECT_EQ(codeOf(withBody("{\"model\":")), "bad_json");
-    EXPECT_EQ(codeOf(withBody(std::string(100000, '['))), "bad_json");
-    EXPECT_EQ(codeOf(changed("messages", "text")), "bad_field");
-    EXPECT_EQ(codeOf(changed("max_tokens", -1)), "bad_field");
-    EXPECT_EQ(codeOf(changed("stream", "yes")), "bad_field");
-    EXPECT_EQ(codeOf(changed("model", "no-such-model")), "unknown_model");
-    EXPECT_EQ(codeOf(withBody(std::string(2 << 20, 'x'))), "body_too_large");
+    EXPECT_EQ(withBody("{\"model\":")->errorCode(), "bad_json");
+    EXPECT_EQ(withBody(std::string(100000, '['))->errorCode(), "bad_json");
+    EXPECT_EQ(changed("messages", "text")->errorCode(), "bad_field");
+    EXPECT_EQ(changed("max_tokens", -1)->errorCode(), "bad_field");
+    EXPECT_EQ(changed("stream", "yes")->errorCode(), "bad_field");
+    EXPECT_EQ(changed("model", "no-such-model")->errorCode(), "unknown_model");
+    EXPECT_EQ(withBody(std::string(2 << 20, 'x'))->errorCode(), "body_too_large");
     http::ClientRequest stranger = fleet.chat("entry-1", "x", 1);
     stranger.headers["Authorization"] = "Bearer nobody";
-    EXPECT_EQ(codeOf(fleet.caller.call(stranger)), "unknown_credential");
+    EXPECT_EQ(fleet.caller.call(stranger)->errorCode(), "unknown_credential");
     stranger.headers.erase("Authorization");
-    EXPECT_EQ(codeOf(fleet.caller.call(stranger)), "missing_credential");
-    EXPECT_EQ(codeOf(fleet.caller.call(fleet.serviceCall("entry-1", "/orders/orders", "{}", ""))), "missing_idempotency_key");
-    EXPECT_EQ(codeOf(fleet.caller.call(fleet.serviceCall("entry-1", "/orders/elsewhere", "{}", "k"))), "unknown_service");
+    EXPECT_EQ(fleet.caller.call(stranger)->errorCode(), "missing_credential");
+    EXPECT_EQ(fleet.caller.call(fleet.serviceCall("entry-1", "/orders/orders", "{}", ""))->errorCode(), "missing_idempotency_key");
+    EXPECT_EQ(fleet.caller.call(fleet.serviceCall("entry-1", "/orders/elsewhere", "{}", "k"))->errorCode(), "unknown_service");
     EXPECT_EQ(fleet.metric("entry-1", refusalMetric(metrics::RefusalReason::BadField)), 3);
     EXPECT_EQ(fleet.metric("entry-1", refusalMetric(metrics::RefusalReason::BodyTooLarge)), 1);
     EXPECT_EQ(fleet.metric("entry-1", refusalMetric(metrics::RefusalReason::UnknownCredential)), 1);
@@ -164,7 +149,7 @@
     fleet.waitStatus(
         "entry-1", [](const Json::Value &status) { return status["phase"].asString() == "ready"; }, "ready");
     const auto refused = fleet.caller.call(fleet.chat("entry-1", "x", 1));
-    EXPECT_EQ(codeOf(refused), "overloaded");
+    EXPECT_EQ(refused->errorCode(), "overloaded");
     EXPECT_EQ(refused->headers["Retry-After"], "1");
     EXPECT_GT(fleet.metric("entry-1", "resident_memory_bytes"), 1 << 20);
 }
@@ -262,7 +247,7 @@
 
 TEST(Docs, EveryRefusalAndRetryReasonHasALine)
 {
-    const std::string page = readFile(std::string(CARDAMOMLIFT_SOURCES) + "/docs/operators/refusals.md");
+    const std::string page = test::readFile(std::string(CARDAMOMLIFT_SOURCES) + "/docs/operators/refusals.md");
     for (int i = 0; i < static_cast<int>(metrics::RefusalReason::Count); i++) {
         const std::string name(metrics::reasonName(static_cast<metrics::RefusalReason>(i)));
         EXPECT_NE(page.find("\n| `" + name + "` |"), std::string::npos) << name;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -37,7 +37,7 @@
     /// Waits for all ends and compares every token.
     void checkWhole()
     {
-        fleet_.caller.waitUntil([this] { return haveEnded(); }, "the end of all streams");
+        fleet_.caller.waitEnded(calls_, "the end of all streams");
         for (std::size_t i = 0; i < calls_.size(); i++) {
             const auto expected = Fleet::expectedTokens(contentOf(static_cast<int>(i)), 7, length_);
             const auto tokens = calls_[i]->tokens();
@@ -55,21 +55,11 @@
         return std::all_of(calls_.begin(), calls_.end(), [&](const test::TestCallPtr &call) { return call->tokens().size() >= count; });
     }
 
-    bool haveEnded() const
-    {
-        return std::all_of(calls_.begin(), calls_.end(), [](const test::TestCallPtr &call) { return call->ended; });
-    }
-
     Fleet &fleet_;
     int length_;
     std::vector<test::TestCallPtr> calls_;
 };
 
-std::int64_t total(Fleet &fleet, const std::string &engine, const char *name)
-{
-    return fleet.caller.get(fleet.processes[engine]->port(), "/totals")->json()[name].asInt64();
-}
-
 double moved(Fleet &fleet, const std::string &how)
 {
     return fleet.metric(Entry, "streams_moved_total{how=\"" + how + "\"}");
@@ -113,7 +103,7 @@
     fleet.waitStatus(
         Entry, [&](const Json::Value &) { return moved(fleet, "kv") + moved(fleet, "recompute") >= Streams; }, "all streams moved");
     fleet.waitStatus(
-        Entry, [&](const Json::Value &) { return total(fleet, "engine-1", "cancelled") == Streams; }, "the old attempts cancelled");
+        Entry, [&](const Json::Value &) { return fleet.engineTotal("engine-1", "cancelled") == Streams; }, "the old attempts cancelled");
     fleet.processes["engine-1"]->signal(SIGKILL);
     streams.checkWhole();
     EXPECT_EQ(fleet.metric(Entry, "retries_total{reason=\"stream_broken\"}"), 0);
@@ -135,10 +125,10 @@
     EXPECT_TRUE(call->isWhole());
     EXPECT_EQ(call->tokens().size(), static_cast<std::size_t>(Length));
     EXPECT_EQ(moved(fleet, "kv"), 1);
-    EXPECT_GT(total(fleet, "engine-1", "promptTokens"), 2000);
+    EXPECT_GT(fleet.engineTotal("engine-1", "promptTokens"), 2000);
     // Only tokens made while the cache was on its way.
-    EXPECT_LT(total(fleet, "engine-2", "recomputedTokens"), 50);
-    EXPECT_EQ(total(fleet, "engine-2", "exportedBytes"), 0);
+    EXPECT_LT(fleet.engineTotal("engine-2", "recomputedTokens"), 50);
+    EXPECT_EQ(fleet.engineTotal("engine-2", "exportedBytes"), 0);
 }
 
 TEST(StreamRecovery, KilledServerLosesNoToken)
@@ -150,7 +140,7 @@
     fleet.processes["engine-1"]->signal(SIGKILL);
     streams.checkWhole();
     EXPECT_EQ(moved(fleet, "recompute"), Streams);
-    EXPECT_EQ(fleet.metric(Entry, "tokens_recomputed_total"), static_cast<double>(total(fleet, "engine-2", "recomputedTokens")));
+    EXPECT_EQ(fleet.metric(Entry, "tokens_recomputed_total"), static_cast<double>(fleet.engineTotal("engine-2", "recomputedTokens")));
 }
 
 TEST(StreamRecovery, ResetConnectionIsJoinedAgainWithoutRecomputing)
@@ -169,8 +159,8 @@
     control(fleet, "engine-1", "tokenMs", 5);
     streams.checkWhole();
     EXPECT_EQ(moved(fleet, "resume"), Streams);
-    EXPECT_EQ(total(fleet, "engine-1", "started"), Streams);
-    EXPECT_EQ(total(fleet, "engine-1", "recomputedTokens"), 0);
+    EXPECT_EQ(fleet.engineTotal("engine-1", "started"), Streams);
+    EXPECT_EQ(fleet.engineTotal("engine-1", "recomputedTokens"), 0);
     EXPECT_EQ(fleet.metric(Entry, "tokens_recomputed_total"), 0);
 }
 
@@ -187,8 +177,8 @@
     EXPECT_GE(fleet.metric(Entry, "streams_silent_total"), 2 * Streams);
     fleet.processes["engine-1"]->signal(SIGCONT);
     fleet.waitStatus(
-        Entry, [&](const Json::Value &) { return total(fleet, "engine-1", "open") == 0; }, "the streams cancelled at the woken engine");
-    EXPECT_EQ(total(fleet, "engine-1", "cancelled"), Streams);
+        Entry, [&](const Json::Value &) { return fleet.engineTotal("engine-1", "open") == 0; }, "the streams cancelled at the woken engine");
+    EXPECT_EQ(fleet.engineTotal("engine-1", "cancelled"), Streams);
 }
 
 TEST(StreamRecovery, NewServerAtTheSameAddressIsNotTheOldOne)
@@ -207,6 +197,6 @@
     for (int i = 0; i < 4; i++) {
         EXPECT_TRUE(fleet.caller.call(fleet.chat(Entry, "new " + std::to_string(i), 4))->isWhole());
     }
-    EXPECT_EQ(total(fleet, "engine-3", "started"), 0);
+    EXPECT_EQ(fleet.engineTotal("engine-3", "started"), 0);
     EXPECT_EQ(moved(fleet, "recompute"), Streams);
 }
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -6,6 +6,8 @@
 #include <ev.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace cardamomlift::test {
 
 namespace {
@@ -47,6 +49,11 @@
     return ended && result.transport == http::Transport::Completed && body.ends_with("data: [DONE]\n\n");
 }
 
+std::string TestCall::errorCode() const
+{
+    return json()["error"]["code"].asString();
+}
+
 Caller::Caller()
 {
     loop_ = std::move(EventLoop::create(clock_).value());
@@ -95,6 +102,11 @@
     return call;
 }
 
+void Caller::waitEnded(const std::vector<TestCallPtr> &calls, const std::string &what)
+{
+    waitUntil([&] { return std::all_of(calls.begin(), calls.end(), [](const TestCallPtr &call) { return call->ended; }); }, what);
+}
+
 TestCallPtr Caller::get(int port, const std::string &path)
 {
     http::ClientRequest request;
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -27,6 +27,8 @@
     std::vector<std::pair<std::uint64_t, std::string>> tokens() const;
     /// True if the stream came to its proper end.
     bool isWhole() const;
+    /// The code of a refusal; empty if there is none in the body.
+    std::string errorCode() const;
 };
 
 using TestCallPtr = std::shared_ptr<TestCall>;
@@ -42,6 +44,8 @@
     bool waitUntil(const std::function<bool()> &condition, const std::string &what);
     /// Starts a call and waits for its end.
     TestCallPtr call(http::ClientRequest request);
+    /// Waits for the end of all @p calls.
+    void waitEnded(const std::vector<TestCallPtr> &calls, const std::string &what);
     TestCallPtr get(int port, const std::string &path);
     TestCallPtr post(int port, const std::string &path, const Json::Value &body);
     void hangUp(const TestCallPtr &call);
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -154,6 +154,14 @@
     EXPECT_EQ(caller.post(proxy.port("control"), "/control/0", faults)->status, 200);
 }
 
+void Fleet::setCut(Process &proxy, bool isCut)
+{
+    Json::Value faults;
+    faults["refuse"] = isCut;
+    faults["closeAll"] = isCut;
+    controlProxy(proxy, faults);
+}
+
 int Fleet::tool(const std::vector<std::string> &arguments, std::string &output)
 {
     std::vector<std::string> all{"--token-file", writeScratchFile("token", std::string(OperatorToken) + "\n"), "--author", "tester"};
@@ -210,6 +218,11 @@
     return found == std::string::npos ? 0 : std::strtod(page.c_str() + found + name.size() + 15, nullptr);
 }
 
+std::int64_t Fleet::engineTotal(const std::string &engine, const char *name)
+{
+    return caller.get(processes[engine]->port(), "/totals")->json()[name].asInt64();
+}
+
 http::ClientRequest Fleet::chat(const std::string &instance, const std::string &content, int maxTokens, bool stream)
 {
     Json::Value body;
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -40,6 +40,8 @@
     void controlPlatform(const std::string &path, const Json::Value &body);
     /// Sets a proxy's faults.
     void controlProxy(Process &proxy, const Json::Value &faults);
+    /// Cuts all connections of a proxy and refuses new ones, or lets them through again.
+    void setCut(Process &proxy, bool isCut);
 
     /// Runs the command-line tool with the daemons' endpoints and the token; returns its exit code.
     int tool(const std::vector<std::string> &arguments, std::string &output);
@@ -50,6 +52,8 @@
     Json::Value status(const std::string &instance);
     /// A number of the metrics page; 0 if it is not there.
     double metric(const std::string &instance, const std::string &name);
+    /// A total that the stand-in engine @p engine counts.
+    std::int64_t engineTotal(const std::string &engine, const char *name);
 
     /// A chat request to entry VM @p instance.
     http::ClientRequest chat(const std::string &instance, const std::string &content, int maxTokens, bool stream = true);
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -34,14 +34,6 @@
     std::string path;
 };
 
-std::string readWhole(const std::string &path)
-{
-    std::ifstream file(path);
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 /// Forks and runs the program with its standard output on @p outFd and its standard error on @p errFd.
 pid_t spawn(const std::string &program, const std::vector<std::string> &arguments, int outFd, int errFd)
 {
@@ -76,6 +68,14 @@
 
 } // namespace
 
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 const std::string &scratchFolder()
 {
     static const Scratch Folder;
@@ -122,7 +122,7 @@
     close(fd);
     int status = 0;
     waitpid(pid, &status, 0);
-    output = readWhole(path);
+    output = readFile(path);
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
@@ -177,7 +177,7 @@
 
 std::string Process::log() const
 {
-    return readWhole(logPath_);
+    return readFile(logPath_);
 }
 
 pid_t Process::pid() const
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -42,5 +42,7 @@
 /// A folder of this test process's own, removed at its end.
 const std::string &scratchFolder();
 std::string writeScratchFile(const std::string &name, const std::string &text);
+/// All of a file; empty if it can't be read.
+std::string readFile(const std::string &path);
 
 } // namespace cardamomlift::test
