--- a/src/admission/admissiontypes.h
+++ b/src/admission/admissiontypes.h
@@ -31,6 +31,7 @@
     bool goesOnElsewhere = false; ///< Another VM drives the request now: charged at its worst case.
 };
 
+/// Whether a request comes in, and if not, why.
 struct AdmissionDecision {
     bool admitted = false;
     metrics::RefusalReason reason = metrics::RefusalReason::Overloaded;
--- a/src/admission/waitqueue.h
+++ b/src/admission/waitqueue.h
@@ -28,6 +28,7 @@
     std::int64_t served = 0; ///< Tokens let in so far, as start-time fair queueing counts them.
 };
 
+/// The requests of one priority, by customer.
 struct PriorityQueue {
     std::map<std::string, CustomerQueue> customers; ///< Only those with entries.
     std::int64_t servedNow = 0; ///< Of the customer served last: where a new one starts.
--- a/src/bench/admission/overload.h
+++ b/src/bench/admission/overload.h
@@ -17,11 +17,13 @@
     std::int64_t tokens = 0;
 };
 
+/// A mix of traffic classes.
 struct Mix {
     std::string_view name;
     std::span<const TrafficClass> classes;
 };
 
+/// Who decides which requests come in.
 enum class Strategy {
     Ours, ///< The daemon's admission.
     Fifo, ///< One queue, a fixed bound at what the server takes at full speed, no refusal.
@@ -30,6 +32,7 @@
 
 std::string_view strategyName(Strategy strategy);
 
+/// What became of the requests of one class.
 struct ClassResult {
     int asked = 0;
     int onTime = 0; ///< First token and time between tokens within the targets; a deferrable one may wait before.
@@ -37,6 +40,7 @@
     std::map<std::string, int> refused; ///< By reason.
 };
 
+/// What a run gave, by class.
 struct OverloadResult {
     std::map<std::string, ClassResult> classes;
     std::int64_t usefulTokens = 0; ///< Of requests that were on time.
--- a/src/bench/load/loadtypes.h
+++ b/src/bench/load/loadtypes.h
@@ -10,6 +10,7 @@
 
 namespace cardamomlift::bench {
 
+/// The interface a request uses.
 enum class CallForm {
     Stream, ///< A chat completion with `stream`.
     Service, ///< A call of a plain service.
@@ -41,6 +42,7 @@
     double weight = 1;
 };
 
+/// Where the load goes, how much of it and for how long.
 struct LoadOptions {
     std::vector<EntryTarget> entries;
     std::vector<std::string> operatorPages; ///< Base URLs whose /metrics are summed.
@@ -63,6 +65,7 @@
     std::uint64_t number = 0;
 };
 
+/// How a request ended for its caller.
 enum class CallEnd {
     Whole, ///< Every token, or the whole answer of a service.
     Refused, ///< A clear refusal before acceptance.
@@ -105,6 +108,7 @@
 /// Counters of all pages together, by name.
 using PageTotals = std::map<std::string, double, std::less<>>;
 
+/// What a run measured.
 struct LoadResult {
     std::vector<RequestKind> kinds;
     std::map<Path, std::vector<KindResult>> results; ///< In the order of the kinds.
--- a/src/bench/recovery/wavemodel.h
+++ b/src/bench/recovery/wavemodel.h
@@ -32,6 +32,7 @@
     Duration betweenTokens = std::chrono::milliseconds(30);
 };
 
+/// What a reclaim wave cost.
 struct WaveResult {
     std::int64_t recomputedTokens = 0;
     std::vector<double> gapsMs; ///< Added to each stream, sorted.
--- a/src/bench/routing/decisionbench.h
+++ b/src/bench/routing/decisionbench.h
@@ -21,6 +21,7 @@
     unsigned seed = 1;
 };
 
+/// What one policy gave in a scenario.
 struct Outcome {
     double p50Ms = 0; ///< First token, all classes.
     double p95Ms = 0;
--- a/src/claims/claimdecision.h
+++ b/src/claims/claimdecision.h
@@ -32,6 +32,7 @@
     NotRun, ///< It never dispatched this attempt in a way that could run, and never will.
 };
 
+/// What an attempt does next.
 enum class Step {
     WriteClaim, ///< Put the claim if the key is absent.
     ReplaceClaim, ///< Put the claim in place of a released one.
@@ -40,6 +41,7 @@
     End, ///< With Decision::outcome.
 };
 
+/// The next step, and with Step::End its outcome.
 struct Decision {
     Step step = Step::End;
     BeginOutcome outcome = BeginOutcome::NotRun;
--- a/src/claims/claimtypes.h
+++ b/src/claims/claimtypes.h
@@ -32,6 +32,7 @@
     bool bodyKept = true; ///< False: the body was too large to keep.
 };
 
+/// What the claim of a key gave.
 enum class BeginOutcome {
     Run, ///< This VM holds the claim and must dispatch, then finish().
     Replay, ///< Answered before: give the kept answer.
@@ -41,6 +42,7 @@
     NotRun, ///< The key could not be claimed in time; this attempt ran nothing and never will.
 };
 
+/// A claim on an idempotency key, as its holder knows it.
 struct Claim {
     ClaimRequest request;
     std::string nonce; ///< Of this attempt; tells our own write from another attempt's.
@@ -49,6 +51,7 @@
     std::int64_t expiresAt = 0; ///< Seconds since 1970 UTC; the platform deletes the row after it.
 };
 
+/// The answer to a claim of a key.
 struct BeginResult {
     BeginOutcome outcome = BeginOutcome::NotRun;
     Claim claim;
--- a/src/contract/contractexchange.h
+++ b/src/contract/contractexchange.h
@@ -29,6 +29,7 @@
     std::optional<Duration> age; ///< Since its newest heartbeat known here; empty: none.
 };
 
+/// What an exchange works with.
 struct ExchangeTools {
     EventLoop *loop = nullptr;
     std::shared_ptr<peers::PeerTransport> transport;
--- a/src/contract/contractstore.h
+++ b/src/contract/contractstore.h
@@ -18,6 +18,7 @@
     std::string editId;
 };
 
+/// What became of an edit.
 enum class EditOutcome {
     Accepted, ///< In the table, once; also for a repeat of the same edit.
     Conflict, ///< Another edit came first; nothing was changed.
@@ -26,6 +27,7 @@
     Unavailable, ///< The table is down: nothing was changed.
 };
 
+/// The answer to an edit.
 struct EditResult {
     EditOutcome outcome = EditOutcome::Unknown;
     ContractVersion current; ///< The accepted version, or with Conflict the one that is in the way.
--- a/src/contract/contracttypes.h
+++ b/src/contract/contracttypes.h
@@ -33,12 +33,14 @@
     std::int64_t waitUpToMs = 0; ///< How long a request may wait for room; 0: not at all.
 };
 
+/// A model that the customer may use, in one service class.
 struct ModelGrant {
     std::string model;
     std::string serviceClass;
     std::int64_t maxOutputTokens = 0;
 };
 
+/// A part of a plain service that the customer may call.
 struct ServiceGrant {
     std::string service;
     std::string path; ///< Prefix of the paths this grant covers.
@@ -47,12 +49,14 @@
     std::int64_t timeoutMs = 0;
 };
 
+/// The limits of a customer over all entry VMs together.
 struct Limits {
     std::int64_t requestsPerSecond = 0;
     std::int64_t openRequests = 0;
     std::int64_t tokensPerMinute = 0; ///< Prompt and output tokens.
 };
 
+/// The spending bound of a customer and the prices it is counted with.
 struct Spending {
     std::int64_t perDayCents = 0; ///< Never passed; a day is a UTC day.
     std::int64_t centsPerMillionTokens = 0;
--- a/src/contract/freshness.h
+++ b/src/contract/freshness.h
@@ -20,6 +20,7 @@
     std::size_t heard = 0; ///< Others of them whose heartbeat, at most FreshnessBound old, is merged here.
 };
 
+/// Why the contracts held here may, or may not, be taken as those in force.
 enum class FreshnessReason {
     ConfirmedByTable,
     ConfirmedByMajority, ///< The table can't be reached, and no edit can be accepted without one of the VMs heard.
--- a/src/engine/enginetypes.h
+++ b/src/engine/enginetypes.h
@@ -35,6 +35,7 @@
     std::string text;
 };
 
+/// How a stream from an engine ended.
 enum class StreamEnd {
     Finished, ///< The engine said that the answer is whole.
     Refused, ///< The engine ran nothing: overloaded, leaving, or the connection was never made.
--- a/src/fleet/cloudclient.h
+++ b/src/fleet/cloudclient.h
@@ -11,6 +11,7 @@
 
 namespace cardamomlift::fleet {
 
+/// What became of an order at the cloud.
 enum class CloudAnswer {
     Done, ///< Ordered, now or by an earlier order of the same name.
     Refused, ///< No such VM can be had now.
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -24,6 +24,7 @@
     std::int64_t totalTokensPerSecond = 0;
 };
 
+/// Where a backend VM stands in its life.
 enum class FleetVmState {
     Starting, ///< Ordered; it loads its weights.
     Live,
@@ -64,6 +65,7 @@
 
 enum class FleetOrderKind { Create, Delete };
 
+/// One order to the cloud.
 struct FleetOrder {
     FleetOrderKind kind = FleetOrderKind::Create;
     std::string model;
--- a/src/fleet/leasedecision.h
+++ b/src/fleet/leasedecision.h
@@ -23,6 +23,7 @@
     TimePoint heldUntil; ///< Our lease ends here unless renewed.
 };
 
+/// What a VM does about the lease.
 enum class LeaseAction {
     Wait, ///< Another VM renews it.
     Take, ///< Write ourselves as the holder, if the row is still as seen.
--- a/src/gateway/callererrors.h
+++ b/src/gateway/callererrors.h
@@ -14,6 +14,7 @@
     Unknown, ///< It may have run.
 };
 
+/// A refusal or failure as the caller gets it.
 struct CallerError {
     metrics::RefusalReason reason = metrics::RefusalReason::Overloaded;
     std::string message;
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -33,6 +33,7 @@
     std::string body;
 };
 
+/// A whole answer of a server.
 struct Response {
     int status = 200;
     Headers headers;
@@ -59,6 +60,7 @@
     std::string secretKey;
 };
 
+/// One request of the client, with its time limits.
 struct ClientRequest {
     std::string method = "GET";
     std::string url; ///< With the host as an IP number.
@@ -83,6 +85,7 @@
     Cancelled, ///< The caller of the client cancelled it.
 };
 
+/// How an exchange ended, and what of the answer was read.
 struct ClientResult {
     Transport transport = Transport::NotSent;
     int status = 0; ///< 0 when no status line arrived.
--- a/src/kernel/finding.h
+++ b/src/kernel/finding.h
@@ -6,6 +6,7 @@
 
 namespace cardamomlift {
 
+/// Whether a finding prevents the use of what was read.
 enum class Severity {
     Error, ///< The text can't be accepted.
     Danger, ///< The text is well formed, but the change is likely a slip; accepted only when confirmed.
--- a/src/lifecycle/lifecycle.h
+++ b/src/lifecycle/lifecycle.h
@@ -9,6 +9,7 @@
 
 namespace cardamomlift::lifecycle {
 
+/// Whether the daemon may take new work.
 enum class Phase {
     Starting, ///< Not yet able to serve.
     Ready,
--- a/src/limits/limitkeeper.h
+++ b/src/limits/limitkeeper.h
@@ -24,6 +24,7 @@
 
 using TakeHandler = std::function<void(TakeResult result)>;
 
+/// What a keeper works with.
 struct LimitTools {
     EventLoop *loop = nullptr;
     std::shared_ptr<contract::ContractSet> contracts;
--- a/src/membership/health.h
+++ b/src/membership/health.h
@@ -27,6 +27,7 @@
     unsigned missedRounds = 0; ///< Rounds in a row without an answer, neither direct nor through others.
 };
 
+/// When a silent neighbour is suspected, and when it counts as failed.
 struct ProbeLimits {
     unsigned roundsToSuspect = 3;
     Duration silenceToSuspect = std::chrono::seconds(5); ///< Without any sign of life, also a late one.
--- a/src/membership/membershiptypes.h
+++ b/src/membership/membershiptypes.h
@@ -9,12 +9,14 @@
 
 namespace cardamomlift::membership {
 
+/// What a VM runs.
 enum class VmRole {
     Entry, ///< Runs our daemon.
     Model, ///< A backend server that runs a model engine.
     Service, ///< A backend server that runs a plain service.
 };
 
+/// Where a VM stands in its life.
 enum class VmState {
     Live,
     Leaving, ///< Reclaim or shutdown was announced. Never goes back to Live for the same instance.
--- a/src/membership/rumourboard.h
+++ b/src/membership/rumourboard.h
@@ -28,11 +28,13 @@
     std::uint64_t version = 0;
 };
 
+/// Bounds of a board, against a peer that offers too much.
 struct RumourLimits {
     std::size_t mostRumours = 20000;
     std::size_t longestPayload = 64 * 1024; ///< Bytes.
 };
 
+/// What became of an offered rumour.
 enum class OfferOutcome {
     News, ///< Higher than what was held.
     Known, ///< This version, or a higher one, is held already.
--- a/src/operatorapi/editflow.h
+++ b/src/operatorapi/editflow.h
@@ -14,6 +14,7 @@
 
 namespace cardamomlift::operatorapi {
 
+/// What an edit works with.
 struct EditTools {
     EventLoop *loop = nullptr;
     std::shared_ptr<contract::ContractStore> store;
--- a/src/peers/grpctransport.h
+++ b/src/peers/grpctransport.h
@@ -7,6 +7,7 @@
 
 namespace cardamomlift::peers {
 
+/// Settings of the transport between entry VMs.
 struct GrpcOptions {
     std::string instance;
     std::string address = "127.0.0.1";
--- a/src/recovery/internal/recoveringstream.h
+++ b/src/recovery/internal/recoveringstream.h
@@ -18,6 +18,7 @@
 /// Servers that a stream in the middle of its answer found silent, since when; a token of theirs clears them.
 using SilentServers = std::map<std::string, TimePoint>;
 
+/// What a stream works with; shared by all streams of a client.
 struct StreamTools {
     EventLoop *loop = nullptr;
     std::shared_ptr<engine::EngineClient> direct;
--- a/src/recovery/recoverytypes.h
+++ b/src/recovery/recoverytypes.h
@@ -48,6 +48,7 @@
     double score = 0; ///< Milliseconds of accelerator time, or its worth; the lowest is taken.
 };
 
+/// The chosen way, and what each would have cost.
 struct RecoveryPlan {
     RecoveryWay way = RecoveryWay::Recompute;
     std::array<RecoveryCost, RecoveryWays> costs; ///< By RecoveryWay.
--- a/src/settings/settingstypes.h
+++ b/src/settings/settingstypes.h
@@ -32,6 +32,7 @@
     std::vector<membership::Vm> vms; ///< With inMemory: the backend servers, since there is no list to read.
 };
 
+/// Bounds of one daemon, which protect its VM.
 struct LimitSettings {
     std::size_t openRequests = 4000; ///< Callers' requests held at once.
     std::size_t memoryMegabytes = 256; ///< Above it new work is refused.
--- a/src/suspects/suspecttracker.h
+++ b/src/suspects/suspecttracker.h
@@ -21,6 +21,7 @@
     Other, ///< Refused, cancelled, never sent.
 };
 
+/// What a tracker works with.
 struct TrackerTools {
     EventLoop *loop = nullptr;
     std::shared_ptr<membership::Members> members;
--- a/src/table/dynamodbtable.h
+++ b/src/table/dynamodbtable.h
@@ -7,6 +7,7 @@
 
 namespace cardamomlift::table {
 
+/// Where the table is, and how requests to it are signed and bounded.
 struct DynamoDbOptions {
     std::string endpoint; ///< "http://10.0.0.1:8000"
     std::string tableName = "cardamomlift";
--- a/src/table/tabletypes.h
+++ b/src/table/tabletypes.h
@@ -27,24 +27,28 @@
 /// The text of attribute @p name, or an empty string.
 std::string attribute(const Item &item, std::string_view name);
 
+/// What must hold of the stored item for a write to take effect.
 enum class ConditionKind {
     None,
     ItemAbsent, ///< No item has this key.
     AttributeEquals, ///< The item exists and the attribute has this value.
 };
 
+/// The condition of a write.
 struct Condition {
     ConditionKind kind = ConditionKind::None;
     std::string attribute;
     std::string value;
 };
 
+/// What a write does.
 enum class WriteKind {
     Put, ///< Replaces the whole item.
     Delete,
     Check, ///< Writes nothing; only the condition counts (inside a transaction).
 };
 
+/// One conditional write.
 struct Write {
     WriteKind kind = WriteKind::Put;
     Item item;
@@ -59,6 +63,7 @@
     Unknown, ///< The request may have taken effect; its answer was lost.
 };
 
+/// What became of a write or a transaction.
 struct WriteResult {
     WriteOutcome outcome = WriteOutcome::Unknown;
     /// With ConditionFailed in a transaction: for each write whether its condition failed.
