Write the constant parts of a token's chunk once a request

Cause: the gateway built a tree of JSON values for each token and wrote it, though only the text differs.

--- a/src/gateway/internal/chatformat.cpp
+++ b/src/gateway/internal/chatformat.cpp
@@ -8,11 +8,13 @@
 
 namespace {
 
+constexpr char ChunkObject[] = "chat.completion.chunk";
+
 Json::Value chunk(const streams::StreamState &state)
 {
     Json::Value json;
     json["id"] = state.requestId;
-    json["object"] = "chat.completion.chunk";
+    json["object"] = ChunkObject;
     json["model"] = state.model;
     json["choices"] = Json::Value(Json::arrayValue);
     return json;
@@ -30,13 +32,19 @@
 
 } // namespace
 
-std::string tokenEvent(const streams::StreamState &state, std::uint64_t position, const std::string &text)
+ChunkFrame chunkFrame(const streams::StreamState &state)
 {
-    Json::Value json = chunk(state);
-    json["choices"][0]["index"] = 0;
-    json["choices"][0]["delta"]["content"] = text;
-    json["choices"][0]["finish_reason"] = Json::Value();
-    return fmt::format("id: {}\ndata: {}\n\n", position, http::writeJson(json));
+    const std::string id = http::writeJson(state.requestId);
+    const std::string model = http::writeJson(state.model);
+    ChunkFrame frame;
+    frame.head = R"({"choices":[{"delta":{"content":)";
+    frame.tail = fmt::format(R"(}},"finish_reason":null,"index":0}}],"id":{},"model":{},"object":"{}"}})", id, model, ChunkObject);
+    return frame;
+}
+
+std::string tokenEvent(const ChunkFrame &frame, std::uint64_t position, const std::string &text)
+{
+    return fmt::format("id: {}\ndata: {}{}{}\n\n", position, frame.head, http::writeJson(text), frame.tail);
 }
 
 std::string endEvents(const streams::StreamState &state)
--- a/src/gateway/internal/chatstream.cpp
+++ b/src/gateway/internal/chatstream.cpp
@@ -11,6 +11,7 @@
     GatewayTools tools;
     streams::StreamSession *session = nullptr;
     std::shared_ptr<http::Responder> responder;
+    ChunkFrame frame;
     std::function<void()> tokenHandler; ///< May be empty.
     bool isCurrent = true; ///< False when another connection reads the session, or this one was given up.
 
@@ -30,7 +31,7 @@
             tokenHandler();
         }
         startHead();
-        responder->write(tokenEvent(session->state(), position, text));
+        responder->write(tokenEvent(frame, position, text));
         if (responder->bufferedBytes() > tools.callerBufferBytes) {
             tools.metrics->add("slow_callers_total");
             giveUp();
@@ -101,7 +102,7 @@
     std::uint64_t position,
     std::function<void()> onToken)
 {
-    auto reader = std::make_shared<Reader>(Reader{tools, session.get(), responder, std::move(onToken)});
+    auto reader = std::make_shared<Reader>(Reader{tools, session.get(), responder, chunkFrame(session->state()), std::move(onToken)});
     streams::StreamView view;
     view.onToken = [reader](std::uint64_t at, const std::string &text) {
         reader->onToken(at, text);
