Let the engine behind the proxy be known by the proxy only

Ruled out: that entry-1's streams had ended before the cut; 50 of 50 were open in the failing trial. The cause is in the test: it announced the engine's own port first and the proxy's after it, and waitReady() does not tell the two apart, so that an entry VM could go on using the own port, where nothing was cut.

--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -35,12 +35,13 @@
     fleet.caller.waitUntil([&] { return std::all_of(answers.begin(), answers.end(), hasEnded); }, "all answers");
 }
 
-/// Starts an engine behind a proxy, known by the proxy's port.
+/// Starts an engine that the entry VMs know only by a proxy's port: its own is never announced.
 test::Process &addEngineBehindProxy(Fleet &fleet, const std::string &instance)
 {
-    const int target = fleet.addEngine(instance, "zone-1", {"--token-ms", "5"}).port();
+    auto &engine = fleet.processes[instance];
+    engine = test::Process::start("standin-engine", {"--instance", instance, "--token-ms", "5"});
     int port = 0;
-    test::Process &proxy = fleet.addProxy(target, port);
+    test::Process &proxy = fleet.addProxy(engine->port(), port);
     fleet.announce(instance, "model", "zone-1", port);
     return proxy;
 }
@@ -123,8 +124,10 @@
     waitAll(fleet, answers);
     EXPECT_EQ(test::faultsOf(answers), "");
     // The streams were joined again, at the same server or another one.
-    const double joined = fleet.metric("entry-1", "streams_moved_total{how=\"resume\"}");
-    EXPECT_GT(joined + fleet.metric("entry-1", "retries_total{reason=\"stream_broken\"}"), 0);
+    for (const std::string &entry : fleet.entryNames) {
+        const double joined = fleet.metric(entry, "streams_moved_total{how=\"resume\"}");
+        EXPECT_GT(joined + fleet.metric(entry, "retries_total{reason=\"stream_broken\"}"), 0) << entry;
+    }
 }
 
 TEST(Answers, ANewVmAtAnOldAddressAnswersNobody)
