Drop a provisional entry VM that the heartbeats find failed

The cause: 'first seen' rumours live ten minutes, and a VM that boots takes an old one over and counts the dead VM as listed for three minutes. Of 4 listed it needs 3 others and can hear 2.

A provisional VM that failed by the heartbeats is now no member; what the list names stays.

--- a/src/membership/internal/members.cpp
+++ b/src/membership/internal/members.cpp
@@ -182,6 +182,10 @@
         return;
     }
     health_[instance] = health;
+    // The word that a VM was listed is older than this one. A VM that ended must not count as listed for minutes.
+    if (health == Health::Failed && provisional_.erase(instance) > 0) {
+        rebuild();
+    }
 }
 
 void Members::forgetOld()
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -28,7 +28,8 @@
     const std::string &self() const;
     /// Takes over a reading of the platform's list. A leaving mark set before stays.
     void applyList(std::span<const Vm> list);
-    /// Adds a VM that the list does not show yet. It is forgotten some minutes later unless the list shows it by then.
+    /// Adds a VM that the list does not show yet. It is forgotten some minutes later unless the list shows it by then, and
+    /// at once when the heartbeats find that it failed.
     void addProvisional(const Vm &vm);
     /// Marks an instance as leaving, for good. Says whether that is news.
     bool markLeaving(const std::string &instance, LeavingSource source = LeavingSource::Notice);
--- a/src/membership/tests/members_test.cpp
+++ b/src/membership/tests/members_test.cpp
@@ -216,3 +216,30 @@
     EXPECT_LE(perSecond, 6);
     EXPECT_LE(longest, std::chrono::seconds(3));
 }
+
+TEST(Members, AVmThatIsNotListedAndFailedIsNoMember)
+{
+    ManualClock clock;
+    const auto members = Members::create("entry-4", &clock);
+    Vm live;
+    live.instance = "entry-2";
+    live.role = VmRole::Entry;
+    members->applyList(std::span(&live, 1));
+    int changes = 0;
+    members->onChange([&] { changes++; });
+    // An old rumour names a VM that the list no longer shows.
+    Vm ended = live;
+    ended.instance = "entry-1";
+    members->addProvisional(ended);
+    EXPECT_NE(members->find("entry-1"), nullptr);
+    members->setHealth("entry-1", Health::Suspected);
+    EXPECT_NE(members->find("entry-1"), nullptr) << "it may be slow";
+    members->setHealth("entry-1", Health::Failed);
+    EXPECT_EQ(members->find("entry-1"), nullptr);
+    EXPECT_EQ(changes, 2);
+    // What the list shows stays, whatever the heartbeats say; and a VM that calls again is back.
+    members->setHealth("entry-2", Health::Failed);
+    EXPECT_NE(members->find("entry-2"), nullptr);
+    members->addProvisional(ended);
+    EXPECT_NE(members->find("entry-1"), nullptr);
+}
