--- a/tests/zonereclaim_test.cpp
+++ b/tests/zonereclaim_test.cpp
@@ -135,7 +135,7 @@
 
 } // namespace
 
-TEST(ZoneReclaim, AWholeZoneGoesTwoSecondsAfterItsNotice)
+TEST(ZoneReclaim, AWholeZoneGoesASecondAfterItsNotice)
 {
     Fleet fleet(test::Zones);
     buildZones(fleet);
