Wait until a cut VM hears nobody before its edit is refused

The test waited for nothing in between. Ruled out: a shorter bound (pauses of a busy VM would suspend it) and a sleep in the test.

--- a/tests/contracts_test.cpp
+++ b/tests/contracts_test.cpp
@@ -261,6 +261,9 @@
     EXPECT_NE(output.find("Accepted: print-co-op version 2"), std::string::npos) << output;
     waitVersion(fleet, "entry-3", 2);
     EXPECT_EQ(health(fleet, "entry-3"), StatusOk);
+    // Heartbeats from before the cut count for some seconds; an edit in that time is rightly accepted.
+    fleet.waitStatus(
+        "entry-3", [](const Json::Value &status) { return status["otherEntryVmsHeard"].asInt() == 0; }, "no other entry VM heard");
     const auto edit = startEdit(fleet, "entry-3", editBody(160, 2, "ann", "ann-1"));
     fleet.caller.waitUntil([&] { return edit->ended; }, "the refusal of the edit");
     EXPECT_EQ(edit->json()["error"]["code"].asString(), "no_majority") << edit->body;
