Stop peer calls before the loop ends

Cause of daemons that ended with 139: gRPC's threads posted to a loop that was gone. ~Daemon destroyed the loop while the transport lived on: lifecycle holds the gateway, the gateway the claims and these the transport, and gateway and lifecycle own each other, so ~GrpcTransport never ran; a peer's call or an answer that came between ~EventLoop and the end of the process locked a freed mutex. Also found: a server that ends with an unanswered call waited for ever in grpc::Server::Shutdown(); a reply kept longer than the transport touched freed counters; gRPC's thread could be the last owner of a reply's handler and free it beside the loop's thread.

Ruled out: a weak pointer to the loop alone (the server's wait stays), ending the cycle alone (others may hold the transport too). Now the module stops the transport: peers' calls end, own calls are cancelled and waited for.

Before: CallThatEndsAfterTheLoopTouchesNothing and ModuleStopsItThoughOthersHoldIt ended with 139 in a plain build, EndsWithAnUnansweredCall hung (killed after 15 s). After: tests-peers green 5 times of 5.

--- a/src/peers/grpctransport.h
+++ b/src/peers/grpctransport.h
@@ -23,12 +23,17 @@
 };
 
 /// Peer calls over gRPC. gRPC works on threads of its own, which only pass messages to the loop.
+///
+/// Must be stopped before its loop ends: gRPC's threads go on while others still own the transport.
 class GrpcTransport : public PeerTransport
 {
 public:
     static Result<std::shared_ptr<GrpcTransport>> create(EventLoop &loop, GrpcOptions options);
+    /// Stops it.
     ~GrpcTransport() override;
 
+    /// Refuses what peers ask, cancels what was asked of them, and calls no handler and no reply from here on.
+    void stop();
     void send(const PeerAddress &peer, std::string topic, std::string payload, Duration timeout, Reply reply) override;
     void handle(std::string topic, TopicHandler handler) override;
     const PeerCounters &counters() const override;
@@ -39,6 +44,7 @@
 private:
     GrpcTransport() = default;
     std::shared_ptr<Impl> impl_;
+    bool stopped_ = false;
 };
 
 } // namespace cardamomlift::peers
--- a/src/peers/internal/grpctransport.cpp
+++ b/src/peers/internal/grpctransport.cpp
@@ -1,11 +1,12 @@
 #include "peers/grpctransport.h"
 
-#include "peers/generated/peers.grpc.pb.h"
+#include "peers/internal/opencalls.h"
 
 #include <grpcpp/grpcpp.h>
 
 #include <map>
 #include <unordered_map>
+#include <utility>
 
 namespace cardamomlift::peers {
 
@@ -21,19 +22,35 @@
     return failure(ErrorKind::Unavailable, "the peer did not answer: " + status.error_message());
 }
 
+Result<std::string> resultOf(SentCall &call, const grpc::Status &status, PeerCounters &counters)
+{
+    if (!status.ok()) {
+        counters.failed++;
+        return toError(status);
+    }
+    counters.bytesReceived += call.reply.payload().size();
+    if (!call.reply.accepted()) {
+        counters.failed++;
+        return failure(ErrorKind::Denied, call.reply.refusal());
+    }
+    return std::move(*call.reply.mutable_payload());
+}
+
 } // namespace
 
-struct GrpcTransport::Impl : public wire::Peers::CallbackService, public std::enable_shared_from_this<GrpcTransport::Impl> {
-    EventLoop *loop = nullptr;
+struct GrpcTransport::Impl : public wire::Peers::CallbackService {
+    std::shared_ptr<OpenCalls> calls;
     GrpcOptions options;
     std::unique_ptr<grpc::Server> server;
     int boundPort = 0;
-    PeerCounters counters;
+    /// Shared with what answers calls, which may outlive the transport.
+    std::shared_ptr<PeerCounters> counters = std::make_shared<PeerCounters>();
     std::unordered_map<std::string, TopicHandler> handlers;
     std::map<std::string, std::shared_ptr<grpc::Channel>> channels;
 
     grpc::ServerUnaryReactor *Send(grpc::CallbackServerContext *context, const wire::Envelope *request, wire::EnvelopeReply *reply) override;
-    void dispatch(const wire::Envelope &request, wire::EnvelopeReply *reply, std::function<void()> finish);
+    void dispatch(const std::shared_ptr<ReceivedCall> &call);
+    void stop();
     std::shared_ptr<grpc::Channel> channelTo(const PeerAddress &peer);
     std::shared_ptr<grpc::ServerCredentials> serverCredentials() const;
     std::shared_ptr<grpc::ChannelCredentials> channelCredentials() const;
@@ -48,34 +65,45 @@
         reactor->Finish(grpc::Status(grpc::StatusCode::UNAUTHENTICATED, "wrong peer token"));
         return reactor;
     }
-    // The request and the reply stay alive until Finish().
-    loop->post([self = shared_from_this(), request, reply, reactor] { self->dispatch(*request, reply, [reactor] { reactor->Finish(grpc::Status::OK); }); });
+    calls->receive(std::make_shared<ReceivedCall>(reactor, request, reply), [this](const std::shared_ptr<ReceivedCall> &call) { dispatch(call); });
     return reactor;
 }
 
-void GrpcTransport::Impl::dispatch(const wire::Envelope &request, wire::EnvelopeReply *reply, std::function<void()> finish)
+void GrpcTransport::Impl::dispatch(const std::shared_ptr<ReceivedCall> &call)
 {
-    counters.callsReceived++;
-    counters.bytesReceived += request.payload().size();
+    const wire::Envelope &request = call->request();
+    counters->callsReceived++;
+    counters->bytesReceived += request.payload().size();
     const auto handler = handlers.find(request.topic());
     if (request.to_instance() != options.instance || handler == handlers.end()) {
-        reply->set_accepted(false);
-        reply->set_refusal(handler == handlers.end() ? "unknown topic" : "another instance listens here");
-        finish();
+        call->reply().set_accepted(false);
+        call->reply().set_refusal(handler == handlers.end() ? "unknown topic" : "another instance listens here");
+        calls->answered(call);
         return;
     }
-    handler->second(request.from_instance(), request.payload(), [this, reply, finish](Result<std::string> payload) {
-        reply->set_accepted(payload.has_value());
+    handler->second(request.from_instance(), request.payload(), [open = calls, counters = counters, call](Result<std::string> payload) {
+        if (call->hasEnded()) {
+            return;
+        }
+        call->reply().set_accepted(payload.has_value());
         if (payload) {
-            counters.bytesSent += payload.value().size();
-            reply->set_payload(std::move(payload.value()));
+            counters->bytesSent += payload.value().size();
+            call->reply().set_payload(std::move(payload.value()));
         } else {
-            reply->set_refusal(payload.error().message);
+            call->reply().set_refusal(payload.error().message);
         }
-        finish();
+        open->answered(call);
     });
 }
 
+void GrpcTransport::Impl::stop()
+{
+    calls->close();
+    if (server) {
+        server->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(ShutdownGraceMs));
+    }
+}
+
 std::shared_ptr<grpc::ServerCredentials> GrpcTransport::Impl::serverCredentials() const
 {
     if (options.certificatePem.empty()) {
@@ -120,7 +148,7 @@
     std::shared_ptr<GrpcTransport> transport(new GrpcTransport);
     transport->impl_ = std::make_shared<Impl>();
     Impl &impl = *transport->impl_;
-    impl.loop = &loop;
+    impl.calls = std::make_shared<OpenCalls>(loop);
     impl.options = std::move(options);
     grpc::ServerBuilder builder;
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
@@ -136,22 +164,24 @@
 
 GrpcTransport::~GrpcTransport()
 {
-    if (impl_ && impl_->server) {
-        impl_->server->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(ShutdownGraceMs));
+    stop();
+}
+
+void GrpcTransport::stop()
+{
+    if (!std::exchange(stopped_, true)) {
+        impl_->stop();
     }
 }
 
 void GrpcTransport::send(const PeerAddress &peer, std::string topic, std::string payload, Duration timeout, Reply reply)
 {
-    struct Call {
-        grpc::ClientContext context;
-        wire::Envelope request;
-        wire::EnvelopeReply reply;
-        std::unique_ptr<wire::Peers::Stub> stub;
-    };
-    auto call = std::make_shared<Call>();
-    impl_->counters.callsSent++;
-    impl_->counters.bytesSent += payload.size();
+    auto call = std::make_shared<SentCall>();
+    if (!impl_->calls->send(call)) {
+        return;
+    }
+    impl_->counters->callsSent++;
+    impl_->counters->bytesSent += payload.size();
     call->context.AddMetadata(TokenMetadata, impl_->options.token);
     // NOTE gRPC's own clock: a deadline of the transport, which a paused test clock does not stop.
     call->context.set_deadline(Deadline::clock::now() + timeout);
@@ -160,26 +190,20 @@
     call->request.set_topic(std::move(topic));
     call->request.set_payload(std::move(payload));
     call->stub = wire::Peers::NewStub(impl_->channelTo(peer));
-    auto *raw = call.get();
-    raw->stub->async()->Send(&raw->context, &raw->request, &raw->reply, [impl = impl_, call, reply = std::move(reply)](grpc::Status status) {
-        impl->loop->post([impl, call, reply, status] {
-            if (impl->options.onCallEnded) {
-                impl->options.onCallEnded(call->request.topic(), call->request.payload().size() + call->reply.payload().size());
-            }
-            if (!status.ok()) {
-                impl->counters.failed++;
-                reply(toError(status));
-                return;
-            }
-            impl->counters.bytesReceived += call->reply.payload().size();
-            if (!call->reply.accepted()) {
-                impl->counters.failed++;
-                reply(failure(ErrorKind::Denied, call->reply.refusal()));
-                return;
-            }
-            reply(std::move(*call->reply.mutable_payload()));
+    call->handler = std::move(reply);
+    // NOTE Nothing here owns the call: gRPC's thread would free it, with its handler, beside the loop's thread.
+    SentCall *raw = call.get();
+    call->stub->async()->Send(&raw->context,
+        &raw->request,
+        &raw->reply,
+        [raw, calls = impl_->calls, counters = impl_->counters, onCallEnded = impl_->options.onCallEnded](const grpc::Status &status) {
+            calls->ended(raw, [counters, status, onCallEnded](SentCall &call) {
+                if (onCallEnded) {
+                    onCallEnded(call.request.topic(), call.request.payload().size() + call.reply.payload().size());
+                }
+                call.handler(resultOf(call, status, *counters));
+            });
         });
-    });
 }
 
 void GrpcTransport::handle(std::string topic, TopicHandler handler)
@@ -189,7 +213,7 @@
 
 const PeerCounters &GrpcTransport::counters() const
 {
-    return impl_->counters;
+    return *impl_->counters;
 }
 
 std::uint16_t GrpcTransport::port() const
--- a/src/peers/peersmodule.cpp
+++ b/src/peers/peersmodule.cpp
@@ -44,11 +44,19 @@
         if (!transport) {
             return transport.error();
         }
-        context.set<PeerTransport>(transport.value());
+        transport_ = transport.value();
+        context.set<PeerTransport>(transport_);
         publishCounters(context);
         return success();
     }
 
+    void stop(Context &) override
+    {
+        if (transport_) {
+            transport_->stop();
+        }
+    }
+
 private:
     static void publishCounters(const Context &context)
     {
@@ -63,6 +71,8 @@
         publish("peer_bytes_sent_total", &PeerCounters::bytesSent);
         publish("peer_bytes_received_total", &PeerCounters::bytesReceived);
     }
+
+    std::shared_ptr<GrpcTransport> transport_;
 };
 
 const ModuleRegistration<PeersModule> Registration;
--- a/src/peers/tests/grpctransport_test.cpp
+++ b/src/peers/tests/grpctransport_test.cpp
@@ -1,61 +1,142 @@
 #include "peers/grpctransport.h"
 
+#include "kernel/module.h"
+#include "kernel/runtime.h"
+#include "settings/settingsreader.h"
+
 #include <gtest/gtest.h>
 
-#include <map>
+#include <thread>
+
+using namespace cardamomlift;
+using peers::GrpcTransport;
 
-namespace cardamomlift::peers {
 namespace {
 
-constexpr Duration Patience = std::chrono::seconds(20);
+constexpr char Topic[] = "test.topic";
+constexpr Duration ShortTimeout = std::chrono::milliseconds(200);
+constexpr Duration LongTimeout = std::chrono::minutes(10);
+
+/// One side of a call: a loop and what listens on it.
+struct Side {
+    explicit Side(std::string instance)
+        : loop(std::move(EventLoop::create(clock).value()))
+    {
+        peers::GrpcOptions options;
+        options.instance = std::move(instance);
+        options.token = "peer-token";
+        transport = GrpcTransport::create(*loop, options).value();
+    }
+
+    peers::PeerAddress address() const
+    {
+        return {"b", "127.0.0.1", transport->port()};
+    }
 
-struct Traffic {
-    int calls = 0;
-    std::size_t bytes = 0;
+    SystemClock clock;
+    std::unique_ptr<EventLoop> loop;
+    std::shared_ptr<peers::PeerTransport> transport;
 };
 
-GrpcOptions optionsOf(const std::string &instance, std::map<std::string, Traffic> &traffic)
+/// Runs the loops until @p condition holds; the time limit of the test ends a wait in vain.
+template<class Condition>
+void runUntil(Condition condition, std::initializer_list<EventLoop *> loops)
 {
-    GrpcOptions options;
-    options.instance = instance;
-    options.token = "token";
-    options.onCallEnded = [&traffic](std::string_view topic, std::size_t bytes) {
-        Traffic &entry = traffic[std::string(topic)];
-        entry.calls++;
-        entry.bytes += bytes;
-    };
-    return options;
-}
-
-TEST(GrpcTransport, TellsTheCallerTheBytesOfEachTopic)
-{
-    const SystemClock clock;
-    const auto loop = EventLoop::create(clock);
-    ASSERT_TRUE(loop);
-    std::map<std::string, Traffic> asked;
-    std::map<std::string, Traffic> answered;
-    const auto caller = GrpcTransport::create(*loop.value(), optionsOf("caller", asked));
-    const auto callee = GrpcTransport::create(*loop.value(), optionsOf("callee", answered));
-    ASSERT_TRUE(caller && callee);
-    callee.value()->handle("echo", [](const std::string &, std::string payload, const Reply &reply) { reply(std::move(payload)); });
-    const PeerAddress address{"callee", "127.0.0.1", callee.value()->port()};
-    int left = 3;
-    const auto countDown = [&](const Result<std::string> &) {
-        if (--left == 0) {
-            loop.value()->stop();
+    while (!condition()) {
+        for (EventLoop *loop : loops) {
+            loop->runDue();
         }
+        std::this_thread::yield();
+    }
+}
+
+/// A reply that holds @p token until gRPC has let go of it.
+peers::Reply replyHolding(std::shared_ptr<int> token)
+{
+    return [token = std::move(token)](const Result<std::string> &) {
     };
-    caller.value()->send(address, "echo", "12345", Patience, countDown);
-    caller.value()->send(address, "echo", "1234567", Patience, countDown);
-    caller.value()->send(address, "unknown", "123", Patience, countDown);
-    loop.value()->run();
-    EXPECT_EQ(left, 0);
-    EXPECT_EQ(asked["echo"].calls, 2);
-    EXPECT_EQ(asked["echo"].bytes, 24U);
-    EXPECT_EQ(asked["unknown"].calls, 1);
-    EXPECT_EQ(asked["unknown"].bytes, 3U);
-    EXPECT_TRUE(answered.empty());
+}
+
+std::unique_ptr<Module> moduleNamed(std::string_view name)
+{
+    auto modules = createModules();
+    for (auto &module : modules.value()) {
+        if (module->name() == name) {
+            return std::move(module);
+        }
+    }
+    return nullptr;
 }
 
 } // namespace
-} // namespace cardamomlift::peers
+
+TEST(GrpcTransport, AnswersACall)
+{
+    Side caller("a");
+    Side server("b");
+    server.transport->handle(Topic, [](const std::string &from, const std::string &payload, const peers::Reply &reply) { reply(from + payload); });
+    std::string answer;
+    caller.transport->send(server.address(), Topic, "-asks", LongTimeout, [&](Result<std::string> payload) { answer = payload.value(); });
+    runUntil([&] { return !answer.empty(); }, {caller.loop.get(), server.loop.get()});
+    EXPECT_EQ(answer, "a-asks");
+}
+
+TEST(GrpcTransport, CallThatEndsAfterTheLoopTouchesNothing)
+{
+    Side server("b");
+    auto token = std::make_shared<int>(0);
+    const std::weak_ptr<int> held = token;
+    {
+        Side caller("a");
+        // The server's loop does not run, so the call ends by its timeout.
+        caller.transport->send(server.address(), Topic, "", ShortTimeout, replyHolding(std::move(token)));
+    }
+    runUntil([&] { return held.expired(); }, {});
+}
+
+TEST(GrpcTransport, EndsWithAnUnansweredCall)
+{
+    Side caller("a");
+    auto server = std::make_unique<Side>("b");
+    std::vector<peers::Reply> kept;
+    server->transport->handle(Topic, [&](const std::string &, const std::string &, const peers::Reply &reply) { kept.push_back(reply); });
+    bool ended = false;
+    const auto onAnswer = [&](const Result<std::string> &payload) {
+        EXPECT_FALSE(payload);
+        ended = true;
+    };
+    caller.transport->send(server->address(), Topic, "", LongTimeout, onAnswer);
+    runUntil([&] { return !kept.empty(); }, {server->loop.get()});
+    server.reset();
+    runUntil([&] { return ended; }, {caller.loop.get()});
+    kept.front()(std::string("too late"));
+}
+
+TEST(GrpcTransport, ModuleStopsItThoughOthersHoldIt)
+{
+    Side server("b");
+    SystemClock clock;
+    auto loop = std::move(EventLoop::create(clock).value());
+    auto runtime = std::make_shared<Runtime>();
+    runtime->loop = loop.get();
+    Context context;
+    context.set(runtime);
+    context.set(std::make_shared<settings::Settings>(settings::embeddedDefaults()));
+    const auto metrics = moduleNamed("metrics");
+    const auto peersModule = moduleNamed("peers");
+    ASSERT_TRUE(metrics->start(context));
+    ASSERT_TRUE(peersModule->start(context));
+    const auto holder = context.get<peers::PeerTransport>();
+    auto token = std::make_shared<int>(0);
+    const std::weak_ptr<int> held = token;
+    holder->send(server.address(), Topic, "", ShortTimeout, replyHolding(std::move(token)));
+    peersModule->stop(context);
+    loop.reset();
+    runUntil([&] { return held.expired(); }, {});
+}
+
+TEST(GrpcTransport, ModuleThatNeverStartedCanStop)
+{
+    Context context;
+    moduleNamed("peers")->stop(context);
+}
