Drop what a loop has queued while it is still whole

Cause: ~EventLoop freed timers and messages as members of a half-destroyed object, after the index of the timers. A part owned by such a closure that cancels its timer in its destructor, as the limit, spending and recovery keepers do, then looked it up in a freed map.

Ruled out: clearing in the daemon only (tests and tools own loops too). What is posted or armed meanwhile is dropped.

Before: both tests of EventLoopEnd ended with 139 in a plain build. After: green.

--- a/src/kernel/eventloop.h
+++ b/src/kernel/eventloop.h
@@ -21,6 +21,7 @@
 public:
     /// Creates a loop on @p clock, which must outlive it. Fails if libev finds no backend.
     static Result<std::unique_ptr<EventLoop>> create(const Clock &clock);
+    /// Drops what is queued. What the dropped messages and timers own is freed here and may still use the loop, to no effect.
     ~EventLoop();
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
--- a/src/kernel/internal/eventloop.cpp
+++ b/src/kernel/internal/eventloop.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <mutex>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace cardamomlift {
@@ -31,6 +32,7 @@
     std::mutex mutex;
     std::vector<std::function<void()>> messages;
     bool stopping = false;
+    bool ending = false;
     std::multimap<TimePoint, Timer> timers;
     std::unordered_map<TimerId, std::multimap<TimePoint, Timer>::iterator> timerIndex;
     TimerId nextId = 1;
@@ -82,9 +84,25 @@
         ev_timer_start(loop, &timer);
     }
 
+    // NOTE What a message or a timer owns may post, arm and cancel when it is freed, so the loop must still be whole then.
+    void dropAll()
+    {
+        std::vector<std::function<void()>> droppedMessages;
+        {
+            const std::lock_guard lock(mutex);
+            ending = true;
+            droppedMessages.swap(messages);
+        }
+        timerIndex.clear();
+        const auto droppedTimers = std::exchange(timers, {});
+    }
+
     TimerId insert(Duration delay, Duration period, std::function<void()> action)
     {
         const TimerId id = nextId++;
+        if (ending) {
+            return id;
+        }
         timerIndex[id] = timers.emplace(clock->now() + delay, Timer{id, period, std::move(action)});
         if (timerIndex[id] == timers.begin()) {
             ev_now_update(loop);
@@ -116,6 +134,7 @@
 EventLoop::~EventLoop()
 {
     if (impl_ && impl_->loop) {
+        impl_->dropAll();
         ev_loop_destroy(impl_->loop);
     }
 }
@@ -134,6 +153,9 @@
 {
     {
         std::lock_guard lock(impl_->mutex);
+        if (impl_->ending) {
+            return;
+        }
         impl_->messages.push_back(std::move(message));
     }
     ev_async_send(impl_->loop, &impl_->wake);
