Take no request while an HTTP server ends

Cause: ~Server runs libmicrohttpd once more to resume what is suspended. A request that had just arrived on an open connection was then handed to the handler, got suspended, and MHD_stop_daemon() aborted the process (134). At a daemon's end this is an operator's edit or question that arrives as the drain ends; its handler could also reach modules that were gone.

Ruled out: suspending later (the handler would still run), not running MHD (it aborts on what is suspended already).

Before: Server.RequestThatArrivesAsItEndsIsNotTaken ended with 134. After: tests-http green 10 times of 10.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -35,6 +35,9 @@
 {
     auto *impl = static_cast<Server::Impl *>(context);
     auto *exchange = static_cast<Exchange *>(*slot);
+    if (impl->stopping && (!exchange || !exchange->handled)) {
+        return MHD_NO;
+    }
     if (!exchange) {
         auto created = std::make_shared<Exchange>(impl, connection);
         created->self = created;
@@ -241,7 +244,8 @@
     if (!daemon) {
         return;
     }
-    // NOTE MHD aborts the process when it is stopped with a suspended connection.
+    // NOTE MHD aborts the process when it is stopped with a suspended connection, so no request is taken from here on.
+    stopping = true;
     const std::vector<Exchange *> open(exchanges.begin(), exchanges.end());
     for (Exchange *exchange : open) {
         exchange->resumeForShutdown();
--- a/src/http/internal/serverimpl.h
+++ b/src/http/internal/serverimpl.h
@@ -33,6 +33,7 @@
     std::uint16_t port = 0;
     std::size_t openRequests = 0;
     bool quiesced = false;
+    bool stopping = false;
     int listenSocket = -1;
     std::unordered_set<Exchange *> exchanges;
     std::unordered_map<MHD_Connection *, ReadingState> reading;
