Feed routing with load and refused connections, retries with deadlines

Load: reports reach Router::noteLoad. A call that this VM held back itself is told apart and blames no server. Deadlines: first token by waitUpToMs + firstTokenMs of the class, a service's answer by its timeout.

--- a/src/gateway/chathandler.h
+++ b/src/gateway/chathandler.h
@@ -28,6 +28,7 @@
         const ChatRequest &request,
         const contract::ModelGrant &grant,
         const contract::ServiceClass &serviceClass,
+        TimePoint firstTokenBy,
         std::uint64_t ticket);
     void stream(const CallerRequest &caller, streams::StreamState state, std::uint64_t ticket);
     void collect(const CallerRequest &caller, streams::StreamState state, std::uint64_t ticket);
--- a/src/gateway/internal/chathandler.cpp
+++ b/src/gateway/internal/chathandler.cpp
@@ -76,23 +76,26 @@
     question.mostPromptTokens = static_cast<std::int64_t>(request->messagesJson.size());
     question.mostOutputTokens = std::min(request->maxTokens.value_or(grant->maxOutputTokens), grant->maxOutputTokens);
     question.estimatedTokens = request->estimatedPromptTokens + question.mostOutputTokens;
-    tools_.admission->ask(question, [this, caller, request = *request, grant = *grant, serviceClass = *serviceClass](admission::AdmissionDecision decision) {
-        if (!decision.admitted) {
-            refuse(caller, {decision.reason, std::string(admission::refusalMessage(decision.reason)), decision.retryAfter});
-            return;
-        }
-        if (caller.responder->isClosed()) {
-            tools_.admission->release(decision.ticket, {});
-            return;
-        }
-        start(caller, request, grant, serviceClass, decision.ticket);
-    });
+    const TimePoint firstTokenBy = tools_.loop->now() + std::chrono::milliseconds(serviceClass->waitUpToMs + serviceClass->firstTokenMs);
+    tools_.admission->ask(
+        question, [this, caller, request = *request, grant = *grant, serviceClass = *serviceClass, firstTokenBy](admission::AdmissionDecision decision) {
+            if (!decision.admitted) {
+                refuse(caller, {decision.reason, std::string(admission::refusalMessage(decision.reason)), decision.retryAfter});
+                return;
+            }
+            if (caller.responder->isClosed()) {
+                tools_.admission->release(decision.ticket, {});
+                return;
+            }
+            start(caller, request, grant, serviceClass, firstTokenBy, decision.ticket);
+        });
 }
 
 void ChatHandler::start(const CallerRequest &caller,
     const ChatRequest &request,
     const contract::ModelGrant &grant,
     const contract::ServiceClass &serviceClass,
+    TimePoint firstTokenBy,
     std::uint64_t ticket)
 {
     streams::StreamState state;
@@ -106,6 +109,7 @@
     state.seed = request.seed.value_or(text::stableHash(state.requestId) >> 1);
     state.priority = static_cast<int>(serviceClass.priority);
     state.prefixHash = request.prefixHash;
+    state.firstTokenBy = firstTokenBy;
     if (request.stream) {
         stream(caller, std::move(state), ticket);
     } else {
--- a/src/gateway/internal/servicehandler.cpp
+++ b/src/gateway/internal/servicehandler.cpp
@@ -137,6 +137,7 @@
     record.route.customer = contract.customer;
     record.route.urgency = static_cast<routing::Urgency>(call->serviceClass.priority);
     record.idempotent = grant->idempotent;
+    record.deadline = call->answerBy;
     record.fingerprint = suspects::fingerprintOf(contract.customer, call->service, full + call->caller.http.body);
     admission::AdmissionQuestion question;
     question.contract = call->caller.contract;
@@ -272,6 +273,11 @@
         answer(call, result, server.instance);
         return;
     }
+    if (result.heldBack) {
+        tools_.planner->ended(call->record, server.instance, routing::AttemptEnd::Cancelled);
+        giveUp(call, {metrics::RefusalReason::DeadlineImpossible, "The call could not be sent in time.", ComeBackSoon});
+        return;
+    }
     const retry::Evidence evidence = evidenceOf(result, refused);
     if (retry::mayHaveRun(evidence)) {
         partLogger("gateway")->warn("A call may have run. server={} error={}", server.instance, result.error);
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -92,6 +92,7 @@
     Headers headers;
     std::string body; ///< Empty when onData consumed it.
     bool timedOut = false; ///< One of the request's time limits ended it; the connection itself did not break.
+    bool heldBack = false; ///< ClientHooks::mayStillSend said no, which says nothing of the server.
     std::string error; ///< A sentence, for logs.
     std::uint64_t bytesSent = 0; ///< Head and body as written, without TLS and below.
     std::uint64_t bytesReceived = 0; ///< Head and body as read.
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -276,6 +276,7 @@
     } else {
         result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
         result.transport = owned->mayHaveSent ? Transport::Broken : Transport::NotSent;
+        result.heldBack = code == CURLE_ABORTED_BY_CALLBACK && !owned->mayHaveSent;
         result.error = owned->errorText[0] ? owned->errorText : curl_easy_strerror(code);
     }
     if (owned->hooks.onDone) {
--- a/src/http/tests/client_test.cpp
+++ b/src/http/tests/client_test.cpp
@@ -27,15 +27,16 @@
         }).value());
     }
 
-    ClientResult call(const std::string &method, bool mayResend)
+    ClientResult call(const std::string &method, bool mayResend, std::function<bool()> mayStillSend = {})
     {
         ClientRequest request;
         request.method = method;
-        request.url = "http://127.0.0.1:" + std::to_string(server_->port()) + "/";
+        request.url = "http://127.0.0.1:" + std::to_string(server_ ? server_->port() : port_) + "/";
         request.body = method == "GET" ? "" : "{}";
         request.mayResend = mayResend;
         ClientResult result;
         ClientHooks hooks;
+        hooks.mayStillSend = std::move(mayStillSend);
         hooks.onDone = [&](ClientResult done) {
             result = std::move(done);
             ev_break(loop_->raw(), EVBREAK_ALL);
@@ -45,11 +46,18 @@
         return result;
     }
 
+    void stopServer()
+    {
+        port_ = server_->port();
+        server_.reset();
+    }
+
     SystemClock clock_;
     std::unique_ptr<EventLoop> loop_;
     std::unique_ptr<Client> client_;
     std::unique_ptr<Server> server_;
     int received_ = 0;
+    std::uint16_t port_ = 0; ///< Of the server, when it is gone.
 };
 
 } // namespace
@@ -74,3 +82,18 @@
     EXPECT_EQ(call("GET", false).transport, Transport::Completed);
     EXPECT_EQ(received_, 3);
 }
+
+TEST_F(ClientTest, ACallHeldBackIsToldFromAServerThatIsNotThere)
+{
+    const ClientResult held = call("POST", false, [] { return false; });
+    EXPECT_EQ(held.transport, Transport::NotSent);
+    EXPECT_TRUE(held.heldBack);
+    EXPECT_EQ(received_, 0);
+    const ClientResult sent = call("POST", false, [] { return true; });
+    EXPECT_EQ(sent.transport, Transport::Completed);
+    EXPECT_FALSE(sent.heldBack);
+    stopServer();
+    const ClientResult refused = call("POST", false, [] { return true; });
+    EXPECT_EQ(refused.transport, Transport::NotSent);
+    EXPECT_FALSE(refused.heldBack);
+}
--- a/src/membership/internal/loadreports.cpp
+++ b/src/membership/internal/loadreports.cpp
@@ -12,6 +12,14 @@
 void LoadReports::report(const std::string &instance, const LoadReport &report)
 {
     entries_[instance] = {report, loop_->now()};
+    for (const auto &handler : handlers_) {
+        handler(instance, report);
+    }
+}
+
+void LoadReports::onReport(std::function<void(const std::string &, const LoadReport &)> handler)
+{
+    handlers_.push_back(std::move(handler));
 }
 
 std::optional<AgedLoadReport> LoadReports::load(const std::string &instance) const
--- a/src/membership/internal/members.cpp
+++ b/src/membership/internal/members.cpp
@@ -169,6 +169,11 @@
     return found != unreachable_.end() && found->second > now();
 }
 
+std::size_t Members::unreachableCount() const
+{
+    return static_cast<std::size_t>(std::count_if(unreachable_.begin(), unreachable_.end(), [this](const auto &entry) { return entry.second > now(); }));
+}
+
 Health Members::healthOf(const std::string &instance) const
 {
     const auto found = health_.find(instance);
--- a/src/membership/loadreports.h
+++ b/src/membership/loadreports.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace cardamomlift::membership {
 
@@ -33,6 +34,8 @@
 
     /// Takes a report: piggybacked on an answer, or polled.
     void report(const std::string &instance, const LoadReport &report);
+    /// Calls @p handler for each report taken.
+    void onReport(std::function<void(const std::string &instance, const LoadReport &report)> handler);
     /// The latest report, or none if the server was never heard or its report was forgotten.
     std::optional<AgedLoadReport> load(const std::string &instance) const;
     void forget(const std::string &instance);
@@ -48,6 +51,7 @@
     LoadReports() = default;
     EventLoop *loop_ = nullptr;
     std::unordered_map<std::string, Entry> entries_;
+    std::vector<std::function<void(const std::string &, const LoadReport &)>> handlers_;
 };
 
 } // namespace cardamomlift::membership
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -56,6 +56,7 @@
     /// Leaves a backend server out of backends() until @p until.
     void setUnreachable(const std::string &instance, WallTime until);
     bool isUnreachable(const std::string &instance) const;
+    std::size_t unreachableCount() const;
 
     /// What the heartbeats say about an entry VM; Alive if they said nothing.
     Health healthOf(const std::string &instance) const;
--- a/src/membership/membershipmodule.cpp
+++ b/src/membership/membershipmodule.cpp
@@ -34,6 +34,7 @@
     metrics.gauge("entry_vms_listed", [heartbeat] { return static_cast<double>(heartbeat->reachability().listed); });
     metrics.gauge("entry_vms_heard", [heartbeat] { return static_cast<double>(heartbeat->reachability().heard); });
     metrics.gauge("leaving_marks", [members] { return static_cast<double>(members->markCount()); });
+    metrics.gauge("unreachable_servers", [members] { return static_cast<double>(members->unreachableCount()); });
     metrics.gauge("rumours", [gossip] { return static_cast<double>(gossip->size()); });
 }
 
@@ -67,6 +68,7 @@
         watcher->start();
         loop.every(ForgetPeriod, [raw = members.get()] { raw->forgetOld(); });
         addGauges(*context.get<metrics::Metrics>(), members, gossip, heartbeat);
+        context.get<metrics::Metrics>()->gauge("load_reports", [reports] { return static_cast<double>(reports->size()); });
         context.set(members);
         context.set(gossip);
         context.set(spread);
--- a/src/retry/attemptplanner.h
+++ b/src/retry/attemptplanner.h
@@ -22,7 +22,7 @@
     bool mayHaveRun = false; ///< A server may have run a part of it.
     bool accepted = false; ///< The caller has seen a part of the answer.
     std::uint64_t position = 0; ///< Tokens of the answer so far.
-    std::optional<TimePoint> deadline;
+    std::optional<TimePoint> deadline; ///< Of the first token, or of a service's answer. None binds what was accepted.
     std::vector<std::string> tried; ///< Instances, in order.
     /// Attempts that run now, by instance: two while the answer moves from one server to the next.
     std::map<std::string, suspects::AttemptId> running;
--- a/src/retry/internal/attemptplanner.cpp
+++ b/src/retry/internal/attemptplanner.cpp
@@ -10,6 +10,7 @@
 constexpr Duration AskAgain = std::chrono::milliseconds(50);
 constexpr Duration LongestUndecided = std::chrono::seconds(5);
 constexpr Duration ComeBackAfterVerdict = std::chrono::seconds(30);
+constexpr Duration ComeBackSoon = std::chrono::seconds(1);
 constexpr Duration ComeBackWithServers = std::chrono::seconds(5);
 
 AttemptPlan giveUp(metrics::RefusalReason reason, std::string message, Duration retryAfter)
@@ -68,6 +69,9 @@
             "This request crashed several servers and is not run again. Change it before you send it again.",
             Duration(0));
     }
+    if (record.deadline && !record.accepted && tools_.clock->now() >= *record.deadline) {
+        return giveUp(metrics::RefusalReason::DeadlineImpossible, "The request can't be in time any more.", ComeBackSoon);
+    }
     if (standing == suspects::Standing::Undecided) {
         return onUndecided(record);
     }
@@ -208,6 +212,9 @@
     if (const membership::Vm *vm = tools_.members->find(server); vm && evidence != Evidence::Refused) {
         record.route.avoidZones.push_back(vm->zone);
     }
+    if (evidence == Evidence::NotSent) {
+        tools_.members->reportUnreachable(server);
+    }
     RetryQuestion question;
     question.attempts = record.tried.size() - record.moves;
     if (tools_.suspects->standing(record.fingerprint) != suspects::Standing::Trusted) {
--- /dev/null
+++ b/src/retry/tests/attemptplanner_test.cpp
@@ -0,0 +1,107 @@
+#include "peers/localtransport.h"
+#include "retry/attemptplanner.h"
+
+#include <gtest/gtest.h>
+
+using namespace cardamomlift;
+using namespace cardamomlift::retry;
+using metrics::RefusalReason;
+
+namespace {
+
+membership::Vm engineVm(const std::string &instance)
+{
+    membership::Vm vm;
+    vm.instance = instance;
+    vm.role = membership::VmRole::Model;
+    vm.zone = "zone-1";
+    vm.serves = {"model"};
+    return vm;
+}
+
+/// The planner of one entry VM before three engines.
+class AttemptPlannerTest : public testing::Test
+{
+protected:
+    AttemptPlannerTest()
+    {
+        loop_ = std::move(EventLoop::create(clock_).value());
+        const auto transport = peers::LocalTransport::create(*loop_, std::make_shared<peers::LocalNetwork>(), "entry-1");
+        members_->applyList(std::vector<membership::Vm>{engineVm("engine-1"), engineVm("engine-2"), engineVm("engine-3")});
+        members_->onUnreachableReport([this](const std::string &instance) { reported_.push_back(instance); });
+        PlannerTools tools;
+        tools.clock = &clock_;
+        tools.router = routing::Router::create(clock_, members_);
+        tools.suspects = suspects::SuspectTracker::create({loop_.get(), members_, membership::Gossip::create(*loop_, transport), metrics_});
+        tools.members = members_;
+        tools.metrics = metrics_;
+        planner_ = AttemptPlanner::create(std::move(tools));
+        record_.route.name = "model";
+        record_.route.customer = "customer";
+    }
+
+    std::string attempt()
+    {
+        const AttemptPlan plan = planner_->next(record_);
+        EXPECT_EQ(plan.kind, PlanKind::Try);
+        return plan.server ? plan.server->instance : "";
+    }
+
+    static void expectTooLate(const AttemptPlan &plan)
+    {
+        EXPECT_EQ(plan.kind, PlanKind::GiveUp);
+        EXPECT_EQ(plan.reason, RefusalReason::DeadlineImpossible);
+        EXPECT_GT(plan.retryAfter.count(), 0);
+    }
+
+    ManualClock clock_;
+    std::unique_ptr<EventLoop> loop_;
+    std::shared_ptr<membership::Members> members_ = membership::Members::create("entry-1", &clock_);
+    std::shared_ptr<metrics::Metrics> metrics_ = metrics::Metrics::create();
+    std::shared_ptr<AttemptPlanner> planner_;
+    std::vector<std::string> reported_;
+    RequestRecord record_;
+};
+
+} // namespace
+
+TEST_F(AttemptPlannerTest, OnlyAConnectionThatWasNotMadeIsReportedAsUnreachable)
+{
+    const std::string first = attempt();
+    planner_->failed(record_, first, Evidence::Refused);
+    EXPECT_TRUE(reported_.empty());
+    const std::string second = attempt();
+    planner_->failed(record_, second, Evidence::NotSent);
+    EXPECT_EQ(reported_, std::vector<std::string>{second});
+    const std::string third = attempt();
+    planner_->failed(record_, third, Evidence::Broken);
+    EXPECT_EQ(reported_, std::vector<std::string>{second});
+}
+
+TEST_F(AttemptPlannerTest, AFailureAfterTheDeadlineIsToldAndNotRetried)
+{
+    record_.deadline = clock_.now() + std::chrono::seconds(1);
+    const std::string first = attempt();
+    EXPECT_EQ(planner_->failed(record_, first, Evidence::NotSent).kind, PlanKind::Wait);
+    const std::string second = attempt();
+    clock_.advance(std::chrono::seconds(1));
+    expectTooLate(planner_->failed(record_, second, Evidence::NotSent));
+}
+
+TEST_F(AttemptPlannerTest, NothingStartsAfterTheDeadline)
+{
+    record_.deadline = clock_.now() + std::chrono::seconds(1);
+    clock_.advance(std::chrono::seconds(1));
+    expectTooLate(planner_->next(record_));
+    EXPECT_TRUE(record_.tried.empty());
+}
+
+TEST_F(AttemptPlannerTest, WhatIsAcceptedHasNoDeadline)
+{
+    record_.deadline = clock_.now() + std::chrono::seconds(1);
+    const std::string first = attempt();
+    planner_->progressed(record_, 1);
+    clock_.advance(std::chrono::seconds(10));
+    EXPECT_EQ(planner_->failed(record_, first, Evidence::NotSent).kind, PlanKind::Wait);
+    EXPECT_NE(attempt(), first);
+}
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -13,6 +13,8 @@
 
 /// How long a load report is behind; own starts fade out of the estimate over this time.
 constexpr Duration ReportLag = std::chrono::milliseconds(1500);
+/// Polls are seconds apart; a report that old says less than own starts do. Found with bench-routing.
+constexpr Duration ReportWorth = std::chrono::milliseconds(1000);
 constexpr Duration OldestReport = std::chrono::seconds(10);
 constexpr Duration FirstAvoidance = std::chrono::seconds(1);
 constexpr std::uint32_t MostDoublings = 4;
@@ -28,6 +30,15 @@
     return state.recentStarts * std::exp(-lags);
 }
 
+/// A count of requests loses its worth with its age.
+LoadReport faded(LoadReport report, Duration age)
+{
+    const double worth = std::exp(-(std::chrono::duration<double>(age) / ReportWorth));
+    report.running = static_cast<std::uint32_t>(std::lround(report.running * worth));
+    report.waiting = static_cast<std::uint32_t>(std::lround(report.waiting * worth));
+    return report;
+}
+
 } // namespace
 
 std::shared_ptr<Router> Router::create(const Clock &clock, std::shared_ptr<membership::Members> members)
@@ -66,13 +77,16 @@
     result.recentStarts = faded(state, now);
     result.startsPerOwn = startsPerOwn_;
     if (state.report && now - state.reportAt < OldestReport) {
-        result.report = state.report;
+        result.report = faded(*state.report, now - state.reportAt);
     }
     result.excluded = contains(question.exclude, vm.instance);
     result.hostsSuspect = contains(question.suspectServers, vm.instance);
-    // Only a first attempt finds out whether a server that failed is back; a retry goes to a sound one.
+    // Only a first attempt finds out whether a server that failed is back, one a second; a retry goes to a sound one.
+    // NOTE A dead server looks idle beside the load that others report, and would draw all first attempts at once.
     const bool isRetry = !question.exclude.empty();
-    result.failedRecently = now < state.avoidUntil || (isRetry && state.failuresInRow > 0);
+    const bool isProbed = state.recentAt >= state.avoidUntil && now - state.recentAt < FirstAvoidance;
+    const bool isDoubted = state.failuresInRow > 0 && (isRetry || isProbed);
+    result.failedRecently = now < state.avoidUntil || isDoubted || members_->isUnreachable(vm.instance);
     return result;
 }
 
--- a/src/routing/tests/router_test.cpp
+++ b/src/routing/tests/router_test.cpp
@@ -149,3 +149,54 @@
     }
     EXPECT_LE(hints.size(), 16384U);
 }
+
+TEST(Router, AServerThatOtherVmsCanNotReachIsLeftOutUnlessAllAre)
+{
+    World world(2);
+    const WallTime until = world.clock.wallNow() + std::chrono::seconds(10);
+    world.members = membership::Members::create("entry-1", &world.clock);
+    world.members->applyList(world.list);
+    world.router = Router::create(world.clock, world.members);
+    world.members->setUnreachable("engine-0", until);
+    for (int i = 0; i < 20; i++) {
+        EXPECT_EQ(world.router->choose(world.question)->instance, "engine-1");
+        world.router->started("engine-1", "customer");
+    }
+    world.members->setUnreachable("engine-1", until);
+    EXPECT_TRUE(world.router->choose(world.question));
+    world.clock.advance(std::chrono::seconds(11));
+    EXPECT_EQ(world.router->choose(world.question)->instance, "engine-0");
+}
+
+TEST(Router, AReportLosesItsWorthWithItsAge)
+{
+    World world(2);
+    world.router->noteLoad("engine-0", {10, 0, 0}, world.clock.now());
+    world.router->noteLoad("engine-1", {0, 0, 0}, world.clock.now());
+    for (int i = 0; i < 2; i++) {
+        world.router->started("engine-1", "customer");
+    }
+    EXPECT_EQ(world.router->choose(world.question)->instance, "engine-1");
+    // Its own requests are certain; the ten were counted four seconds ago.
+    world.clock.advance(std::chrono::seconds(4));
+    EXPECT_EQ(world.router->choose(world.question)->instance, "engine-0");
+}
+
+TEST(Router, OneAttemptASecondLooksWhetherADeadServerIsBack)
+{
+    World world(2);
+    world.router->noteLoad("engine-1", {30, 0, 0}, world.clock.now());
+    world.router->started("engine-0", "customer");
+    world.router->finished("engine-0", AttemptEnd::Failed, "customer");
+    for (int second = 0; second < 3; second++) {
+        world.clock.advance(std::chrono::seconds(2));
+        world.router->noteLoad("engine-1", {30, 0, 0}, world.clock.now());
+        int atDead = 0;
+        for (int i = 0; i < 10; i++) {
+            const auto vm = world.router->choose(world.question);
+            world.router->started(vm->instance, "other");
+            atDead += vm->instance == "engine-0" ? 1 : 0;
+        }
+        EXPECT_EQ(atDead, 1);
+    }
+}
--- a/src/streams/internal/streamsession.cpp
+++ b/src/streams/internal/streamsession.cpp
@@ -68,6 +68,7 @@
     record.fingerprint = suspects::fingerprintOf(state_.customer, state_.model, state_.messagesJson);
     record.position = state_.tokens.size();
     record.accepted = !state_.tokens.empty();
+    record.deadline = state_.firstTokenBy;
     for (const Attempt &attempt : state_.attempts) {
         if (!attempt.isForgotten) {
             record.tried.push_back(attempt.server);
--- a/src/streams/streamtypes.h
+++ b/src/streams/streamtypes.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,7 @@
     std::int64_t promptTokens = 0;
     std::int64_t cachedTokens = 0;
     std::uint64_t generation = 1; ///< Counts changes of the VM that drives it.
+    std::optional<TimePoint> firstTokenBy; ///< By this VM's clock: not told to other VMs, who get what was accepted only.
 };
 
 /// Why a request ended without a whole answer.
