End the gateway's server first, ignore signals after the loop

Ruled out: relying on the cycle that keeps the gateway alive today; a test that floods the daemon with signals (it starves the main thread and proves nothing; the finding about libev is from its known behaviour, not shown by a run). Conclusion: neither was seen to do harm; both are one line.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -13,6 +13,7 @@
 
 #include <ev.h>
 
+#include <csignal>
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -78,6 +79,9 @@
     watchSignals();
     printPorts();
     loop_->run();
+    // NOTE libev's handlers stay installed after its loop is gone; a late signal must not reach them.
+    std::signal(SIGTERM, SIG_IGN);
+    std::signal(SIGINT, SIG_IGN);
 }
 
 // The one line a starter of the daemon waits for: its ports, as JSON.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,10 +26,10 @@
     void onRequest(http::Request request, std::shared_ptr<http::Responder> responder);
     void refuse(const std::shared_ptr<http::Responder> &responder, CallerError error);
     GatewayTools tools_;
-    std::unique_ptr<http::Server> server_;
     std::unique_ptr<ChatHandler> chat_;
     std::unique_ptr<ResumeHandler> resume_;
     std::unique_ptr<ServiceHandler> services_;
+    std::unique_ptr<http::Server> server_; ///< Last: it ends first, and calls the handlers above until then.
 };
 
 } // namespace cardamomlift::gateway
