Send the chats of the load feed's test at once after a fresh report

The test now waits for the engine to have been polled anew, which its totals show, and sends all chats at once; the busy server has 200 streams instead of 40, so the report outweighs the own starts for two seconds. The assertions are as before: 0 there, 12 at the other. A failed try: 200 streams within the engine's default batch never all started (36 s, then closed); it is told a larger batch. Not yet run ten times under load. Conclusion: the verdict hangs on two seconds at most instead of on twelve chats.

--- a/src/standins/engine/engine.cpp
+++ b/src/standins/engine/engine.cpp
@@ -66,6 +66,7 @@
     } else if (path == "/v1/orders") {
         responder->respond(orders_.take(bodyOf(request)));
     } else if (path == "/load") {
+        totals_.loadPolls++;
         responder->respond(http::jsonResponse(200, loadJson()));
     } else if (path == "/cache-events") {
         const auto after = request.query.find("after");
@@ -246,6 +247,7 @@
     json["recomputedTokens"] = static_cast<Json::UInt64>(totals_.recomputedTokens);
     json["exportedBytes"] = static_cast<Json::UInt64>(totals_.exportedBytes);
     json["importedBytes"] = static_cast<Json::UInt64>(totals_.importedBytes);
+    json["loadPolls"] = static_cast<Json::UInt64>(totals_.loadPolls);
     json["refusedLeaving"] = static_cast<Json::UInt64>(totals_.refusedLeaving);
     json["open"] = static_cast<Json::UInt64>(streams_.size());
     json["orders"] = orders_.totals();
--- a/tests/routingfeeds_test.cpp
+++ b/tests/routingfeeds_test.cpp
@@ -63,19 +63,29 @@
 
 TEST(RoutingFeeds, AServerThatOthersKeepBusyGetsLittle)
 {
-    constexpr int Busy = 40;
-    // Own starts count twice until they fade: 24 at most, which is less than the busy server reports, at any speed.
+    // A report counts for less as it ages: to 74 after a second, to 27 after two. Own starts count twice: 24 at most.
+    constexpr int Busy = 200;
     constexpr int Chats = 12;
     Fleet fleet(1);
     // Busy before the entry VM knows of it, so that the first report shows it.
-    fleet.processes["engine-1"] = test::Process::start("standin-engine", {"--instance", "engine-1", "--token-ms", "200"});
+    fleet.processes["engine-1"] =
+        test::Process::start("standin-engine", {"--instance", "engine-1", "--token-ms", "500", "--max-batch", "1000", "--batch-slowdown", "1000000"});
     keepBusy(fleet, fleet.processes["engine-1"]->port(), Busy);
     fleet.announce("engine-1", "model", "zone-1", fleet.processes["engine-1"]->port());
     fleet.addEngine("engine-2", "zone-2");
     fleet.waitReady();
     waitMetric(fleet, "entry-1", "load_reports", 2);
+    // All at once, right after the next report: so the verdict does not hang on how long one chat takes.
+    const auto polls = fleet.engineTotal("engine-1", "loadPolls");
+    fleet.waitStatus(
+        "entry-1", [&](const Json::Value &) { return fleet.engineTotal("engine-1", "loadPolls") > polls; }, "a fresh report");
+    std::vector<test::TestCallPtr> chats;
+    chats.reserve(Chats);
     for (int i = 0; i < Chats; i++) {
-        const auto answer = fleet.caller.call(fleet.chat("entry-1", fmt::format("chat {}", i), 1, false));
+        chats.push_back(fleet.caller.start(fleet.chat("entry-1", fmt::format("chat {}", i), 1, false)));
+    }
+    for (const auto &answer : chats) {
+        fleet.caller.waitUntil([&] { return answer->ended; }, "the end of a chat");
         EXPECT_EQ(answer->status, 200) << answer->body;
     }
     const int atBusy = started(fleet, "engine-1") - Busy;
