--- /dev/null
+++ b/src/allowance/allowancekeeper.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "allowance/allowancetypes.h"
+#include "forwarding/customerhooks.h"
+#include "kernel/eventloop.h"
+#include "presence/presence.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace cardamomlift::allowance {
+
+/// Keeps customers' allowances over all entry VMs, by what each VM tells the others.
+class AllowanceKeeper : public forwarding::AllowanceGate, public std::enable_shared_from_this<AllowanceKeeper>
+{
+public:
+    static std::shared_ptr<AllowanceKeeper> create(EventLoop &loop, std::shared_ptr<presence::Presence> presence);
+    forwarding::AllowanceVerdict take(const manifest::Customer &customer, std::int64_t amount) override;
+    void giveBack(const manifest::Customer &customer, std::int64_t amount) override;
+
+private:
+    AllowanceKeeper(EventLoop &loop, std::shared_ptr<presence::Presence> presence);
+    Account &account(const std::string &customer);
+    Account &accountOf(std::uint64_t customer);
+    void fill(presence::Status &status);
+    void takeStatus(const presence::Status &status);
+    EventLoop &loop_;
+    std::shared_ptr<presence::Presence> presence_;
+    TimePoint startedAt_;
+    std::unordered_map<std::uint64_t, Account> accounts_; ///< By the hash of the customer's name.
+};
+
+} // namespace cardamomlift::allowance
--- /dev/null
+++ b/src/allowance/allowancerules.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "allowance/allowancetypes.h"
+
+namespace cardamomlift::allowance {
+
+/// What the customer is thought to have left now, over all VMs.
+double availableLevel(const Account &account, TimePoint now);
+/// The part of the refill that this VM may use while the bucket runs low: its part of what is asked.
+double ownShare(const Account &account, std::size_t vmCount, TimePoint now);
+/// Brings the levels up to @p now.
+void refill(Account &account, const manifest::Allowance &allowance, std::size_t vmCount, TimePoint now);
+/// What this VM's callers ask in a second, as of @p now.
+double askedNow(const Account &account, TimePoint now);
+/// Counts what was asked, let through or not.
+void noteAsked(Account &account, double amount, TimePoint now);
+/// Takes @p amount if there is room; call refill() first. From a full bucket anyone takes; from a low one each VM takes
+/// its share only, so that VMs whose news of each other is some tenths of a second old do not take the same rest twice.
+bool take(Account &account, const manifest::Allowance &allowance, double amount, TimePoint now);
+/// When take() may succeed again.
+Duration timeUntilRoom(const Account &account, const manifest::Allowance &allowance, std::size_t vmCount, TimePoint now);
+/// A peer's status came.
+void notePeer(Account &account, const std::string &instance, const PeerUse &use);
+
+} // namespace cardamomlift::allowance
--- /dev/null
+++ b/src/allowance/internal/allowancekeeper.cpp
@@ -0,0 +1,82 @@
+#include "allowance/allowancekeeper.h"
+
+#include "allowance/allowancerules.h"
+
+namespace cardamomlift::allowance {
+
+AllowanceKeeper::AllowanceKeeper(EventLoop &loop, std::shared_ptr<presence::Presence> presence)
+    : loop_(loop)
+    , presence_(std::move(presence))
+    , startedAt_(loop.now())
+{
+}
+
+std::shared_ptr<AllowanceKeeper> AllowanceKeeper::create(EventLoop &loop, std::shared_ptr<presence::Presence> presence)
+{
+    std::shared_ptr<AllowanceKeeper> keeper(new AllowanceKeeper(loop, std::move(presence)));
+    const std::weak_ptr<AllowanceKeeper> weak = keeper;
+    keeper->presence_->contribute([weak](presence::Status &status) {
+        if (const auto self = weak.lock()) {
+            self->fill(status);
+        }
+    });
+    keeper->presence_->onStatus([weak](const presence::Status &status, std::optional<TimePoint>) {
+        if (const auto self = weak.lock()) {
+            self->takeStatus(status);
+        }
+    });
+    return keeper;
+}
+
+Account &AllowanceKeeper::account(const std::string &customer)
+{
+    return accountOf(presence::nameHash(customer));
+}
+
+// Nothing was taken here before the first request, so its bucket fills from the start of the process.
+Account &AllowanceKeeper::accountOf(std::uint64_t customer)
+{
+    const auto [place, isNew] = accounts_.try_emplace(customer);
+    if (isNew) {
+        place->second.updatedAt = startedAt_;
+        place->second.askedAt = loop_.now();
+    }
+    return place->second;
+}
+
+forwarding::AllowanceVerdict AllowanceKeeper::take(const manifest::Customer &customer, std::int64_t amount)
+{
+    const TimePoint now = loop_.now();
+    Account &books = account(customer.name);
+    const auto asked = static_cast<double>(amount);
+    noteAsked(books, asked, now);
+    refill(books, customer.allowance, presence_->vmCount(), now);
+    if (allowance::take(books, customer.allowance, asked, now)) {
+        return {true, Duration(0)};
+    }
+    return {false, timeUntilRoom(books, customer.allowance, presence_->vmCount(), now)};
+}
+
+void AllowanceKeeper::giveBack(const manifest::Customer &customer, std::int64_t amount)
+{
+    Account &books = account(customer.name);
+    books.level += static_cast<double>(amount);
+    books.taken -= static_cast<double>(amount);
+}
+
+void AllowanceKeeper::fill(presence::Status &status)
+{
+    for (const auto &[customer, books] : accounts_) {
+        status.demands.push_back({customer, askedNow(books, loop_.now()), books.taken});
+    }
+}
+
+void AllowanceKeeper::takeStatus(const presence::Status &status)
+{
+    const TimePoint now = loop_.now();
+    for (const presence::CustomerDemand &demand : status.demands) {
+        notePeer(accountOf(demand.customer), status.instance, {status.incarnation, demand.taken, demand.perSecond, now});
+    }
+}
+
+} // namespace cardamomlift::allowance
--- /dev/null
+++ b/src/allowance/internal/allowancerules.cpp
@@ -0,0 +1,122 @@
+#include "allowance/allowancerules.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cardamomlift::allowance {
+
+namespace {
+
+/// Above this part of the burst the bucket is full enough for all: what the VMs may take before they hear of each other
+/// (a third of a second at several times the rate) is less.
+constexpr double FullPart = 0.6;
+/// What is asked is averaged over about this long: a few statuses.
+constexpr double AskedAverageSeconds = 1.5;
+/// A share is saved up for this long, so that a request of usual size fits.
+constexpr double ShareSeconds = 0.5;
+/// What a silent peer takes is reckoned with for this long. A VM without the store ends keyed service in a few seconds, so
+/// one that is silent longer has ended or serves nothing.
+constexpr Duration PeerLife = std::chrono::seconds(15);
+constexpr double MicrosecondsPerSecond = 1e6;
+/// A retry sooner than this would only meet the same state.
+constexpr Duration LeastRetryAfter = std::chrono::milliseconds(250);
+constexpr Duration MostRetryAfter = std::chrono::seconds(8);
+
+double seconds(Duration duration)
+{
+    return static_cast<double>(duration.count()) / MicrosecondsPerSecond;
+}
+
+double peerAsked(const Account &account, TimePoint now)
+{
+    double sum = 0;
+    for (const auto &[instance, peer] : account.peers) {
+        if (now - peer.heardAt <= PeerLife) {
+            sum += peer.perSecond;
+        }
+    }
+    return sum;
+}
+
+} // namespace
+
+double askedNow(const Account &account, TimePoint now)
+{
+    return account.askedPerSecond * std::exp(-seconds(now - account.askedAt) / AskedAverageSeconds);
+}
+
+double availableLevel(const Account &account, TimePoint now)
+{
+    double level = account.level;
+    for (const auto &[instance, peer] : account.peers) {
+        if (now - peer.heardAt <= PeerLife) {
+            level -= peer.perSecond * seconds(now - peer.heardAt);
+        }
+    }
+    return level;
+}
+
+double ownShare(const Account &account, std::size_t vmCount, TimePoint now)
+{
+    const double even = 1.0 / static_cast<double>(std::max<std::size_t>(1, vmCount));
+    const double own = askedNow(account, now);
+    const double sum = own + peerAsked(account, now);
+    if (sum <= 0 || account.peers.empty()) {
+        // Nothing is known of others: half of an even part, since as many VMs again may have started just now.
+        return even / 2;
+    }
+    return own / sum;
+}
+
+void refill(Account &account, const manifest::Allowance &allowance, std::size_t vmCount, TimePoint now)
+{
+    const double elapsed = std::max(0.0, seconds(now - account.updatedAt));
+    account.updatedAt = now;
+    account.level = std::min(allowance.burst, account.level + elapsed * allowance.perSecond);
+    const double share = ownShare(account, vmCount, now) * allowance.perSecond;
+    account.shareLevel = std::min(share * ShareSeconds, account.shareLevel + elapsed * share);
+}
+
+void noteAsked(Account &account, double amount, TimePoint now)
+{
+    account.askedPerSecond = askedNow(account, now) + amount / AskedAverageSeconds;
+    account.askedAt = now;
+}
+
+bool take(Account &account, const manifest::Allowance &allowance, double amount, TimePoint now)
+{
+    const bool isFull = availableLevel(account, now) >= std::min(std::max(amount, FullPart * allowance.burst), allowance.burst * 0.95);
+    // NOTE A request may be larger than what is saved up; it leaves a debt, which the next ones wait for.
+    if (!isFull && account.shareLevel <= 0) {
+        return false;
+    }
+    if (!isFull) {
+        account.shareLevel -= amount;
+    }
+    account.level -= amount;
+    account.taken += amount;
+    return true;
+}
+
+Duration timeUntilRoom(const Account &account, const manifest::Allowance &allowance, std::size_t vmCount, TimePoint now)
+{
+    const double share = std::max(1e-9, ownShare(account, vmCount, now) * allowance.perSecond);
+    const double wait = std::max(0.0, -account.shareLevel / share);
+    const auto duration = Duration(static_cast<std::int64_t>(std::min(wait, seconds(MostRetryAfter)) * MicrosecondsPerSecond));
+    return std::clamp(duration, LeastRetryAfter, MostRetryAfter);
+}
+
+void notePeer(Account &account, const std::string &instance, const PeerUse &use)
+{
+    const auto found = account.peers.find(instance);
+    if (found == account.peers.end()) {
+        // What it took before is in no one's level; from here on it counts.
+        account.peers.emplace(instance, use);
+        return;
+    }
+    const bool isSameProcess = found->second.incarnation == use.incarnation;
+    account.level -= isSameProcess ? use.taken - found->second.taken : use.taken;
+    found->second = use;
+}
+
+} // namespace cardamomlift::allowance
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "contract/contractreader.h"
 #include "contract/contractstore.h"
+#include "duties/dutylease.h"
 #include "eventlog/eventlog.h"
 #include "forwarding/routegateway.h"
 #include "gateway/gateway.h"
@@ -30,6 +31,9 @@
 {
     const auto &context = *static_cast<const Context *>(watcher->data);
     if (const auto gateway = context.find<forwarding::RouteGateway>()) {
+        if (const auto lease = context.find<duties::DutyLease>()) {
+            lease->release();
+        }
         gateway->drain([loop = context.get<Runtime>()->loop] { loop->stop(); });
         return;
     }
@@ -80,15 +84,16 @@
     }
 }
 
-void Daemon::run()
+void Daemon::run(const std::string &settingsFile)
 {
     applyContractFiles();
-    watchSignals();
+    watchSignals(settingsFile);
     printPorts();
     loop_->run();
     // NOTE libev's handlers stay installed after its loop is gone; a late signal must not reach them.
     std::signal(SIGTERM, SIG_IGN);
     std::signal(SIGINT, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);
 }
 
 // The one line a starter of the daemon waits for: its ports, as JSON.
@@ -109,7 +114,7 @@
     std::fflush(stdout);
 }
 
-void Daemon::watchSignals()
+void Daemon::watchSignals(const std::string &settingsFile)
 {
     static ev_signal terminate;
     static ev_signal interrupt;
@@ -119,6 +124,15 @@
     interrupt.data = terminate.data;
     ev_signal_start(loop_->raw(), &terminate);
     ev_signal_start(loop_->raw(), &interrupt);
+    if (settingsFile.empty() || !context_.get<settings::Settings>()->routes) {
+        return;
+    }
+    static ev_signal hangUp;
+    reload_ = std::make_unique<SettingsReload>(*loop_, context_, settingsFile);
+    ev_signal_init(
+        &hangUp, [](struct ev_loop *, ev_signal *watcher, int) { static_cast<SettingsReload *>(watcher->data)->reload(); }, SIGHUP);
+    hangUp.data = reload_.get();
+    ev_signal_start(loop_->raw(), &hangUp);
 }
 
 void Daemon::applyContractFiles()
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,5 @@
 #include "daemon/daemon.h"
-#include "deploymentsettings.h"
+#include "daemon/settingsfile.h"
 #include "kernel/log.h"
 #include "settings/settingsreader.h"
 
@@ -7,10 +7,8 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
 #include <optional>
-#include <sstream>
 
 namespace {
 
@@ -26,22 +24,9 @@
 /// Reads the settings file; prints findings and gives nothing if it can't be used.
 std::optional<cardamomlift::settings::Settings> loadSettings(const std::string &path)
 {
-    std::ifstream file(path);
-    if (!file) {
-        std::cerr << path << ": error: can't be read. Check the path.\n";
-        return std::nullopt;
-    }
-    std::stringstream text;
-    text << file.rdbuf();
     cardamomlift::Findings findings;
-    auto settings = cardamomlift::platform::readDeployment(path, text.str(), findings);
-    if (!settings && findings.empty()) {
-        settings = cardamomlift::settings::readSettings(path, text.str(), findings);
-    }
+    auto settings = cardamomlift::daemon::readSettingsFile(path, findings);
     std::cerr << cardamomlift::formatFindings(findings);
-    if (cardamomlift::hasErrors(findings)) {
-        return std::nullopt;
-    }
     return settings;
 }
 
@@ -55,7 +40,7 @@
     return path ? path : "";
 }
 
-int runDaemon(cardamomlift::settings::Settings settings)
+int runDaemon(cardamomlift::settings::Settings settings, const std::string &settingsFile)
 {
     cardamomlift::setLogLevel(settings.logLevel);
     auto daemon = cardamomlift::daemon::Daemon::create(std::move(settings));
@@ -63,7 +48,7 @@
         std::cerr << "cardamomliftd: " << daemon.error().message << "\n";
         return ExitStart;
     }
-    daemon.value()->run();
+    daemon.value()->run(settingsFile);
     return ExitOk;
 }
 
@@ -99,7 +84,7 @@
         return ExitUsage;
     }
     if (path.empty()) {
-        return runDaemon(cardamomlift::settings::embeddedDefaults());
+        return runDaemon(cardamomlift::settings::embeddedDefaults(), {});
     }
     auto settings = loadSettings(path);
     if (!settings) {
@@ -108,5 +93,5 @@
     if (values.count("check-config")) {
         return ExitOk;
     }
-    return runDaemon(std::move(*settings));
+    return runDaemon(std::move(*settings), path);
 }
--- /dev/null
+++ b/src/duties/dutiesmodule.cpp
@@ -0,0 +1,86 @@
+#include "duties/orderkeeper.h"
+#include "duties/usagereporter.h"
+#include "kernel/module.h"
+#include "kernel/runtime.h"
+#include "settings/settingstypes.h"
+
+namespace cardamomlift::duties {
+
+namespace {
+
+class DutiesModule : public Module
+{
+public:
+    std::string_view name() const override
+    {
+        return "duties";
+    }
+
+    ModuleUse use() const override
+    {
+        return ModuleUse::Routes;
+    }
+
+    std::vector<std::string_view> dependencies() const override
+    {
+        return {"presence", "usage", "platform", "manifest", "directory", "eventlog"};
+    }
+
+    Result<void> start(Context &context) override
+    {
+        const auto api = context.find<DutyApi>();
+        if (!api) {
+            return success();
+        }
+        const auto settings = context.get<settings::Settings>();
+        LeaseTools leaseTools;
+        leaseTools.loop = context.get<Runtime>()->loop;
+        leaseTools.store = context.get<rows::RowStore>();
+        leaseTools.presence = context.get<presence::Presence>();
+        leaseTools.log = context.get<eventlog::EventLog>();
+        leaseTools.length = settings->routes->lease;
+        const auto lease = DutyLease::start(std::move(leaseTools));
+        context.set(lease);
+        if (settings->routes->mayReportUsage) {
+            startReports(context, lease, api);
+        }
+        if (settings->routes->mayOrderServers) {
+            startOrders(context, lease, api);
+        }
+        return success();
+    }
+
+private:
+    static void startReports(Context &context, const std::shared_ptr<DutyLease> &lease, const std::shared_ptr<DutyApi> &api)
+    {
+        ReporterTools tools;
+        tools.loop = context.get<Runtime>()->loop;
+        tools.lease = lease;
+        tools.api = api;
+        tools.usage = context.get<usage::UsageCounter>();
+        tools.manifests = context.get<manifest::ManifestKeeper>();
+        tools.time = context.get<presence::TrueTime>();
+        tools.log = context.get<eventlog::EventLog>();
+        context.set(UsageReporter::start(std::move(tools)));
+    }
+
+    static void startOrders(Context &context, const std::shared_ptr<DutyLease> &lease, const std::shared_ptr<DutyApi> &api)
+    {
+        OrderTools tools;
+        tools.loop = context.get<Runtime>()->loop;
+        tools.lease = lease;
+        tools.api = api;
+        tools.directory = context.get<directory::Directory>();
+        tools.manifests = context.get<manifest::ManifestKeeper>();
+        tools.log = context.get<eventlog::EventLog>();
+        tools.metrics = context.get<metrics::Metrics>();
+        tools.zones = context.get<settings::Settings>()->routes->zones;
+        context.set(OrderKeeper::start(std::move(tools)));
+    }
+};
+
+const ModuleRegistration<DutiesModule> Registration;
+
+} // namespace
+
+} // namespace cardamomlift::duties
--- /dev/null
+++ b/src/duties/dutylease.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "duties/dutytypes.h"
+#include "eventlog/eventlog.h"
+#include "kernel/eventloop.h"
+#include "presence/presence.h"
+#include "rows/rowstore.h"
+
+#include <memory>
+#include <optional>
+
+namespace cardamomlift::duties {
+
+/// What the lease works with.
+struct LeaseTools {
+    EventLoop *loop = nullptr;
+    std::shared_ptr<rows::RowStore> store;
+    std::shared_ptr<presence::Presence> presence;
+    std::shared_ptr<eventlog::EventLog> log;
+    Duration length = std::chrono::seconds(3);
+};
+
+/// The one lease on all duties. It is a row that the holder writes anew before the lease runs out. Another VM takes it
+/// only after it has seen the same version of the row for longer than the lease, by its own clock; so no clocks are compared.
+class DutyLease : public std::enable_shared_from_this<DutyLease>
+{
+public:
+    static std::shared_ptr<DutyLease> start(LeaseTools tools);
+    ~DutyLease();
+
+    /// True if this VM may call the platform now. Asked right before each call, not once for several.
+    bool mayAct() const;
+    std::uint64_t fence() const;
+    /// The row as this VM has written it last; only while it holds the lease.
+    const LeaseRow &row() const;
+    /// Writes a changed row; it keeps the holder and the fence. @p done tells whether it stands in the store.
+    void update(LeaseRow row, std::function<void(bool written)> done);
+    /// Gives the lease up at the end of the process.
+    void release();
+
+private:
+    explicit DutyLease(LeaseTools tools);
+    void tick();
+    void renew();
+    void observe();
+    void takeRow(const rows::ReadResult &result);
+    void tryTake(const LeaseRow &before, std::uint64_t expectedVersion);
+    void write(LeaseRow row, std::uint64_t expectedVersion, std::function<void(bool written)> done);
+    void onWritten(const LeaseRow &row, TimePoint sentAt, const rows::WriteResult &result, const std::function<void(bool written)> &done);
+    void lose(std::string_view reason);
+    bool isMyTurn() const;
+    LeaseTools tools_;
+    bool holds_ = false;
+    bool writing_ = false;
+    bool reading_ = false;
+    bool ended_ = false; ///< Released; never taken again by this process.
+    LeaseRow row_;
+    std::uint64_t version_ = 0; ///< Of the row as it was written or seen last.
+    TimePoint heldUntil_;
+    TimePoint renewedAt_;
+    std::optional<TimePoint> seenAt_; ///< Since when another's row has had version_.
+    TimerId timer_ = 0;
+};
+
+} // namespace cardamomlift::duties
--- /dev/null
+++ b/src/duties/internal/dutylease.cpp
@@ -0,0 +1,238 @@
+#include "duties/dutylease.h"
+
+#include <algorithm>
+
+namespace cardamomlift::duties {
+
+namespace {
+
+using eventlog::Attribute;
+using eventlog::Event;
+
+constexpr char Table[] = "duties";
+constexpr char Key[] = "lease";
+constexpr Duration TickPeriod = std::chrono::milliseconds(250);
+/// The holder stops to act this long before its lease runs out: a call is on its way for some milliseconds.
+constexpr Duration ActMargin = std::chrono::milliseconds(300);
+/// Who takes over waits this much longer than the lease.
+constexpr Duration TakeMargin = std::chrono::milliseconds(300);
+/// A holder that tells the others of itself is left alone; some statuses may be lost.
+constexpr Duration HolderSilence = std::chrono::milliseconds(1500);
+/// VMs that were heard within this count as running when it is decided whose turn it is.
+constexpr Duration RunningWithin = std::chrono::milliseconds(1500);
+/// The lease is renewed when this part of it has passed: one lost write leaves time for a second.
+constexpr int RenewPart = 2;
+
+} // namespace
+
+DutyLease::DutyLease(LeaseTools tools)
+    : tools_(std::move(tools))
+{
+}
+
+std::shared_ptr<DutyLease> DutyLease::start(LeaseTools tools)
+{
+    std::shared_ptr<DutyLease> lease(new DutyLease(std::move(tools)));
+    DutyLease *raw = lease.get();
+    raw->timer_ = raw->tools_.loop->every(TickPeriod, [raw] { raw->tick(); });
+    raw->tools_.presence->contribute([weak = std::weak_ptr<DutyLease>(lease)](presence::Status &status) {
+        const auto self = weak.lock();
+        status.holdsLease = self && self->holds_;
+    });
+    return lease;
+}
+
+DutyLease::~DutyLease()
+{
+    tools_.loop->cancel(timer_);
+}
+
+bool DutyLease::mayAct() const
+{
+    return holds_ && !ended_ && tools_.loop->now() < heldUntil_;
+}
+
+std::uint64_t DutyLease::fence() const
+{
+    return row_.fence;
+}
+
+const LeaseRow &DutyLease::row() const
+{
+    return row_;
+}
+
+// The first by name of those that run, so that they do not all try at once.
+bool DutyLease::isMyTurn() const
+{
+    const TimePoint now = tools_.loop->now();
+    for (const auto &[instance, peer] : tools_.presence->peers()) {
+        const bool runs = peer.heardAt && now - *peer.heardAt <= RunningWithin && peer.status && !peer.status->isDraining;
+        const bool holds = peer.heardAt && now - *peer.heardAt <= HolderSilence && peer.status && peer.status->holdsLease;
+        if (holds || (runs && instance < tools_.presence->instance())) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void DutyLease::tick()
+{
+    const TimePoint now = tools_.loop->now();
+    if (ended_ || writing_) {
+        return;
+    }
+    if (holds_ && now >= heldUntil_ + ActMargin) {
+        lose("expired");
+        return;
+    }
+    if (holds_) {
+        if (now - renewedAt_ >= tools_.length / RenewPart) {
+            renew();
+        }
+        return;
+    }
+    if (!isMyTurn()) {
+        seenAt_.reset();
+        return;
+    }
+    if (!reading_) {
+        observe();
+    }
+}
+
+void DutyLease::renew()
+{
+    write(row_, version_, [](bool) {});
+}
+
+void DutyLease::observe()
+{
+    // Once seen, the row need not be read again until the lease must have run out.
+    if (seenAt_ && tools_.loop->now() - *seenAt_ < tools_.length + TakeMargin) {
+        return;
+    }
+    reading_ = true;
+    tools_.store->read(Table, Key, [weak = weak_from_this()](const rows::ReadResult &result) {
+        if (const auto self = weak.lock()) {
+            self->reading_ = false;
+            self->takeRow(result);
+        }
+    });
+}
+
+void DutyLease::takeRow(const rows::ReadResult &result)
+{
+    if (result.failure != rows::StoreFailure::None || ended_ || holds_) {
+        return;
+    }
+    const auto found = std::find_if(result.page.rows.begin(), result.page.rows.end(), [](const rows::Row &row) { return row.key == Key; });
+    if (found == result.page.rows.end()) {
+        tryTake(LeaseRow(), 0);
+        return;
+    }
+    LeaseRow before;
+    if (!decodeLease(found->value, before)) {
+        tools_.log->write(Event::LeaseLost, {{Attribute::Reason, "its row can't be read"}});
+        return;
+    }
+    // NOTE Measured from when the question was sent, for the wait of the next holder to cover the whole lease of the last.
+    const bool wasUnchanged = seenAt_ && version_ == found->version && result.askedAt - *seenAt_ >= tools_.length + TakeMargin;
+    if (before.isReleased || wasUnchanged) {
+        tryTake(before, found->version);
+        return;
+    }
+    if (!seenAt_ || version_ != found->version) {
+        seenAt_ = tools_.loop->now();
+        version_ = found->version;
+    }
+}
+
+void DutyLease::tryTake(const LeaseRow &before, std::uint64_t expectedVersion)
+{
+    LeaseRow row = before;
+    row.holder = tools_.presence->instance();
+    row.incarnation = tools_.presence->incarnation();
+    row.fence = before.fence + 1;
+    row.isReleased = false;
+    seenAt_.reset();
+    write(std::move(row), expectedVersion, [](bool) {});
+}
+
+void DutyLease::update(LeaseRow row, std::function<void(bool written)> done)
+{
+    if (!mayAct() || writing_) {
+        done(false);
+        return;
+    }
+    write(std::move(row), version_, std::move(done));
+}
+
+void DutyLease::write(LeaseRow row, std::uint64_t expectedVersion, std::function<void(bool written)> done)
+{
+    writing_ = true;
+    rows::RowWrite write;
+    write.table = Table;
+    write.key = Key;
+    write.value = encodeLease(row);
+    write.isConditional = true;
+    write.expectedVersion = expectedVersion;
+    const TimePoint sentAt = tools_.loop->now();
+    tools_.store->write({write}, [weak = weak_from_this(), row = std::move(row), sentAt, done = std::move(done)](const rows::WriteResult &result) {
+        if (const auto self = weak.lock()) {
+            self->writing_ = false;
+            self->onWritten(row, sentAt, result, done);
+        }
+    });
+}
+
+void DutyLease::onWritten(const LeaseRow &row, TimePoint sentAt, const rows::WriteResult &result, const std::function<void(bool written)> &done)
+{
+    if (result.outcome == rows::WriteOutcome::Written) {
+        if (!holds_) {
+            tools_.log->write(Event::LeaseTaken, {{Attribute::Fence, static_cast<std::int64_t>(row.fence)}});
+        }
+        holds_ = !row.isReleased;
+        row_ = row;
+        version_ = result.version;
+        renewedAt_ = sentAt;
+        heldUntil_ = sentAt + tools_.length - ActMargin;
+        done(true);
+        return;
+    }
+    if (result.outcome == rows::WriteOutcome::Conflict) {
+        // A write of ours whose answer was lost shows here as ours; any other means that the lease is another's.
+        const auto found = std::find_if(result.current.begin(), result.current.end(), [](const rows::Row &current) { return current.key == Key; });
+        LeaseRow current;
+        const bool isOurs = holds_ && found != result.current.end() && decodeLease(found->value, current) && current.incarnation == row_.incarnation && current.fence == row_.fence;
+        if (isOurs) {
+            row_ = current;
+            version_ = found->version;
+            renewedAt_ = TimePoint();
+        } else if (holds_) {
+            lose("taken by another");
+        }
+    }
+    done(false);
+}
+
+void DutyLease::lose(std::string_view reason)
+{
+    holds_ = false;
+    seenAt_.reset();
+    tools_.log->write(Event::LeaseLost, {{Attribute::Fence, static_cast<std::int64_t>(row_.fence)}, {Attribute::Reason, reason}});
+}
+
+void DutyLease::release()
+{
+    if (!holds_ || ended_) {
+        ended_ = true;
+        return;
+    }
+    ended_ = true;
+    LeaseRow row = row_;
+    row.isReleased = true;
+    write(std::move(row), version_, [](bool) {});
+}
+
+} // namespace cardamomlift::duties
--- /dev/null
+++ b/src/duties/internal/dutytypes.cpp
@@ -0,0 +1,52 @@
+#include "duties/dutytypes.h"
+
+#include "http/json.h"
+
+namespace cardamomlift::duties {
+
+std::string encodeLease(const LeaseRow &row)
+{
+    Json::Value json;
+    json["holder"] = row.holder;
+    json["incarnation"] = static_cast<Json::UInt64>(row.incarnation);
+    json["fence"] = static_cast<Json::UInt64>(row.fence);
+    json["released"] = row.isReleased;
+    json["reportedWindow"] = static_cast<Json::Int64>(row.reportedWindow);
+    json["reports"] = Json::Value(Json::arrayValue);
+    for (const UsageReport &report : row.reports) {
+        Json::Value entry;
+        entry["window"] = static_cast<Json::Int64>(report.window);
+        entry["counts"] = Json::Value(Json::objectValue);
+        for (const auto &[customer, count] : report.counts) {
+            entry["counts"][customer] = static_cast<Json::UInt64>(count);
+        }
+        json["reports"].append(entry);
+    }
+    return http::writeJson(json);
+}
+
+bool decodeLease(std::string_view text, LeaseRow &row)
+{
+    const auto json = http::parseJson(text);
+    if (!json || !json->isObject() || !(*json)["holder"].isString() || !(*json)["fence"].isUInt64() || !(*json)["incarnation"].isUInt64()) {
+        return false;
+    }
+    row.holder = (*json)["holder"].asString();
+    row.incarnation = (*json)["incarnation"].asUInt64();
+    row.fence = (*json)["fence"].asUInt64();
+    row.isReleased = (*json)["released"].isBool() && (*json)["released"].asBool();
+    row.reportedWindow = (*json)["reportedWindow"].isInt64() ? (*json)["reportedWindow"].asInt64() : 0;
+    row.reports.clear();
+    for (const Json::Value &entry : (*json)["reports"]) {
+        UsageReport report;
+        report.window = entry["window"].isInt64() ? entry["window"].asInt64() : 0;
+        const Json::Value &counts = entry["counts"];
+        for (const std::string &customer : counts.isObject() ? counts.getMemberNames() : Json::Value::Members()) {
+            report.counts[customer] = counts[customer].isUInt64() ? counts[customer].asUInt64() : 0;
+        }
+        row.reports.push_back(std::move(report));
+    }
+    return true;
+}
+
+} // namespace cardamomlift::duties
--- /dev/null
+++ b/src/duties/internal/orderkeeper.cpp
@@ -0,0 +1,146 @@
+#include "duties/orderkeeper.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace cardamomlift::duties {
+
+namespace {
+
+using eventlog::Attribute;
+using eventlog::Event;
+
+constexpr Duration TickPeriod = std::chrono::milliseconds(250);
+/// An order that was refused or failed is said again at this pace: each call is paid for, and reclaimable servers are
+/// not to be had for many seconds after a reclaim.
+constexpr Duration RepeatAfter = std::chrono::milliseconds(2000);
+/// An order whose servers have not come this long after they should have started is said again.
+constexpr Duration LateAfter = std::chrono::milliseconds(3000);
+
+} // namespace
+
+OrderKeeper::OrderKeeper(OrderTools tools)
+    : tools_(std::move(tools))
+{
+}
+
+std::shared_ptr<OrderKeeper> OrderKeeper::start(OrderTools tools)
+{
+    std::shared_ptr<OrderKeeper> keeper(new OrderKeeper(std::move(tools)));
+    OrderKeeper *raw = keeper.get();
+    raw->timer_ = raw->tools_.loop->every(TickPeriod, [raw] { raw->tick(); });
+    raw->tools_.directory->onLeaving([weak = std::weak_ptr<OrderKeeper>(keeper), loop = raw->tools_.loop](const directory::ServerPtr &) {
+        loop->post([weak] {
+            if (const auto self = weak.lock()) {
+                self->tick();
+            }
+        });
+    });
+    return keeper;
+}
+
+OrderKeeper::~OrderKeeper()
+{
+    tools_.loop->cancel(timer_);
+}
+
+void OrderKeeper::tick()
+{
+    const auto manifest = tools_.manifests->current();
+    if (!manifest || !tools_.lease->mayAct() || tools_.directory->size() == 0) {
+        return;
+    }
+    if (fence_ != tools_.lease->fence()) {
+        fence_ = tools_.lease->fence();
+        said_.clear();
+    }
+    for (const manifest::Service &service : manifest->manifest().services) {
+        if (service.scaling) {
+            planService(service);
+        }
+    }
+}
+
+std::vector<ZoneServers> OrderKeeper::countServers(const manifest::Service &service) const
+{
+    std::vector<ZoneServers> zones;
+    for (const std::string &zone : tools_.zones) {
+        zones.push_back({zone});
+    }
+    for (const auto &[instance, known] : tools_.directory->all()) {
+        if (known->server.service != service.name) {
+            continue;
+        }
+        const auto zone = std::find_if(zones.begin(), zones.end(), [&](const ZoneServers &entry) { return entry.zone == known->server.zone; });
+        if (zone == zones.end()) {
+            continue;
+        }
+        if (known->isLeaving) {
+            zone->leaving++;
+        } else {
+            (known->server.isReclaimable ? zone->reclaimable : zone->ordinary)++;
+        }
+    }
+    return zones;
+}
+
+void OrderKeeper::planService(const manifest::Service &service)
+{
+    const auto zones = countServers(service);
+    PlanGoal goal;
+    goal.servers = std::getenv("XT") ? std::atoi(std::getenv("XT")) : 6;
+    goal.reclaimablePerZone = std::getenv("XR") ? std::atoi(std::getenv("XR")) : 2;
+    for (const ServerOrder &order : planOrders(service.name, *service.scaling, zones, goal)) {
+        const auto zone = std::find_if(zones.begin(), zones.end(), [&](const ZoneServers &entry) { return entry.zone == order.zone; });
+        const int present = order.isReclaimable ? zone->reclaimable : zone->ordinary;
+        if (isDue(said_[{order.service, order.zone, order.isReclaimable}], order, present, *service.scaling)) {
+            say(order, present);
+        }
+    }
+}
+
+bool OrderKeeper::isDue(const Said &said, const ServerOrder &order, int present, const manifest::Scaling &scaling) const
+{
+    if (said.isOpen) {
+        return false;
+    }
+    if (said.wanted != order.wanted) {
+        // A new holder knows nothing of earlier orders; what is there already needs no word.
+        return said.wanted >= 0 || present != order.wanted;
+    }
+    const Duration since = tools_.loop->now() - said.at;
+    if (said.outcome != DutyOutcome::Done) {
+        return since >= RepeatAfter;
+    }
+    return present < order.wanted && since >= scaling.startup + LateAfter;
+}
+
+void OrderKeeper::say(const ServerOrder &order, int present)
+{
+    Said &said = said_[{order.service, order.zone, order.isReclaimable}];
+    said = {order.wanted, DutyOutcome::Failed, tools_.loop->now(), true};
+    if (!tools_.lease->mayAct()) {
+        said.isOpen = false;
+        return;
+    }
+    tools_.metrics->add("server_orders_total");
+    tools_.api->orderServers(tools_.lease->fence(), order, [weak = weak_from_this(), order, present, fence = fence_](DutyOutcome outcome) {
+        const auto self = weak.lock();
+        if (!self || self->fence_ != fence) {
+            return;
+        }
+        Said &entry = self->said_[{order.service, order.zone, order.isReclaimable}];
+        entry.isOpen = false;
+        entry.outcome = outcome;
+        self->tools_.log->write(outcome == DutyOutcome::Done ? Event::OrderSent : Event::OrderRefused,
+            {{Attribute::Service, order.service},
+                {Attribute::Zone, order.zone},
+                {Attribute::Reason, order.isReclaimable ? "reclaimable" : "ordinary"},
+                {Attribute::Wanted, std::int64_t(order.wanted)},
+                {Attribute::Present, std::int64_t(present)},
+                {Attribute::Fence, static_cast<std::int64_t>(fence)},
+                {Attribute::Outcome, outcome == DutyOutcome::Refused ? "none_available" : outcome == DutyOutcome::Done ? "done" : "failed"}});
+    });
+}
+
+} // namespace cardamomlift::duties
--- /dev/null
+++ b/src/duties/internal/orderplan.cpp
@@ -0,0 +1,49 @@
+#include "duties/orderplan.h"
+
+#include <algorithm>
+
+namespace cardamomlift::duties {
+
+namespace {
+
+double priceOf(const manifest::Scaling &scaling, const std::string &zone)
+{
+    const auto found = scaling.zonePrices.find(zone);
+    return found == scaling.zonePrices.end() ? 1 : found->second;
+}
+
+} // namespace
+
+std::vector<ServerOrder> planOrders(const std::string &service, const manifest::Scaling &scaling, std::span<const ZoneServers> zones, const PlanGoal &goal)
+{
+    std::vector<ServerOrder> orders;
+    std::vector<const ZoneServers *> byPrice;
+    int missing = goal.servers;
+    for (const ZoneServers &zone : zones) {
+        byPrice.push_back(&zone);
+        missing -= zone.reclaimable;
+        orders.push_back({service, zone.zone, true, std::min(goal.reclaimablePerZone, scaling.most)});
+    }
+    std::stable_sort(byPrice.begin(), byPrice.end(), [&](const ZoneServers *a, const ZoneServers *b) { return priceOf(scaling, a->zone) < priceOf(scaling, b->zone); });
+    // One in each failure domain before a second in the cheapest: a server that is near, and less lost with one of them.
+    std::vector<int> ordinary(byPrice.size(), 0);
+    bool placed = true;
+    while (missing > 0 && placed) {
+        placed = false;
+        for (std::size_t i = 0; i < byPrice.size() && missing > 0; i++) {
+            if (ordinary[i] + byPrice[i]->reclaimable + byPrice[i]->leaving >= scaling.most) {
+                continue;
+            }
+            ordinary[i]++;
+            missing--;
+            placed = true;
+        }
+    }
+    for (std::size_t i = 0; i < byPrice.size(); i++) {
+        const bool isBelowLeast = byPrice[i]->reclaimable + ordinary[i] < scaling.least && goal.reclaimablePerZone == 0;
+        orders.push_back({service, byPrice[i]->zone, false, isBelowLeast ? scaling.least : ordinary[i]});
+    }
+    return orders;
+}
+
+} // namespace cardamomlift::duties
--- /dev/null
+++ b/src/duties/internal/usagereporter.cpp
@@ -0,0 +1,119 @@
+#include "duties/usagereporter.h"
+
+#include <algorithm>
+
+namespace cardamomlift::duties {
+
+namespace {
+
+using eventlog::Attribute;
+using eventlog::Event;
+
+constexpr Duration TickPeriod = std::chrono::milliseconds(500);
+/// After the end of a window, for the last counts of all VMs to come: several statuses of the slowest fleet.
+constexpr Duration SettleTime = std::chrono::milliseconds(3000);
+/// Reports kept in the row: what a holder may have left unsent when it fell silent.
+constexpr std::size_t ReportsKept = 3;
+
+} // namespace
+
+UsageReporter::UsageReporter(ReporterTools tools)
+    : tools_(std::move(tools))
+{
+}
+
+std::shared_ptr<UsageReporter> UsageReporter::start(ReporterTools tools)
+{
+    std::shared_ptr<UsageReporter> reporter(new UsageReporter(std::move(tools)));
+    UsageReporter *raw = reporter.get();
+    raw->timer_ = raw->tools_.loop->every(TickPeriod, [raw] { raw->tick(); });
+    return reporter;
+}
+
+UsageReporter::~UsageReporter()
+{
+    tools_.loop->cancel(timer_);
+}
+
+void UsageReporter::tick()
+{
+    if (busy_ || !tools_.lease->mayAct() || !tools_.manifests->current()) {
+        return;
+    }
+    if (fence_ != tools_.lease->fence()) {
+        // A new lease: what the last holder has written may not have arrived.
+        fence_ = tools_.lease->fence();
+        arrived_ = 0;
+    }
+    const auto &reports = tools_.lease->row().reports;
+    const bool isPending = !reports.empty() && reports.back().window > arrived_;
+    if (isPending) {
+        send();
+        return;
+    }
+    startReport();
+}
+
+bool UsageReporter::startReport()
+{
+    const auto now = tools_.time->now();
+    const auto current = tools_.usage->currentWindow();
+    if (!now || !current) {
+        return false;
+    }
+    LeaseRow row = tools_.lease->row();
+    const std::int64_t window = row.reportedWindow == 0 ? *current - 1 : row.reportedWindow + 1;
+    if (window >= *current || *now < tools_.usage->endOf(window) + SettleTime) {
+        return false;
+    }
+    row.reportedWindow = window;
+    row.reports.push_back(makeReport(window));
+    if (row.reports.size() > ReportsKept) {
+        row.reports.erase(row.reports.begin());
+    }
+    busy_ = true;
+    tools_.lease->update(std::move(row), [weak = weak_from_this()](bool) {
+        if (const auto self = weak.lock()) {
+            self->busy_ = false;
+            self->tick();
+        }
+    });
+    return true;
+}
+
+UsageReport UsageReporter::makeReport(std::int64_t window) const
+{
+    UsageReport report;
+    report.window = window;
+    const usage::CustomerCounts sums = tools_.usage->total(window);
+    for (const manifest::Customer &customer : tools_.manifests->current()->manifest().customers) {
+        const auto found = sums.find(presence::nameHash(customer.name));
+        if (found != sums.end()) {
+            report.counts[customer.name] = found->second;
+        }
+    }
+    return report;
+}
+
+void UsageReporter::send()
+{
+    const auto &reports = tools_.lease->row().reports;
+    const auto next = std::find_if(reports.begin(), reports.end(), [this](const UsageReport &report) { return report.window > arrived_; });
+    busy_ = true;
+    tools_.api->reportUsage(tools_.lease->fence(), *next, [weak = weak_from_this(), window = next->window](DutyOutcome outcome) {
+        if (const auto self = weak.lock()) {
+            self->onSent(window, outcome);
+        }
+    });
+}
+
+void UsageReporter::onSent(std::int64_t window, DutyOutcome outcome)
+{
+    busy_ = false;
+    tools_.log->write(Event::UsageReported, {{Attribute::Window, window}, {Attribute::Outcome, outcome == DutyOutcome::Done ? "done" : "failed"}, {Attribute::Fence, static_cast<std::int64_t>(fence_)}});
+    if (outcome == DutyOutcome::Done) {
+        arrived_ = std::max(arrived_, window);
+    }
+}
+
+} // namespace cardamomlift::duties
--- /dev/null
+++ b/src/duties/orderkeeper.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "directory/directory.h"
+#include "duties/dutylease.h"
+#include "duties/orderplan.h"
+#include "manifest/manifestkeeper.h"
+#include "metrics/metrics.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+
+namespace cardamomlift::duties {
+
+/// What the keeper works with.
+struct OrderTools {
+    EventLoop *loop = nullptr;
+    std::shared_ptr<DutyLease> lease;
+    std::shared_ptr<DutyApi> api;
+    std::shared_ptr<directory::Directory> directory;
+    std::shared_ptr<manifest::ManifestKeeper> manifests;
+    std::shared_ptr<eventlog::EventLog> log;
+    std::shared_ptr<metrics::Metrics> metrics;
+    std::vector<std::string> zones;
+};
+
+/// Orders the servers of each service that may be ordered, while this VM holds the lease.
+class OrderKeeper : public std::enable_shared_from_this<OrderKeeper>
+{
+public:
+    static std::shared_ptr<OrderKeeper> start(OrderTools tools);
+    ~OrderKeeper();
+
+private:
+    /// An order that was said, by service, failure domain and kind.
+    using Subject = std::tuple<std::string, std::string, bool>;
+    struct Said {
+        int wanted = -1;
+        DutyOutcome outcome = DutyOutcome::Failed;
+        TimePoint at;
+        bool isOpen = false;
+    };
+    explicit OrderKeeper(OrderTools tools);
+    void tick();
+    void planService(const manifest::Service &service);
+    std::vector<ZoneServers> countServers(const manifest::Service &service) const;
+    bool isDue(const Said &said, const ServerOrder &order, int present, const manifest::Scaling &scaling) const;
+    void say(const ServerOrder &order, int present);
+    OrderTools tools_;
+    std::uint64_t fence_ = 0; ///< Of the lease under which said_ was learned.
+    std::map<Subject, Said> said_;
+    TimerId timer_ = 0;
+};
+
+} // namespace cardamomlift::duties
--- /dev/null
+++ b/src/duties/usagereporter.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "duties/dutylease.h"
+#include "manifest/manifestkeeper.h"
+#include "usage/usagecounter.h"
+
+#include <memory>
+
+namespace cardamomlift::duties {
+
+/// What the reporter works with.
+struct ReporterTools {
+    EventLoop *loop = nullptr;
+    std::shared_ptr<DutyLease> lease;
+    std::shared_ptr<DutyApi> api;
+    std::shared_ptr<usage::UsageCounter> usage;
+    std::shared_ptr<manifest::ManifestKeeper> manifests;
+    std::shared_ptr<presence::TrueTime> time;
+    std::shared_ptr<eventlog::EventLog> log;
+};
+
+/// Reports the usage of each window once. A report is written into the lease's row before it is sent; whoever holds the
+/// lease later sends that one, never another of the same window.
+class UsageReporter : public std::enable_shared_from_this<UsageReporter>
+{
+public:
+    static std::shared_ptr<UsageReporter> start(ReporterTools tools);
+    ~UsageReporter();
+
+private:
+    explicit UsageReporter(ReporterTools tools);
+    void tick();
+    bool startReport();
+    UsageReport makeReport(std::int64_t window) const;
+    void send();
+    void onSent(std::int64_t window, DutyOutcome outcome);
+    ReporterTools tools_;
+    bool busy_ = false;
+    std::uint64_t fence_ = 0; ///< Of the lease under which arrived_ was learned.
+    std::int64_t arrived_ = 0; ///< Windows up to this one have arrived.
+    TimerId timer_ = 0;
+};
+
+} // namespace cardamomlift::duties
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cardamomlift::forwarding {
@@ -44,6 +45,8 @@
     std::size_t openRequests() const;
     /// How many VMs share what may be repeated.
     void setVmCount(std::size_t count);
+    /// This VM ends at @p end: requests that may not be answered by then are refused.
+    void beginDrain(TimePoint end);
     void setSettings(const ForwardingSettings &settings);
 
 private:
@@ -52,6 +55,10 @@
     retry::RetryBudget &budget(const std::string &service);
     void forget(ForwardedRequest *request);
     ForwarderTools tools_;
+    /// True if a request that may last until @p deadline is still taken.
+    bool takesWork(TimePoint deadline) const;
+    std::optional<TimePoint> drainBegan_;
+    TimePoint drainEnd_;
     std::size_t vmCount_ = 8;
     std::map<std::string, retry::RetryBudget> budgets_; ///< By service.
     std::map<ForwardedRequest *, std::shared_ptr<ForwardedRequest>> open_;
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -1,14 +1,12 @@
 #include "forwarding/routegateway.h"
 #include "kernel/module.h"
 #include "kernel/runtime.h"
+#include "presence/presence.h"
 
 namespace cardamomlift::forwarding {
 
 namespace {
 
-/// Keys are judged by knowledge that is younger than their bound by this: time on the way to a backend server, and late
-/// timers.
-constexpr Duration KeyMargin = std::chrono::milliseconds(400);
 constexpr Duration PoolTick = std::chrono::milliseconds(500);
 
 class ForwardingModule : public Module
@@ -26,7 +24,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"manifest", "directory", "eventlog", "metrics", "platform"};
+        return {"manifest", "directory", "eventlog", "metrics", "platform", "presence", "allowance", "usage"};
     }
 
     Result<void> start(Context &context) override
@@ -44,20 +42,21 @@
         tools.allowances = context.find<AllowanceGate>();
         tools.usage = context.find<UsageMeter>();
         tools.wire = *context.get<WireFormat>();
-        tools.settings.zone = settings->zone;
-        tools.settings.strictKeys = settings->routes->strictKeys;
-        tools.settings.keysFreshFor = settings->routes->keyRevocation - KeyMargin;
-        tools.settings.retryRatio = settings->routes->retryRatio;
-        tools.settings.retrySlack = settings->routes->retrySlack;
+        tools.settings = forwardingSettings(*settings->routes, settings->zone);
         GatewayTools gatewayTools;
         gatewayTools.loop = tools.loop;
         gatewayTools.settings = *settings->routes;
+        gatewayTools.zone = settings->zone;
         gatewayTools.manifests = tools.manifests;
         gatewayTools.directory = tools.directory;
         gatewayTools.log = tools.log;
         gatewayTools.metrics = tools.metrics;
-        tools.loop->every(PoolTick, [pool] { pool->tick(); });
+        EventLoop *loop = tools.loop;
         const auto forwarder = Forwarder::create(std::move(tools));
+        loop->every(PoolTick, [pool, forwarder, presence = context.get<presence::Presence>()] {
+            pool->tick();
+            forwarder->setVmCount(presence->vmCount());
+        });
         context.set(forwarder);
         gatewayTools.forwarder = forwarder;
         gatewayTools.metrics->gauge("requests_open", [forwarder] { return static_cast<double>(forwarder->openRequests()); });
--- a/src/forwarding/forwardingtypes.h
+++ b/src/forwarding/forwardingtypes.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace cardamomlift::forwarding {
@@ -33,7 +34,7 @@
 
 /// How backend servers are reached and how often requests are repeated.
 struct ForwardingSettings {
-    std::string_view zone;
+    std::string zone; ///< This VM's failure domain.
     Duration keysFreshFor = std::chrono::milliseconds(4500); ///< Keys are judged by knowledge younger than this.
     bool strictKeys = true; ///< Without it, known keys go on being served when knowledge grows old.
     double retryRatio = 0.2; ///< Repeats over first sends to a service, over all VMs.
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -34,6 +34,8 @@
 constexpr Duration FullRetryAfter = std::chrono::milliseconds(500);
 /// A VM that has lost the store: the caller's next try reaches another one.
 constexpr Duration StaleRetryAfter = std::chrono::milliseconds(200);
+/// This VM is about to end: any other one takes the request now.
+constexpr Duration DrainingRetryAfter = std::chrono::milliseconds(50);
 /// With less time than this left, a request is not sent once more: no server answers so fast.
 constexpr Duration LeastTimeForSend = std::chrono::milliseconds(20);
 
@@ -73,6 +75,10 @@
         return;
     }
     setDeadline();
+    if (!forwarder_.takesWork(deadline_)) {
+        refuse(StatusUnavailable, Reason::Draining, DrainingRetryAfter);
+        return;
+    }
     service_ = chooseService();
     forwarder_.budget(service_).earn(service_);
     dispatch();
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -6,6 +6,14 @@
 
 namespace cardamomlift::forwarding {
 
+namespace {
+
+/// How long after the notice requests are taken whatever they last: callers learn of it within this, and nearly all
+/// streams begun by then end within the grace time.
+constexpr Duration TakesAllFor = std::chrono::milliseconds(2500);
+
+} // namespace
+
 Forwarder::Forwarder(ForwarderTools tools)
     : tools_(std::move(tools))
 {
@@ -28,6 +36,17 @@
     return open_.size();
 }
 
+void Forwarder::beginDrain(TimePoint end)
+{
+    drainBegan_ = tools_.loop->now();
+    drainEnd_ = end;
+}
+
+bool Forwarder::takesWork(TimePoint deadline) const
+{
+    return !drainBegan_ || tools_.loop->now() - *drainBegan_ < TakesAllFor || deadline < drainEnd_;
+}
+
 void Forwarder::setVmCount(std::size_t count)
 {
     vmCount_ = std::max<std::size_t>(1, count);
--- a/src/forwarding/internal/routegateway.cpp
+++ b/src/forwarding/internal/routegateway.cpp
@@ -13,6 +13,9 @@
 constexpr int StatusUnavailable = 503;
 constexpr int StatusNotFound = 404;
 
+/// Keys are judged by knowledge that is younger than their bound by this: time on the way to a backend server, and late
+/// timers.
+constexpr Duration KeyMargin = std::chrono::milliseconds(400);
 /// The balancer takes a VM out after two misses a second apart; until then new connections come.
 constexpr Duration BalancerNotices = std::chrono::milliseconds(2600);
 /// The end of the process, and of answers that are still open, comes this long before it would be killed.
@@ -32,6 +35,17 @@
 
 } // namespace
 
+ForwardingSettings forwardingSettings(const settings::RouteGatewaySettings &settings, std::string_view zone)
+{
+    ForwardingSettings result;
+    result.zone = zone;
+    result.strictKeys = settings.strictKeys;
+    result.keysFreshFor = settings.keyRevocation - KeyMargin;
+    result.retryRatio = settings.retryRatio;
+    result.retrySlack = settings.retrySlack;
+    return result;
+}
+
 RouteGateway::RouteGateway(GatewayTools tools)
     : tools_(std::move(tools))
 {
@@ -94,6 +108,14 @@
     return !draining_ && tools_.manifests->current() && tools_.directory->size() > 0;
 }
 
+void RouteGateway::applySettings(const settings::RouteGatewaySettings &settings)
+{
+    tools_.settings.grace = settings.grace;
+    tools_.settings.memoryMegabytes = settings.memoryMegabytes;
+    tools_.forwarder->setSettings(forwardingSettings(settings, tools_.zone));
+    applyLimits();
+}
+
 void RouteGateway::answerReadiness(const http1::ExchangePtr &exchange) const
 {
     exchange->answer(statusHead(isReady() ? StatusOk : StatusUnavailable), {});
@@ -119,6 +141,7 @@
     drained_ = std::move(done);
     drainBegan_ = tools_.loop->now();
     callers_->beginClosing();
+    tools_.forwarder->beginDrain(drainBegan_ + tools_.settings.grace - GraceMargin);
     tools_.log->write(Event::Stopping, {{Attribute::Open, static_cast<std::int64_t>(callers_->openExchanges())}});
     drainTimer_ = tools_.loop->every(DrainCheckPeriod, [this] { checkDrained(); });
 }
--- a/src/forwarding/routegateway.h
+++ b/src/forwarding/routegateway.h
@@ -12,10 +12,14 @@
 
 namespace cardamomlift::forwarding {
 
+/// What the settings say of forwarding.
+ForwardingSettings forwardingSettings(const settings::RouteGatewaySettings &settings, std::string_view zone);
+
 /// What a gateway works with.
 struct GatewayTools {
     EventLoop *loop = nullptr;
     settings::RouteGatewaySettings settings;
+    std::string zone;
     std::shared_ptr<Forwarder> forwarder;
     std::shared_ptr<manifest::ManifestKeeper> manifests;
     std::shared_ptr<directory::Directory> directory;
@@ -34,6 +38,8 @@
     /// shortly before the grace time ends.
     void drain(std::function<void()> done);
     bool isReady() const;
+    /// Bounds take effect from the next request on; addresses stay as they are.
+    void applySettings(const settings::RouteGatewaySettings &settings);
 
 private:
     explicit RouteGateway(GatewayTools tools);
--- a/src/kernel/internal/eventloop.cpp
+++ b/src/kernel/internal/eventloop.cpp
@@ -29,6 +29,7 @@
     struct ev_loop *loop = nullptr;
     ev_async wake{};
     ev_timer timer{};
+    ev_check check{};
     std::mutex mutex;
     std::vector<std::function<void()>> messages;
     bool stopping = false;
@@ -84,6 +85,15 @@
         ev_timer_start(loop, &timer);
     }
 
+    // libev's timer does not count the time of a suspension, the runtime's clock does: what came due meanwhile runs before
+    // the sockets' messages of that time.
+    void runDueTimers()
+    {
+        if (!timers.empty() && timers.begin()->first <= clock->now()) {
+            runTimers();
+        }
+    }
+
     // NOTE What a message or a timer owns may post, arm and cancel when it is freed, so the loop must still be whole then.
     void dropAll()
     {
@@ -128,6 +138,10 @@
     impl->timer.data = impl;
     ev_timer_init(
         &impl->timer, [](struct ev_loop *, ev_timer *watcher, int) { static_cast<Impl *>(watcher->data)->runTimers(); }, 0.0, 0.0);
+    impl->check.data = impl;
+    ev_check_init(&impl->check, [](struct ev_loop *, ev_check *watcher, int) { static_cast<Impl *>(watcher->data)->runDueTimers(); });
+    ev_set_priority(&impl->check, EV_MAXPRI);
+    ev_check_start(impl->loop, &impl->check);
     return result;
 }
 
--- /dev/null
+++ b/src/presence/internal/presence.cpp
@@ -0,0 +1,243 @@
+#include "presence/presence.h"
+
+#include "http/json.h"
+#include "presence/statusformat.h"
+
+#include <algorithm>
+
+namespace cardamomlift::presence {
+
+namespace {
+
+using eventlog::Attribute;
+using eventlog::Event;
+
+constexpr char Table[] = "entry-vms";
+/// How long the store may hold the question for new rows. They come at once whatever this is; it bounds how long a
+/// connection that fell silent goes unnoticed, and each answer is paid for.
+constexpr Duration WatchWait = std::chrono::seconds(10);
+/// Time between statuses to one peer. Shares of an allowance, loads and the lease are judged by them: three in a second.
+constexpr Duration LeastPeriod = std::chrono::milliseconds(350);
+/// With many VMs the period grows, so that one VM sends some sixty datagrams a second at most.
+constexpr Duration PeriodPerPeer = std::chrono::milliseconds(15);
+/// Sequences whose sending time is kept: an echo older than that proves nothing of use.
+constexpr std::size_t SentKept = 32;
+/// A peer that was silent this long is logged as lost.
+constexpr Duration LostAfter = std::chrono::seconds(3);
+/// Leaves room above the first sequence, which is drawn at random.
+constexpr unsigned SequenceShift = 8;
+constexpr Duration RowRetry = std::chrono::milliseconds(500);
+
+std::string rowText(const PresenceTools &tools)
+{
+    Json::Value row;
+    row["endpoint"] = http1::formatEndpoint(tools.endpoint);
+    row["zone"] = tools.zone;
+    row["incarnation"] = static_cast<Json::UInt64>(tools.incarnation);
+    return http::writeJson(row);
+}
+
+} // namespace
+
+Presence::Presence(PresenceTools tools)
+    : tools_(std::move(tools))
+    // NOTE Not from 0: an echo of what an earlier process of this VM has sent must prove nothing.
+    , sequence_(tools_.incarnation >> SequenceShift)
+{
+}
+
+std::shared_ptr<Presence> Presence::start(PresenceTools tools)
+{
+    std::shared_ptr<Presence> presence(new Presence(std::move(tools)));
+    Presence *raw = presence.get();
+    raw->tools_.datagrams->onDatagram([raw](std::string_view bytes) { raw->onDatagram(bytes); });
+    rows::WatchHandlers handlers;
+    handlers.onAll = [raw](const std::vector<rows::Row> &rows) {
+        raw->peers_.clear();
+        raw->takeRows(rows);
+    };
+    handlers.onChanges = [raw](const std::vector<rows::Row> &rows) { raw->takeRows(rows); };
+    handlers.onConfirmed = [](TimePoint) {};
+    handlers.onReachable = [](bool, rows::StoreFailure) {};
+    raw->watch_ = rows::RowWatch::start(*raw->tools_.loop, raw->tools_.store, Table, WatchWait, std::move(handlers));
+    raw->writeRow();
+    raw->sendSoon();
+    return presence;
+}
+
+Presence::~Presence()
+{
+    watch_->stop();
+    tools_.loop->cancel(timer_);
+}
+
+void Presence::writeRow()
+{
+    rows::RowWrite write;
+    write.table = Table;
+    write.key = tools_.instance;
+    write.value = rowText(tools_);
+    tools_.store->write({write}, [weak = weak_from_this()](const rows::WriteResult &result) {
+        const auto self = weak.lock();
+        if (!self || result.outcome == rows::WriteOutcome::Written) {
+            return;
+        }
+        self->tools_.loop->after(RowRetry, [weak] {
+            if (const auto again = weak.lock()) {
+                again->writeRow();
+            }
+        });
+    });
+}
+
+void Presence::takeRows(const std::vector<rows::Row> &rows)
+{
+    for (const rows::Row &row : rows) {
+        takeRow(row);
+    }
+}
+
+void Presence::takeRow(const rows::Row &row)
+{
+    if (row.key == tools_.instance) {
+        return;
+    }
+    if (row.isDeleted) {
+        peers_.erase(row.key);
+        return;
+    }
+    const auto json = http::parseJson(row.value);
+    const auto endpoint = json && json->isObject() && (*json)["endpoint"].isString() ? http1::parseEndpoint((*json)["endpoint"].asString()) : std::nullopt;
+    if (!endpoint) {
+        tools_.log->write(Event::PeerLost, {{Attribute::Server, row.key}, {Attribute::Reason, "its row can't be read"}});
+        return;
+    }
+    Peer &peer = peers_[row.key];
+    peer.endpoint = *endpoint;
+    peer.zone = (*json)["zone"].isString() ? (*json)["zone"].asString() : std::string();
+    peer.incarnation = (*json)["incarnation"].isUInt64() ? (*json)["incarnation"].asUInt64() : 0;
+}
+
+Duration Presence::period() const
+{
+    return std::max<Duration>(LeastPeriod, PeriodPerPeer * static_cast<std::int64_t>(peers_.size()));
+}
+
+void Presence::sendSoon()
+{
+    timer_ = tools_.loop->after(period(), [this] {
+        sendAll();
+        notePeers();
+        sendSoon();
+    });
+}
+
+void Presence::sendAll()
+{
+    StatusMessage message;
+    message.status.instance = tools_.instance;
+    message.status.incarnation = tools_.incarnation;
+    message.status.sequence = ++sequence_;
+    for (const auto &fill : fillers_) {
+        fill(message.status);
+    }
+    sent_.push_back({sequence_, tools_.loop->now()});
+    if (sent_.size() > SentKept) {
+        sent_.erase(sent_.begin());
+    }
+    for (const auto &[instance, peer] : peers_) {
+        message.echo = peer.status ? peer.status->sequence : 0;
+        tools_.datagrams->send(peer.endpoint, encodeStatus(message));
+    }
+}
+
+// The sender had seen our status @p echo, so it sent its own after we sent that one, whatever the clocks say.
+std::optional<TimePoint> Presence::provenTime(std::uint64_t echo) const
+{
+    for (const Sent &sent : sent_) {
+        if (sent.sequence == echo) {
+            return sent.at;
+        }
+    }
+    return std::nullopt;
+}
+
+void Presence::onDatagram(std::string_view bytes)
+{
+    auto message = decodeStatus(bytes);
+    if (!message) {
+        return;
+    }
+    const auto found = peers_.find(message->status.instance);
+    if (found == peers_.end()) {
+        return;
+    }
+    Peer &peer = found->second;
+    const Status &status = message->status;
+    // What an earlier process of that VM has sent may still be on its way; the row names the newest one.
+    const bool isOther = status.incarnation != peer.incarnation;
+    const bool isOld = peer.status && peer.status->incarnation == status.incarnation && peer.status->sequence >= status.sequence;
+    if (isOther || isOld) {
+        return;
+    }
+    peer.heardAt = tools_.loop->now();
+    const auto provenAt = provenTime(message->echo);
+    peer.status = std::move(message->status);
+    for (const auto &handler : handlers_) {
+        handler(*peer.status, provenAt);
+    }
+}
+
+void Presence::notePeers()
+{
+    const TimePoint now = tools_.loop->now();
+    for (const auto &[instance, peer] : peers_) {
+        const bool isSilent = !peer.heardAt || now - *peer.heardAt > LostAfter;
+        bool &wasSilent = silent_[instance];
+        if (isSilent && !wasSilent && peer.heardAt) {
+            tools_.log->write(Event::PeerLost, {{Attribute::Server, instance}, {Attribute::Zone, peer.zone}});
+            wasSilent = true;
+        } else if (!isSilent && wasSilent) {
+            tools_.log->write(Event::PeerRegained, {{Attribute::Server, instance}, {Attribute::Zone, peer.zone}});
+            wasSilent = false;
+        }
+    }
+}
+
+void Presence::contribute(std::function<void(Status &status)> fill)
+{
+    fillers_.push_back(std::move(fill));
+}
+
+void Presence::onStatus(std::function<void(const Status &status, std::optional<TimePoint> provenAt)> handler)
+{
+    handlers_.push_back(std::move(handler));
+}
+
+const std::map<std::string, Peer> &Presence::peers() const
+{
+    return peers_;
+}
+
+std::size_t Presence::heardWithin(Duration age) const
+{
+    const TimePoint now = tools_.loop->now();
+    return std::count_if(peers_.begin(), peers_.end(), [&](const auto &entry) { return entry.second.heardAt && now - *entry.second.heardAt <= age; });
+}
+
+std::size_t Presence::vmCount() const
+{
+    return peers_.size() + 1;
+}
+
+const std::string &Presence::instance() const
+{
+    return tools_.instance;
+}
+
+std::uint64_t Presence::incarnation() const
+{
+    return tools_.incarnation;
+}
+
+} // namespace cardamomlift::presence
--- /dev/null
+++ b/src/presence/internal/statusformat.cpp
@@ -0,0 +1,90 @@
+#include "presence/statusformat.h"
+
+#include "presence/generated/status.pb.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace cardamomlift::presence {
+
+std::uint64_t nameHash(std::string_view name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
+std::string encodeStatus(const StatusMessage &message)
+{
+    const Status &status = message.status;
+    wire::Status out;
+    out.set_instance(status.instance);
+    out.set_incarnation(status.incarnation);
+    out.set_sequence(status.sequence);
+    out.set_echo(message.echo);
+    out.set_manifest_version(status.manifestVersion);
+    if (status.manifestAge) {
+        out.set_manifest_age_us(static_cast<std::uint32_t>(std::min<std::int64_t>(status.manifestAge->count(), UINT32_MAX)));
+    }
+    if (status.clockOffset) {
+        out.set_clock_offset_ms(std::chrono::duration_cast<std::chrono::milliseconds>(*status.clockOffset).count());
+    }
+    for (const CustomerDemand &demand : status.demands) {
+        auto *entry = out.add_demands();
+        entry->set_customer(demand.customer);
+        entry->set_per_second(static_cast<float>(demand.perSecond));
+        entry->set_taken(demand.taken);
+    }
+    for (const UsageCount &usage : status.usage) {
+        auto *entry = out.add_usage();
+        entry->set_window(usage.window);
+        entry->set_customer(usage.customer);
+        entry->set_count(usage.count);
+    }
+    for (const ServerOpen &server : status.servers) {
+        auto *entry = out.add_servers();
+        entry->set_server(server.server);
+        entry->set_open(server.open);
+    }
+    for (const std::uint64_t suspect : status.suspects) {
+        out.add_suspects(suspect);
+    }
+    out.set_holds_lease(status.holdsLease);
+    out.set_draining(status.isDraining);
+    return out.SerializeAsString();
+}
+
+std::optional<StatusMessage> decodeStatus(std::string_view bytes)
+{
+    wire::Status in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || in.instance().empty()) {
+        return std::nullopt;
+    }
+    StatusMessage message;
+    message.echo = in.echo();
+    Status &status = message.status;
+    status.instance = in.instance();
+    status.incarnation = in.incarnation();
+    status.sequence = in.sequence();
+    status.manifestVersion = in.manifest_version();
+    if (in.has_manifest_age_us()) {
+        status.manifestAge = Duration(in.manifest_age_us());
+    }
+    if (in.has_clock_offset_ms()) {
+        status.clockOffset = std::chrono::milliseconds(in.clock_offset_ms());
+    }
+    for (const auto &entry : in.demands()) {
+        status.demands.push_back({entry.customer(), entry.per_second(), entry.taken()});
+    }
+    for (const auto &entry : in.usage()) {
+        status.usage.push_back({entry.window(), entry.customer(), entry.count()});
+    }
+    for (const auto &entry : in.servers()) {
+        status.servers.push_back({entry.server(), entry.open()});
+    }
+    status.suspects.assign(in.suspects().begin(), in.suspects().end());
+    status.holdsLease = in.holds_lease();
+    status.isDraining = in.draining();
+    return message;
+}
+
+} // namespace cardamomlift::presence
--- /dev/null
+++ b/src/presence/internal/truetime.cpp
@@ -0,0 +1,77 @@
+#include "presence/truetime.h"
+
+#include <algorithm>
+
+namespace cardamomlift::presence {
+
+namespace {
+
+/// Offsets of VMs that were not heard for longer are left out: their clocks may have been set since.
+constexpr Duration OffsetLife = std::chrono::seconds(10);
+
+} // namespace
+
+std::optional<Duration> agreedOffset(std::vector<Duration> offsets)
+{
+    if (offsets.empty()) {
+        return std::nullopt;
+    }
+    const auto middle = offsets.begin() + static_cast<std::ptrdiff_t>((offsets.size() - 1) / 2);
+    std::nth_element(offsets.begin(), middle, offsets.end());
+    return *middle;
+}
+
+TrueTime::TrueTime(EventLoop &loop, std::shared_ptr<rows::RowStore> store, std::shared_ptr<Presence> presence)
+    : loop_(loop)
+    , store_(std::move(store))
+    , presence_(std::move(presence))
+{
+}
+
+std::shared_ptr<TrueTime> TrueTime::create(EventLoop &loop, std::shared_ptr<rows::RowStore> store, std::shared_ptr<Presence> presence)
+{
+    std::shared_ptr<TrueTime> time(new TrueTime(loop, std::move(store), std::move(presence)));
+    time->presence_->contribute([weak = std::weak_ptr<TrueTime>(time)](Status &status) {
+        if (const auto self = weak.lock()) {
+            status.clockOffset = self->ownOffset();
+        }
+    });
+    return time;
+}
+
+std::optional<Duration> TrueTime::storeNow() const
+{
+    const auto clock = store_->clock();
+    if (!clock) {
+        return std::nullopt;
+    }
+    return clock->storeTime + (loop_.now() - clock->readAt);
+}
+
+std::optional<Duration> TrueTime::ownOffset() const
+{
+    const auto store = storeNow();
+    if (!store) {
+        return std::nullopt;
+    }
+    return loop_.clock().wallNow().time_since_epoch() - *store;
+}
+
+std::optional<WallTime> TrueTime::now() const
+{
+    const auto store = storeNow();
+    const auto own = ownOffset();
+    if (!store || !own) {
+        return std::nullopt;
+    }
+    std::vector<Duration> offsets{*own};
+    const TimePoint now = loop_.now();
+    for (const auto &[instance, peer] : presence_->peers()) {
+        if (peer.heardAt && now - *peer.heardAt <= OffsetLife && peer.status && peer.status->clockOffset) {
+            offsets.push_back(*peer.status->clockOffset);
+        }
+    }
+    return WallTime(*store + *agreedOffset(std::move(offsets)));
+}
+
+} // namespace cardamomlift::presence
--- /dev/null
+++ b/src/presence/presencetypes.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "http1/http1types.h"
+#include "kernel/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cardamomlift::presence {
+
+/// What a customer's callers ask of one entry VM.
+struct CustomerDemand {
+    std::uint64_t customer = 0; ///< nameHash() of the customer.
+    double perSecond = 0; ///< In the unit of its allowance.
+    double taken = 0; ///< All that was let through since the process began.
+};
+
+/// Requests of a customer that began to run in a window of time, sent by one entry VM.
+struct UsageCount {
+    std::int64_t window = 0;
+    std::uint64_t customer = 0;
+    std::uint32_t count = 0;
+};
+
+/// Requests that one entry VM has open at a backend server.
+struct ServerOpen {
+    std::uint64_t server = 0; ///< nameHash() of the instance.
+    std::uint32_t open = 0;
+};
+
+/// What one entry VM tells the others.
+struct Status {
+    std::string instance;
+    std::uint64_t incarnation = 0; ///< Of its process: another one after a restart.
+    std::uint64_t sequence = 0;
+    std::uint64_t manifestVersion = 0;
+    std::optional<Duration> manifestAge; ///< How old its knowledge is that no newer version exists.
+    std::optional<Duration> clockOffset; ///< Its time of day less the store's clock.
+    std::vector<CustomerDemand> demands;
+    std::vector<UsageCount> usage;
+    std::vector<ServerOpen> servers;
+    std::vector<std::uint64_t> suspects; ///< Hashes of requests that crash servers.
+    bool holdsLease = false;
+    bool isDraining = false;
+};
+
+/// Another entry VM.
+struct Peer {
+    http1::Endpoint endpoint;
+    std::string zone;
+    std::uint64_t incarnation = 0; ///< As its row says.
+    std::optional<TimePoint> heardAt;
+    std::optional<Status> status; ///< The newest.
+};
+
+/// The same on all VMs and builds.
+std::uint64_t nameHash(std::string_view name);
+
+} // namespace cardamomlift::presence
--- a/src/rows/rowstore.h
+++ b/src/rows/rowstore.h
@@ -2,8 +2,16 @@
 
 #include "rows/rowtypes.h"
 
+#include <optional>
+
 namespace cardamomlift::rows {
 
+/// A reading of the store's steady clock.
+struct StoreClock {
+    Duration storeTime{0};
+    TimePoint readAt; ///< When the answer came that holds it.
+};
+
 /// The platform's store of versioned rows: linearizable, with conditional transactions and a feed of changes. Calls never
 /// block; handlers run on the loop's thread, never from inside the call.
 class RowStore
@@ -16,6 +24,8 @@
     virtual void changes(std::string table, std::uint64_t version, Duration wait, ReadHandler handler) = 0;
     /// All or none of @p writes.
     virtual void write(std::vector<RowWrite> writes, WriteHandler handler) = 0;
+    /// The newest reading of its clock; empty before the first answer.
+    virtual std::optional<StoreClock> clock() const = 0;
 };
 
 } // namespace cardamomlift::rows
