--- a/src/duties/dutiesmodule.cpp
+++ b/src/duties/dutiesmodule.cpp
@@ -1,5 +1,6 @@
 #include "duties/orderkeeper.h"
 #include "duties/usagereporter.h"
+#include "forwarding/servicedemand.h"
 #include "kernel/module.h"
 #include "kernel/runtime.h"
 #include "settings/settingstypes.h"
@@ -23,7 +24,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"presence", "usage", "platform", "manifest", "directory", "eventlog"};
+        return {"presence", "usage", "platform", "manifest", "directory", "eventlog", "forwarding"};
     }
 
     Result<void> start(Context &context) override
@@ -74,6 +75,8 @@
         tools.manifests = context.get<manifest::ManifestKeeper>();
         tools.log = context.get<eventlog::EventLog>();
         tools.metrics = context.get<metrics::Metrics>();
+        tools.presence = context.get<presence::Presence>();
+        tools.ownLoads = [demand = context.get<forwarding::ServiceDemand>(), loop = tools.loop] { return demand->loads(loop->now()); };
         tools.zones = context.get<settings::Settings>()->routes->zones;
         context.set(OrderKeeper::start(std::move(tools)));
     }
--- a/src/duties/internal/orderkeeper.cpp
+++ b/src/duties/internal/orderkeeper.cpp
@@ -1,7 +1,6 @@
 #include "duties/orderkeeper.h"
 
 #include <algorithm>
-#include <cstdlib>
 
 namespace cardamomlift::duties {
 
@@ -17,6 +16,9 @@
 /// An order whose servers have not come this long after they should have started is said again.
 constexpr Duration LateAfter = std::chrono::milliseconds(3000);
 
+/// What a VM said of its load counts for this long after it fell silent: its callers come back elsewhere.
+constexpr Duration LoadLife = std::chrono::seconds(4);
+
 } // namespace
 
 OrderKeeper::OrderKeeper(OrderTools tools)
@@ -84,12 +86,23 @@
     return zones;
 }
 
+FleetLoad OrderKeeper::fleetLoad(const std::string &service) const
+{
+    std::vector<presence::ServiceLoad> loads = tools_.ownLoads();
+    const TimePoint now = tools_.loop->now();
+    for (const auto &[instance, peer] : tools_.presence->peers()) {
+        if (peer.status && peer.heardAt && now - *peer.heardAt <= LoadLife) {
+            loads.insert(loads.end(), peer.status->services.begin(), peer.status->services.end());
+        }
+    }
+    return sumLoads(loads, presence::nameHash(service));
+}
+
 void OrderKeeper::planService(const manifest::Service &service)
 {
     const auto zones = countServers(service);
-    PlanGoal goal;
-    goal.servers = std::getenv("XT") ? std::atoi(std::getenv("XT")) : 6;
-    goal.reclaimablePerZone = std::getenv("XR") ? std::atoi(std::getenv("XR")) : 2;
+    const double need = holdNeed(needs_[service.name], neededServers(fleetLoad(service.name), service), tools_.loop->now());
+    const PlanGoal goal = goalFor(need, zones.size(), *service.scaling);
     for (const ServerOrder &order : planOrders(service.name, *service.scaling, zones, goal)) {
         const auto zone = std::find_if(zones.begin(), zones.end(), [&](const ZoneServers &entry) { return entry.zone == order.zone; });
         const int present = order.isReclaimable ? zone->reclaimable : zone->ordinary;
--- a/src/duties/internal/usagereporter.cpp
+++ b/src/duties/internal/usagereporter.cpp
@@ -72,9 +72,14 @@
         row.reports.erase(row.reports.begin());
     }
     busy_ = true;
-    tools_.lease->update(std::move(row), [weak = weak_from_this()](bool) {
-        if (const auto self = weak.lock()) {
-            self->busy_ = false;
+    tools_.lease->update(std::move(row), [weak = weak_from_this()](bool written) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        self->busy_ = false;
+        // NOTE Only after a write: a lease that is busy refuses at once, and would be asked again from here without end.
+        if (written) {
             self->tick();
         }
     });
--- a/src/duties/orderkeeper.h
+++ b/src/duties/orderkeeper.h
@@ -3,9 +3,11 @@
 #include "directory/directory.h"
 #include "duties/dutylease.h"
 #include "duties/orderplan.h"
+#include "duties/servergoal.h"
 #include "manifest/manifestkeeper.h"
 #include "metrics/metrics.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,6 +24,8 @@
     std::shared_ptr<manifest::ManifestKeeper> manifests;
     std::shared_ptr<eventlog::EventLog> log;
     std::shared_ptr<metrics::Metrics> metrics;
+    std::shared_ptr<presence::Presence> presence;
+    std::function<std::vector<presence::ServiceLoad>()> ownLoads; ///< What this VM would say of itself.
     std::vector<std::string> zones;
 };
 
@@ -44,12 +48,14 @@
     explicit OrderKeeper(OrderTools tools);
     void tick();
     void planService(const manifest::Service &service);
+    FleetLoad fleetLoad(const std::string &service) const;
     std::vector<ZoneServers> countServers(const manifest::Service &service) const;
     bool isDue(const Said &said, const ServerOrder &order, int present, const manifest::Scaling &scaling) const;
     void say(const ServerOrder &order, int present);
     OrderTools tools_;
     std::uint64_t fence_ = 0; ///< Of the lease under which said_ was learned.
     std::map<Subject, Said> said_;
+    std::map<std::string, NeedMemory> needs_; ///< By service.
     TimerId timer_ = 0;
 };
 
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -5,6 +5,7 @@
 #include "forwarding/customerhooks.h"
 #include "forwarding/forwardingtypes.h"
 #include "forwarding/serverpool.h"
+#include "forwarding/servicedemand.h"
 #include "forwarding/wireformat.h"
 #include "http1/callerserver.h"
 #include "kernel/eventloop.h"
@@ -29,6 +30,7 @@
     std::shared_ptr<metrics::Metrics> metrics;
     std::shared_ptr<AllowanceGate> allowances; ///< May be null: no bound.
     std::shared_ptr<UsageMeter> usage; ///< May be null.
+    std::shared_ptr<ServiceDemand> demand;
     WireFormat wire;
     ForwardingSettings settings;
 };
@@ -54,7 +56,7 @@
     explicit Forwarder(ForwarderTools tools);
     retry::RetryBudget &budget(const std::string &service);
     void forget(ForwardedRequest *request);
-    ForwarderTools tools_;
+    std::shared_ptr<ForwarderTools> tools_; ///< Shared with the requests, which the loop may free later than this.
     /// True if a request that may last until @p deadline is still taken.
     bool takesWork(TimePoint deadline) const;
     std::optional<TimePoint> drainBegan_;
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -48,7 +48,8 @@
 
 ForwardedRequest::ForwardedRequest(Forwarder &forwarder, http1::ExchangePtr exchange)
     : forwarder_(forwarder)
-    , tools_(forwarder.tools_)
+    , shared_(forwarder.tools_)
+    , tools_(*shared_)
     , exchange_(std::move(exchange))
 {
 }
@@ -81,6 +82,8 @@
     }
     service_ = chooseService();
     forwarder_.budget(service_).earn(service_);
+    tools_.demand->noteAsked(service_, request_.promptTokens, tools_.loop->now());
+    demandNoted_ = true;
     dispatch();
 }
 
@@ -318,6 +321,7 @@
 {
     if (!attempt_->hasFirstByte) {
         attempt_->hasFirstByte = true;
+        tools_.demand->noteFirstByte(service_, tools_.loop->now() - exchange_->startedAt(), route_->latencyGoal, tools_.loop->now());
         tools_.pool->noteFirstByte(attempt_->server->server.instance, request_.promptTokens);
     }
     if (isStream() && attempt_->head.status == StatusOk && attempt_->answer.isSigned) {
@@ -598,6 +602,9 @@
         return;
     }
     finished_ = true;
+    if (demandNoted_) {
+        tools_.demand->noteEnded(service_);
+    }
     tools_.loop->cancel(deadlineTimer_);
     tools_.loop->cancel(connectTimer_);
     forwarder_.forget(this);
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -69,6 +69,7 @@
     void logAttempt(std::string_view outcome);
 
     Forwarder &forwarder_;
+    std::shared_ptr<const ForwarderTools> shared_;
     const ForwarderTools &tools_;
     http1::ExchangePtr exchange_;
     CallerRequest request_;
@@ -86,6 +87,7 @@
     bool allowanceTaken_ = false;
     bool headPassed_ = false; ///< The head of a stream's answer has gone to the caller.
     bool usageNoted_ = false;
+    bool demandNoted_ = false;
     bool finished_ = false;
     EventSplitter splitter_;
     http1::ResponseHead streamHead_; ///< Of the first server; the caller sees no other.
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 Forwarder::Forwarder(ForwarderTools tools)
-    : tools_(std::move(tools))
+    : tools_(std::make_shared<ForwarderTools>(std::move(tools)))
 {
 }
 
@@ -38,13 +38,13 @@
 
 void Forwarder::beginDrain(TimePoint end)
 {
-    drainBegan_ = tools_.loop->now();
+    drainBegan_ = tools_->loop->now();
     drainEnd_ = end;
 }
 
 bool Forwarder::takesWork(TimePoint deadline) const
 {
-    return !drainBegan_ || tools_.loop->now() - *drainBegan_ < TakesAllFor || deadline < drainEnd_;
+    return !drainBegan_ || tools_->loop->now() - *drainBegan_ < TakesAllFor || deadline < drainEnd_;
 }
 
 void Forwarder::setVmCount(std::size_t count)
@@ -54,7 +54,7 @@
 
 void Forwarder::setSettings(const ForwardingSettings &settings)
 {
-    tools_.settings = settings;
+    tools_->settings = settings;
 }
 
 retry::RetryBudget &Forwarder::budget(const std::string &service)
@@ -64,8 +64,8 @@
         return found->second;
     }
     // Half of an even part: as many VMs again may start within a window, each with a full stock.
-    const double most = tools_.settings.retrySlack / (2.0 * static_cast<double>(vmCount_));
-    return budgets_.emplace(service, retry::RetryBudget::create({tools_.settings.retryRatio, most, 0, most})).first->second;
+    const double most = tools_->settings.retrySlack / (2.0 * static_cast<double>(vmCount_));
+    return budgets_.emplace(service, retry::RetryBudget::create({tools_->settings.retryRatio, most, 0, most})).first->second;
 }
 
 // Freed by the loop: the request is in the middle of telling us.
@@ -75,7 +75,7 @@
     if (found == open_.end()) {
         return;
     }
-    tools_.loop->post([dying = std::move(found->second)] {});
+    tools_->loop->post([dying = std::move(found->second)] {});
     open_.erase(found);
 }
 
--- /dev/null
+++ b/src/forwarding/internal/servicedemand.cpp
@@ -0,0 +1,66 @@
+#include "forwarding/servicedemand.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cardamomlift::forwarding {
+
+namespace {
+
+/// Averages are over about this long: shorter than the start of a server, longer than the gaps between bursts.
+constexpr double AverageSeconds = 3;
+constexpr double MicrosecondsPerSecond = 1e6;
+
+} // namespace
+
+void ServiceDemand::decay(Entry &entry, TimePoint now)
+{
+    const double factor = std::exp(-static_cast<double>((now - entry.updatedAt).count()) / MicrosecondsPerSecond / AverageSeconds);
+    entry.tokensPerSecond *= factor;
+    entry.answersPerSecond *= factor;
+    entry.latenessPerSecond *= factor;
+    entry.updatedAt = now;
+}
+
+void ServiceDemand::noteAsked(const std::string &service, std::int64_t promptTokens, TimePoint now)
+{
+    Entry &entry = entries_[service];
+    decay(entry, now);
+    entry.tokensPerSecond += static_cast<double>(promptTokens) / AverageSeconds;
+    entry.open++;
+}
+
+void ServiceDemand::noteEnded(const std::string &service)
+{
+    Entry &entry = entries_[service];
+    entry.open -= std::min(entry.open, 1U);
+}
+
+void ServiceDemand::noteFirstByte(const std::string &service, Duration took, Duration goal, TimePoint now)
+{
+    if (goal.count() <= 0) {
+        return;
+    }
+    Entry &entry = entries_[service];
+    decay(entry, now);
+    entry.answersPerSecond += 1 / AverageSeconds;
+    entry.latenessPerSecond += static_cast<double>(took.count()) / static_cast<double>(goal.count()) / AverageSeconds;
+}
+
+std::vector<presence::ServiceLoad> ServiceDemand::loads(TimePoint now) const
+{
+    std::vector<presence::ServiceLoad> loads;
+    for (auto [service, entry] : entries_) {
+        decay(entry, now);
+        presence::ServiceLoad load;
+        load.service = presence::nameHash(service);
+        load.promptTokensPerSecond = entry.tokensPerSecond;
+        load.open = entry.open;
+        load.answersPerSecond = entry.answersPerSecond;
+        load.lateness = entry.answersPerSecond > 0 ? entry.latenessPerSecond / entry.answersPerSecond : 0;
+        loads.push_back(load);
+    }
+    return loads;
+}
+
+} // namespace cardamomlift::forwarding
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -45,6 +45,14 @@
         entry->set_server(server.server);
         entry->set_open(server.open);
     }
+    for (const ServiceLoad &load : status.services) {
+        auto *entry = out.add_services();
+        entry->set_service(load.service);
+        entry->set_prompt_tokens_per_second(static_cast<float>(load.promptTokensPerSecond));
+        entry->set_open(load.open);
+        entry->set_lateness(static_cast<float>(load.lateness));
+        entry->set_answers_per_second(static_cast<float>(load.answersPerSecond));
+    }
     for (const std::uint64_t suspect : status.suspects) {
         out.add_suspects(suspect);
     }
@@ -81,6 +89,9 @@
     for (const auto &entry : in.servers()) {
         status.servers.push_back({entry.server(), entry.open()});
     }
+    for (const auto &entry : in.services()) {
+        status.services.push_back({entry.service(), entry.prompt_tokens_per_second(), entry.open(), entry.lateness(), entry.answers_per_second()});
+    }
     status.suspects.assign(in.suspects().begin(), in.suspects().end());
     status.holdsLease = in.holds_lease();
     status.isDraining = in.draining();
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -31,6 +31,15 @@
     std::uint32_t open = 0;
 };
 
+/// What one entry VM's callers ask of a service.
+struct ServiceLoad {
+    std::uint64_t service = 0; ///< nameHash() of the service.
+    double promptTokensPerSecond = 0;
+    std::uint32_t open = 0; ///< Requests that are being answered.
+    double lateness = 0; ///< Time to the first byte over the route's goal, averaged over the last answers.
+    double answersPerSecond = 0;
+};
+
 /// What one entry VM tells the others.
 struct Status {
     std::string instance;
@@ -42,6 +51,7 @@
     std::vector<CustomerDemand> demands;
     std::vector<UsageCount> usage;
     std::vector<ServerOpen> servers;
+    std::vector<ServiceLoad> services;
     std::vector<std::uint64_t> suspects; ///< Hashes of requests that crash servers.
     bool holdsLease = false;
     bool isDraining = false;
