Keep ordered servers steady: a short memory for ordinary ones, a long one for reclaimable ones

Cause: servers came and went with each burst; each that goes ends what it runs within seconds, and the first seconds of load sent nearly all away.

--- a/src/duties/internal/orderkeeper.cpp
+++ b/src/duties/internal/orderkeeper.cpp
@@ -101,8 +101,8 @@
 void OrderKeeper::planService(const manifest::Service &service)
 {
     const auto zones = countServers(service);
-    const double need = holdNeed(needs_[service.name], neededServers(fleetLoad(service.name), service), tools_.loop->now());
-    const PlanGoal goal = goalFor(need, zones.size(), *service.scaling);
+    const double need = neededServers(fleetLoad(service.name), service);
+    const PlanGoal goal = updateGoal(needs_[service.name], need, zones.size(), *service.scaling, tools_.loop->now());
     for (const ServerOrder &order : planOrders(service.name, *service.scaling, zones, goal)) {
         const auto zone = std::find_if(zones.begin(), zones.end(), [&](const ZoneServers &entry) { return entry.zone == order.zone; });
         const int present = order.isReclaimable ? zone->reclaimable : zone->ordinary;
--- a/src/duties/internal/servergoal.cpp
+++ b/src/duties/internal/servergoal.cpp
@@ -9,20 +9,25 @@
 
 /// Prompt tokens that one engine is asked for a second when first tokens still come well in time. Engines read some 65,000
 /// a second when they do nothing else; half of the prompts' tokens are found cached, and generation takes its share.
-constexpr double TokensPerServer = 40'000;
+constexpr double TokensPerServer = 25'000;
 /// The part of an engine's slots that may be taken on average: requests come in bunches.
 constexpr double SlotUse = 0.5;
 /// First bytes may come after this part of the goal on average; later ones call for more servers.
 constexpr double LatenessGoal = 0.35;
 /// The most that late answers add: a queue that is being worked off stays late for a while after help has come.
 constexpr double MostPressure = 1.5;
-/// Before anything is known of the load: a server and a half in each failure domain carry the usual load, and the first
-/// burst comes sooner than a server starts.
-constexpr double FirstNeedPerZone = 2.25;
-/// The need falls by half in this time.
-constexpr double HalfLifeSeconds = 6;
+/// Before the load is known, and for some seconds after: two servers in each failure domain.
+constexpr double FirstNeedPerZone = 2;
+/// The need for ordinary servers, the dear ones, falls by half in this time.
+constexpr double ShortHalfLifeSeconds = 6;
+/// That for reclaimable ones, which cost a fifth: they outlast the pauses between bursts.
+constexpr double LongHalfLifeSeconds = 40;
+/// The goal is lowered only when the need lies this far below it: a server that goes ends what it runs within seconds.
+constexpr double Hysteresis = 1.5;
 /// Reclaimable servers beyond the need: a whole failure domain of them may be taken away at once.
 constexpr double ReclaimableReserve = 1.3;
+/// Reclaimable servers in each failure domain at least.
+constexpr int LeastReclaimable = 2;
 constexpr double MicrosecondsPerSecond = 1e6;
 
 } // namespace
@@ -53,22 +58,26 @@
     return std::max(byTokens, bySlots) * pressure;
 }
 
-double holdNeed(NeedMemory &memory, double need, TimePoint now)
-{
-    const double seconds = static_cast<double>((now - memory.heldAt).count()) / MicrosecondsPerSecond;
-    memory.held *= std::exp2(-std::max(0.0, seconds) / HalfLifeSeconds);
-    memory.heldAt = now;
-    memory.held = std::max(memory.held, need);
-    return memory.held;
-}
-
-PlanGoal goalFor(double need, std::size_t zones, const manifest::Scaling &scaling)
+PlanGoal updateGoal(NeedMemory &memory, double need, std::size_t zones, const manifest::Scaling &scaling, TimePoint now)
 {
     const double places = static_cast<double>(std::max<std::size_t>(1, zones));
-    const double wanted = need > 0 ? need : FirstNeedPerZone * places;
+    if (!memory.updatedAt) {
+        memory.shortTerm = FirstNeedPerZone * places;
+        memory.longTerm = memory.shortTerm;
+    }
+    // Before the first request the load says nothing.
+    const Duration elapsed = memory.updatedAt && need > 0 ? now - *memory.updatedAt : Duration(0);
+    const double seconds = static_cast<double>(elapsed.count()) / MicrosecondsPerSecond;
+    memory.updatedAt = now;
+    memory.shortTerm = std::max(need, memory.shortTerm * std::exp2(-seconds / ShortHalfLifeSeconds));
+    memory.longTerm = std::max(need, memory.longTerm * std::exp2(-seconds / LongHalfLifeSeconds));
+    if (memory.shortTerm > memory.servers || memory.shortTerm < memory.servers - Hysteresis) {
+        memory.servers = static_cast<int>(std::ceil(memory.shortTerm));
+    }
     PlanGoal goal;
-    goal.servers = static_cast<int>(std::ceil(wanted));
-    goal.reclaimablePerZone = std::clamp(static_cast<int>(std::lround(wanted * ReclaimableReserve / places)), 1, std::max(1, scaling.most));
+    goal.servers = memory.servers;
+    const int reclaimable = static_cast<int>(std::lround(memory.longTerm * ReclaimableReserve / places));
+    goal.reclaimablePerZone = std::clamp(reclaimable, std::min(LeastReclaimable, scaling.most), std::max(1, scaling.most));
     return goal;
 }
 
--- a/src/duties/servergoal.h
+++ b/src/duties/servergoal.h
@@ -22,14 +22,15 @@
 /// The servers that @p load needs now.
 double neededServers(const FleetLoad &load, const manifest::Service &service);
 
-/// Keeps the need of the last seconds: servers that were sent away take their start time to come back.
+/// What was needed lately: servers that were sent away take their start time to come back, and end what they run.
 struct NeedMemory {
-    double held = 0;
-    TimePoint heldAt;
+    double shortTerm = 0; ///< Falls within seconds; ordinary servers follow it.
+    double longTerm = 0; ///< Falls within a minute; reclaimable servers follow it.
+    std::optional<TimePoint> updatedAt;
+    int servers = 0; ///< The goal that was set last.
 };
-double holdNeed(NeedMemory &memory, double need, TimePoint now);
 
-/// What shall be ordered for a need of @p need servers in @p zones failure domains.
-PlanGoal goalFor(double need, std::size_t zones, const manifest::Scaling &scaling);
+/// Brings @p memory up to @p need and gives what shall be ordered in @p zones failure domains.
+PlanGoal updateGoal(NeedMemory &memory, double need, std::size_t zones, const manifest::Scaling &scaling, TimePoint now);
 
 } // namespace cardamomlift::duties
