--- /dev/null
+++ b/src/http1/tests/backendchannel_test.cpp
@@ -0,0 +1,195 @@
+#include "http1/backendchannel.h"
+#include "http1/tests/looptest.h"
+
+#include <optional>
+
+namespace cardamomlift::http1 {
+
+namespace {
+
+const ReadLimits Limits{16384, 1 << 20};
+constexpr char Request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// A server socket that the test speaks for, byte by byte.
+class BackendChannelTest : public LoopTest
+{
+protected:
+    BackendChannelTest()
+        : listener_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        EXPECT_EQ(::bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
+        EXPECT_EQ(::listen(listener_, 8), 0);
+        socklen_t size = sizeof address;
+        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
+        port_ = ntohs(address.sin_port);
+    }
+
+    ~BackendChannelTest() override
+    {
+        endPeer(false);
+        ::close(listener_);
+    }
+
+    void connect()
+    {
+        channel_ = BackendChannel::connect(*loop_, {"127.0.0.1", port_}, {}, Limits);
+        peer_ = ::accept(listener_, nullptr, nullptr);
+        ASSERT_TRUE(runUntil([&] { return channel_->isConnected(); }));
+    }
+
+    void call(const std::string &request = Request)
+    {
+        completed_ = false;
+        failure_.reset();
+        body_.clear();
+        CallHandlers handlers;
+        handlers.accepts = [this](const ResponseHead &head) { return head.fields.get("X-Id") != "other"; };
+        handlers.onHead = [this](const ResponseHead &head) { status_ = head.status; };
+        handlers.onBody = [this](std::string_view part) { body_ += part; };
+        handlers.onComplete = [this] { completed_ = true; };
+        handlers.onFailure = [this](CallFailure failure) { failure_ = failure; };
+        channel_->call(request, false, std::move(handlers));
+    }
+
+    void say(const std::string &bytes) const
+    {
+        EXPECT_EQ(::send(peer_, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+    }
+
+    void endPeer(bool withReset)
+    {
+        if (peer_ < 0) {
+            return;
+        }
+        // Unread bytes would turn a clean end into a reset.
+        char buffer[4096];
+        while (::recv(peer_, buffer, sizeof buffer, MSG_DONTWAIT) > 0) { }
+        const linger hard{1, 0};
+        if (withReset) {
+            setsockopt(peer_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+        }
+        ::close(peer_);
+        peer_ = -1;
+    }
+
+    int listener_;
+    int peer_ = -1;
+    std::uint16_t port_ = 0;
+    std::shared_ptr<BackendChannel> channel_;
+    int status_ = 0;
+    std::string body_;
+    bool completed_ = false;
+    std::optional<CallFailure> failure_;
+};
+
+TEST_F(BackendChannelTest, ServesOneCallAfterTheOther)
+{
+    connect();
+    for (const std::string text : {"one", "two"}) {
+        call();
+        say("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" + text);
+        ASSERT_TRUE(runUntil([&] { return completed_; }));
+        EXPECT_EQ(body_, text);
+        EXPECT_TRUE(channel_->isReusable());
+    }
+}
+
+TEST_F(BackendChannelTest, SkipsALateAnswerToAnEarlierRequest)
+{
+    connect();
+    call();
+    say("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew");
+    ASSERT_TRUE(runUntil([&] { return completed_; }));
+    EXPECT_EQ(body_, "new");
+}
+
+TEST_F(BackendChannelTest, IsNotUsedAgainAfterExtraBytes)
+{
+    connect();
+    call();
+    say("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noneHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo");
+    ASSERT_TRUE(runUntil([&] { return completed_; }));
+    EXPECT_EQ(body_, "one");
+    EXPECT_FALSE(channel_->isReusable());
+}
+
+TEST_F(BackendChannelTest, ExtraBytesWhileIdleEndIt)
+{
+    connect();
+    call();
+    say("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
+    ASSERT_TRUE(runUntil([&] { return completed_; }));
+    bool ended = false;
+    channel_->onIdleEnd([&] { ended = true; });
+    say("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo");
+    ASSERT_TRUE(runUntil([&] { return ended; }));
+    EXPECT_FALSE(channel_->isReusable());
+}
+
+TEST_F(BackendChannelTest, AnEarlyAnswerSpoilsItForTheNextCall)
+{
+    connect();
+    // More than the socket buffers hold: a part is still unsent when the answer comes.
+    call("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 33554432\r\n\r\n" + std::string(33554432, 'x'));
+    say("HTTP/1.1 413 Payload Too Large\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return completed_; }));
+    EXPECT_EQ(status_, 413);
+    EXPECT_FALSE(channel_->isReusable());
+}
+
+TEST_F(BackendChannelTest, AnAnswerWithoutLengthEndsWithACleanCloseOnly)
+{
+    for (const bool withReset : {false, true}) {
+        connect();
+        call();
+        say("HTTP/1.1 200 OK\r\n\r\npart");
+        ASSERT_TRUE(runUntil([&] { return body_ == "part"; }));
+        endPeer(withReset);
+        ASSERT_TRUE(runUntil([&] { return completed_ || failure_; }));
+        EXPECT_EQ(completed_, !withReset);
+    }
+}
+
+TEST_F(BackendChannelTest, TellsARefusedConnectionFromABrokenCall)
+{
+    const std::uint16_t freePort = port_;
+    ::close(listener_);
+    channel_ = BackendChannel::connect(*loop_, {"127.0.0.1", freePort}, {}, Limits);
+    call();
+    ASSERT_TRUE(runUntil([&] { return failure_.has_value(); }));
+    EXPECT_EQ(*failure_, CallFailure::NotConnected);
+}
+
+TEST_F(BackendChannelTest, AConnectionThatEndsUnansweredMayHaveRunTheCall)
+{
+    connect();
+    call();
+    endPeer(true);
+    ASSERT_TRUE(runUntil([&] { return failure_.has_value(); }));
+    EXPECT_EQ(*failure_, CallFailure::Broken);
+}
+
+TEST_F(BackendChannelTest, KeepsToTheServersIdleTime)
+{
+    connect();
+    call();
+    say("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return completed_; }));
+    EXPECT_FALSE(channel_->isReusable());
+}
+
+TEST_F(BackendChannelTest, BytesThatAreNoResponseBreakTheCall)
+{
+    connect();
+    call();
+    say("nonsense\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return failure_.has_value(); }));
+    EXPECT_EQ(*failure_, CallFailure::Broken);
+}
+
+} // namespace
+
+} // namespace cardamomlift::http1
--- /dev/null
+++ b/src/http1/tests/callerserver_test.cpp
@@ -0,0 +1,129 @@
+#include "http1/callerserver.h"
+#include "http1/tests/looptest.h"
+
+namespace cardamomlift::http1 {
+
+namespace {
+
+/// A server whose requests are kept for the test to answer.
+class CallerServerTest : public LoopTest
+{
+protected:
+    CallerServerTest()
+    {
+        ServerHandlers handlers;
+        handlers.onRequest = [this](ExchangePtr exchange) { exchanges_.push_back(std::move(exchange)); };
+        handlers.onRejected = [this](int status) { rejected_.push_back(status); };
+        server_ = CallerServer::listen(*loop_, {"127.0.0.1", 0}, limits_, std::move(handlers)).value();
+    }
+
+    bool hasRequests(std::size_t count)
+    {
+        return exchanges_.size() >= count;
+    }
+
+    static ResponseHead ok()
+    {
+        ResponseHead head;
+        head.status = 200;
+        return head;
+    }
+
+    ServerLimits limits_;
+    std::shared_ptr<CallerServer> server_;
+    std::vector<ExchangePtr> exchanges_;
+    std::vector<int> rejected_;
+};
+
+TEST_F(CallerServerTest, AnswersRequestsOfOneConnectionInTheirOrder)
+{
+    RawClient client(server_->port());
+    client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return hasRequests(1); }));
+    EXPECT_EQ(exchanges_[0]->head().target, "/1");
+    loop_->runDue();
+    EXPECT_EQ(exchanges_.size(), 1U) << "the second waits for the first answer";
+    exchanges_[0]->answer(ok(), "one");
+    ASSERT_TRUE(runUntil([&] { return hasRequests(2); }));
+    EXPECT_EQ(exchanges_[1]->head().target, "/2");
+    exchanges_[1]->answer(ok(), "two");
+    ASSERT_TRUE(runUntil([&] { return client.received().ends_with("two"); }));
+    EXPECT_NE(client.received().find("one"), std::string::npos);
+}
+
+TEST_F(CallerServerTest, ABodyThatLooksLikeARequestIsABody)
+{
+    const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n";
+    RawClient client(server_->port());
+    client.send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(hidden.size()) + "\r\n\r\n" + hidden);
+    ASSERT_TRUE(runUntil([&] { return hasRequests(1); }));
+    EXPECT_EQ(exchanges_[0]->body(), hidden);
+    exchanges_[0]->answer(ok(), "");
+    ASSERT_TRUE(runUntil([&] { return client.received().ends_with("\r\n\r\n"); }));
+    EXPECT_EQ(exchanges_.size(), 1U);
+}
+
+TEST_F(CallerServerTest, WhatCanBeReadInTwoWaysClosesTheConnection)
+{
+    RawClient client(server_->port());
+    client.send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return client.hasEnded(); }));
+    EXPECT_TRUE(exchanges_.empty());
+    EXPECT_EQ(rejected_, std::vector<int>{400});
+    EXPECT_TRUE(client.received().starts_with("HTTP/1.1 400"));
+}
+
+TEST_F(CallerServerTest, SeesThatTheCallerLeftWhileItWaits)
+{
+    RawClient client(server_->port());
+    client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return hasRequests(1); }));
+    bool gone = false;
+    exchanges_[0]->onGone([&] { gone = true; });
+    client.close();
+    ASSERT_TRUE(runUntil([&] { return gone; }));
+    exchanges_[0]->answer(ok(), "late");
+    EXPECT_EQ(server_->openExchanges(), 0U);
+}
+
+TEST_F(CallerServerTest, ABrokenOffStreamHasNoEndMark)
+{
+    RawClient client(server_->port());
+    client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return hasRequests(1); }));
+    exchanges_[0]->begin(ok());
+    exchanges_[0]->send("part");
+    ASSERT_TRUE(runUntil([&] { return client.received().find("part") != std::string::npos; }));
+    exchanges_[0]->breakOff();
+    ASSERT_TRUE(runUntil([&] { return client.hasEnded(); }));
+    EXPECT_EQ(client.received().find("0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(CallerServerTest, ClosingAnswersGoOnBeingGiven)
+{
+    RawClient client(server_->port());
+    client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return hasRequests(1); }));
+    server_->beginClosing();
+    exchanges_[0]->answer(ok(), "one");
+    ASSERT_TRUE(runUntil([&] { return client.hasEnded(); }));
+    EXPECT_NE(client.received().find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(client.received().ends_with("one"));
+    RawClient second(server_->port());
+    second.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return hasRequests(2); })) << "new connections are still taken";
+}
+
+TEST_F(CallerServerTest, ExpectedContinueIsGiven)
+{
+    RawClient client(server_->port());
+    client.send("POST /1 HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return client.received().starts_with("HTTP/1.1 100"); }));
+    client.send("ab");
+    ASSERT_TRUE(runUntil([&] { return hasRequests(1); }));
+    EXPECT_EQ(exchanges_[0]->body(), "ab");
+}
+
+} // namespace
+
+} // namespace cardamomlift::http1
--- /dev/null
+++ b/src/http1/tests/looptest.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "kernel/eventloop.h"
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <thread>
+
+namespace cardamomlift::http1 {
+
+/// Runs a loop on the real clock until something has happened.
+class LoopTest : public testing::Test
+{
+protected:
+    LoopTest()
+    {
+        loop_ = std::move(EventLoop::create(clock_).value());
+    }
+
+    /// Runs the loop until @p condition holds. The bound only ends a test that would never end.
+    testing::AssertionResult runUntil(const std::function<bool()> &condition)
+    {
+        constexpr int MostRounds = 20000;
+        for (int i = 0; i < MostRounds; i++) {
+            loop_->runDue();
+            if (condition()) {
+                return testing::AssertionSuccess();
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        return testing::AssertionFailure() << "did not happen";
+    }
+
+    SystemClock clock_;
+    std::unique_ptr<EventLoop> loop_;
+};
+
+/// A plain client socket that writes and reads raw bytes without blocking.
+class RawClient
+{
+public:
+    explicit RawClient(std::uint16_t port)
+        : descriptor_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        EXPECT_EQ(::connect(descriptor_, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
+    }
+
+    ~RawClient()
+    {
+        close();
+    }
+
+    RawClient(const RawClient &) = delete;
+    RawClient &operator=(const RawClient &) = delete;
+
+    void send(const std::string &bytes) const
+    {
+        EXPECT_EQ(::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+    }
+
+    /// All that has come so far.
+    const std::string &received()
+    {
+        char buffer[4096];
+        for (;;) {
+            const ssize_t count = ::recv(descriptor_, buffer, sizeof buffer, MSG_DONTWAIT);
+            if (count <= 0) {
+                ended_ = ended_ || count == 0 || errno == ECONNRESET;
+                return received_;
+            }
+            received_.append(buffer, static_cast<std::size_t>(count));
+        }
+    }
+
+    /// True once the server has closed.
+    bool hasEnded()
+    {
+        received();
+        return ended_;
+    }
+
+    void close()
+    {
+        if (descriptor_ >= 0) {
+            ::close(descriptor_);
+            descriptor_ = -1;
+        }
+    }
+
+private:
+    int descriptor_;
+    std::string received_;
+    bool ended_ = false;
+};
+
+} // namespace cardamomlift::http1
--- /dev/null
+++ b/src/rows/internal/memoryrowstore.cpp
@@ -0,0 +1,187 @@
+#include "rows/memoryrowstore.h"
+
+#include <algorithm>
+
+namespace cardamomlift::rows {
+
+namespace {
+
+/// How often a held question looks for changes.
+constexpr Duration PollPeriod = std::chrono::milliseconds(20);
+/// When a call without an answer is given up.
+constexpr Duration AnswerTimeout = std::chrono::seconds(1);
+
+} // namespace
+
+WriteResult MemoryRows::transact(const std::vector<RowWrite> &writes)
+{
+    WriteResult result;
+    bool holds = true;
+    for (const RowWrite &write : writes) {
+        const auto found = rows_.find({write.table, write.key});
+        const std::uint64_t current = found == rows_.end() ? 0 : found->second.version;
+        if (write.isConditional && current != write.expectedVersion) {
+            holds = false;
+        }
+        if (write.isConditional && found != rows_.end()) {
+            result.current.push_back(found->second);
+        }
+    }
+    if (!holds) {
+        result.outcome = WriteOutcome::Conflict;
+        return result;
+    }
+    version_++;
+    for (const RowWrite &write : writes) {
+        const Row row{write.key, write.value, version_, write.removes};
+        history_.push_back({write.table, row});
+        if (write.removes) {
+            rows_.erase({write.table, write.key});
+        } else {
+            rows_[{write.table, write.key}] = row;
+        }
+    }
+    result.outcome = WriteOutcome::Written;
+    result.version = version_;
+    result.current.clear();
+    return result;
+}
+
+RowPage MemoryRows::read(const std::string &table, const std::string &from, std::size_t limit) const
+{
+    RowPage page;
+    page.version = version_;
+    for (auto row = rows_.lower_bound({table, from}); row != rows_.end() && row->first.first == table; ++row) {
+        if (page.rows.size() == limit) {
+            page.hasMore = true;
+            break;
+        }
+        page.rows.push_back(row->second);
+    }
+    return page;
+}
+
+std::pair<StoreFailure, RowPage> MemoryRows::changes(const std::string &table, std::uint64_t version) const
+{
+    RowPage page;
+    page.version = version_;
+    if (version < compactedTo_) {
+        return {StoreFailure::HistoryLost, page};
+    }
+    for (const Change &change : history_) {
+        if (change.table == table && change.row.version > version) {
+            page.rows.push_back(change.row);
+        }
+    }
+    return {StoreFailure::None, page};
+}
+
+void MemoryRows::compact()
+{
+    version_++;
+    compactedTo_ = version_;
+    history_.clear();
+}
+
+std::uint64_t MemoryRows::version() const
+{
+    return version_;
+}
+
+MemoryRowStore::MemoryRowStore(EventLoop &loop, std::shared_ptr<MemoryRows> rows)
+    : loop_(loop)
+    , rows_(std::move(rows))
+{
+}
+
+std::shared_ptr<MemoryRowStore> MemoryRowStore::create(EventLoop &loop, std::shared_ptr<MemoryRows> rows)
+{
+    return std::shared_ptr<MemoryRowStore>(new MemoryRowStore(loop, std::move(rows)));
+}
+
+ReadResult MemoryRowStore::failed(StoreFailure failure, TimePoint askedAt) const
+{
+    ReadResult result;
+    result.failure = failure;
+    result.askedAt = askedAt;
+    return result;
+}
+
+void MemoryRowStore::read(std::string table, std::string from, ReadHandler handler)
+{
+    calls++;
+    const TimePoint askedAt = loop_.now();
+    if (faults.silent) {
+        loop_.after(AnswerTimeout, [self = shared_from_this(), askedAt, handler = std::move(handler)] { handler(self->failed(StoreFailure::NoAnswer, askedAt)); });
+        return;
+    }
+    loop_.post([self = shared_from_this(), table = std::move(table), from = std::move(from), askedAt, handler = std::move(handler)] {
+        if (self->faults.down) {
+            handler(self->failed(StoreFailure::Refused, askedAt));
+            return;
+        }
+        ReadResult result;
+        result.askedAt = askedAt;
+        result.page = self->rows_->read(table, from, self->pageSize);
+        result.page.storeTime = self->loop_.now().time_since_epoch();
+        handler(result);
+    });
+}
+
+void MemoryRowStore::changes(std::string table, std::uint64_t version, Duration wait, ReadHandler handler)
+{
+    calls++;
+    const TimePoint askedAt = loop_.now();
+    if (faults.silent) {
+        loop_.after(wait + AnswerTimeout, [self = shared_from_this(), askedAt, handler = std::move(handler)] { handler(self->failed(StoreFailure::NoAnswer, askedAt)); });
+        return;
+    }
+    loop_.post([self = shared_from_this(), table = std::move(table), version, askedAt, end = askedAt + wait, handler = std::move(handler)] {
+        self->pollChanges(table, version, askedAt, end, handler);
+    });
+}
+
+void MemoryRowStore::pollChanges(const std::string &table, std::uint64_t version, TimePoint askedAt, TimePoint end, const ReadHandler &handler)
+{
+    if (faults.down) {
+        handler(failed(StoreFailure::Refused, askedAt));
+        return;
+    }
+    auto [failure, page] = rows_->changes(table, version);
+    if (failure == StoreFailure::None && page.rows.empty() && loop_.now() < end) {
+        loop_.after(PollPeriod, [self = shared_from_this(), table, version, askedAt, end, handler] { self->pollChanges(table, version, askedAt, end, handler); });
+        return;
+    }
+    ReadResult result = failed(failure, askedAt);
+    result.page = std::move(page);
+    result.page.storeTime = loop_.now().time_since_epoch();
+    handler(result);
+}
+
+void MemoryRowStore::write(std::vector<RowWrite> writes, WriteHandler handler)
+{
+    calls++;
+    if (faults.silent || faults.loseAnswers) {
+        if (faults.loseAnswers) {
+            rows_->transact(writes);
+        }
+        loop_.after(AnswerTimeout, [handler = std::move(handler)] { handler(WriteResult()); });
+        return;
+    }
+    loop_.post([self = shared_from_this(), writes = std::move(writes), handler = std::move(handler)] {
+        if (self->faults.down) {
+            WriteResult refused;
+            refused.outcome = WriteOutcome::NotWritten;
+            handler(refused);
+            return;
+        }
+        handler(self->rows_->transact(writes));
+    });
+}
+
+std::optional<StoreClock> MemoryRowStore::clock() const
+{
+    return StoreClock{loop_.now().time_since_epoch(), loop_.now()};
+}
+
+} // namespace cardamomlift::rows
--- /dev/null
+++ b/src/rows/tests/rowwatch_test.cpp
@@ -0,0 +1,172 @@
+#include "rows/memoryrowstore.h"
+#include "rows/rowwatch.h"
+
+#include <gtest/gtest.h>
+
+namespace cardamomlift::rows {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A watch of table "t" on a paused clock.
+class RowWatchTest : public testing::Test
+{
+protected:
+    RowWatchTest()
+    {
+        loop_ = std::move(EventLoop::create(clock_).value());
+        store_ = MemoryRowStore::create(*loop_, rows_);
+    }
+
+    void start()
+    {
+        WatchHandlers handlers;
+        handlers.onAll = [this](const std::vector<Row> &rows) {
+            allCalls_++;
+            known_.clear();
+            take(rows);
+        };
+        handlers.onChanges = [this](const std::vector<Row> &rows) { take(rows); };
+        handlers.onConfirmed = [this](TimePoint askedAt) { confirmedAt_ = askedAt; };
+        handlers.onReachable = [this](bool reachable, StoreFailure) { reachable_ = reachable; };
+        watch_ = RowWatch::start(*loop_, store_, "t", milliseconds(1500), std::move(handlers));
+    }
+
+    void take(const std::vector<Row> &rows)
+    {
+        for (const Row &row : rows) {
+            if (row.isDeleted) {
+                known_.erase(row.key);
+            } else {
+                known_[row.key] = row.value;
+            }
+        }
+    }
+
+    void put(const std::string &key, const std::string &value)
+    {
+        RowWrite write;
+        write.table = "t";
+        write.key = key;
+        write.value = value;
+        rows_->transact({write});
+    }
+
+    void pass(milliseconds time)
+    {
+        constexpr milliseconds Step(20);
+        for (milliseconds passed(0); passed < time; passed += Step) {
+            loop_->runDue();
+            clock_.advance(Step);
+        }
+        loop_->runDue();
+    }
+
+    ManualClock clock_;
+    std::unique_ptr<EventLoop> loop_;
+    std::shared_ptr<MemoryRows> rows_ = std::make_shared<MemoryRows>();
+    std::shared_ptr<MemoryRowStore> store_;
+    std::shared_ptr<RowWatch> watch_;
+    std::map<std::string, std::string> known_;
+    std::optional<TimePoint> confirmedAt_;
+    int allCalls_ = 0;
+    bool reachable_ = true;
+};
+
+TEST_F(RowWatchTest, TellsTheTableThenItsChanges)
+{
+    put("a", "1");
+    start();
+    pass(milliseconds(100));
+    EXPECT_EQ(known_["a"], "1");
+    put("b", "2");
+    pass(milliseconds(100));
+    EXPECT_EQ(known_["b"], "2");
+    EXPECT_EQ(allCalls_, 1);
+}
+
+TEST_F(RowWatchTest, ReadsALongTableInPages)
+{
+    store_->pageSize = 3;
+    for (int i = 0; i < 10; i++) {
+        put("key" + std::to_string(i), "v");
+    }
+    start();
+    pass(milliseconds(200));
+    EXPECT_EQ(known_.size(), 10U);
+}
+
+TEST_F(RowWatchTest, ConfirmsTheTimeOfTheQuestionNotOfTheAnswer)
+{
+    start();
+    pass(milliseconds(100));
+    const TimePoint asked = *confirmedAt_;
+    pass(milliseconds(1000));
+    EXPECT_EQ(*confirmedAt_, asked) << "a held question proves nothing until it is answered";
+    pass(milliseconds(600));
+    EXPECT_EQ(*confirmedAt_, asked) << "the answer came now, but the question is as old as the first reading";
+    pass(milliseconds(1500));
+    EXPECT_GT(*confirmedAt_, asked);
+    EXPECT_LE(*confirmedAt_, loop_->now() - milliseconds(1500));
+}
+
+TEST_F(RowWatchTest, ReadsAnewWhenHistoryIsLost)
+{
+    put("a", "1");
+    start();
+    pass(milliseconds(100));
+    RowWrite removal;
+    removal.table = "t";
+    removal.key = "a";
+    removal.removes = true;
+    rows_->transact({removal});
+    rows_->compact();
+    pass(milliseconds(300));
+    EXPECT_EQ(allCalls_, 2);
+    EXPECT_TRUE(known_.empty());
+}
+
+TEST_F(RowWatchTest, SaysWhenTheStoreIsLostAndRegained)
+{
+    start();
+    pass(milliseconds(100));
+    store_->faults.down = true;
+    pass(milliseconds(2000));
+    EXPECT_FALSE(reachable_);
+    const TimePoint before = *confirmedAt_;
+    store_->faults.down = false;
+    // The first question after an outage does not wait at the store, so that freshness is known at once.
+    pass(milliseconds(900));
+    EXPECT_TRUE(reachable_);
+    EXPECT_GT(*confirmedAt_, before);
+}
+
+TEST_F(RowWatchTest, SurvivesSilence)
+{
+    start();
+    pass(milliseconds(100));
+    store_->faults.silent = true;
+    pass(milliseconds(4000));
+    EXPECT_FALSE(reachable_);
+    store_->faults.silent = false;
+    put("a", "1");
+    pass(milliseconds(4000));
+    EXPECT_EQ(known_["a"], "1");
+}
+
+TEST(MemoryRows, RefusesATransactionWhoseConditionFails)
+{
+    MemoryRows rows;
+    RowWrite write;
+    write.table = "t";
+    write.key = "k";
+    write.value = "1";
+    write.isConditional = true;
+    EXPECT_EQ(rows.transact({write}).outcome, WriteOutcome::Written);
+    EXPECT_EQ(rows.transact({write}).outcome, WriteOutcome::Conflict);
+}
+
+} // namespace
+
+} // namespace cardamomlift::rows
