--- /dev/null
+++ b/src/allowance/tests/allowance_test.cpp
@@ -0,0 +1,261 @@
+#include "allowance/allowancerules.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+namespace cardamomlift::allowance {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double Rate = 240'000;
+const manifest::Allowance Limit{Rate, Rate, true, 200};
+/// What may pass in a window above the allowance: a tenth of it, and a fixed amount.
+constexpr double WindowSeconds = 8;
+constexpr double Overage = 1.1;
+constexpr double Slack = 140'000;
+constexpr double MostInWindow = (Rate * WindowSeconds + Rate) * Overage + Slack;
+constexpr milliseconds Step(10);
+constexpr int StepsPerSecond = 100;
+
+/// Several entry VMs with one customer, their statuses late and sometimes lost, on a clock of the test's.
+class Fleet
+{
+public:
+    explicit Fleet(std::size_t vms, unsigned seed = 1)
+        : vms_(vms)
+        , random_(seed)
+    {
+        for (Vm &vm : vms_) {
+            start(vm);
+        }
+    }
+
+    /// Requests of @p tokens arrive at VM @p index at @p perSecond (in tokens) during the coming steps.
+    void setDemand(std::size_t index, double perSecond)
+    {
+        vms_[index].demand = perSecond;
+    }
+
+    void cut(std::size_t index, bool on)
+    {
+        vms_[index].isCut = on;
+    }
+
+    void restart(std::size_t index)
+    {
+        start(vms_[index]);
+    }
+
+    void run(double seconds)
+    {
+        for (int i = 0; i < static_cast<int>(seconds * StepsPerSecond); i++) {
+            step();
+        }
+    }
+
+    double offered() const
+    {
+        return offered_;
+    }
+
+    double passed() const
+    {
+        return passed_;
+    }
+
+    /// The most that has passed in any window.
+    double worstWindow() const
+    {
+        const auto length = static_cast<std::size_t>(WindowSeconds * StepsPerSecond);
+        double worst = 0;
+        double sum = 0;
+        for (std::size_t i = 0; i < perStep_.size(); i++) {
+            sum += perStep_[i];
+            sum -= i >= length ? perStep_[i - length] : 0;
+            worst = std::max(worst, sum);
+        }
+        return worst;
+    }
+
+    void resetTotals()
+    {
+        offered_ = 0;
+        passed_ = 0;
+    }
+
+private:
+    struct Vm {
+        Account account;
+        std::uint64_t incarnation = 0;
+        double demand = 0;
+        double credit = 0;
+        bool isCut = false;
+        int nextStatus = 0;
+    };
+
+    void start(Vm &vm)
+    {
+        vm.account = Account();
+        vm.account.updatedAt = now_;
+        vm.account.askedAt = now_;
+        vm.incarnation = ++incarnations_;
+    }
+
+    void step()
+    {
+        now_ += Step;
+        perStep_.push_back(0);
+        for (std::size_t i = 0; i < vms_.size(); i++) {
+            arrive(vms_[i]);
+            tell(i);
+        }
+    }
+
+    void arrive(Vm &vm)
+    {
+        vm.credit += vm.demand / StepsPerSecond;
+        while (vm.credit > 0) {
+            std::lognormal_distribution<double> size(9.0, 0.9);
+            const double tokens = std::min(size(random_), 60'000.0);
+            vm.credit -= tokens;
+            offered_ += tokens;
+            noteAsked(vm.account, tokens, now_);
+            refill(vm.account, Limit, vms_.size(), now_);
+            if (take(vm.account, Limit, tokens, now_)) {
+                passed_ += tokens;
+                perStep_.back() += tokens;
+            }
+        }
+    }
+
+    void tell(std::size_t index)
+    {
+        Vm &vm = vms_[index];
+        constexpr int StatusSteps = 35;
+        if (--vm.nextStatus > 0) {
+            return;
+        }
+        vm.nextStatus = StatusSteps;
+        for (std::size_t i = 0; i < vms_.size(); i++) {
+            const bool isLost = std::bernoulli_distribution(0.05)(random_);
+            if (i != index && !isLost && !vm.isCut && !vms_[i].isCut) {
+                notePeer(vms_[i].account, std::to_string(index), {vm.incarnation, vm.account.taken, askedNow(vm.account, now_), now_});
+            }
+        }
+    }
+
+    std::vector<Vm> vms_;
+    std::mt19937 random_;
+    TimePoint now_{std::chrono::hours(1)};
+    std::uint64_t incarnations_ = 0;
+    std::vector<double> perStep_;
+    double offered_ = 0;
+    double passed_ = 0;
+};
+
+/// How uneven callers spread over the VMs: the first of eight gets a quarter of all.
+constexpr double Uneven[] = {0.28, 0.2, 0.15, 0.12, 0.1, 0.08, 0.05, 0.02};
+
+void spread(Fleet &fleet, double total)
+{
+    for (std::size_t i = 0; i < std::size(Uneven); i++) {
+        fleet.setDemand(i, total * Uneven[i]);
+    }
+}
+
+class AllowanceSeeds : public testing::TestWithParam<unsigned>
+{
+};
+
+TEST_P(AllowanceSeeds, ACustomerWithinItsLimitIsNotRefusedHoweverUnevenItsCallersAre)
+{
+    Fleet fleet(8, GetParam());
+    spread(fleet, Rate * 0.55);
+    fleet.run(3);
+    fleet.resetTotals();
+    fleet.run(60);
+    EXPECT_GT(fleet.passed() / fleet.offered(), 0.99);
+}
+
+TEST_P(AllowanceSeeds, SevenTimesTheUsualStaysWithinTheLimitInAnyWindow)
+{
+    Fleet fleet(8, GetParam());
+    spread(fleet, Rate * 0.55);
+    fleet.run(10);
+    spread(fleet, Rate * 0.55 * 7.5);
+    fleet.run(12);
+    spread(fleet, Rate * 0.55);
+    fleet.run(10);
+    EXPECT_LT(fleet.worstWindow(), MostInWindow);
+}
+
+TEST_P(AllowanceSeeds, WhatIsAllowedIsAlsoGiven)
+{
+    Fleet fleet(8, GetParam());
+    spread(fleet, Rate * 4);
+    fleet.run(10);
+    fleet.resetTotals();
+    fleet.run(30);
+    EXPECT_GT(fleet.passed(), Rate * 30 * 0.9);
+    EXPECT_LT(fleet.passed(), Rate * 30 * 1.1);
+}
+
+TEST_P(AllowanceSeeds, UnevenCallersALittleOverTheLimitGetAllOfIt)
+{
+    Fleet fleet(8, GetParam());
+    spread(fleet, Rate * 1.3);
+    fleet.run(10);
+    fleet.resetTotals();
+    fleet.run(30);
+    EXPECT_GT(fleet.passed(), Rate * 30 * 0.9);
+}
+
+TEST_P(AllowanceSeeds, KillsAndCutsOfSomeVmsDoNotRaiseTheLimit)
+{
+    Fleet fleet(8, GetParam());
+    spread(fleet, Rate * 3);
+    fleet.run(10);
+    fleet.cut(0, true);
+    fleet.cut(3, true);
+    fleet.run(5);
+    fleet.restart(1);
+    fleet.restart(2);
+    fleet.run(3);
+    fleet.cut(0, false);
+    fleet.cut(3, false);
+    fleet.run(10);
+    EXPECT_LT(fleet.worstWindow(), MostInWindow);
+}
+
+TEST_P(AllowanceSeeds, AllVmsRestartedAtOnceDoNotHandOutTheBurstAgain)
+{
+    Fleet fleet(8, GetParam());
+    spread(fleet, Rate * 3);
+    fleet.run(10);
+    for (std::size_t i = 0; i < 8; i++) {
+        fleet.restart(i);
+    }
+    fleet.run(10);
+    EXPECT_LT(fleet.worstWindow(), MostInWindow);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, AllowanceSeeds, testing::Range(1U, 9U));
+
+TEST(AllowanceRules, ARefusalSaysWhenThereIsRoom)
+{
+    Account account;
+    const TimePoint now(std::chrono::hours(1));
+    account.updatedAt = now;
+    account.shareLevel = -Rate;
+    const Duration wait = timeUntilRoom(account, Limit, 1, now);
+    EXPECT_GT(wait, milliseconds(500));
+    EXPECT_LE(wait, std::chrono::seconds(8));
+}
+
+} // namespace
+
+} // namespace cardamomlift::allowance
--- /dev/null
+++ b/src/presence/tests/presence_test.cpp
@@ -0,0 +1,233 @@
+#include "presence/presence.h"
+#include "presence/statusformat.h"
+#include "presence/truetime.h"
+#include "rows/memoryrowstore.h"
+
+#include <gtest/gtest.h>
+
+namespace cardamomlift::presence {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Datagrams between the VMs of a test; some can be held back and delivered later.
+class TestNetwork
+{
+public:
+    void send(const http1::Endpoint &to, std::string_view bytes)
+    {
+        if (isCut) {
+            return;
+        }
+        if (isHolding) {
+            held.emplace_back(to, std::string(bytes));
+            return;
+        }
+        deliver(to, bytes);
+    }
+
+    void release()
+    {
+        for (const auto &[to, bytes] : std::exchange(held, {})) {
+            deliver(to, bytes);
+        }
+    }
+
+    void deliver(const http1::Endpoint &to, std::string_view bytes)
+    {
+        const auto found = handlers.find(to);
+        if (found != handlers.end()) {
+            found->second(bytes);
+        }
+    }
+
+    bool isCut = false;
+    bool isHolding = false;
+    std::vector<std::pair<http1::Endpoint, std::string>> held;
+    std::map<http1::Endpoint, Datagrams::Handler> handlers;
+};
+
+class TestDatagrams : public Datagrams
+{
+public:
+    TestDatagrams(TestNetwork &network, http1::Endpoint endpoint)
+        : network_(network)
+        , endpoint_(std::move(endpoint))
+    {
+    }
+
+    void send(const http1::Endpoint &to, std::string_view bytes) override
+    {
+        network_.send(to, bytes);
+    }
+
+    void onDatagram(Handler handler) override
+    {
+        network_.handlers[endpoint_] = std::move(handler);
+    }
+
+private:
+    TestNetwork &network_;
+    http1::Endpoint endpoint_;
+};
+
+class PresenceTest : public testing::Test
+{
+protected:
+    PresenceTest()
+    {
+        loop_ = std::move(EventLoop::create(clock_).value());
+        log_ = eventlog::EventLog::create(clock_, "test", [](std::string_view) { return true; });
+    }
+
+    std::shared_ptr<Presence> start(const std::string &instance, std::uint64_t incarnation)
+    {
+        PresenceTools tools;
+        tools.loop = loop_.get();
+        tools.store = rows::MemoryRowStore::create(*loop_, rows_);
+        tools.log = log_;
+        tools.instance = instance;
+        tools.zone = "zone";
+        tools.endpoint = {"10.0.0." + instance, 7600};
+        tools.incarnation = incarnation;
+        tools.datagrams = std::make_shared<TestDatagrams>(network_, tools.endpoint);
+        return Presence::start(std::move(tools));
+    }
+
+    void pass(Duration time)
+    {
+        for (Duration passed(0); passed < time; passed += milliseconds(10)) {
+            loop_->runDue();
+            clock_.advance(milliseconds(10));
+        }
+        loop_->runDue();
+    }
+
+    ManualClock clock_;
+    std::unique_ptr<EventLoop> loop_;
+    std::shared_ptr<eventlog::EventLog> log_;
+    std::shared_ptr<rows::MemoryRows> rows_ = std::make_shared<rows::MemoryRows>();
+    TestNetwork network_;
+};
+
+TEST_F(PresenceTest, VmsFindEachOtherByTheirRows)
+{
+    const auto one = start("1", 1000);
+    const auto two = start("2", 2000);
+    const auto three = start("3", 3000);
+    pass(seconds(1));
+    EXPECT_EQ(one->vmCount(), 3U);
+    EXPECT_EQ(one->heardWithin(milliseconds(500)), 2U);
+    EXPECT_EQ(three->heardWithin(milliseconds(500)), 2U);
+}
+
+TEST_F(PresenceTest, AProofIsNeverLaterThanTheSendingOfTheStatus)
+{
+    const auto one = start("1", 1000);
+    const auto two = start("2", 2000);
+    pass(seconds(2));
+    std::optional<TimePoint> proven;
+    one->onStatus([&](const Status &, std::optional<TimePoint> provenAt) { proven = provenAt; });
+    // What two sends now is held on its way for three seconds.
+    network_.isHolding = true;
+    pass(milliseconds(400));
+    const TimePoint sentBefore = loop_->now();
+    network_.isHolding = false;
+    const auto held = std::exchange(network_.held, {});
+    network_.isCut = true;
+    pass(seconds(3));
+    proven.reset();
+    for (const auto &[to, bytes] : held) {
+        network_.deliver(to, bytes);
+    }
+    ASSERT_TRUE(proven.has_value());
+    EXPECT_LE(*proven, sentBefore) << "time on the way must not count as freshness";
+}
+
+TEST_F(PresenceTest, WhatAnEarlierProcessSaidIsIgnored)
+{
+    const auto one = start("1", 1000);
+    auto two = start("2", 2000);
+    pass(seconds(1));
+    network_.isHolding = true;
+    pass(milliseconds(400));
+    const auto held = std::exchange(network_.held, {});
+    network_.isHolding = false;
+    two = start("2", 3000);
+    pass(seconds(1));
+    int statuses = 0;
+    one->onStatus([&](const Status &status, std::optional<TimePoint>) {
+        statuses++;
+        EXPECT_EQ(status.incarnation, 3000U);
+    });
+    for (const auto &[to, bytes] : held) {
+        network_.deliver(to, bytes);
+    }
+    EXPECT_EQ(statuses, 0);
+    pass(seconds(1));
+    EXPECT_GT(statuses, 0);
+}
+
+TEST_F(PresenceTest, ADoubledDatagramIsTakenOnce)
+{
+    const auto one = start("1", 1000);
+    const auto two = start("2", 2000);
+    pass(seconds(1));
+    int statuses = 0;
+    one->onStatus([&](const Status &, std::optional<TimePoint>) { statuses++; });
+    network_.isHolding = true;
+    pass(milliseconds(400));
+    network_.isHolding = false;
+    const auto held = std::exchange(network_.held, {});
+    for (int i = 0; i < 2; i++) {
+        for (const auto &[to, bytes] : held) {
+            network_.deliver(to, bytes);
+        }
+    }
+    EXPECT_LE(statuses, 2);
+    network_.deliver({"10.0.0.1", 7600}, "no status");
+}
+
+TEST(StatusFormat, KeepsAllParts)
+{
+    StatusMessage message;
+    message.echo = 7;
+    message.status.instance = "vm";
+    message.status.incarnation = 1;
+    message.status.sequence = 2;
+    message.status.manifestVersion = 3;
+    message.status.manifestAge = milliseconds(4);
+    message.status.clockOffset = milliseconds(-5);
+    message.status.demands = {{1, 2.5, 3.5}};
+    message.status.usage = {{4, 5, 6}};
+    message.status.servers = {{7, 8}};
+    message.status.services = {{9, 10.5, 11, 0.5, 2}};
+    message.status.suspects = {12};
+    message.status.holdsLease = true;
+    const auto read = decodeStatus(encodeStatus(message));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->echo, 7U);
+    EXPECT_EQ(read->status.manifestAge, message.status.manifestAge);
+    EXPECT_EQ(read->status.clockOffset, message.status.clockOffset);
+    EXPECT_EQ(read->status.demands[0].taken, 3.5);
+    EXPECT_EQ(read->status.usage[0].count, 6U);
+    EXPECT_EQ(read->status.servers[0].open, 8U);
+    EXPECT_EQ(read->status.services[0].open, 11U);
+    EXPECT_EQ(read->status.suspects[0], 12U);
+    EXPECT_TRUE(read->status.holdsLease);
+    EXPECT_FALSE(decodeStatus("\xff\xff"));
+    EXPECT_FALSE(decodeStatus(""));
+}
+
+TEST(TrueTime, MostClocksDecide)
+{
+    EXPECT_FALSE(agreedOffset({}));
+    EXPECT_EQ(agreedOffset({seconds(100), seconds(100), seconds(103)}), Duration(seconds(100)));
+    EXPECT_EQ(agreedOffset({seconds(97), seconds(100), seconds(100), seconds(100), seconds(103)}), Duration(seconds(100)));
+}
+
+} // namespace
+
+} // namespace cardamomlift::presence
