--- /dev/null
+++ b/src/balancing/tests/choose_test.cpp
@@ -0,0 +1,159 @@
+#include "balancing/choose.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cardamomlift::balancing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint Now(std::chrono::hours(1));
+
+/// Servers s0, s1 … with 10 slots in zone "here".
+struct Fleet {
+    explicit Fleet(std::size_t count)
+        : servers(count)
+    {
+        for (std::size_t i = 0; i < count; i++) {
+            servers[i].server.instance = "s" + std::to_string(i);
+            servers[i].server.slots = 10;
+            servers[i].server.zone = "here";
+        }
+        loads.resize(count);
+    }
+
+    std::vector<Candidate> candidates() const
+    {
+        std::vector<Candidate> result;
+        for (std::size_t i = 0; i < servers.size(); i++) {
+            result.push_back({&servers[i], loads[i]});
+        }
+        return result;
+    }
+
+    std::size_t pick(std::string_view affinity, std::uint64_t salt = 0) const
+    {
+        ChoiceInput input;
+        input.zone = "here";
+        input.affinity = affinity;
+        input.salt = salt;
+        return *choose(candidates(), input, Now);
+    }
+
+    std::vector<directory::KnownServer> servers;
+    std::vector<ServerLoad> loads;
+};
+
+TEST(Choose, NoCandidateIsNoChoice)
+{
+    EXPECT_FALSE(choose({}, {}, Now));
+}
+
+TEST(Choose, OneAffinityGoesToOneServerOnAllVms)
+{
+    const Fleet fleet(12);
+    std::map<std::size_t, int> uses;
+    for (int i = 0; i < 600; i++) {
+        const std::string affinity = "part" + std::to_string(i);
+        const std::size_t first = fleet.pick(affinity, 1);
+        EXPECT_EQ(fleet.pick(affinity, 2), first);
+        uses[first]++;
+    }
+    EXPECT_EQ(uses.size(), 12U);
+    for (const auto &[server, count] : uses) {
+        EXPECT_LT(count, 100) << "twice the even part";
+    }
+}
+
+TEST(Choose, AServerThatComesOrGoesMovesOnlyItsOwnAffinities)
+{
+    const Fleet before(12);
+    Fleet after(12);
+    after.servers.pop_back();
+    after.loads.pop_back();
+    int moved = 0;
+    for (int i = 0; i < 600; i++) {
+        const std::string affinity = "part" + std::to_string(i);
+        const std::size_t first = before.pick(affinity);
+        moved += first != 11 && after.pick(affinity) != first ? 1 : 0;
+    }
+    EXPECT_EQ(moved, 0);
+}
+
+TEST(Choose, AHotAffinityLeavesItsFullServers)
+{
+    Fleet fleet(4);
+    std::set<std::size_t> used;
+    for (int i = 0; i < 24; i++) {
+        const std::size_t server = fleet.pick("hot");
+        used.insert(server);
+        fleet.loads[server].openHere++;
+    }
+    EXPECT_EQ(used.size(), 4U);
+    for (const ServerLoad &load : fleet.loads) {
+        EXPECT_LE(load.openHere, 9);
+    }
+}
+
+TEST(Choose, WithoutAffinityTheLeastLoadedIsTaken)
+{
+    Fleet fleet(3);
+    fleet.loads[0].openHere = 3;
+    fleet.loads[1].openElsewhere = 2;
+    fleet.loads[2].openHere = 1;
+    EXPECT_EQ(fleet.pick(""), 2U);
+}
+
+TEST(Choose, VmsWithTheSameViewDoNotAllTakeTheSameServer)
+{
+    const Fleet fleet(6);
+    std::set<std::size_t> used;
+    for (std::uint64_t salt = 0; salt < 60; salt++) {
+        used.insert(fleet.pick("", salt));
+    }
+    EXPECT_EQ(used.size(), 6U);
+}
+
+TEST(Choose, AFreshReportCountsAnOldOneDoesNot)
+{
+    ServerLoad load;
+    load.reported = 8;
+    load.reportedAt = Now - milliseconds(200);
+    EXPECT_EQ(estimatedOpen(load, Now), 8);
+    load.sentSinceReport = 2;
+    EXPECT_EQ(estimatedOpen(load, Now), 10);
+    load.reportedAt = Now - std::chrono::seconds(10);
+    EXPECT_EQ(estimatedOpen(load, Now), 0);
+}
+
+TEST(Choose, AnAvoidedServerIsTakenOnlyWhenItIsTheLast)
+{
+    Fleet fleet(2);
+    fleet.loads[0].avoidUntil = Now + milliseconds(100);
+    fleet.loads[1].openHere = 20;
+    EXPECT_EQ(fleet.pick(""), 1U);
+    fleet.servers.pop_back();
+    fleet.loads.pop_back();
+    EXPECT_EQ(fleet.pick(""), 0U);
+}
+
+TEST(Choose, NearServersGoFirstAmongEquals)
+{
+    Fleet fleet(4);
+    for (std::size_t i = 0; i < 3; i++) {
+        fleet.servers[i].server.zone = "there";
+    }
+    for (std::uint64_t salt = 0; salt < 20; salt++) {
+        EXPECT_EQ(fleet.pick("", salt), 3U);
+    }
+}
+
+} // namespace
+
+} // namespace cardamomlift::balancing
--- a/src/duties/internal/servergoal.cpp
+++ b/src/duties/internal/servergoal.cpp
@@ -24,8 +24,10 @@
 constexpr double LongHalfLifeSeconds = 40;
 /// The goal is lowered only when the need lies this far below it: a server that goes ends what it runs within seconds.
 constexpr double Hysteresis = 1.5;
-/// Reclaimable servers beyond the need: a whole failure domain of them may be taken away at once.
-constexpr double ReclaimableReserve = 1.3;
+/// Reclaimable servers beyond the need: one failure domain after the other may be taken away while no new ones are to be
+/// had, and first tokens come sooner with more of them. At a fifth of the price, 2.2 gave more than 1.3 on the days of
+/// two deployments (mean share of what was owed 0.552 against 0.513, and 0.445 against 0.430).
+constexpr double ReclaimableReserve = 2.2;
 /// Reclaimable servers in each failure domain at least.
 constexpr int LeastReclaimable = 2;
 constexpr double MicrosecondsPerSecond = 1e6;
--- /dev/null
+++ b/src/eventlog/tests/eventlog_test.cpp
@@ -0,0 +1,121 @@
+#include "eventlog/eventlog.h"
+
+#include "http/json.h"
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+#include <set>
+#include <thread>
+#include <unistd.h>
+
+namespace cardamomlift::eventlog {
+
+namespace {
+
+class EventLogTest : public testing::Test
+{
+protected:
+    EventLogTest()
+        : log_(EventLog::create(clock_, "vm", [this](std::string_view line) {
+            if (isFull_) {
+                return false;
+            }
+            lines_.emplace_back(line);
+            return true;
+        }))
+    {
+    }
+
+    Json::Value last() const
+    {
+        return http::parseJson(lines_.back()).value_or(Json::Value());
+    }
+
+    ManualClock clock_;
+    bool isFull_ = false;
+    std::vector<std::string> lines_;
+    std::shared_ptr<EventLog> log_;
+};
+
+TEST_F(EventLogTest, ALineIsOneJsonObject)
+{
+    log_->write(Event::RequestRefused, {{Attribute::Request, "a\"b\\c\n"}, {Attribute::AgeMs, std::int64_t(5)}});
+    const Json::Value line = last();
+    EXPECT_EQ(line["event"].asString(), "request_refused");
+    EXPECT_EQ(line["vm"].asString(), "vm");
+    EXPECT_EQ(line["request"].asString(), "a\"b\\c ");
+    EXPECT_EQ(line["age_ms"].asInt(), 5);
+    EXPECT_EQ(std::count(lines_.back().begin(), lines_.back().end(), '\n'), 1);
+}
+
+TEST_F(EventLogTest, OneKindOfEventIsBoundedWithoutSilencingOthers)
+{
+    for (int i = 0; i < 10'000; i++) {
+        log_->write(Event::RequestRefused, {});
+    }
+    EXPECT_LT(lines_.size(), 1000U);
+    log_->write(Event::StoreLost, {});
+    EXPECT_EQ(last()["event"].asString(), "store_lost");
+    clock_.advance(std::chrono::seconds(1));
+    log_->write(Event::RequestRefused, {});
+    EXPECT_GT(last()["dropped"].asInt(), 9000) << "what was dropped is told";
+    log_->write(Event::RequestRefused, {});
+    EXPECT_FALSE(last().isMember("dropped"));
+}
+
+TEST_F(EventLogTest, AReaderThatDoesNotReadCostsLinesNotTime)
+{
+    isFull_ = true;
+    log_->write(Event::Started, {});
+    isFull_ = false;
+    log_->write(Event::Started, {});
+    EXPECT_EQ(last()["dropped"].asInt(), 1);
+    EXPECT_EQ(log_->dropped(), 1U);
+}
+
+TEST_F(EventLogTest, LongTextsAreCut)
+{
+    const std::string text(100'000, 'x');
+    log_->write(Event::RequestRefused, {{Attribute::Request, text}, {Attribute::Reason, text}});
+    EXPECT_LT(lines_.back().size(), 2000U);
+}
+
+TEST(EventNames, EachEventAndAttributeHasAName)
+{
+    std::set<std::string_view> names;
+    for (int i = 0; i < static_cast<int>(Event::Count); i++) {
+        EXPECT_FALSE(eventName(static_cast<Event>(i)).empty());
+        EXPECT_TRUE(names.insert(eventName(static_cast<Event>(i))).second);
+    }
+    names.clear();
+    for (int i = 0; i < static_cast<int>(Attribute::Last); i++) {
+        EXPECT_FALSE(attributeName(static_cast<Attribute>(i)).empty());
+        EXPECT_TRUE(names.insert(attributeName(static_cast<Attribute>(i))).second);
+    }
+}
+
+TEST(StandardOutputSink, AFullPipeDoesNotBlock)
+{
+    int ends[2];
+    ASSERT_EQ(::pipe(ends), 0);
+    const int standardOutput = ::dup(STDOUT_FILENO);
+    std::fflush(stdout);
+    ::dup2(ends[1], STDOUT_FILENO);
+    const LineSink sink = standardOutputSink();
+    const std::string line(1000, 'x');
+    bool sawFull = false;
+    // Nobody reads: a pipe holds some 64 KB. A blocking write would never return.
+    for (int i = 0; i < 1000 && !sawFull; i++) {
+        sawFull = !sink(line);
+    }
+    ::dup2(standardOutput, STDOUT_FILENO);
+    ::close(standardOutput);
+    ::close(ends[0]);
+    ::close(ends[1]);
+    EXPECT_TRUE(sawFull);
+}
+
+} // namespace
+
+} // namespace cardamomlift::eventlog
