--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 	BUILD=$(BUILD) scripts/run.sh
 
 test: packages build
+	scripts/check_packages.sh
 	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
 
 packages:
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "text/digest.h"
 
+#include <algorithm>
 #include <array>
 #include <iostream>
 
@@ -35,6 +36,11 @@
     return ExitOk;
 }
 
+bool needsDaemon(std::string_view command)
+{
+    return std::any_of(Commands.begin(), Commands.end(), [command](const Command &known) { return known.name == command; });
+}
+
 int runCommand(OperatorClient &client, const CommandLine &line)
 {
     for (const Command &command : Commands) {
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cardamomlift::cli {
@@ -26,6 +27,8 @@
     std::string author;
     bool confirm = false;
     std::int64_t base = -1; ///< The version the edit starts from; -1: the newest, if the same author wrote it.
+    double fromSeconds = 0; ///< For explain: the span, in seconds since 1970.
+    double toSeconds = 0;
     std::int64_t revision = -1; ///< For status: the revision asked about; -1: none.
 };
 
@@ -33,6 +36,10 @@
 int checkFiles(const CommandLine &line);
 /// Prints the hash of an API key read from standard input.
 int hashKey();
+/// Prints the way of a request, or what the VMs believed in a span of time, from files of structured log lines.
+int explain(const CommandLine &line);
+/// True for the commands that runCommand() runs.
+bool needsDaemon(std::string_view command);
 /// Runs a command that needs a daemon.
 int runCommand(OperatorClient &client, const CommandLine &line);
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -24,6 +24,8 @@
   revert CUSTOMER [VERSION]  apply an earlier version again (the one before, if none is named)
   where CUSTOMER             on which VMs the newest version is in force
   status                     what is in force on each daemon named
+  explain ID LOGFILE...      the way of a request through the VMs whose structured logs these are
+  explain LOGFILE... --from S --to S   what the VMs believed in that span (seconds since 1970)
   hash-key                   the hash of an API key read from standard input
 
 Exit codes: 0 done; 1 the contract has findings, or needs --confirm; 2 wrong use; 3 another edit came first; 4 no
@@ -63,6 +65,8 @@
     line.author = values["author"].as<std::string>();
     line.confirm = values.count("confirm") > 0;
     line.base = values["base"].as<std::int64_t>();
+    line.fromSeconds = values["from"].as<double>();
+    line.toSeconds = values["to"].as<double>();
     line.revision = values["revision"].as<std::int64_t>();
     return line;
 }
@@ -96,6 +100,8 @@
     visible.add_options()(
         "base", options::value<std::int64_t>()->default_value(-1), "version the edit starts from; -1: the newest, if it is by the same author");
     visible.add_options()("revision", options::value<std::int64_t>()->default_value(-1), "with status: is this revision in force?");
+    visible.add_options()("from", options::value<double>()->default_value(0), "with explain: begin of the span");
+    visible.add_options()("to", options::value<double>()->default_value(0), "with explain: end of the span");
     visible.add_options()("confirm", "apply although the edit looks like a slip");
     options::options_description all;
     all.add(visible).add_options()("command", options::value<std::string>())("argument", options::value<std::vector<std::string>>());
@@ -123,5 +129,12 @@
     if (line.command == "hash-key") {
         return cli::hashKey();
     }
+    if (line.command == "explain") {
+        return cli::explain(line);
+    }
+    if (!cli::needsDaemon(line.command)) {
+        std::cerr << "cardamomlift: unknown command \"" << line.command << "\". See cardamomlift --help.\n";
+        return cli::ExitUsage;
+    }
     return runRemote(values, line);
 }
