--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -39,6 +39,8 @@
     void replaceAll(std::span<const BackendServer> servers, TimePoint now);
     /// The store did not answer, or answers again.
     void noteStoreReachable(bool reachable, TimePoint now);
+    /// Another VM has seen the store away until @p backAt.
+    void noteOutageUntil(TimePoint backAt, TimePoint now);
     /// Ends the grace of entries that are still missing. Call it a few times a second.
     void tick(TimePoint now);
 
--- a/src/directory/internal/directory.cpp
+++ b/src/directory/internal/directory.cpp
@@ -1,5 +1,7 @@
 #include "directory/directory.h"
 
+#include <algorithm>
+
 namespace cardamomlift::directory {
 
 namespace {
@@ -68,6 +70,12 @@
     storeReachable_ = reachable;
 }
 
+void Directory::noteOutageUntil(TimePoint backAt, TimePoint now)
+{
+    const TimePoint seen = std::min(backAt, now);
+    storeBackAt_ = storeBackAt_ ? std::max(*storeBackAt_, seen) : seen;
+}
+
 bool Directory::isAroundOutage(TimePoint now) const
 {
     return !storeReachable_ || (storeBackAt_ && now - *storeBackAt_ <= RelistTime);
--- a/src/duties/internal/orderkeeper.cpp
+++ b/src/duties/internal/orderkeeper.cpp
@@ -19,6 +19,15 @@
 /// What a VM said of its load counts for this long after it fell silent: its callers come back elsewhere.
 constexpr Duration LoadLife = std::chrono::seconds(4);
 
+int presentServers(std::span<const ZoneServers> zones)
+{
+    int sum = 0;
+    for (const ZoneServers &zone : zones) {
+        sum += zone.ordinary + zone.reclaimable;
+    }
+    return sum;
+}
+
 } // namespace
 
 OrderKeeper::OrderKeeper(OrderTools tools)
@@ -55,6 +64,7 @@
     if (fence_ != tools_.lease->fence()) {
         fence_ = tools_.lease->fence();
         said_.clear();
+        needs_.clear();
     }
     for (const manifest::Service &service : manifest->manifest().services) {
         if (service.scaling) {
@@ -102,7 +112,7 @@
 {
     const auto zones = countServers(service);
     const double need = neededServers(fleetLoad(service.name), service);
-    const PlanGoal goal = updateGoal(needs_[service.name], need, zones.size(), *service.scaling, tools_.loop->now());
+    const PlanGoal goal = updateGoal(needs_[service.name], need, presentServers(zones), zones.size(), *service.scaling, tools_.loop->now());
     for (const ServerOrder &order : planOrders(service.name, *service.scaling, zones, goal)) {
         const auto zone = std::find_if(zones.begin(), zones.end(), [&](const ZoneServers &entry) { return entry.zone == order.zone; });
         const int present = order.isReclaimable ? zone->reclaimable : zone->ordinary;
--- a/src/duties/internal/servergoal.cpp
+++ b/src/duties/internal/servergoal.cpp
@@ -16,8 +16,6 @@
 constexpr double LatenessGoal = 0.35;
 /// The most that late answers add: a queue that is being worked off stays late for a while after help has come.
 constexpr double MostPressure = 1.5;
-/// Before the load is known, and for some seconds after: two servers in each failure domain.
-constexpr double FirstNeedPerZone = 2;
 /// The need for ordinary servers, the dear ones, falls by half in this time.
 constexpr double ShortHalfLifeSeconds = 6;
 /// That for reclaimable ones, which cost a fifth: they outlast the pauses between bursts.
@@ -60,12 +58,13 @@
     return std::max(byTokens, bySlots) * pressure;
 }
 
-PlanGoal updateGoal(NeedMemory &memory, double need, std::size_t zones, const manifest::Scaling &scaling, TimePoint now)
+PlanGoal updateGoal(NeedMemory &memory, double need, int present, std::size_t zones, const manifest::Scaling &scaling, TimePoint now)
 {
     const double places = static_cast<double>(std::max<std::size_t>(1, zones));
     if (!memory.updatedAt) {
-        memory.shortTerm = FirstNeedPerZone * places;
-        memory.longTerm = memory.shortTerm;
+        // Nothing is known of the load, but somebody has found the servers that are there to be right.
+        memory.shortTerm = present;
+        memory.longTerm = present / ReclaimableReserve;
     }
     // Before the first request the load says nothing.
     const Duration elapsed = memory.updatedAt && need > 0 ? now - *memory.updatedAt : Duration(0);
--- a/src/duties/servergoal.h
+++ b/src/duties/servergoal.h
@@ -30,7 +30,8 @@
     int servers = 0; ///< The goal that was set last.
 };
 
-/// Brings @p memory up to @p need and gives what shall be ordered in @p zones failure domains.
-PlanGoal updateGoal(NeedMemory &memory, double need, std::size_t zones, const manifest::Scaling &scaling, TimePoint now);
+/// Brings @p memory up to @p need and gives what shall be ordered in @p zones failure domains. @p present: servers of both
+/// kinds that are there now; a memory that is empty begins with them.
+PlanGoal updateGoal(NeedMemory &memory, double need, int present, std::size_t zones, const manifest::Scaling &scaling, TimePoint now);
 
 } // namespace cardamomlift::duties
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -1,9 +1,9 @@
 #include "presence/presence.h"
 
 #include "http/json.h"
-#include "presence/statusformat.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cardamomlift::presence {
 
@@ -16,10 +16,12 @@
 /// How long the store may hold the question for new rows. They come at once whatever this is; it bounds how long a
 /// connection that fell silent goes unnoticed, and each answer is paid for.
 constexpr Duration WatchWait = std::chrono::seconds(10);
-/// Time between statuses to one peer. Shares of an allowance, loads and the lease are judged by them: three in a second.
-constexpr Duration LeastPeriod = std::chrono::milliseconds(350);
-/// With many VMs the period grows, so that one VM sends some sixty datagrams a second at most.
+/// Statuses go out in rounds. Shares of an allowance, loads and the lease are judged by them: three in a second.
+constexpr Duration Round = std::chrono::milliseconds(350);
+/// With many VMs a peer hears less often, so that one VM sends some sixty full statuses a second at most.
 constexpr Duration PeriodPerPeer = std::chrono::milliseconds(15);
+/// Changes within this go out together.
+constexpr Duration SendNowDelay = std::chrono::milliseconds(20);
 /// Sequences whose sending time is kept: an echo older than that proves nothing of use.
 constexpr std::size_t SentKept = 32;
 /// A peer that was silent this long is logged as lost.
@@ -28,6 +30,22 @@
 constexpr unsigned SequenceShift = 8;
 constexpr Duration RowRetry = std::chrono::milliseconds(500);
 
+/// What is repeated more often than the rest.
+Status partialOf(const Status &status)
+{
+    Status partial;
+    partial.instance = status.instance;
+    partial.incarnation = status.incarnation;
+    partial.sequence = status.sequence;
+    partial.tables = status.tables;
+    partial.storeBack = status.storeBack;
+    partial.isFast = status.isFast;
+    partial.holdsLease = status.holdsLease;
+    partial.isDraining = status.isDraining;
+    partial.isPartial = true;
+    return partial;
+}
+
 std::string rowText(const PresenceTools &tools)
 {
     Json::Value row;
@@ -118,21 +136,23 @@
     peer.incarnation = (*json)["incarnation"].isUInt64() ? (*json)["incarnation"].asUInt64() : 0;
 }
 
-Duration Presence::period() const
+// Rounds from one full status to the next to the same peer.
+int Presence::fullRounds() const
 {
-    return std::max<Duration>(LeastPeriod, PeriodPerPeer * static_cast<std::int64_t>(peers_.size()));
+    const Duration wanted = PeriodPerPeer * static_cast<std::int64_t>(peers_.size());
+    return std::max(1, static_cast<int>((wanted + Round - Duration(1)) / Round));
 }
 
 void Presence::sendSoon()
 {
-    timer_ = tools_.loop->after(period(), [this] {
-        sendAll();
+    timer_ = tools_.loop->after(Round, [this] {
+        sendRound();
         notePeers();
         sendSoon();
     });
 }
 
-void Presence::sendAll()
+StatusMessage Presence::makeMessage()
 {
     StatusMessage message;
     message.status.instance = tools_.instance;
@@ -141,16 +161,59 @@
     for (const auto &fill : fillers_) {
         fill(message.status);
     }
+    message.status.isFast = isFast_ && isFast_();
     sent_.push_back({sequence_, tools_.loop->now()});
     if (sent_.size() > SentKept) {
         sent_.erase(sent_.begin());
     }
+    return message;
+}
+
+void Presence::sendTo(const Peer &peer, StatusMessage &message) const
+{
+    message.echo = peer.status ? peer.status->sequence : 0;
+    tools_.datagrams->send(peer.endpoint, encodeStatus(message));
+}
+
+// A peer hears a full status every few rounds; in the others only what keeps knowledge of the store fresh: from the VMs
+// that follow it, and to them, whose echo proves the age.
+void Presence::sendRound()
+{
+    StatusMessage full = makeMessage();
+    StatusMessage partial = full;
+    partial.status = partialOf(full.status);
+    const int rounds = fullRounds();
+    round_++;
+    int index = 0;
     for (const auto &[instance, peer] : peers_) {
-        message.echo = peer.status ? peer.status->sequence : 0;
-        tools_.datagrams->send(peer.endpoint, encodeStatus(message));
+        index++;
+        if ((round_ + index) % rounds == 0) {
+            sendTo(peer, full);
+        } else if (full.status.isFast || (peer.status && peer.status->isFast)) {
+            sendTo(peer, partial);
+        }
     }
 }
 
+void Presence::sendNow()
+{
+    if (std::exchange(sendNowPosted_, true)) {
+        return;
+    }
+    tools_.loop->after(SendNowDelay, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        self->sendNowPosted_ = false;
+        StatusMessage message = self->makeMessage();
+        message.status = partialOf(message.status);
+        for (const auto &[instance, peer] : self->peers_) {
+            self->sendTo(peer, message);
+        }
+    });
+}
+
 // The sender had seen our status @p echo, so it sent its own after we sent that one, whatever the clocks say.
 std::optional<TimePoint> Presence::provenTime(std::uint64_t echo) const
 {
@@ -182,10 +245,35 @@
     }
     peer.heardAt = tools_.loop->now();
     const auto provenAt = provenTime(message->echo);
-    peer.status = std::move(message->status);
+    // NOTE Handlers see what was sent: what a partial status lacks would count twice if it were merged first.
     for (const auto &handler : handlers_) {
-        handler(*peer.status, provenAt);
+        handler(message->status, provenAt);
     }
+    merge(peer, std::move(message->status));
+}
+
+void Presence::merge(Peer &peer, Status status)
+{
+    if (!status.isPartial || !peer.status || peer.status->incarnation != status.incarnation) {
+        peer.status = std::move(status);
+        return;
+    }
+    peer.status->sequence = status.sequence;
+    peer.status->tables = std::move(status.tables);
+    peer.status->storeBack = status.storeBack;
+    peer.status->isFast = status.isFast;
+    peer.status->holdsLease = status.holdsLease;
+    peer.status->isDraining = status.isDraining;
+}
+
+void Presence::setFast(std::function<bool()> isFast)
+{
+    isFast_ = std::move(isFast);
+}
+
+const std::shared_ptr<rows::RowWatch> &Presence::watch() const
+{
+    return watch_;
 }
 
 void Presence::notePeers()
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -8,6 +8,43 @@
 
 namespace cardamomlift::presence {
 
+namespace {
+
+std::uint32_t micros(Duration duration)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, UINT32_MAX));
+}
+
+void addTable(wire::Status &out, const std::string &table, const rows::TableNews &news)
+{
+    auto *entry = out.add_tables();
+    entry->set_table(table);
+    entry->set_version(news.version);
+    entry->set_since(news.since);
+    entry->set_age_us(micros(news.age));
+    for (const rows::Row &row : news.changes) {
+        auto *change = entry->add_changes();
+        change->set_key(row.key);
+        change->set_value(row.value);
+        change->set_version(row.version);
+        change->set_deleted(row.isDeleted);
+    }
+}
+
+rows::TableNews readTable(const wire::TableNews &entry)
+{
+    rows::TableNews news;
+    news.version = entry.version();
+    news.since = entry.since();
+    news.age = Duration(entry.age_us());
+    for (const auto &change : entry.changes()) {
+        news.changes.push_back({change.key(), change.value(), change.version(), change.deleted()});
+    }
+    return news;
+}
+
+} // namespace
+
 std::uint64_t nameHash(std::string_view name)
 {
     return XXH3_64bits(name.data(), name.size());
@@ -21,9 +58,11 @@
     out.set_incarnation(status.incarnation);
     out.set_sequence(status.sequence);
     out.set_echo(message.echo);
-    out.set_manifest_version(status.manifestVersion);
-    if (status.manifestAge) {
-        out.set_manifest_age_us(static_cast<std::uint32_t>(std::min<std::int64_t>(status.manifestAge->count(), UINT32_MAX)));
+    for (const auto &[table, news] : status.tables) {
+        addTable(out, table, news);
+    }
+    if (status.storeBack) {
+        out.set_store_back_us(micros(*status.storeBack));
     }
     if (status.clockOffset) {
         out.set_clock_offset_ms(std::chrono::duration_cast<std::chrono::milliseconds>(*status.clockOffset).count());
@@ -58,6 +97,8 @@
     }
     out.set_holds_lease(status.holdsLease);
     out.set_draining(status.isDraining);
+    out.set_partial(status.isPartial);
+    out.set_fast(status.isFast);
     return out.SerializeAsString();
 }
 
@@ -73,9 +114,11 @@
     status.instance = in.instance();
     status.incarnation = in.incarnation();
     status.sequence = in.sequence();
-    status.manifestVersion = in.manifest_version();
-    if (in.has_manifest_age_us()) {
-        status.manifestAge = Duration(in.manifest_age_us());
+    for (const auto &entry : in.tables()) {
+        status.tables[entry.table()] = readTable(entry);
+    }
+    if (in.has_store_back_us()) {
+        status.storeBack = Duration(in.store_back_us());
     }
     if (in.has_clock_offset_ms()) {
         status.clockOffset = std::chrono::milliseconds(in.clock_offset_ms());
@@ -95,6 +138,8 @@
     status.suspects.assign(in.suspects().begin(), in.suspects().end());
     status.holdsLease = in.holds_lease();
     status.isDraining = in.draining();
+    status.isPartial = in.partial();
+    status.isFast = in.fast();
     return message;
 }
 
--- a/src/presence/presence.h
+++ b/src/presence/presence.h
@@ -4,6 +4,7 @@
 #include "kernel/eventloop.h"
 #include "presence/datagrams.h"
 #include "presence/presencetypes.h"
+#include "presence/statusformat.h"
 #include "rows/rowwatch.h"
 
 #include <functional>
@@ -40,6 +41,13 @@
     /// status was sent; empty if none is known.
     void onStatus(std::function<void(const Status &status, std::optional<TimePoint> provenAt)> handler);
 
+    /// With many VMs, a VM for which @p isFast holds tells what it knows of the store three times a second all the same.
+    void setFast(std::function<bool()> isFast);
+    /// Sends what is known of the store soon: it has changed.
+    void sendNow();
+    /// The watch of the VMs' own rows.
+    const std::shared_ptr<rows::RowWatch> &watch() const;
+
     const std::map<std::string, Peer> &peers() const;
     /// Peers that were heard within @p age.
     std::size_t heardWithin(Duration age) const;
@@ -53,12 +61,15 @@
     void writeRow();
     void takeRows(const std::vector<rows::Row> &rows);
     void takeRow(const rows::Row &row);
-    void sendAll();
+    void sendRound();
+    void sendTo(const Peer &peer, StatusMessage &message) const;
+    StatusMessage makeMessage();
+    void merge(Peer &peer, Status status);
     void sendSoon();
     void onDatagram(std::string_view bytes);
     void notePeers();
     std::optional<TimePoint> provenTime(std::uint64_t echo) const;
-    Duration period() const;
+    int fullRounds() const;
 
     struct Sent {
         std::uint64_t sequence = 0;
@@ -72,6 +83,9 @@
     std::vector<std::function<void(const Status &, std::optional<TimePoint>)>> handlers_;
     std::uint64_t sequence_ = 0;
     std::vector<Sent> sent_; ///< The newest statuses, oldest first.
+    std::function<bool()> isFast_;
+    int round_ = 0;
+    bool sendNowPosted_ = false;
     TimerId timer_ = 0;
 };
 
--- a/src/presence/presencemodule.cpp
+++ b/src/presence/presencemodule.cpp
@@ -1,7 +1,8 @@
+#include "directory/directory.h"
 #include "kernel/module.h"
 #include "kernel/runtime.h"
-#include "manifest/manifestkeeper.h"
 #include "presence/presence.h"
+#include "presence/tablerelay.h"
 #include "presence/truetime.h"
 #include "settings/settingstypes.h"
 
@@ -11,6 +12,12 @@
 
 namespace {
 
+/// Knowledge of the manifest and of backend servers that is older than this is fetched anew: half of the time within
+/// which a key that was taken away must stop to work.
+constexpr Duration AskAfter = std::chrono::milliseconds(2200);
+/// Rows of entry VMs change seldom, and a VM that starts tells itself.
+constexpr Duration AskAfterForRows = std::chrono::seconds(6);
+
 std::uint64_t drawIncarnation()
 {
     std::random_device device;
@@ -32,7 +39,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"platform", "manifest", "eventlog"};
+        return {"platform", "directory", "eventlog"};
     }
 
     Result<void> start(Context &context) override
@@ -52,26 +59,20 @@
         const auto presence = Presence::start(std::move(tools));
         context.set(presence);
         context.set(TrueTime::create(*loop, context.get<rows::RowStore>(), presence));
-        shareFreshness(*loop, *presence, context.get<manifest::ManifestKeeper>());
+        relayTables(context, *loop, presence);
         return success();
     }
 
 private:
-    // What a peer knows of the manifest's age counts here too, if both have the same version.
-    static void shareFreshness(EventLoop &loop, Presence &presence, const std::shared_ptr<manifest::ManifestKeeper> &manifests)
+    static void relayTables(Context &context, EventLoop &loop, const std::shared_ptr<Presence> &presence)
     {
-        presence.contribute([manifests, &loop](Status &status) {
-            if (const auto current = manifests->current()) {
-                status.manifestVersion = current->manifest().version;
-                status.manifestAge = manifests->age(loop.now());
-            }
-        });
-        presence.onStatus([manifests](const Status &status, std::optional<TimePoint> provenAt) {
-            const auto current = manifests->current();
-            if (provenAt && current && status.manifestAge && status.manifestVersion == current->manifest().version) {
-                manifests->confirm(*provenAt - *status.manifestAge);
-            }
-        });
+        const auto relay = TableRelay::create(loop, presence);
+        for (const auto &watch : *context.get<rows::Watches>()) {
+            relay->add(watch, AskAfter);
+        }
+        relay->add(presence->watch(), AskAfterForRows);
+        relay->onOutage([directory = context.get<directory::Directory>(), &loop](TimePoint backAt) { directory->noteOutageUntil(backAt, loop.now()); });
+        context.set(relay);
     }
 };
 
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -2,8 +2,10 @@
 
 #include "http1/http1types.h"
 #include "kernel/clock.h"
+#include "rows/rowtypes.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -45,8 +47,8 @@
     std::string instance;
     std::uint64_t incarnation = 0; ///< Of its process: another one after a restart.
     std::uint64_t sequence = 0;
-    std::uint64_t manifestVersion = 0;
-    std::optional<Duration> manifestAge; ///< How old its knowledge is that no newer version exists.
+    std::map<std::string, rows::TableNews> tables; ///< What it knows of the store's tables.
+    std::optional<Duration> storeBack; ///< Time since the store was away for it; empty if it was not lately.
     std::optional<Duration> clockOffset; ///< Its time of day less the store's clock.
     std::vector<CustomerDemand> demands;
     std::vector<UsageCount> usage;
@@ -54,7 +56,9 @@
     std::vector<ServiceLoad> services;
     std::vector<std::uint64_t> suspects; ///< Hashes of requests that crash servers.
     bool holdsLease = false;
+    bool isFast = false; ///< It follows the store for others, and tells them of it in each round.
     bool isDraining = false;
+    bool isPartial = false; ///< Holds only tables and storeBack; the rest is as the sender told it last.
 };
 
 /// Another entry VM.
--- /dev/null
+++ b/src/presence/tablerelay.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "presence/presence.h"
+#include "rows/rowwatch.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace cardamomlift::presence {
+
+/// Spreads what some VMs read from the store to the others, so that the calls to the store do not grow with the VMs. A few
+/// VMs follow the tables there; the others hear of changes, and of how fresh that is, by statuses, and ask the store
+/// themselves only when they hear too little.
+class TableRelay : public std::enable_shared_from_this<TableRelay>
+{
+public:
+    static std::shared_ptr<TableRelay> create(EventLoop &loop, std::shared_ptr<Presence> presence);
+    /// Relays @p watch. @p askAfter: with knowledge older than this the VM asks the store itself.
+    void add(std::shared_ptr<rows::RowWatch> watch, Duration askAfter);
+    /// Called when a peer says that the store was away for it until @p backAt.
+    void onOutage(std::function<void(TimePoint backAt)> handler);
+    /// True if this VM is one of those that follow the store.
+    bool follows() const;
+
+private:
+    TableRelay(EventLoop &loop, std::shared_ptr<Presence> presence);
+    void fill(Status &status) const;
+    void takeStatus(const Status &status, std::optional<TimePoint> provenAt);
+    EventLoop &loop_;
+    std::shared_ptr<Presence> presence_;
+    std::vector<std::shared_ptr<rows::RowWatch>> watches_;
+    std::function<void(TimePoint)> outage_;
+};
+
+} // namespace cardamomlift::presence
--- a/src/rows/internal/rowwatch.cpp
+++ b/src/rows/internal/rowwatch.cpp
@@ -1,6 +1,7 @@
 #include "rows/rowwatch.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace cardamomlift::rows {
 
@@ -11,6 +12,13 @@
 /// Longest pause: two of them fit into the time within which a new manifest must be in force.
 constexpr Duration LongestBackoff = std::chrono::milliseconds(800);
 
+/// How often a watch that may not ask looks whether it may.
+constexpr Duration GateCheck = std::chrono::milliseconds(150);
+/// Changes are told for this long: several statuses, of which some may be lost.
+constexpr Duration RecentTime = std::chrono::seconds(4);
+/// Of the changes that one status tells; a VM that misses more asks the store itself.
+constexpr std::size_t RecentBytes = 6000;
+
 } // namespace
 
 RowWatch::RowWatch(EventLoop &loop, std::shared_ptr<RowStore> store, std::string table, Duration wait, WatchHandlers handlers)
@@ -66,21 +74,142 @@
     }
     // Pages are of different moments: what changed between them comes again by the feed from the first page's version.
     version_ = collectVersion_;
+    recent_.clear();
+    recentBytes_ = 0;
+    recentSince_ = version_;
     setReachable(true, StoreFailure::None);
     const std::vector<Row> all = std::move(collected_);
     collected_.clear();
     handlers_.onAll(all);
-    handlers_.onConfirmed(collectSince_);
-    ask();
+    confirm(collectSince_);
+    askIfMay();
+}
+
+void RowWatch::askIfMay()
+{
+    if (stopped_ || asking_) {
+        return;
+    }
+    if (!mayAsk_ || behind_ || mayAsk_()) {
+        ask();
+        return;
+    }
+    askLater(GateCheck);
+}
+
+void RowWatch::askLater(Duration delay)
+{
+    loop_.cancel(askTimer_);
+    askTimer_ = loop_.after(delay, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->askIfMay();
+        }
+    });
+}
+
+void RowWatch::confirm(TimePoint at)
+{
+    confirmedAt_ = confirmedAt_ ? std::max(*confirmedAt_, at) : at;
+    handlers_.onConfirmed(at);
+}
+
+void RowWatch::remember(const std::vector<Row> &rows)
+{
+    const TimePoint now = loop_.now();
+    for (const Row &row : rows) {
+        recent_.push_back({row, now});
+        recentBytes_ += row.key.size() + row.value.size();
+    }
+    forgetOld();
+}
+
+void RowWatch::forgetOld()
+{
+    const TimePoint now = loop_.now();
+    while (!recent_.empty() && (now - recent_.front().at > RecentTime || recentBytes_ > RecentBytes)) {
+        // NOTE One transaction may write several rows at one version: they are told together or not at all.
+        const std::uint64_t version = recent_.front().row.version;
+        while (!recent_.empty() && recent_.front().row.version == version) {
+            recentBytes_ -= recent_.front().row.key.size() + recent_.front().row.value.size();
+            recent_.pop_front();
+        }
+        recentSince_ = std::max(recentSince_, version);
+    }
+}
+
+std::optional<TableNews> RowWatch::news()
+{
+    forgetOld();
+    if (version_ == 0 || !confirmedAt_) {
+        return std::nullopt;
+    }
+    TableNews news;
+    news.version = version_;
+    news.since = recentSince_;
+    news.age = loop_.now() - *confirmedAt_;
+    for (const Recent &recent : recent_) {
+        news.changes.push_back(recent.row);
+    }
+    return news;
+}
+
+void RowWatch::offer(const TableNews &news, TimePoint provenAt)
+{
+    if (version_ == 0 || stopped_) {
+        return;
+    }
+    if (news.version > version_ && news.since > version_) {
+        behind_ = true;
+        askIfMay();
+        return;
+    }
+    if (news.version > version_) {
+        std::vector<Row> missed;
+        std::copy_if(news.changes.begin(), news.changes.end(), std::back_inserter(missed), [this](const Row &row) { return row.version > version_; });
+        remember(missed);
+        version_ = news.version;
+        if (!missed.empty()) {
+            handlers_.onChanges(missed);
+        }
+    }
+    confirm(provenAt - news.age);
+}
+
+void RowWatch::setGate(std::function<bool()> mayAsk)
+{
+    mayAsk_ = std::move(mayAsk);
+}
+
+void RowWatch::onNews(std::function<void()> handler)
+{
+    onNews_ = std::move(handler);
+}
+
+const std::string &RowWatch::table() const
+{
+    return table_;
+}
+
+std::optional<TimePoint> RowWatch::confirmedAt() const
+{
+    return confirmedAt_;
+}
+
+std::optional<TimePoint> RowWatch::lostUntil() const
+{
+    return reachable_ ? regainedAt_ : std::optional(loop_.now());
 }
 
 void RowWatch::ask()
 {
-    const Duration wait = confirmAtOnce_ ? Duration(0) : wait_;
+    const bool isGated = mayAsk_ && !mayAsk_();
+    const Duration wait = confirmAtOnce_ || behind_ || isGated ? Duration(0) : wait_;
     confirmAtOnce_ = false;
+    asking_ = true;
     store_->changes(table_, version_, wait, [weak = weak_from_this()](const ReadResult &result) {
         const auto self = weak.lock();
         if (self && !self->stopped_) {
+            self->asking_ = false;
             self->onChanges(result);
         }
     });
@@ -99,12 +228,26 @@
     }
     backoff_ = Duration(0);
     setReachable(true, StoreFailure::None);
-    version_ = std::max(version_, result.page.version);
-    if (!result.page.rows.empty()) {
-        handlers_.onChanges(result.page.rows);
+    behind_ = false;
+    takeChanges(result.page);
+    confirm(result.askedAt);
+    askIfMay();
+}
+
+// Another VM may have told some of the changes while the question was on its way.
+void RowWatch::takeChanges(const RowPage &page)
+{
+    std::vector<Row> missed;
+    std::copy_if(page.rows.begin(), page.rows.end(), std::back_inserter(missed), [this](const Row &row) { return row.version > version_; });
+    remember(missed);
+    version_ = std::max(version_, page.version);
+    if (missed.empty()) {
+        return;
+    }
+    handlers_.onChanges(missed);
+    if (onNews_) {
+        onNews_();
     }
-    handlers_.onConfirmed(result.askedAt);
-    ask();
 }
 
 void RowWatch::onFailure(StoreFailure failure)
@@ -113,10 +256,10 @@
     confirmAtOnce_ = true;
     backoff_ = backoff_.count() == 0 ? FirstBackoff : std::min(backoff_ * 2, LongestBackoff);
     if (version_ == 0) {
-        later([this] { readAll({}); });
+        readAllLater();
         return;
     }
-    later([this] { ask(); });
+    askLater(backoff_);
 }
 
 void RowWatch::setReachable(bool reachable, StoreFailure failure)
@@ -125,15 +268,18 @@
         return;
     }
     reachable_ = reachable;
+    if (reachable) {
+        regainedAt_ = loop_.now();
+    }
     handlers_.onReachable(reachable, failure);
 }
 
-void RowWatch::later(std::function<void()> action)
+void RowWatch::readAllLater()
 {
-    loop_.after(backoff_, [weak = weak_from_this(), action = std::move(action)] {
+    loop_.after(backoff_, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && !self->stopped_) {
-            action();
+            self->readAll({});
         }
     });
 }
--- a/src/rows/rowtypes.h
+++ b/src/rows/rowtypes.h
@@ -42,6 +42,14 @@
     TimePoint askedAt; ///< When the call was sent.
 };
 
+/// What one VM knows of a table, for another that has not asked the store itself.
+struct TableNews {
+    std::uint64_t version = 0; ///< All changes up to it are known to the sender.
+    std::uint64_t since = 0; ///< @c changes holds all that came after this version.
+    std::vector<Row> changes; ///< In order; the newest ones only.
+    Duration age{0}; ///< How old the sender's knowledge is that nothing newer exists.
+};
+
 /// One change of a transaction. All rows of a transaction lie in one part.
 struct RowWrite {
     std::string table;
--- a/src/rows/rowwatch.h
+++ b/src/rows/rowwatch.h
@@ -3,7 +3,10 @@
 #include "kernel/eventloop.h"
 #include "rows/rowstore.h"
 
+#include <deque>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cardamomlift::rows {
@@ -26,15 +29,35 @@
     /// Ends it; no handler is called any more.
     void stop();
 
+    /// The store is asked only while @p mayAsk says so: other VMs may tell what is new. Without a gate it always is.
+    void setGate(std::function<bool()> mayAsk);
+    /// Another VM's knowledge, which was complete at @p provenAt less its age.
+    void offer(const TableNews &news, TimePoint provenAt);
+    /// @p handler is called after the store itself has told changes.
+    void onNews(std::function<void()> handler);
+    /// What this VM knows, for others; empty before the first reading.
+    std::optional<TableNews> news();
+    const std::string &table() const;
+    /// Since when nothing can have changed unnoticed; empty before the first reading.
+    std::optional<TimePoint> confirmedAt() const;
+    /// When the store was regained last; now while it is lost; empty if it was never lost.
+    std::optional<TimePoint> lostUntil() const;
+
 private:
     RowWatch(EventLoop &loop, std::shared_ptr<RowStore> store, std::string table, Duration wait, WatchHandlers handlers);
     void readAll(std::string from);
     void onPage(const ReadResult &result);
     void ask();
     void onChanges(const ReadResult &result);
+    void takeChanges(const RowPage &page);
     void onFailure(StoreFailure failure);
+    void askIfMay();
+    void confirm(TimePoint at);
+    void remember(const std::vector<Row> &rows);
+    void forgetOld();
     void setReachable(bool reachable, StoreFailure failure);
-    void later(std::function<void()> action);
+    void askLater(Duration delay);
+    void readAllLater();
     EventLoop &loop_;
     std::shared_ptr<RowStore> store_;
     std::string table_;
@@ -46,8 +69,26 @@
     std::uint64_t version_ = 0; ///< 0: not read yet.
     Duration backoff_{0};
     bool reachable_ = true;
+    /// A change that is told to others for a while.
+    struct Recent {
+        Row row;
+        TimePoint at;
+    };
+    std::function<bool()> mayAsk_;
+    std::function<void()> onNews_;
+    std::deque<Recent> recent_; ///< Oldest first.
+    std::size_t recentBytes_ = 0;
+    std::uint64_t recentSince_ = 0; ///< recent_ holds all changes after this version.
+    std::optional<TimePoint> confirmedAt_;
+    std::optional<TimePoint> regainedAt_;
+    TimerId askTimer_ = 0;
+    bool asking_ = false;
+    bool behind_ = false; ///< Another VM knows of changes that it could not tell.
     bool confirmAtOnce_ = false; ///< The next question must not wait: the last one brought no answer.
     bool stopped_ = false;
 };
 
+/// The watches of a daemon.
+using Watches = std::vector<std::shared_ptr<RowWatch>>;
+
 } // namespace cardamomlift::rows
