--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -1,6 +1,7 @@
 #include "presence/presence.h"
 
 #include "http/json.h"
+#include "presence/statusformat.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,7 +16,7 @@
 constexpr char Table[] = "entry-vms";
 /// How long the store may hold the question for new rows. They come at once whatever this is; it bounds how long a
 /// connection that fell silent goes unnoticed, and each answer is paid for.
-constexpr Duration WatchWait = std::chrono::seconds(10);
+constexpr Duration WatchWait = std::chrono::seconds(6);
 /// Statuses go out in rounds. Shares of an allowance, loads and the lease are judged by them: three in a second.
 constexpr Duration Round = std::chrono::milliseconds(350);
 /// With many VMs a peer hears less often, so that one VM sends some sixty full statuses a second at most.
@@ -133,6 +134,7 @@
     Peer &peer = peers_[row.key];
     peer.endpoint = *endpoint;
     peer.zone = (*json)["zone"].isString() ? (*json)["zone"].asString() : std::string();
+    peer.listedAt = tools_.loop->now();
     peer.incarnation = (*json)["incarnation"].isUInt64() ? (*json)["incarnation"].asUInt64() : 0;
 }
 
@@ -152,26 +154,39 @@
     });
 }
 
-StatusMessage Presence::makeMessage()
+Status Presence::makeStatus()
 {
-    StatusMessage message;
-    message.status.instance = tools_.instance;
-    message.status.incarnation = tools_.incarnation;
-    message.status.sequence = ++sequence_;
+    Status status;
+    status.instance = tools_.instance;
+    status.incarnation = tools_.incarnation;
+    status.sequence = ++sequence_;
     for (const auto &fill : fillers_) {
-        fill(message.status);
+        fill(status);
     }
-    message.status.isFast = isFast_ && isFast_();
+    status.isFast = isFast_ && isFast_();
     sent_.push_back({sequence_, tools_.loop->now()});
     if (sent_.size() > SentKept) {
         sent_.erase(sent_.begin());
     }
-    return message;
+    return status;
 }
 
-void Presence::sendTo(const Peer &peer, StatusMessage &message) const
+// Changes go only from the VMs that follow the store, and only to those that have not heard of them.
+void Presence::sendTo(const Peer &peer, const Status &status) const
 {
+    StatusMessage message;
+    message.status = status;
     message.echo = peer.status ? peer.status->sequence : 0;
+    for (auto &[table, news] : message.status.tables) {
+        const auto known = peer.status ? peer.status->tables.find(table) : message.status.tables.end();
+        const std::uint64_t has = peer.status && known != peer.status->tables.end() ? known->second.version : UINT64_MAX;
+        if (!status.isFast || has >= news.version) {
+            news.changes.clear();
+            news.since = news.version;
+            continue;
+        }
+        std::erase_if(news.changes, [has](const rows::Row &row) { return row.version <= has; });
+    }
     tools_.datagrams->send(peer.endpoint, encodeStatus(message));
 }
 
@@ -179,9 +194,8 @@
 // that follow it, and to them, whose echo proves the age.
 void Presence::sendRound()
 {
-    StatusMessage full = makeMessage();
-    StatusMessage partial = full;
-    partial.status = partialOf(full.status);
+    const Status full = makeStatus();
+    const Status partial = partialOf(full);
     const int rounds = fullRounds();
     round_++;
     int index = 0;
@@ -189,7 +203,7 @@
         index++;
         if ((round_ + index) % rounds == 0) {
             sendTo(peer, full);
-        } else if (full.status.isFast || (peer.status && peer.status->isFast)) {
+        } else if (full.isFast || (peer.status && peer.status->isFast)) {
             sendTo(peer, partial);
         }
     }
@@ -206,10 +220,11 @@
             return;
         }
         self->sendNowPosted_ = false;
-        StatusMessage message = self->makeMessage();
-        message.status = partialOf(message.status);
+        const Status partial = partialOf(self->makeStatus());
         for (const auto &[instance, peer] : self->peers_) {
-            self->sendTo(peer, message);
+            if (partial.isFast) {
+                self->sendTo(peer, partial);
+            }
         }
     });
 }
--- a/src/presence/internal/tablerelay.cpp
+++ b/src/presence/internal/tablerelay.cpp
@@ -8,17 +8,14 @@
 
 /// VMs that follow the store at a time: with three, two may be cut off from it or stop in the same second.
 constexpr std::size_t Followers = 3;
-/// A VM whose own knowledge is older than this does not count as one that follows.
-constexpr Duration FollowerAge = std::chrono::milliseconds(2500);
-constexpr Duration HeardWithin = std::chrono::milliseconds(1500);
+/// A peer that was not heard for this long, nor its row seen, does not count: with many VMs a peer that does not follow
+/// tells of itself only every second or two, and some of that is lost. Too short a time makes more VMs follow than needed.
+constexpr Duration HeardWithin = std::chrono::seconds(5);
 /// An outage that ended longer ago says nothing of the entries that are missing now.
 constexpr Duration OutageTold = std::chrono::seconds(4);
 
-bool isFresh(const Status &status)
-{
-    const auto oldest = std::max_element(status.tables.begin(), status.tables.end(), [](const auto &a, const auto &b) { return a.second.age < b.second.age; });
-    return oldest != status.tables.end() && oldest->second.age <= FollowerAge;
-}
+/// A VM for which the store came back less than this ago, or is away, is left out of those that follow it.
+constexpr Duration OutageCounts = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -66,7 +63,7 @@
             self->presence_->sendNow();
         }
     });
-    watches_.push_back(std::move(watch));
+    watches_.push_back({std::move(watch), askAfter});
 }
 
 void TableRelay::onOutage(std::function<void(TimePoint backAt)> handler)
@@ -81,15 +78,28 @@
     const std::uint64_t own = nameHash(presence_->instance());
     std::size_t before = 0;
     for (const auto &[instance, peer] : presence_->peers()) {
-        const bool counts = peer.heardAt && now - *peer.heardAt <= HeardWithin && peer.status && isFresh(*peer.status) && !peer.status->isDraining;
+        const TimePoint seenAt = std::max(peer.listedAt, peer.heardAt.value_or(peer.listedAt));
+        const bool counts = now - seenAt <= HeardWithin && (!peer.status || isSource(*peer.status));
         before += counts && nameHash(instance) < own ? 1 : 0;
     }
     return before < Followers;
 }
 
+// A VM that is cut off from the store, or knows it only by hearsay that has grown old, is no good as a source.
+bool TableRelay::isSource(const Status &status) const
+{
+    if (status.isDraining || (status.storeBack && *status.storeBack < OutageCounts)) {
+        return false;
+    }
+    return std::all_of(watches_.begin(), watches_.end(), [&status](const Entry &entry) {
+        const auto found = status.tables.find(entry.watch->table());
+        return found != status.tables.end() && found->second.age <= entry.askAfter;
+    });
+}
+
 void TableRelay::fill(Status &status) const
 {
-    for (const auto &watch : watches_) {
+    for (const auto &[watch, askAfter] : watches_) {
         if (auto news = watch->news()) {
             status.tables[watch->table()] = std::move(*news);
         }
@@ -111,7 +121,7 @@
     if (!provenAt) {
         return;
     }
-    for (const auto &watch : watches_) {
+    for (const auto &[watch, askAfter] : watches_) {
         const auto found = status.tables.find(watch->table());
         if (found != status.tables.end()) {
             watch->offer(found->second, *provenAt);
--- a/src/presence/presence.h
+++ b/src/presence/presence.h
@@ -4,7 +4,6 @@
 #include "kernel/eventloop.h"
 #include "presence/datagrams.h"
 #include "presence/presencetypes.h"
-#include "presence/statusformat.h"
 #include "rows/rowwatch.h"
 
 #include <functional>
@@ -62,8 +61,8 @@
     void takeRows(const std::vector<rows::Row> &rows);
     void takeRow(const rows::Row &row);
     void sendRound();
-    void sendTo(const Peer &peer, StatusMessage &message) const;
-    StatusMessage makeMessage();
+    void sendTo(const Peer &peer, const Status &status) const;
+    Status makeStatus();
     void merge(Peer &peer, Status status);
     void sendSoon();
     void onDatagram(std::string_view bytes);
--- a/src/presence/presencemodule.cpp
+++ b/src/presence/presencemodule.cpp
@@ -15,8 +15,8 @@
 /// Knowledge of the manifest and of backend servers that is older than this is fetched anew: half of the time within
 /// which a key that was taken away must stop to work.
 constexpr Duration AskAfter = std::chrono::milliseconds(2200);
-/// Rows of entry VMs change seldom, and a VM that starts tells itself.
-constexpr Duration AskAfterForRows = std::chrono::seconds(6);
+/// Rows of entry VMs change seldom. Longer than the store may hold the question and its answer may take.
+constexpr Duration AskAfterForRows = std::chrono::seconds(15);
 
 std::uint64_t drawIncarnation()
 {
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -66,6 +66,7 @@
     http1::Endpoint endpoint;
     std::string zone;
     std::uint64_t incarnation = 0; ///< As its row says.
+    TimePoint listedAt; ///< When its row was seen first, or anew.
     std::optional<TimePoint> heardAt;
     std::optional<Status> status; ///< The newest.
 };
--- a/src/presence/tablerelay.h
+++ b/src/presence/tablerelay.h
@@ -24,12 +24,17 @@
     bool follows() const;
 
 private:
+    struct Entry {
+        std::shared_ptr<rows::RowWatch> watch;
+        Duration askAfter{0};
+    };
     TableRelay(EventLoop &loop, std::shared_ptr<Presence> presence);
+    bool isSource(const Status &status) const;
     void fill(Status &status) const;
     void takeStatus(const Status &status, std::optional<TimePoint> provenAt);
     EventLoop &loop_;
     std::shared_ptr<Presence> presence_;
-    std::vector<std::shared_ptr<rows::RowWatch>> watches_;
+    std::vector<Entry> watches_;
     std::function<void(TimePoint)> outage_;
 };
 
