--- a/src/duties/internal/orderkeeper.cpp
+++ b/src/duties/internal/orderkeeper.cpp
@@ -19,6 +19,9 @@
 /// What a VM said of its load counts for this long after it fell silent: its callers come back elsewhere.
 constexpr Duration LoadLife = std::chrono::seconds(4);
 
+/// A new holder first looks on: the list of servers, and what other VMs say of the load, come within this.
+constexpr Duration FirstLook = std::chrono::milliseconds(1500);
+
 int presentServers(std::span<const ZoneServers> zones)
 {
     int sum = 0;
@@ -65,6 +68,10 @@
         fence_ = tools_.lease->fence();
         said_.clear();
         needs_.clear();
+        heldSince_ = tools_.loop->now();
+    }
+    if (tools_.loop->now() - heldSince_ < FirstLook) {
+        return;
     }
     for (const manifest::Service &service : manifest->manifest().services) {
         if (service.scaling) {
--- a/src/duties/internal/servergoal.cpp
+++ b/src/duties/internal/servergoal.cpp
@@ -66,7 +66,11 @@
         memory.shortTerm = present;
         memory.longTerm = present / ReclaimableReserve;
     }
-    // Before the first request the load says nothing.
+    // Before the first request the load says nothing; the list of servers fills up in the first seconds.
+    if (need <= 0) {
+        memory.shortTerm = std::max(memory.shortTerm, static_cast<double>(present));
+        memory.longTerm = std::max(memory.longTerm, present / ReclaimableReserve);
+    }
     const Duration elapsed = memory.updatedAt && need > 0 ? now - *memory.updatedAt : Duration(0);
     const double seconds = static_cast<double>(elapsed.count()) / MicrosecondsPerSecond;
     memory.updatedAt = now;
--- a/src/duties/orderkeeper.h
+++ b/src/duties/orderkeeper.h
@@ -54,6 +54,7 @@
     void say(const ServerOrder &order, int present);
     OrderTools tools_;
     std::uint64_t fence_ = 0; ///< Of the lease under which said_ was learned.
+    TimePoint heldSince_;
     std::map<Subject, Said> said_;
     std::map<std::string, NeedMemory> needs_; ///< By service.
     TimerId timer_ = 0;
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -4,6 +4,7 @@
 #include "presence/statusformat.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cardamomlift::presence {
@@ -25,8 +26,12 @@
 constexpr Duration SendNowDelay = std::chrono::milliseconds(20);
 /// Sequences whose sending time is kept: an echo older than that proves nothing of use.
 constexpr std::size_t SentKept = 32;
+/// Packed changes of one table that a datagram may hold: three VMs send them to all others at once, and the smallest links
+/// carry a megabyte a second.
+constexpr std::size_t MostPacked = 8000;
 /// A peer that was silent this long is logged as lost.
-constexpr Duration LostAfter = std::chrono::seconds(3);
+constexpr Duration LostAfter = std::chrono::seconds(5);
+const std::string NoChanges;
 /// Leaves room above the first sequence, which is drawn at random.
 constexpr unsigned SequenceShift = 8;
 constexpr Duration RowRetry = std::chrono::milliseconds(500);
@@ -172,28 +177,48 @@
 }
 
 // Changes go only from the VMs that follow the store, and only to those that have not heard of them.
-void Presence::sendTo(const Peer &peer, const Status &status) const
+void Presence::sendTo(const Peer &peer, const Status &status)
 {
     StatusMessage message;
     message.status = status;
     message.echo = peer.status ? peer.status->sequence : 0;
+    std::map<std::string, std::string> packed;
     for (auto &[table, news] : message.status.tables) {
-        const auto known = peer.status ? peer.status->tables.find(table) : message.status.tables.end();
-        const std::uint64_t has = peer.status && known != peer.status->tables.end() ? known->second.version : UINT64_MAX;
-        if (!status.isFast || has >= news.version) {
-            news.changes.clear();
+        const auto known = peer.status ? peer.status->tables.find(table) : status.tables.end();
+        const bool isKnown = peer.status && known != peer.status->tables.end();
+        const bool tells = status.isFast && isKnown && known->second.version < news.version;
+        const std::string &changes = tells ? packedChanges(table, known->second.version, news) : NoChanges;
+        if (changes.empty()) {
             news.since = news.version;
-            continue;
+        } else {
+            packed[table] = changes;
         }
-        std::erase_if(news.changes, [has](const rows::Row &row) { return row.version <= has; });
+        news.changes.clear();
     }
-    tools_.datagrams->send(peer.endpoint, encodeStatus(message));
+    tools_.datagrams->send(peer.endpoint, encodeStatus(message, packed));
+}
+
+// Most peers lack the same changes, so they are packed once a round. Empty: too much for a datagram.
+const std::string &Presence::packedChanges(const std::string &table, std::uint64_t has, const rows::TableNews &news)
+{
+    const auto [place, isNew] = packed_.try_emplace({table, has});
+    if (!isNew) {
+        return place->second;
+    }
+    std::vector<rows::Row> missed;
+    std::copy_if(news.changes.begin(), news.changes.end(), std::back_inserter(missed), [has](const rows::Row &row) { return row.version > has; });
+    std::string changes = packChanges(missed);
+    if (changes.size() <= MostPacked) {
+        place->second = std::move(changes);
+    }
+    return place->second;
 }
 
 // A peer hears a full status every few rounds; in the others only what keeps knowledge of the store fresh: from the VMs
 // that follow it, and to them, whose echo proves the age.
 void Presence::sendRound()
 {
+    packed_.clear();
     const Status full = makeStatus();
     const Status partial = partialOf(full);
     const int rounds = fullRounds();
@@ -220,6 +245,7 @@
             return;
         }
         self->sendNowPosted_ = false;
+        self->packed_.clear();
         const Status partial = partialOf(self->makeStatus());
         for (const auto &[instance, peer] : self->peers_) {
             if (partial.isFast) {
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -3,6 +3,7 @@
 #include "presence/generated/status.pb.h"
 
 #include <xxhash.h>
+#include <zlib.h>
 
 #include <algorithm>
 
@@ -10,36 +11,39 @@
 
 namespace {
 
+/// What changes may unpack to: more than a watch keeps for others, with the names of the fields.
+constexpr std::size_t MostUnpacked = 128 * 1024;
+
 std::uint32_t micros(Duration duration)
 {
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, UINT32_MAX));
 }
 
-void addTable(wire::Status &out, const std::string &table, const rows::TableNews &news)
+void addTable(wire::Status &out, const std::string &table, const rows::TableNews &news, const std::string &packed)
 {
     auto *entry = out.add_tables();
     entry->set_table(table);
     entry->set_version(news.version);
     entry->set_since(news.since);
     entry->set_age_us(micros(news.age));
-    for (const rows::Row &row : news.changes) {
-        auto *change = entry->add_changes();
-        change->set_key(row.key);
-        change->set_value(row.value);
-        change->set_version(row.version);
-        change->set_deleted(row.isDeleted);
-    }
+    entry->set_changes(packed);
 }
 
-rows::TableNews readTable(const wire::TableNews &entry)
+/// Empty if the changes can't be read.
+std::optional<rows::TableNews> readTable(const wire::TableNews &entry)
 {
     rows::TableNews news;
     news.version = entry.version();
     news.since = entry.since();
     news.age = Duration(entry.age_us());
-    for (const auto &change : entry.changes()) {
-        news.changes.push_back({change.key(), change.value(), change.version(), change.deleted()});
+    if (entry.changes().empty()) {
+        return news;
     }
+    auto changes = unpackChanges(entry.changes());
+    if (!changes) {
+        return std::nullopt;
+    }
+    news.changes = std::move(*changes);
     return news;
 }
 
@@ -50,7 +54,44 @@
     return XXH3_64bits(name.data(), name.size());
 }
 
-std::string encodeStatus(const StatusMessage &message)
+std::string packChanges(std::span<const rows::Row> changes)
+{
+    wire::RowChanges list;
+    for (const rows::Row &row : changes) {
+        auto *change = list.add_changes();
+        change->set_key(row.key);
+        change->set_value(row.value);
+        change->set_version(row.version);
+        change->set_deleted(row.isDeleted);
+    }
+    const std::string plain = list.SerializeAsString();
+    uLongf size = compressBound(plain.size());
+    std::string packed(size, '\0');
+    if (compress2(reinterpret_cast<Bytef *>(packed.data()), &size, reinterpret_cast<const Bytef *>(plain.data()), plain.size(), Z_BEST_SPEED) != Z_OK) {
+        return {};
+    }
+    packed.resize(size);
+    return packed;
+}
+
+std::optional<std::vector<rows::Row>> unpackChanges(std::string_view packed)
+{
+    std::string plain(MostUnpacked, '\0');
+    uLongf size = plain.size();
+    wire::RowChanges list;
+    const bool isSound = uncompress(reinterpret_cast<Bytef *>(plain.data()), &size, reinterpret_cast<const Bytef *>(packed.data()), packed.size()) == Z_OK
+        && list.ParseFromArray(plain.data(), static_cast<int>(size));
+    if (!isSound) {
+        return std::nullopt;
+    }
+    std::vector<rows::Row> changes;
+    for (const auto &change : list.changes()) {
+        changes.push_back({change.key(), change.value(), change.version(), change.deleted()});
+    }
+    return changes;
+}
+
+std::string encodeStatus(const StatusMessage &message, const std::map<std::string, std::string> &packed)
 {
     const Status &status = message.status;
     wire::Status out;
@@ -59,7 +100,8 @@
     out.set_sequence(status.sequence);
     out.set_echo(message.echo);
     for (const auto &[table, news] : status.tables) {
-        addTable(out, table, news);
+        const auto changes = packed.find(table);
+        addTable(out, table, news, changes == packed.end() ? std::string() : changes->second);
     }
     if (status.storeBack) {
         out.set_store_back_us(micros(*status.storeBack));
@@ -115,7 +157,9 @@
     status.incarnation = in.incarnation();
     status.sequence = in.sequence();
     for (const auto &entry : in.tables()) {
-        status.tables[entry.table()] = readTable(entry);
+        if (auto news = readTable(entry)) {
+            status.tables[entry.table()] = std::move(*news);
+        }
     }
     if (in.has_store_back_us()) {
         status.storeBack = Duration(in.store_back_us());
--- a/src/presence/internal/tablerelay.cpp
+++ b/src/presence/internal/tablerelay.cpp
@@ -123,7 +123,10 @@
     }
     for (const auto &[watch, askAfter] : watches_) {
         const auto found = status.tables.find(watch->table());
-        if (found != status.tables.end()) {
+        const auto own = watch->version();
+        // NOTE A VM that does not follow the store tells no changes. That it is ahead is no reason to ask the store: one
+        // that follows will tell them within a round.
+        if (found != status.tables.end() && (status.isFast || found->second.version <= own)) {
             watch->offer(found->second, *provenAt);
         }
     }
--- a/src/presence/presence.h
+++ b/src/presence/presence.h
@@ -61,7 +61,8 @@
     void takeRows(const std::vector<rows::Row> &rows);
     void takeRow(const rows::Row &row);
     void sendRound();
-    void sendTo(const Peer &peer, const Status &status) const;
+    void sendTo(const Peer &peer, const Status &status);
+    const std::string &packedChanges(const std::string &table, std::uint64_t has, const rows::TableNews &news);
     Status makeStatus();
     void merge(Peer &peer, Status status);
     void sendSoon();
@@ -83,6 +84,7 @@
     std::uint64_t sequence_ = 0;
     std::vector<Sent> sent_; ///< The newest statuses, oldest first.
     std::function<bool()> isFast_;
+    std::map<std::pair<std::string, std::uint64_t>, std::string> packed_; ///< Changes of a table after a version, for one round.
     int round_ = 0;
     bool sendNowPosted_ = false;
     TimerId timer_ = 0;
--- a/src/presence/statusformat.h
+++ b/src/presence/statusformat.h
@@ -2,6 +2,8 @@
 
 #include "presence/presencetypes.h"
 
+#include <span>
+
 namespace cardamomlift::presence {
 
 /// A status with what is meant for one receiver only.
@@ -10,7 +12,13 @@
     std::uint64_t echo = 0; ///< The receiver's newest sequence that the sender has seen; 0: none.
 };
 
-std::string encodeStatus(const StatusMessage &message);
+/// Changes of rows in few bytes: entries of one table are much alike.
+std::string packChanges(std::span<const rows::Row> changes);
+/// Empty if @p packed is no such text.
+std::optional<std::vector<rows::Row>> unpackChanges(std::string_view packed);
+
+/// @p packed: packChanges() of the changes of each table; a table that is missing there has none to tell.
+std::string encodeStatus(const StatusMessage &message, const std::map<std::string, std::string> &packed);
 /// Empty if @p bytes are no status.
 std::optional<StatusMessage> decodeStatus(std::string_view bytes);
 
--- a/src/presence/tests/presence_test.cpp
+++ b/src/presence/tests/presence_test.cpp
@@ -206,7 +206,7 @@
     message.status.services = {{9, 10.5, 11, 0.5, 2}};
     message.status.suspects = {12};
     message.status.holdsLease = true;
-    const auto read = decodeStatus(encodeStatus(message));
+    const auto read = decodeStatus(encodeStatus(message, {{"t", packChanges(message.status.tables["t"].changes)}}));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->echo, 7U);
     EXPECT_EQ(read->status.tables.at("t").age, milliseconds(4));
@@ -224,6 +224,23 @@
     EXPECT_FALSE(decodeStatus(""));
 }
 
+TEST(StatusFormat, ChangesThatAreMuchAlikeTakeFewBytes)
+{
+    std::vector<rows::Row> rows;
+    std::size_t plain = 0;
+    for (std::uint64_t i = 0; i < 40; i++) {
+        rows.push_back({"i-" + std::to_string(i * 7919), std::string(R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":64,"state":"ready"})"), i, false});
+        plain += rows.back().value.size();
+    }
+    const std::string packed = packChanges(rows);
+    EXPECT_LT(packed.size() * 3, plain);
+    const auto unpacked = unpackChanges(packed);
+    ASSERT_TRUE(unpacked);
+    EXPECT_EQ(unpacked->size(), rows.size());
+    EXPECT_EQ(unpacked->back().key, rows.back().key);
+    EXPECT_FALSE(unpackChanges("nonsense"));
+}
+
 TEST(TrueTime, MostClocksDecide)
 {
     EXPECT_FALSE(agreedOffset({}));
--- a/src/rows/internal/rowwatch.cpp
+++ b/src/rows/internal/rowwatch.cpp
@@ -16,8 +16,9 @@
 constexpr Duration GateCheck = std::chrono::milliseconds(150);
 /// Changes are told for this long: several statuses, of which some may be lost.
 constexpr Duration RecentTime = std::chrono::seconds(4);
-/// Of the changes that one status tells; a VM that misses more asks the store itself.
-constexpr std::size_t RecentBytes = 6000;
+/// Of the changes that are kept for others: the entries of a failure domain's servers, or a manifest of usual size. A VM
+/// that misses more asks the store itself.
+constexpr std::size_t RecentBytes = 48'000;
 
 } // namespace
 
@@ -190,6 +191,11 @@
     return table_;
 }
 
+std::uint64_t RowWatch::version() const
+{
+    return version_;
+}
+
 std::optional<TimePoint> RowWatch::confirmedAt() const
 {
     return confirmedAt_;
--- a/src/rows/rowwatch.h
+++ b/src/rows/rowwatch.h
@@ -38,6 +38,8 @@
     /// What this VM knows, for others; empty before the first reading.
     std::optional<TableNews> news();
     const std::string &table() const;
+    /// All changes up to it are known; 0 before the first reading.
+    std::uint64_t version() const;
     /// Since when nothing can have changed unnoticed; empty before the first reading.
     std::optional<TimePoint> confirmedAt() const;
     /// When the store was regained last; now while it is lost; empty if it was never lost.
