--- a/src/duties/internal/servergoal.cpp
+++ b/src/duties/internal/servergoal.cpp
@@ -26,6 +26,9 @@
 /// had, and first tokens come sooner with more of them. At a fifth of the price, 2.2 gave more than 1.3 on the days of
 /// two deployments (mean share of what was owed 0.552 against 0.513, and 0.445 against 0.430).
 constexpr double ReclaimableReserve = 2.2;
+/// The part of the need that the next reclaim must leave: while reclaimable servers are not to be had, one failure domain
+/// after the other loses them, and ordinary ones take seconds to start.
+constexpr double KeptAfterReclaim = 0.7;
 /// Reclaimable servers in each failure domain at least.
 constexpr int LeastReclaimable = 2;
 constexpr double MicrosecondsPerSecond = 1e6;
@@ -81,6 +84,7 @@
     }
     PlanGoal goal;
     goal.servers = memory.servers;
+    goal.serversAfterReclaim = static_cast<int>(std::ceil(memory.servers * KeptAfterReclaim));
     const int reclaimable = static_cast<int>(std::lround(memory.longTerm * ReclaimableReserve / places));
     goal.reclaimablePerZone = std::clamp(reclaimable, std::min(LeastReclaimable, scaling.most), std::max(1, scaling.most));
     return goal;
--- a/src/duties/tests/duties_test.cpp
+++ b/src/duties/tests/duties_test.cpp
@@ -299,10 +299,10 @@
 TEST(OrderPlan, OrdinaryServersMakeUpForMissingReclaimableOnesOnly)
 {
     std::vector<ZoneServers> zones{{"a", 3, 3}, {"b", 3, 3}, {"c", 3, 3}, {"d", 3, 3}};
-    EXPECT_EQ(sumOf(planOrders("s", scaling(), zones, {8, 3}), false), 0);
+    EXPECT_EQ(sumOf(planOrders("s", scaling(), zones, {8, 0, 3}), false), 0);
     zones[0].reclaimable = 0;
     zones[1].reclaimable = 0;
-    const auto orders = planOrders("s", scaling(), zones, {8, 3});
+    const auto orders = planOrders("s", scaling(), zones, {8, 0, 3});
     EXPECT_EQ(sumOf(orders, false), 2);
     EXPECT_EQ(sumOf(orders, true), 12);
     for (const ServerOrder &order : orders) {
@@ -310,13 +310,21 @@
     }
 }
 
+TEST(OrderPlan, TheNextReclaimIsCoveredBeforeItComes)
+{
+    // Two failure domains have lost theirs; the third would leave four.
+    const std::vector<ZoneServers> zones{{"a", 0, 0}, {"b", 0, 0}, {"c", 0, 6}, {"d", 0, 4}};
+    EXPECT_EQ(sumOf(planOrders("s", scaling(), zones, {10, 0, 3}), false), 0);
+    EXPECT_EQ(sumOf(planOrders("s", scaling(), zones, {10, 7, 3}), false), 3);
+}
+
 TEST(OrderPlan, NeverOrdersMoreThanAFailureDomainMayHold)
 {
     for (int need = 0; need < 60; need++) {
         for (int reclaimable = 0; reclaimable <= 6; reclaimable++) {
             for (int leaving = 0; leaving <= 6; leaving++) {
                 const std::vector<ZoneServers> zones{{"a", 0, reclaimable, leaving}, {"b", 2, 0, 0}, {"c", 0, 6, 0}, {"d", 0, 0, 6}};
-                const auto orders = planOrders("s", scaling(), zones, {need, 3});
+                const auto orders = planOrders("s", scaling(), zones, {need, need, 3});
                 for (const ServerOrder &order : orders) {
                     const auto zone = std::find_if(zones.begin(), zones.end(), [&](const ZoneServers &entry) { return entry.zone == order.zone; });
                     EXPECT_LE(order.wanted + (order.isReclaimable ? 0 : zone->reclaimable), 6);
