--- a/src/balancing/internal/choose.cpp
+++ b/src/balancing/internal/choose.cpp
@@ -75,7 +75,8 @@
     ranked.reserve(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); i++) {
         const std::string_view instance = candidates[i].server->server.instance;
-        const std::uint64_t hash = input.affinity.empty() ? XXH3_64bits_withSeed(instance.data(), instance.size(), input.salt) : affinityHash(input.affinity, instance);
+        const std::uint64_t hash =
+            input.affinity.empty() ? XXH3_64bits_withSeed(instance.data(), instance.size(), input.salt) : affinityHash(input.affinity, instance);
         ranked.push_back({i, costOf(candidates[i], input, now), hash});
     }
     const auto cheapest = std::min_element(ranked.begin(), ranked.end(), isCheaper);
@@ -85,7 +86,8 @@
     const double least = cheapest->cost;
     const std::size_t best = cheapest->index;
     const std::size_t homes = std::min(HomeServers, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(homes), ranked.end(), [](const Ranked &a, const Ranked &b) { return a.hash > b.hash; });
+    std::partial_sort(
+        ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(homes), ranked.end(), [](const Ranked &a, const Ranked &b) { return a.hash > b.hash; });
     for (std::size_t i = 0; i < homes; i++) {
         if (ranked[i].cost <= least + HomeAdvantage) {
             return ranked[i].index;
--- a/src/daemon/settingsreload.cpp
+++ b/src/daemon/settingsreload.cpp
@@ -19,7 +19,8 @@
 
 std::int64_t modificationTime(const std::string &path)
 {
-    struct stat status{};
+    struct stat status {
+    };
     if (::stat(path.c_str(), &status) != 0) {
         return 0;
     }
--- a/src/duties/dutiesmodule.cpp
+++ b/src/duties/dutiesmodule.cpp
@@ -76,7 +76,9 @@
         tools.log = context.get<eventlog::EventLog>();
         tools.metrics = context.get<metrics::Metrics>();
         tools.presence = context.get<presence::Presence>();
-        tools.ownLoads = [demand = context.get<forwarding::ServiceDemand>(), loop = tools.loop] { return demand->loads(loop->now()); };
+        tools.ownLoads = [demand = context.get<forwarding::ServiceDemand>(), loop = tools.loop] {
+            return demand->loads(loop->now());
+        };
         tools.zones = context.get<settings::Settings>()->routes->zones;
         context.set(OrderKeeper::start(std::move(tools)));
     }
--- a/src/duties/internal/dutylease.cpp
+++ b/src/duties/internal/dutylease.cpp
@@ -204,7 +204,8 @@
         // A write of ours whose answer was lost shows here as ours; any other means that the lease is another's.
         const auto found = std::find_if(result.current.begin(), result.current.end(), [](const rows::Row &current) { return current.key == Key; });
         LeaseRow current;
-        const bool isOurs = holds_ && found != result.current.end() && decodeLease(found->value, current) && current.incarnation == row_.incarnation && current.fence == row_.fence;
+        const bool isOurs = holds_ && found != result.current.end() && decodeLease(found->value, current) && current.incarnation == row_.incarnation
+            && current.fence == row_.fence;
         if (isOurs) {
             row_ = current;
             version_ = found->version;
--- a/src/duties/internal/orderkeeper.cpp
+++ b/src/duties/internal/orderkeeper.cpp
@@ -169,7 +169,10 @@
                 {Attribute::Wanted, std::int64_t(order.wanted)},
                 {Attribute::Present, std::int64_t(present)},
                 {Attribute::Fence, static_cast<std::int64_t>(fence)},
-                {Attribute::Outcome, outcome == DutyOutcome::Refused ? "none_available" : outcome == DutyOutcome::Done ? "done" : "failed"}});
+                {Attribute::Outcome,
+                    outcome == DutyOutcome::Refused    ? "none_available"
+                        : outcome == DutyOutcome::Done ? "done"
+                                                       : "failed"}});
     });
 }
 
--- a/src/duties/internal/usagereporter.cpp
+++ b/src/duties/internal/usagereporter.cpp
@@ -115,7 +115,10 @@
 void UsageReporter::onSent(std::int64_t window, DutyOutcome outcome)
 {
     busy_ = false;
-    tools_.log->write(Event::UsageReported, {{Attribute::Window, window}, {Attribute::Outcome, outcome == DutyOutcome::Done ? "done" : "failed"}, {Attribute::Fence, static_cast<std::int64_t>(fence_)}});
+    tools_.log->write(Event::UsageReported,
+        {{Attribute::Window, window},
+            {Attribute::Outcome, outcome == DutyOutcome::Done ? "done" : "failed"},
+            {Attribute::Fence, static_cast<std::int64_t>(fence_)}});
     if (outcome == DutyOutcome::Done) {
         arrived_ = std::max(arrived_, window);
     }
--- a/src/duties/tests/duties_test.cpp
+++ b/src/duties/tests/duties_test.cpp
@@ -124,7 +124,8 @@
     }
 
     /// Lets time pass; @p check runs at each step.
-    void pass(Duration time, const std::function<void()> &check = [] {})
+    void pass(
+        Duration time, const std::function<void()> &check = [] {})
     {
         for (Duration passed(0); passed < time; passed += milliseconds(10)) {
             loop_->runDue();
--- a/src/eventlog/internal/eventlog.cpp
+++ b/src/eventlog/internal/eventlog.cpp
@@ -128,7 +128,12 @@
     }
     line_.clear();
     const auto wall = clock_.wallNow().time_since_epoch().count();
-    fmt::format_to(std::back_inserter(line_), "{{\"event\":\"{}\",\"vm\":\"{}\",\"at_us\":{},\"up_us\":{}", eventName(event), instance_, wall, clock_.now().time_since_epoch().count());
+    fmt::format_to(std::back_inserter(line_),
+        "{{\"event\":\"{}\",\"vm\":\"{}\",\"at_us\":{},\"up_us\":{}",
+        eventName(event),
+        instance_,
+        wall,
+        clock_.now().time_since_epoch().count());
     for (const Value &value : values) {
         if (line_.size() < LongestLine - LongestText * 2) {
             appendValue(line_, value);
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -43,7 +43,8 @@
         tools.usage = context.find<UsageMeter>();
         tools.demand = std::make_shared<ServiceDemand>();
         context.set(tools.demand);
-        context.get<presence::Presence>()->contribute([demand = tools.demand, loop = tools.loop](presence::Status &status) { status.services = demand->loads(loop->now()); });
+        context.get<presence::Presence>()->contribute(
+            [demand = tools.demand, loop = tools.loop](presence::Status &status) { status.services = demand->loads(loop->now()); });
         tools.wire = *context.get<WireFormat>();
         tools.settings = forwardingSettings(*settings->routes, settings->zone);
         GatewayTools gatewayTools;
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -285,10 +285,18 @@
         const std::string id = tools_.wire.readAnswer(answer).requestId;
         return id.empty() || id == request_.id;
     };
-    handlers.onHead = [self = shared_from_this()](http1::ResponseHead answer) { self->onHead(std::move(answer)); };
-    handlers.onBody = [self = shared_from_this()](std::string_view part) { self->onBody(part); };
-    handlers.onComplete = [self = shared_from_this()] { self->onComplete(); };
-    handlers.onFailure = [self = shared_from_this()](http1::CallFailure failure) { self->onFailure(failure); };
+    handlers.onHead = [self = shared_from_this()](http1::ResponseHead answer) {
+        self->onHead(std::move(answer));
+    };
+    handlers.onBody = [self = shared_from_this()](std::string_view part) {
+        self->onBody(part);
+    };
+    handlers.onComplete = [self = shared_from_this()] {
+        self->onComplete();
+    };
+    handlers.onFailure = [self = shared_from_this()](http1::CallFailure failure) {
+        self->onFailure(failure);
+    };
     attempt_->channel->call(head + exchange_->body(), exchange_->head().method == "HEAD", std::move(handlers));
     if (!attempt_->channel->isConnected()) {
         connectTimer_ = tools_.loop->after(ConnectTimeout, [weak = weak_from_this()] {
@@ -540,7 +548,10 @@
     endAttempt(false);
     tools_.metrics->add("requests_gone_total");
     tools_.log->write(Event::RequestGone,
-        {{Attribute::Request, request_.id}, {Attribute::Server, server}, {Attribute::TookMs, millisecondsSince(exchange_->startedAt())}, {Attribute::Attempt, std::int64_t(sends_)}});
+        {{Attribute::Request, request_.id},
+            {Attribute::Server, server},
+            {Attribute::TookMs, millisecondsSince(exchange_->startedAt())},
+            {Attribute::Attempt, std::int64_t(sends_)}});
     finish();
 }
 
--- a/src/forwarding/internal/routegateway.cpp
+++ b/src/forwarding/internal/routegateway.cpp
@@ -66,7 +66,9 @@
 Result<void> RouteGateway::open()
 {
     http1::ServerHandlers handlers;
-    handlers.onRequest = [forwarder = tools_.forwarder](http1::ExchangePtr exchange) { forwarder->handle(std::move(exchange)); };
+    handlers.onRequest = [forwarder = tools_.forwarder](http1::ExchangePtr exchange) {
+        forwarder->handle(std::move(exchange));
+    };
     handlers.onRejected = [this](int status) {
         tools_.metrics->add("requests_unreadable_total");
         tools_.log->write(Event::RequestUnreadable, {{Attribute::Status, std::int64_t(status)}});
@@ -76,14 +78,19 @@
     callers_ = callers;
     applyLimits();
     tools_.manifests->onChange([this](const manifest::ManifestPtr &) { applyLimits(); });
-    handlers.onRejected = [](int) {};
-    handlers.onRequest = [this](const http1::ExchangePtr &exchange) { answerReadiness(exchange); };
+    handlers.onRejected = [](int) {
+    };
+    handlers.onRequest = [this](const http1::ExchangePtr &exchange) {
+        answerReadiness(exchange);
+    };
     BOOST_OUTCOME_TRY(readiness, http1::CallerServer::listen(*tools_.loop, tools_.settings.readiness, limits, handlers));
     readiness_ = readiness;
     if (tools_.settings.metrics.port == 0) {
         return success();
     }
-    handlers.onRequest = [this](const http1::ExchangePtr &exchange) { answerMetrics(exchange); };
+    handlers.onRequest = [this](const http1::ExchangePtr &exchange) {
+        answerMetrics(exchange);
+    };
     BOOST_OUTCOME_TRY(page, http1::CallerServer::listen(*tools_.loop, tools_.settings.metrics, limits, handlers));
     metrics_ = page;
     return success();
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -63,8 +63,11 @@
         forwarder_ = Forwarder::create(std::move(tools));
         forwarder_->setVmCount(1);
         http1::ServerHandlers handlers;
-        handlers.onRequest = [this](http1::ExchangePtr exchange) { forwarder_->handle(std::move(exchange)); };
-        handlers.onRejected = [](int) {};
+        handlers.onRequest = [this](http1::ExchangePtr exchange) {
+            forwarder_->handle(std::move(exchange));
+        };
+        handlers.onRejected = [](int) {
+        };
         entry_ = http1::CallerServer::listen(*loop_, {"127.0.0.1", 0}, {}, std::move(handlers)).value();
         addBackend("one");
         addBackend("two");
@@ -79,7 +82,8 @@
             backend.arrivals++;
             backend.requests.push_back(std::move(exchange));
         };
-        handlers.onRejected = [](int) {};
+        handlers.onRejected = [](int) {
+        };
         backend.server = http1::CallerServer::listen(*loop_, {"127.0.0.1", 0}, {}, std::move(handlers)).value();
         directory::BackendServer server;
         server.instance = instance;
@@ -195,9 +199,10 @@
 
 TEST_F(ForwarderTest, PassesTheRequestUnchangedAndAddsOnlyItsOwn)
 {
-    const auto client = call("POST /safe/a%2F?b=%20 HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: id1\r\nX-Credential: key\r\nX-Tenant: forged\r\nX-Hold: h\r\nX-Pin-Ms: 5\r\n"
-                             "X-Request-Priority: 0\r\nX-Expect-Instance: other\r\nKv-From: 1.2.3.4:5/6\r\nX-Kv-Backup: 1.2.3.4:5\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Model: m\r\n"
-                             "X-Deadline-Ms: 9000\r\nContent-Length: 4\r\n\r\nbody");
+    const auto client = call(
+        "POST /safe/a%2F?b=%20 HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: id1\r\nX-Credential: key\r\nX-Tenant: forged\r\nX-Hold: h\r\nX-Pin-Ms: 5\r\n"
+        "X-Request-Priority: 0\r\nX-Expect-Instance: other\r\nKv-From: 1.2.3.4:5/6\r\nX-Kv-Backup: 1.2.3.4:5\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Model: m\r\n"
+        "X-Deadline-Ms: 9000\r\nContent-Length: 4\r\n\r\nbody");
     const auto seen = next();
     EXPECT_EQ(seen->head().target, "/safe/a%2F?b=%20");
     EXPECT_EQ(seen->body(), "body");
@@ -388,7 +393,6 @@
     EXPECT_EQ(lines_.find("\"key\""), std::string::npos);
 }
 
-
 TEST(KeyFreshness, KeyedServiceEndsWhenKnowledgeIsOld)
 {
     const auto manifests = manifest::ManifestKeeper::create();
--- a/src/http1/internal/backendchannel.cpp
+++ b/src/http1/internal/backendchannel.cpp
@@ -24,9 +24,15 @@
     std::shared_ptr<BackendChannel> channel(new BackendChannel(loop, limits));
     BackendChannel *raw = channel.get();
     SocketHandlers handlers;
-    handlers.onConnected = [raw] { raw->connected_ = true; };
-    handlers.onData = [raw](std::string_view bytes) { raw->onData(bytes); };
-    handlers.onEnd = [raw](SocketEnd end) { raw->onSocketEnd(end); };
+    handlers.onConnected = [raw] {
+        raw->connected_ = true;
+    };
+    handlers.onData = [raw](std::string_view bytes) {
+        raw->onData(bytes);
+    };
+    handlers.onEnd = [raw](SocketEnd end) {
+        raw->onSocketEnd(end);
+    };
     channel->socket_ = Socket::connect(loop, to, options, std::move(handlers));
     return channel;
 }
--- a/src/http1/internal/callclient.cpp
+++ b/src/http1/internal/callclient.cpp
@@ -48,9 +48,15 @@
         self->finish(call, false, true);
     });
     CallHandlers handlers;
-    handlers.accepts = [](const ResponseHead &) { return true; };
-    handlers.onHead = [call](ResponseHead answer) { call->result.response.head = std::move(answer); };
-    handlers.onBody = [call](std::string_view part) { call->result.response.body += part; };
+    handlers.accepts = [](const ResponseHead &) {
+        return true;
+    };
+    handlers.onHead = [call](ResponseHead answer) {
+        call->result.response.head = std::move(answer);
+    };
+    handlers.onBody = [call](std::string_view part) {
+        call->result.response.body += part;
+    };
     handlers.onComplete = [weak = weak_from_this(), call] {
         if (const auto self = weak.lock()) {
             self->finish(call, true, true);
--- a/src/http1/internal/callerconnection.cpp
+++ b/src/http1/internal/callerconnection.cpp
@@ -44,8 +44,12 @@
     std::shared_ptr<CallerConnection> connection(new CallerConnection(std::move(server)));
     CallerConnection *raw = connection.get();
     SocketHandlers handlers;
-    handlers.onData = [raw](std::string_view bytes) { raw->onData(bytes); };
-    handlers.onEnd = [raw](SocketEnd) { raw->onEnd(); };
+    handlers.onData = [raw](std::string_view bytes) {
+        raw->onData(bytes);
+    };
+    handlers.onEnd = [raw](SocketEnd) {
+        raw->onEnd();
+    };
     SocketOptions options;
     options.unackedTimeout = CallerUnacked;
     connection->socket_ = Socket::adopt(*raw->server_->loop, descriptor, options, std::move(handlers));
--- a/src/http1/internal/callerserver.cpp
+++ b/src/http1/internal/callerserver.cpp
@@ -30,13 +30,16 @@
         state_->loop = &loop;
         state_->limits = limits;
         state_->handlers = std::move(handlers);
-        state_->forget = [this](CallerConnection *connection) { forget(connection); };
+        state_->forget = [this](CallerConnection *connection) {
+            forget(connection);
+        };
     }
 
     ~CallerServerImpl() override
     {
         loop_.cancel(sweepTimer_);
-        state_->forget = [](CallerConnection *) {};
+        state_->forget = [](CallerConnection *) {
+        };
         if (descriptor_ >= 0) {
             ev_io_stop(loop_.raw(), &watcher_);
             ::close(descriptor_);
--- a/src/http1/internal/http1types.cpp
+++ b/src/http1/internal/http1types.cpp
@@ -68,7 +68,8 @@
 
 bool equalsIgnoreCase(std::string_view a, std::string_view b)
 {
-    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+    return a.size() == b.size()
+        && std::equal(a.begin(), a.end(), b.begin(), [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
 }
 
 bool hasToken(std::string_view value, std::string_view token)
@@ -95,7 +96,9 @@
 
 bool isConnectionField(std::string_view name, std::string_view connectionValue)
 {
-    const auto isSame = [name](std::string_view other) { return equalsIgnoreCase(name, other); };
+    const auto isSame = [name](std::string_view other) {
+        return equalsIgnoreCase(name, other);
+    };
     return std::any_of(ConnectionFields.begin(), ConnectionFields.end(), isSame) || hasToken(connectionValue, name);
 }
 
--- a/src/http1/tests/backendchannel_test.cpp
+++ b/src/http1/tests/backendchannel_test.cpp
@@ -46,11 +46,21 @@
         failure_.reset();
         body_.clear();
         CallHandlers handlers;
-        handlers.accepts = [this](const ResponseHead &head) { return head.fields.get("X-Id") != "other"; };
-        handlers.onHead = [this](const ResponseHead &head) { status_ = head.status; };
-        handlers.onBody = [this](std::string_view part) { body_ += part; };
-        handlers.onComplete = [this] { completed_ = true; };
-        handlers.onFailure = [this](CallFailure failure) { failure_ = failure; };
+        handlers.accepts = [this](const ResponseHead &head) {
+            return head.fields.get("X-Id") != "other";
+        };
+        handlers.onHead = [this](const ResponseHead &head) {
+            status_ = head.status;
+        };
+        handlers.onBody = [this](std::string_view part) {
+            body_ += part;
+        };
+        handlers.onComplete = [this] {
+            completed_ = true;
+        };
+        handlers.onFailure = [this](CallFailure failure) {
+            failure_ = failure;
+        };
         channel_->call(request, false, std::move(handlers));
     }
 
@@ -66,7 +76,8 @@
         }
         // Unread bytes would turn a clean end into a reset.
         char buffer[4096];
-        while (::recv(peer_, buffer, sizeof buffer, MSG_DONTWAIT) > 0) { }
+        while (::recv(peer_, buffer, sizeof buffer, MSG_DONTWAIT) > 0) {
+        }
         const linger hard{1, 0};
         if (withReset) {
             setsockopt(peer_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
--- a/src/http1/tests/callerserver_test.cpp
+++ b/src/http1/tests/callerserver_test.cpp
@@ -12,8 +12,12 @@
     CallerServerTest()
     {
         ServerHandlers handlers;
-        handlers.onRequest = [this](ExchangePtr exchange) { exchanges_.push_back(std::move(exchange)); };
-        handlers.onRejected = [this](int status) { rejected_.push_back(status); };
+        handlers.onRequest = [this](ExchangePtr exchange) {
+            exchanges_.push_back(std::move(exchange));
+        };
+        handlers.onRejected = [this](int status) {
+            rejected_.push_back(status);
+        };
         server_ = CallerServer::listen(*loop_, {"127.0.0.1", 0}, limits_, std::move(handlers)).value();
     }
 
--- a/src/http1/tests/messagereader_test.cpp
+++ b/src/http1/tests/messagereader_test.cpp
@@ -43,10 +43,15 @@
 
 INSTANTIATE_TEST_SUITE_P(Raw,
     RejectedRequest,
-    testing::Values(RequestCase{"lengthAndChunked", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + Hidden, ReadError::Malformed},
-        RequestCase{"chunkedAndLength", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" + Hidden, ReadError::Malformed},
+    testing::Values(RequestCase{"lengthAndChunked",
+                        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + Hidden,
+                        ReadError::Malformed},
+        RequestCase{"chunkedAndLength",
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" + Hidden,
+            ReadError::Malformed},
         RequestCase{"twoLengths", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", ReadError::Malformed},
-        RequestCase{"twoCodings", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ReadError::Malformed},
+        RequestCase{
+            "twoCodings", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ReadError::Malformed},
         RequestCase{"unknownCoding", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n", ReadError::Malformed},
         RequestCase{"codingList", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", ReadError::Malformed},
         RequestCase{"codingWithSpace", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n", ReadError::Malformed},
@@ -60,7 +65,8 @@
         RequestCase{"noHttp", "\x16\x03\x01\x02", ReadError::Malformed},
         RequestCase{"longHeader", "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(2000, 'x') + "\r\n\r\n", ReadError::HeaderTooLarge},
         RequestCase{"longBody", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x'), ReadError::BodyTooLarge},
-        RequestCase{"longChunks", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n" + std::string(5000, 'x'), ReadError::BodyTooLarge}),
+        RequestCase{
+            "longChunks", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n" + std::string(5000, 'x'), ReadError::BodyTooLarge}),
     [](const auto &info) { return info.param.name; });
 
 TEST(RequestReader, KeepsTargetAndFieldsAsTheyCame)
--- a/src/manifest/tests/manifest_test.cpp
+++ b/src/manifest/tests/manifest_test.cpp
@@ -33,7 +33,8 @@
 TEST(ManifestIndex, TakesTheLongestPrefixOfTheHost)
 {
     Manifest manifest;
-    manifest.routes = {route("root", "a.example", "/"), route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"), route("other", "b.example", "/x/y/z/")};
+    manifest.routes = {
+        route("root", "a.example", "/"), route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"), route("other", "b.example", "/x/y/z/")};
     const auto index = ManifestIndex::create(std::move(manifest));
     EXPECT_EQ(nameOf(index->route("a.example", "/x/y/1")), "long");
     EXPECT_EQ(nameOf(index->route("a.example", "/x/y")), "short");
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -81,9 +81,13 @@
         raw->peers_.clear();
         raw->takeRows(rows);
     };
-    handlers.onChanges = [raw](const std::vector<rows::Row> &rows) { raw->takeRows(rows); };
-    handlers.onConfirmed = [](TimePoint) {};
-    handlers.onReachable = [](bool, rows::StoreFailure) {};
+    handlers.onChanges = [raw](const std::vector<rows::Row> &rows) {
+        raw->takeRows(rows);
+    };
+    handlers.onConfirmed = [](TimePoint) {
+    };
+    handlers.onReachable = [](bool, rows::StoreFailure) {
+    };
     raw->watch_ = rows::RowWatch::start(*raw->tools_.loop, raw->tools_.store, Table, WatchWait, std::move(handlers));
     raw->writeRow();
     raw->sendSoon();
--- a/src/presence/tests/presence_test.cpp
+++ b/src/presence/tests/presence_test.cpp
@@ -229,7 +229,8 @@
     std::vector<rows::Row> rows;
     std::size_t plain = 0;
     for (std::uint64_t i = 0; i < 40; i++) {
-        rows.push_back({"i-" + std::to_string(i * 7919), std::string(R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":64,"state":"ready"})"), i, false});
+        rows.push_back(
+            {"i-" + std::to_string(i * 7919), std::string(R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":64,"state":"ready"})"), i, false});
         plain += rows.back().value.size();
     }
     const std::string packed = packChanges(rows);
--- a/src/rows/internal/memoryrowstore.cpp
+++ b/src/rows/internal/memoryrowstore.cpp
@@ -112,7 +112,8 @@
     calls++;
     const TimePoint askedAt = loop_.now();
     if (faults.silent) {
-        loop_.after(AnswerTimeout, [self = shared_from_this(), askedAt, handler = std::move(handler)] { handler(self->failed(StoreFailure::NoAnswer, askedAt)); });
+        loop_.after(
+            AnswerTimeout, [self = shared_from_this(), askedAt, handler = std::move(handler)] { handler(self->failed(StoreFailure::NoAnswer, askedAt)); });
         return;
     }
     loop_.post([self = shared_from_this(), table = std::move(table), from = std::move(from), askedAt, handler = std::move(handler)] {
@@ -133,7 +134,8 @@
     calls++;
     const TimePoint askedAt = loop_.now();
     if (faults.silent) {
-        loop_.after(wait + AnswerTimeout, [self = shared_from_this(), askedAt, handler = std::move(handler)] { handler(self->failed(StoreFailure::NoAnswer, askedAt)); });
+        loop_.after(wait + AnswerTimeout,
+            [self = shared_from_this(), askedAt, handler = std::move(handler)] { handler(self->failed(StoreFailure::NoAnswer, askedAt)); });
         return;
     }
     loop_.post([self = shared_from_this(), table = std::move(table), version, askedAt, end = askedAt + wait, handler = std::move(handler)] {
@@ -149,7 +151,8 @@
     }
     auto [failure, page] = rows_->changes(table, version);
     if (failure == StoreFailure::None && page.rows.empty() && loop_.now() < end) {
-        loop_.after(PollPeriod, [self = shared_from_this(), table, version, askedAt, end, handler] { self->pollChanges(table, version, askedAt, end, handler); });
+        loop_.after(
+            PollPeriod, [self = shared_from_this(), table, version, askedAt, end, handler] { self->pollChanges(table, version, askedAt, end, handler); });
         return;
     }
     ReadResult result = failed(failure, askedAt);
--- a/src/rows/tests/rowwatch_test.cpp
+++ b/src/rows/tests/rowwatch_test.cpp
@@ -27,9 +27,15 @@
             known_.clear();
             take(rows);
         };
-        handlers.onChanges = [this](const std::vector<Row> &rows) { take(rows); };
-        handlers.onConfirmed = [this](TimePoint askedAt) { confirmedAt_ = askedAt; };
-        handlers.onReachable = [this](bool reachable, StoreFailure) { reachable_ = reachable; };
+        handlers.onChanges = [this](const std::vector<Row> &rows) {
+            take(rows);
+        };
+        handlers.onConfirmed = [this](TimePoint askedAt) {
+            confirmedAt_ = askedAt;
+        };
+        handlers.onReachable = [this](bool reachable, StoreFailure) {
+            reachable_ = reachable;
+        };
         watch_ = RowWatch::start(*loop_, store_, "t", milliseconds(1500), std::move(handlers));
     }
 
--- a/src/text/internal/base64.cpp
+++ b/src/text/internal/base64.cpp
@@ -15,7 +15,8 @@
 {
     // One more for the zero that libcrypto writes behind the text.
     std::string text((bytes.size() + GroupBytes - 1) / GroupBytes * GroupLetters + 1, '\0');
-    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()), static_cast<int>(bytes.size()));
+    const int size =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()), static_cast<int>(bytes.size()));
     text.resize(static_cast<std::size_t>(size));
     return text;
 }
@@ -26,7 +27,8 @@
         return std::string();
     }
     std::string bytes(text.size() / GroupLetters * GroupBytes + GroupBytes, '\0');
-    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
+    const int size =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
     if (size < 0) {
         return std::nullopt;
     }
