--- /dev/null
+++ b/src/standins/worker/main.cpp
@@ -0,0 +1,163 @@
+// A backend server of routes in small: plain answers and streams, signed, with the faults that tests need. It counts what it
+// ran by request id and does not look for repeats: that is what is tested.
+
+#include "http/json.h"
+#include "http1/callerserver.h"
+#include "standinkit/standinmain.h"
+
+#include <fmt/format.h>
+
+#include <map>
+
+namespace {
+
+using namespace cardamomlift;
+
+constexpr int StatusOk = 200;
+constexpr int StatusMisdirected = 421;
+constexpr int StatusUnavailable = 503;
+
+struct Worker {
+    EventLoop *loop = nullptr;
+    std::shared_ptr<http1::CallerServer> server;
+    std::string instance;
+    Duration eventGap{0};
+    Duration delay{0};
+    int events = 5;
+    int breakAfter = -1; ///< Events after which a stream breaks off; -1: none.
+    bool resets = false; ///< Plain requests are run and their connection is closed.
+    bool full = false;
+    std::map<std::string, int> runs; ///< By request id.
+    int cancelled = 0;
+    int afterLeaving = 0; ///< Requests that came after the worker said that it leaves.
+    bool leaving = false;
+
+    static http1::ResponseHead head(int status, const std::string &id)
+    {
+        http1::ResponseHead head;
+        head.status = status;
+        head.fields.add("X-Attempt-Id", id);
+        return head;
+    }
+
+    http1::ResponseHead signedHead(const std::string &id) const
+    {
+        http1::ResponseHead answer = head(StatusOk, id);
+        answer.fields.add("X-Response-Signature", instance + "." + id);
+        return answer;
+    }
+
+    Json::Value report() const
+    {
+        Json::Value json;
+        json["runs"] = Json::Value(Json::objectValue);
+        for (const auto &[id, count] : runs) {
+            json["runs"][id] = count;
+        }
+        json["cancelled"] = cancelled;
+        json["afterLeaving"] = afterLeaving;
+        return json;
+    }
+
+    void control(const http1::ExchangePtr &exchange)
+    {
+        const Json::Value body = http::parseJson(exchange->body()).value_or(Json::Value(Json::objectValue));
+        // What a request does not name stays as it is.
+        const auto number = [&body](const char *name, std::int64_t current) { return body.isMember(name) ? body[name].asInt64() : current; };
+        eventGap = std::chrono::milliseconds(number("eventGapMs", std::chrono::duration_cast<std::chrono::milliseconds>(eventGap).count()));
+        delay = std::chrono::milliseconds(number("delayMs", std::chrono::duration_cast<std::chrono::milliseconds>(delay).count()));
+        events = static_cast<int>(number("events", events));
+        breakAfter = static_cast<int>(number("breakAfter", breakAfter));
+        resets = body.get("resets", resets).asBool();
+        full = body.get("full", full).asBool();
+        leaving = body.get("leaving", leaving).asBool();
+        exchange->answer(head(StatusOk, ""), http::writeJson(report()));
+    }
+
+    void handle(const http1::ExchangePtr &exchange)
+    {
+        if (exchange->head().target == "/control") {
+            control(exchange);
+            return;
+        }
+        const std::string id(exchange->head().fields.get("X-Attempt-Id"));
+        if (exchange->head().fields.get("X-Expect-Instance") != instance) {
+            exchange->answer(head(StatusMisdirected, id), "");
+            return;
+        }
+        afterLeaving += leaving ? 1 : 0;
+        if (full) {
+            http1::ResponseHead refusal = head(StatusUnavailable, id);
+            refusal.fields.add("X-Not-Executed", "1");
+            exchange->answer(std::move(refusal), "");
+            return;
+        }
+        runs[id]++;
+        if (resets) {
+            exchange->breakOff();
+            return;
+        }
+        const std::string_view target = exchange->head().target;
+        if (target.starts_with("/stream/") || target.starts_with("/single/")) {
+            startStream(exchange, id);
+            return;
+        }
+        loop->after(delay, [this, exchange, id] {
+            exchange->answer(signedHead(id), fmt::format("{} {}", id, exchange->body()));
+        });
+    }
+
+    void startStream(const http1::ExchangePtr &exchange, const std::string &id)
+    {
+        const auto gone = std::make_shared<bool>(false);
+        exchange->onGone([this, gone] {
+            *gone = true;
+            cancelled++;
+        });
+        const std::string_view last = exchange->head().fields.get("Last-Event-Id");
+        exchange->begin(signedHead(id));
+        sendEvent(exchange, gone, id, last.empty() ? 1 : static_cast<int>(http1::parseNumber(last).value_or(0)) + 1, 0);
+    }
+
+    void sendEvent(const http1::ExchangePtr &exchange, const std::shared_ptr<bool> &gone, const std::string &id, int number, int sent)
+    {
+        if (*gone) {
+            return;
+        }
+        if (number > events) {
+            exchange->end();
+            return;
+        }
+        if (breakAfter >= 0 && sent >= breakAfter) {
+            exchange->send(fmt::format("id: {}\nda", number));
+            exchange->breakOff();
+            return;
+        }
+        exchange->send(fmt::format("id: {}\ndata: {} {}\n\n", number, id, number));
+        loop->after(eventGap, [this, exchange, gone, id, number, sent] { sendEvent(exchange, gone, id, number + 1, sent + 1); });
+    }
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    namespace options = boost::program_options;
+    options::options_description description("standin-worker [options]");
+    description.add_options()("address", options::value<std::string>()->default_value("127.0.0.1"), "IPv4 number");
+    description.add_options()("port", options::value<std::uint16_t>()->default_value(0), "port; 0: a free one");
+    description.add_options()("instance", options::value<std::string>()->default_value("worker"), "instance name");
+    static Worker worker;
+    return standinkit::standinMain(argc, argv, description, [](EventLoop &loop, const auto &values, Json::Value &ready) -> Result<void> {
+        worker.loop = &loop;
+        worker.instance = values["instance"].template as<std::string>();
+        http1::ServerHandlers handlers;
+        handlers.onRequest = [](const http1::ExchangePtr &exchange) { worker.handle(exchange); };
+        handlers.onRejected = [](int) {};
+        const http1::Endpoint at{values["address"].template as<std::string>(), values["port"].template as<std::uint16_t>()};
+        BOOST_OUTCOME_TRY(server, http1::CallerServer::listen(loop, at, {}, std::move(handlers)));
+        worker.server = server;
+        ready["port"] = server->port();
+        return success();
+    });
+}
--- /dev/null
+++ b/tests/support/routefleet.cpp
@@ -0,0 +1,193 @@
+#include "support/routefleet.h"
+
+#include "http/json.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+namespace cardamomlift::test {
+
+namespace {
+
+constexpr int StorePort = 8225;
+constexpr int CallersPort = 8221;
+constexpr int ReadinessPort = 8224;
+constexpr int WorkerPort = 8080;
+constexpr int PeerPort = 7600;
+constexpr int StoreHost = 1;
+constexpr int FirstWorkerHost = 100;
+/// Keeps clear of 127.0.x.x, which other tests use.
+constexpr int FirstBase = 10 * 256;
+constexpr int Bases = 200 * 256;
+constexpr int StatusOk = 200;
+
+Json::Value routeJson(const std::string &name, const std::string &kind, int attempts, bool resumable)
+{
+    Json::Value route;
+    route["name"] = name;
+    route["host"] = "test";
+    route["prefix"] = "/" + name + "/";
+    route["kind"] = kind;
+    route["timeout_ms"] = 20000;
+    route["latency_goal_ms"] = 500;
+    route["service"] = "service";
+    route["max_attempts"] = attempts;
+    route["stream_resume"] = resumable;
+    return route;
+}
+
+} // namespace
+
+RouteFleet::RouteFleet(int entries, int workers)
+    : base_(FirstBase + static_cast<int>(getpid()) % Bases)
+{
+    store_ = Process::start("standin-rowstore", {"--address", address(StoreHost), "--port", std::to_string(StorePort)});
+    putManifest(1, {"key-1", "key-2"});
+    for (int i = 1; i <= workers; i++) {
+        addWorker(fmt::format("worker-{}", i));
+    }
+    for (int i = 1; i <= entries; i++) {
+        addEntry(i);
+    }
+}
+
+std::string RouteFleet::address(int host) const
+{
+    return fmt::format("127.{}.{}.{}", base_ / 256, base_ % 256, host);
+}
+
+std::string RouteFleet::storeUrl(const std::string &path) const
+{
+    return fmt::format("http://{}:{}{}", address(StoreHost), StorePort, path);
+}
+
+TestCallPtr RouteFleet::put(const std::string &method, const std::string &url, const std::string &body)
+{
+    http::ClientRequest request;
+    request.method = method;
+    request.url = url;
+    request.body = body;
+    const auto call = caller.call(request);
+    EXPECT_EQ(call->status, StatusOk) << url;
+    return call;
+}
+
+void RouteFleet::addEntry(int number)
+{
+    const std::string own = address(1 + number);
+    Json::Value deployment;
+    deployment["node_name"] = fmt::format("entry-{}", number);
+    deployment["zone"] = fmt::format("zone-{}", number % 3);
+    deployment["region"] = "region";
+    deployment["ip"] = own;
+    deployment["internal_ports"].append(PeerPort);
+    deployment["listen_addrs"]["front"] = fmt::format("{}:{}", own, CallersPort);
+    deployment["listen_addrs"]["ready_addr"] = fmt::format("{}:{}", own, ReadinessPort);
+    deployment["platform"]["address"] = fmt::format("{}:{}", address(StoreHost), StorePort);
+    deployment["zones"]["zone-0"] = "region";
+    deployment["bounds"]["strict_revoke"] = true;
+    deployment["bounds"]["revoke_ms"] = 5000;
+    deployment["bounds"]["grace_s"] = 8;
+    deployment["bounds"]["retry_slack"] = 200;
+    Json::Value settings;
+    settings["deployment"] = deployment;
+    const std::string file = writeScratchFile(fmt::format("route-entry-{}.json", number), http::writeJson(settings));
+    entries_[number] = Process::start("cardamomliftd", {"--config", file});
+}
+
+void RouteFleet::addWorker(const std::string &instance)
+{
+    const std::string own = address(FirstWorkerHost + static_cast<int>(workers_.size()));
+    workers_[instance] = Process::start("standin-worker", {"--instance", instance, "--address", own, "--port", std::to_string(WorkerPort)});
+    workerAddresses_[instance] = fmt::format("{}:{}", own, WorkerPort);
+    listWorker(instance, "ready");
+}
+
+void RouteFleet::listWorker(const std::string &instance, const std::string &state)
+{
+    Json::Value entry;
+    entry["service"] = "service";
+    entry["address"] = workerAddresses_.at(instance);
+    entry["zone"] = "zone-0";
+    entry["slots"] = 16;
+    entry["state"] = state;
+    put("PUT", storeUrl("/control/rows/servers/" + instance), http::writeJson(entry));
+}
+
+void RouteFleet::unlistWorker(const std::string &instance)
+{
+    put("DELETE", storeUrl("/control/rows/servers/" + instance), "");
+}
+
+void RouteFleet::putManifest(int version, const std::vector<std::string> &keys)
+{
+    Json::Value manifest;
+    manifest["version"] = version;
+    manifest["routes"].append(routeJson("safe", "safe", 2, false));
+    manifest["routes"].append(routeJson("once", "unsafe", 1, false));
+    manifest["routes"].append(routeJson("stream", "streaming", 3, true));
+    manifest["routes"].append(routeJson("single", "streaming", 1, false));
+    manifest["services"][0]["name"] = "service";
+    manifest["tenants"][0]["name"] = "customer";
+    for (const std::string &key : keys) {
+        manifest["tenants"][0]["api_keys"].append(key);
+    }
+    put("PUT", storeUrl("/control/rows/op/config"), http::writeJson(manifest));
+}
+
+void RouteFleet::setStoreFault(const std::string &fault)
+{
+    Json::Value faults(Json::objectValue);
+    if (!fault.empty()) {
+        faults[fault] = true;
+    }
+    put("POST", storeUrl("/control/faults"), http::writeJson(faults));
+}
+
+Json::Value RouteFleet::controlWorker(const std::string &instance, const Json::Value &body)
+{
+    return put("POST", fmt::format("http://{}/control", workerAddresses_.at(instance)), http::writeJson(body))->json();
+}
+
+int RouteFleet::runsOf(const std::string &id)
+{
+    int sum = 0;
+    for (const auto &[instance, process] : workers_) {
+        sum += controlWorker(instance)["runs"].get(id, 0).asInt();
+    }
+    return sum;
+}
+
+void RouteFleet::waitReady()
+{
+    for (const auto &[number, process] : entries_) {
+        const std::string url = fmt::format("http://{}:{}/api/readyz", address(1 + number), ReadinessPort);
+        int status = 0;
+        for (int i = 0; i < 200 && status != StatusOk; i++) {
+            http::ClientRequest request;
+            request.url = url;
+            status = caller.call(request)->status;
+        }
+        EXPECT_EQ(status, StatusOk) << url;
+    }
+}
+
+http::ClientRequest RouteFleet::request(int entry, const std::string &path, const std::string &id, const std::string &key)
+{
+    http::ClientRequest request;
+    request.method = "POST";
+    request.url = fmt::format("http://{}:{}{}", address(1 + entry), CallersPort, path);
+    request.headers = {{"Host", "test"}, {"X-Attempt-Id", id}, {"X-Credential", key}, {"X-Deadline-Ms", "15000"}};
+    request.body = "body of " + id;
+    request.freshConnection = true;
+    return request;
+}
+
+Process &RouteFleet::entry(int number)
+{
+    return *entries_.at(number);
+}
+
+} // namespace cardamomlift::test
--- /dev/null
+++ b/tests/support/routefleet.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "support/caller.h"
+#include "support/process.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cardamomlift::test {
+
+/// A small deployment that serves routes, on loopback: the store, workers and daemons, each a process of its own. Every
+/// process has an address of its own in 127.0.0.0/8, drawn from this test's process id, so ports are fixed and free.
+class RouteFleet
+{
+public:
+    RouteFleet(int entries, int workers);
+
+    void addEntry(int number);
+    void addWorker(const std::string &instance);
+    /// Writes the manifest: routes /safe/, /once/, /stream/ (resumable) and /single/ (a stream that may not be resumed).
+    void putManifest(int version, const std::vector<std::string> &keys);
+    void listWorker(const std::string &instance, const std::string &state);
+    void unlistWorker(const std::string &instance);
+    /// "down", "silent" or "loseAnswers" set to true, or nothing.
+    void setStoreFault(const std::string &fault);
+    /// Sets what a worker does; members as standin-worker knows them. Returns what it has counted.
+    Json::Value controlWorker(const std::string &instance, const Json::Value &body = Json::Value(Json::objectValue));
+    /// Runs of a request over all workers.
+    int runsOf(const std::string &id);
+    /// Waits until all entry VMs are ready and take calls.
+    void waitReady();
+
+    http::ClientRequest request(int entry, const std::string &path, const std::string &id, const std::string &key = "key-1");
+    Process &entry(int number);
+
+    Caller caller;
+
+private:
+    std::string address(int host) const;
+    std::string storeUrl(const std::string &path) const;
+    TestCallPtr put(const std::string &method, const std::string &url, const std::string &body);
+    int base_; ///< Of the addresses: 127.(base / 256).(base % 256).host
+    std::unique_ptr<Process> store_;
+    std::map<int, std::unique_ptr<Process>> entries_;
+    std::map<std::string, std::unique_ptr<Process>> workers_;
+    std::map<std::string, std::string> workerAddresses_;
+};
+
+} // namespace cardamomlift::test
