Add the soak; let the proxy's delayed bytes keep their order

Cause: not the daemon: the stand-in proxy passed on later bytes at once when its delay was taken off, and fired timers of one microsecond out of order; TCP never does that.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 JOBS ?= $(shell nproc)
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.h' | grep -v /generated/)
 
-.PHONY: run test build packages bench format format-check lint clean
+# Some minutes of fresh seeds: make soak SOAK_SEEDS="101 102" SOAK_SECONDS=20
+SOAK_SEEDS ?= $(shell shuf -i 1000-999999 -n 6)
+SOAK_SECONDS ?= 20
+.PHONY: soak run test build packages bench format format-check lint clean
 
 run: packages build
 	BUILD=$(BUILD) scripts/run.sh
@@ -19,6 +22,9 @@
 	cmake -S . -B $(BUILD) -G Ninja 
 	ninja -C $(BUILD) -j $(JOBS)
 
+soak: packages build
+	SOAK_SEEDS="$(SOAK_SEEDS)" SOAK_SECONDS=$(SOAK_SECONDS) $(BUILD)/soak
+
 bench: packages build
 	BUILD=$(BUILD) scripts/bench.sh
 
--- a/src/standins/proxy/proxy.cpp
+++ b/src/standins/proxy/proxy.cpp
@@ -1,5 +1,7 @@
 #include "standins/proxy/proxy.h"
 
+#include <deque>
+
 #include <ev.h>
 
 #include <arpa/inet.h>
@@ -54,6 +56,7 @@
 
 /// One side of a connection: a socket, its watchers, and bytes waiting to be written to it.
 struct Side {
+    std::deque<std::string> delayed; ///< Pieces towards it that wait for their time, oldest first.
     int fd = -1;
     ev_io reader{};
     ev_io writer{};
@@ -165,15 +168,23 @@
     /// Writes @p bytes to @p to, after the delay; an empty text stands for end of file.
     void pass(Side &to, std::string bytes)
     {
-        if (proxy_->faults.delayMs == 0) {
+        // NOTE Bytes never overtake earlier ones, also when the delay has been taken off meanwhile.
+        if (proxy_->faults.delayMs == 0 && to.delayed.empty()) {
             queue(to, bytes);
             return;
         }
-        proxy_->loop->after(std::chrono::milliseconds(proxy_->faults.delayMs), [self = shared_from_this(), &to, bytes = std::move(bytes)] {
-            if (!self->closed_) {
-                self->queue(to, bytes);
-            }
-        });
+        to.delayed.push_back(std::move(bytes));
+        proxy_->loop->after(std::chrono::milliseconds(proxy_->faults.delayMs), [self = shared_from_this(), &to] { self->passOldest(to); });
+    }
+
+    // Each timer passes on one piece, the oldest; which timer fires first does not matter.
+    void passOldest(Side &to)
+    {
+        const std::string bytes = std::move(to.delayed.front());
+        to.delayed.pop_front();
+        if (!closed_) {
+            queue(to, bytes);
+        }
     }
 
     void queue(Side &to, const std::string &bytes)
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,331 @@
+// Randomized faults on real processes that serve routes, while callers go on and the promises are checked from what callers
+// and workers see. One seed gives one series of faults; times and scheduling differ from run to run.
+//
+//   soak --gtest_filter=Soak.* with SOAK_SEEDS="7 8 9" and SOAK_SECONDS=20 in the environment, or the defaults.
+
+#include "support/routefleet.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <random>
+#include <sstream>
+
+using namespace cardamomlift;
+using test::RouteFleet;
+using test::TestCallPtr;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int Entries = 4;
+constexpr int Workers = 4;
+constexpr int Events = 12;
+/// Requests open at a time.
+constexpr std::size_t OpenRequests = 24;
+constexpr milliseconds FaultGap(150);
+/// From SIGTERM to the end: the grace time of the fleet's settings and a margin for a busy machine.
+constexpr seconds ExitBound(20);
+constexpr int StatusOk = 200;
+
+/// One request of a caller and what it may expect.
+struct Sent {
+    std::string id;
+    std::string route;
+    TestCallPtr call;
+};
+
+Json::Value fault(const char *name, const Json::Value &value = true)
+{
+    Json::Value json;
+    json[name] = value;
+    return json;
+}
+
+class SoakRun
+{
+public:
+    SoakRun(unsigned seed, milliseconds length)
+        : random_(seed)
+        , fleet_(Entries, Workers, true)
+        , end_(fleet_.caller.loop().now() + length)
+    {
+    }
+
+    void run()
+    {
+        fleet_.waitReady();
+        Json::Value pace = fault("eventGapMs", 25);
+        pace["events"] = Events;
+        for (const std::string &worker : fleet_.workerNames()) {
+            fleet_.controlWorker(worker, pace);
+        }
+        TimePoint nextFault = now() + FaultGap;
+        while (now() < end_) {
+            topUp();
+            fleet_.caller.waitUntil([&] { return now() >= nextFault || openCount() < OpenRequests; }, "the next fault");
+            if (now() >= nextFault) {
+                injectFault();
+                nextFault = now() + FaultGap;
+            }
+        }
+        healAll();
+        fleet_.caller.waitUntil([&] { return openCount() == 0; }, "all requests end");
+        check();
+        checkServiceIsBack();
+    }
+
+private:
+    TimePoint now()
+    {
+        return fleet_.caller.loop().now();
+    }
+
+    int pick(int count)
+    {
+        return std::uniform_int_distribution<int>(0, count - 1)(random_);
+    }
+
+    std::size_t openCount() const
+    {
+        return static_cast<std::size_t>(std::count_if(sent_.begin(), sent_.end(), [](const Sent &sent) { return !sent.call->ended; }));
+    }
+
+    void topUp()
+    {
+        constexpr const char *Routes[] = {"safe", "once", "stream", "single"};
+        while (openCount() < OpenRequests) {
+            Sent sent;
+            sent.id = fmt::format("r{}", sent_.size());
+            sent.route = Routes[pick(4)];
+            http::ClientRequest request = fleet_.request(pick(Entries) + 1, fmt::format("/{}/1", sent.route), sent.id);
+            request.freshConnection = pick(2) == 0;
+            sent.call = fleet_.caller.start(request);
+            sent_.push_back(std::move(sent));
+        }
+    }
+
+    void later(milliseconds delay, std::function<void()> action)
+    {
+        fleet_.caller.loop().after(delay, std::move(action));
+    }
+
+    // Faults come in series and overlap: each ends by itself after its own time.
+    void injectFault()
+    {
+        const int entry = pick(Entries) + 1;
+        const auto names = fleet_.workerNames();
+        const std::string worker = names[static_cast<std::size_t>(pick(static_cast<int>(names.size())))];
+        switch (pick(9)) {
+        case 0:
+            pauseEntry(entry);
+            break;
+        case 1:
+            restartEntry(entry, SIGKILL);
+            break;
+        case 2:
+            restartEntry(entry, SIGTERM);
+            break;
+        case 3:
+            fleet_.entry(entry).signal(SIGHUP);
+            break;
+        case 4:
+            fleet_.setStorePathFault(entry, fault(pick(2) == 0 ? "cutToClient" : "freeze"));
+            storePathHeals_.push_back({now() + milliseconds(500 + pick(2500)), entry});
+            break;
+        case 5:
+            fleet_.setWorkerPathFault(worker, pick(2) == 0 ? fault("delayMs", 80) : fault("closeAll"));
+            workerPathHeals_.push_back({now() + milliseconds(300 + pick(1500)), worker});
+            break;
+        case 6:
+            fleet_.controlWorker(worker, fault("breakAfter", pick(4)));
+            workerHeals_.push_back({now() + milliseconds(200 + pick(800)), worker});
+            break;
+        case 7:
+            fleet_.controlWorker(worker, fault(pick(2) == 0 ? "resets" : "full"));
+            workerHeals_.push_back({now() + milliseconds(200 + pick(800)), worker});
+            break;
+        default:
+            fleet_.setStoreFault(pick(2) == 0 ? "down" : "loseAnswers");
+            storeHealsAt_ = now() + milliseconds(300 + pick(1500));
+            break;
+        }
+        healDue();
+    }
+
+    void pauseEntry(int entry)
+    {
+        if (busy_.contains(entry)) {
+            return;
+        }
+        fleet_.entry(entry).signal(SIGSTOP);
+        busy_.insert(entry);
+        later(milliseconds(100 + pick(2500)), [this, entry] {
+            fleet_.entry(entry).signal(SIGCONT);
+            busy_.erase(entry);
+        });
+    }
+
+    void restartEntry(int entry, int signal)
+    {
+        if (busy_.contains(entry)) {
+            return;
+        }
+        fleet_.entry(entry).signal(signal);
+        busy_.insert(entry);
+        awaitExit(entry, signal, now() + ExitBound);
+    }
+
+    void awaitExit(int entry, int signal, TimePoint bound)
+    {
+        later(milliseconds(20), [this, entry, signal, bound] {
+            if (fleet_.entry(entry).isRunning()) {
+                EXPECT_LT(now(), bound) << "entry " << entry << " does not end";
+                awaitExit(entry, signal, bound);
+                return;
+            }
+            const int code = fleet_.entry(entry).wait();
+            EXPECT_EQ(code, signal == SIGTERM ? 0 : 128 + signal) << "entry " << entry;
+            fleet_.addEntry(entry);
+            busy_.erase(entry);
+        });
+    }
+
+    void healDue()
+    {
+        const TimePoint at = now();
+        std::erase_if(storePathHeals_, [&](const auto &heal) { return heal.first <= at && (healStorePath(heal.second), true); });
+        std::erase_if(workerPathHeals_, [&](const auto &heal) { return heal.first <= at && (healWorkerPath(heal.second), true); });
+        std::erase_if(workerHeals_, [&](const auto &heal) { return heal.first <= at && (healWorker(heal.second), true); });
+        if (storeHealsAt_ <= at) {
+            fleet_.setStoreFault("");
+        }
+    }
+
+    void healStorePath(int entry)
+    {
+        Json::Value off = fault("cutToClient", false);
+        off["freeze"] = false;
+        off["closeAll"] = true;
+        fleet_.setStorePathFault(entry, off);
+    }
+
+    void healWorkerPath(const std::string &worker)
+    {
+        fleet_.setWorkerPathFault(worker, fault("delayMs", 0));
+    }
+
+    void healWorker(const std::string &worker)
+    {
+        Json::Value off = fault("breakAfter", -1);
+        off["resets"] = false;
+        off["full"] = false;
+        fleet_.controlWorker(worker, off);
+    }
+
+    void healAll()
+    {
+        fleet_.caller.waitUntil([&] { return busy_.empty(); }, "all daemons run");
+        for (int entry = 1; entry <= Entries; entry++) {
+            healStorePath(entry);
+        }
+        for (const std::string &worker : fleet_.workerNames()) {
+            healWorkerPath(worker);
+            healWorker(worker);
+        }
+        fleet_.setStoreFault("");
+    }
+
+    static std::string eventsOf(const std::string &id)
+    {
+        std::string text;
+        for (int i = 1; i <= Events; i++) {
+            text += fmt::format("id: {}\ndata: {} {}\n\n", i, id, i);
+        }
+        return text;
+    }
+
+    void check()
+    {
+        const auto runs = fleet_.allRuns();
+        int whole = 0;
+        for (const Sent &sent : sent_) {
+            const auto found = runs.find(sent.id);
+            const int count = found == runs.end() ? 0 : found->second;
+            const bool isWhole = sent.call->result.transport == http::Transport::Completed;
+            const int status = isWhole ? sent.call->status : 0;
+            const bool isStream = sent.route == "stream" || sent.route == "single";
+            const std::string expected = isStream ? eventsOf(sent.id) : fmt::format("{} body of {}", sent.id, sent.id);
+            whole += status == StatusOk ? 1 : 0;
+            if (sent.route == "once" || sent.route == "single") {
+                EXPECT_LE(count, 1) << sent.route << " " << sent.id << " ran twice";
+            }
+            if (status == StatusOk) {
+                EXPECT_EQ(sent.call->body, expected) << sent.route << " " << sent.id;
+            }
+            if (status == 429 || status == 503 || status == 408 || status == 421) {
+                EXPECT_TRUE(count == 0 || sent.route == "safe" || sent.route == "stream") << sent.id << " was told as not run";
+            }
+            if (isStream && !isWhole && sent.call->status == StatusOk) {
+                EXPECT_TRUE(expected.starts_with(sent.call->body)) << sent.id << " got " << sent.call->body;
+            }
+        }
+        std::printf("%zu requests, %d answered whole\n", sent_.size(), whole);
+        EXPECT_GT(whole, static_cast<int>(sent_.size()) / 10);
+    }
+
+    void checkServiceIsBack()
+    {
+        fleet_.waitReady();
+        for (int entry = 1; entry <= Entries; entry++) {
+            const auto isServed = [&] { return fleet_.caller.call(fleet_.request(entry, "/safe/1", "after"))->status == StatusOk; };
+            EXPECT_TRUE(fleet_.caller.waitUntil(isServed, fmt::format("entry {} serves again", entry)));
+        }
+    }
+
+    std::mt19937 random_;
+    RouteFleet fleet_;
+    TimePoint end_;
+    std::vector<Sent> sent_;
+    std::set<int> busy_; ///< Entry VMs that are paused or being restarted.
+    std::vector<std::pair<TimePoint, int>> storePathHeals_;
+    std::vector<std::pair<TimePoint, std::string>> workerPathHeals_;
+    std::vector<std::pair<TimePoint, std::string>> workerHeals_;
+    TimePoint storeHealsAt_ = TimePoint::max();
+};
+
+std::vector<unsigned> chosenSeeds()
+{
+    const char *text = std::getenv("SOAK_SEEDS");
+    std::istringstream list(text ? text : "1");
+    std::vector<unsigned> seeds;
+    for (unsigned seed = 0; list >> seed;) {
+        seeds.push_back(seed);
+    }
+    return seeds;
+}
+
+seconds chosenLength()
+{
+    const char *text = std::getenv("SOAK_SECONDS");
+    constexpr int UsualSeconds = 8;
+    return seconds(text ? std::atoi(text) : UsualSeconds);
+}
+
+class Soak : public testing::TestWithParam<unsigned>
+{
+};
+
+TEST_P(Soak, KeepsItsPromises)
+{
+    SoakRun(GetParam(), chosenLength()).run();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Soak, testing::ValuesIn(chosenSeeds()), [](const auto &info) { return std::to_string(info.param); });
+
+} // namespace
--- a/tests/support/routefleet.cpp
+++ b/tests/support/routefleet.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <unistd.h>
 
 namespace cardamomlift::test {
@@ -40,10 +41,14 @@
 
 } // namespace
 
-RouteFleet::RouteFleet(int entries, int workers)
-    : base_(FirstBase + static_cast<int>(getpid()) % Bases)
+RouteFleet::RouteFleet(int entries, int workers, bool proxied)
+    : proxied_(proxied)
+    , base_(FirstBase + static_cast<int>(getpid()) % Bases)
 {
-    store_ = Process::start("standin-rowstore", {"--address", address(StoreHost), "--port", std::to_string(StorePort)});
+    // The proxy passes on to 127.0.0.1 only.
+    const std::string at = proxied ? "127.0.0.1" : address(StoreHost);
+    store_ = Process::start("standin-rowstore", {"--address", at, "--port", std::to_string(proxied ? 0 : StorePort)});
+    storeEndpoint_ = fmt::format("{}:{}", at, store_->port());
     putManifest(1, {"key-1", "key-2"});
     for (int i = 1; i <= workers; i++) {
         addWorker(fmt::format("worker-{}", i));
@@ -60,7 +65,7 @@
 
 std::string RouteFleet::storeUrl(const std::string &path) const
 {
-    return fmt::format("http://{}:{}{}", address(StoreHost), StorePort, path);
+    return fmt::format("http://{}{}", storeEndpoint_, path);
 }
 
 TestCallPtr RouteFleet::put(const std::string &method, const std::string &url, const std::string &body)
@@ -85,7 +90,10 @@
     deployment["internal_ports"].append(PeerPort);
     deployment["listen_addrs"]["front"] = fmt::format("{}:{}", own, CallersPort);
     deployment["listen_addrs"]["ready_addr"] = fmt::format("{}:{}", own, ReadinessPort);
-    deployment["platform"]["address"] = fmt::format("{}:{}", address(StoreHost), StorePort);
+    if (proxied_ && !storeProxies_.contains(number)) {
+        storeProxies_[number] = addProxy(store_->port());
+    }
+    deployment["platform"]["address"] = proxied_ ? storeProxies_.at(number).endpoint : storeEndpoint_;
     deployment["zones"]["zone-0"] = "region";
     deployment["bounds"]["strict_revoke"] = true;
     deployment["bounds"]["revoke_ms"] = 5000;
@@ -99,17 +107,57 @@
 
 void RouteFleet::addWorker(const std::string &instance)
 {
-    const std::string own = address(FirstWorkerHost + static_cast<int>(workers_.size()));
-    workers_[instance] = Process::start("standin-worker", {"--instance", instance, "--address", own, "--port", std::to_string(WorkerPort)});
-    workerAddresses_[instance] = fmt::format("{}:{}", own, WorkerPort);
+    const std::string own = proxied_ ? "127.0.0.1" : address(FirstWorkerHost + workerHosts_++);
+    workers_[instance] = Process::start("standin-worker", {"--instance", instance, "--address", own, "--port", std::to_string(proxied_ ? 0 : WorkerPort)});
+    workerAddresses_[instance] = fmt::format("{}:{}", own, workers_[instance]->port());
+    if (proxied_) {
+        workerProxies_[instance] = addProxy(workers_[instance]->port());
+    }
     listWorker(instance, "ready");
 }
 
+RouteFleet::Proxied RouteFleet::addProxy(int port)
+{
+    Proxied result;
+    result.proxy = Process::start("standin-proxy", {"--target", std::to_string(port)});
+    result.endpoint = fmt::format("127.0.0.1:{}", result.proxy->ready()["ports"][0].asInt());
+    return result;
+}
+
+void RouteFleet::setStorePathFault(int entry, const Json::Value &faults)
+{
+    caller.post(storeProxies_.at(entry).proxy->port("control"), "/control/0", faults);
+}
+
+void RouteFleet::setWorkerPathFault(const std::string &instance, const Json::Value &faults)
+{
+    caller.post(workerProxies_.at(instance).proxy->port("control"), "/control/0", faults);
+}
+
+void RouteFleet::replaceWorker(const std::string &instance, const std::string &successor)
+{
+    lastCounts_[instance] = controlWorker(instance);
+    workers_.at(instance)->signal(SIGKILL);
+    workers_.at(instance)->wait();
+    workers_.erase(instance);
+    unlistWorker(instance);
+    addWorker(successor);
+}
+
+std::vector<std::string> RouteFleet::workerNames() const
+{
+    std::vector<std::string> names;
+    for (const auto &[instance, process] : workers_) {
+        names.push_back(instance);
+    }
+    return names;
+}
+
 void RouteFleet::listWorker(const std::string &instance, const std::string &state)
 {
     Json::Value entry;
     entry["service"] = "service";
-    entry["address"] = workerAddresses_.at(instance);
+    entry["address"] = proxied_ ? workerProxies_.at(instance).endpoint : workerAddresses_.at(instance);
     entry["zone"] = "zone-0";
     entry["slots"] = 16;
     entry["state"] = state;
@@ -154,12 +202,33 @@
 int RouteFleet::runsOf(const std::string &id)
 {
     int sum = 0;
+    for (const auto &[instance, counts] : lastCounts_) {
+        sum += counts["runs"].get(id, 0).asInt();
+    }
     for (const auto &[instance, process] : workers_) {
         sum += controlWorker(instance)["runs"].get(id, 0).asInt();
     }
     return sum;
 }
 
+std::map<std::string, int> RouteFleet::allRuns()
+{
+    std::vector<Json::Value> counts;
+    for (const auto &[instance, last] : lastCounts_) {
+        counts.push_back(last);
+    }
+    for (const auto &[instance, process] : workers_) {
+        counts.push_back(controlWorker(instance));
+    }
+    std::map<std::string, int> runs;
+    for (const Json::Value &count : counts) {
+        for (const std::string &id : count["runs"].getMemberNames()) {
+            runs[id] += count["runs"][id].asInt();
+        }
+    }
+    return runs;
+}
+
 void RouteFleet::waitReady()
 {
     for (const auto &[number, process] : entries_) {
--- a/tests/support/routefleet.h
+++ b/tests/support/routefleet.h
@@ -15,7 +15,8 @@
 class RouteFleet
 {
 public:
-    RouteFleet(int entries, int workers);
+    /// @p proxied: each daemon reaches the store, and all daemons each worker, through a proxy that can be told faults.
+    RouteFleet(int entries, int workers, bool proxied = false);
 
     void addEntry(int number);
     void addWorker(const std::string &instance);
@@ -27,11 +28,20 @@
     void setStoreFault(const std::string &fault);
     /// Sets what a worker does; members as standin-worker knows them. Returns what it has counted.
     Json::Value controlWorker(const std::string &instance, const Json::Value &body = Json::Value(Json::objectValue));
-    /// Runs of a request over all workers.
+    /// Runs of a request over all workers, those that have ended too.
     int runsOf(const std::string &id);
+    /// Runs of all requests, by id.
+    std::map<std::string, int> allRuns();
     /// Waits until all entry VMs are ready and take calls.
     void waitReady();
 
+    /// Faults on the way of one entry VM to the store, or of all to a worker; members as standin-proxy knows them.
+    void setStorePathFault(int entry, const Json::Value &faults);
+    void setWorkerPathFault(const std::string &instance, const Json::Value &faults);
+    /// Ends a worker with SIGKILL and starts another instance in its place.
+    void replaceWorker(const std::string &instance, const std::string &successor);
+    std::vector<std::string> workerNames() const;
+
     http::ClientRequest request(int entry, const std::string &path, const std::string &id, const std::string &key = "key-1");
     Process &entry(int number);
 
@@ -41,8 +51,20 @@
     std::string address(int host) const;
     std::string storeUrl(const std::string &path) const;
     TestCallPtr put(const std::string &method, const std::string &url, const std::string &body);
+    /// A process with the proxy before it.
+    struct Proxied {
+        std::unique_ptr<Process> proxy;
+        std::string endpoint;
+    };
+    Proxied addProxy(int port);
+    bool proxied_;
+    std::map<int, Proxied> storeProxies_; ///< By entry VM.
+    std::map<std::string, Proxied> workerProxies_;
+    std::map<std::string, Json::Value> lastCounts_; ///< Of workers that have ended.
+    int workerHosts_ = 0;
     int base_; ///< Of the addresses: 127.(base / 256).(base % 256).host
     std::unique_ptr<Process> store_;
+    std::string storeEndpoint_;
     std::map<int, std::unique_ptr<Process>> entries_;
     std::map<std::string, std::unique_ptr<Process>> workers_;
     std::map<std::string, std::string> workerAddresses_;
