--- a/src/duties/internal/orderkeeper.cpp
+++ b/src/duties/internal/orderkeeper.cpp
@@ -86,18 +86,19 @@
     for (const std::string &zone : tools_.zones) {
         zones.push_back({zone});
     }
-    for (const auto &[instance, known] : tools_.directory->all()) {
-        if (known->server.service != service.name) {
+    for (const auto &entry : tools_.directory->all()) {
+        const directory::KnownServer &known = *entry.second;
+        if (known.server.service != service.name) {
             continue;
         }
-        const auto zone = std::find_if(zones.begin(), zones.end(), [&](const ZoneServers &entry) { return entry.zone == known->server.zone; });
+        const auto zone = std::find_if(zones.begin(), zones.end(), [&known](const ZoneServers &candidate) { return candidate.zone == known.server.zone; });
         if (zone == zones.end()) {
             continue;
         }
-        if (known->isLeaving) {
+        if (known.isLeaving) {
             zone->leaving++;
         } else {
-            (known->server.isReclaimable ? zone->reclaimable : zone->ordinary)++;
+            (known.server.isReclaimable ? zone->reclaimable : zone->ordinary)++;
         }
     }
     return zones;
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -274,7 +274,7 @@
 void ForwardedRequest::send(const directory::ServerPtr &server)
 {
     sends_++;
-    attempt_.emplace();
+    attempt_ = Attempt();
     attempt_->server = server;
     attempt_->sentAt = tools_.loop->now();
     attempt_->channel = tools_.pool->take(server->server, false);
--- a/src/http1/tests/backendchannel_test.cpp
+++ b/src/http1/tests/backendchannel_test.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 const ReadLimits Limits{16384, 1 << 20};
+constexpr std::size_t LargeBody = 32u << 20;
 constexpr char Request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 
 /// A server socket that the test speaks for, byte by byte.
@@ -144,7 +145,9 @@
 {
     connect();
     // More than the socket buffers hold: a part is still unsent when the answer comes.
-    call("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 33554432\r\n\r\n" + std::string(33554432, 'x'));
+    std::string body;
+    body.resize(LargeBody, 'x');
+    call("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(LargeBody) + "\r\n\r\n" + body);
     say("HTTP/1.1 413 Payload Too Large\r\nContent-Length: 0\r\n\r\n");
     ASSERT_TRUE(runUntil([&] { return completed_; }));
     EXPECT_EQ(status_, 413);
--- a/src/http1/tests/messagereader_test.cpp
+++ b/src/http1/tests/messagereader_test.cpp
@@ -14,6 +14,7 @@
     ReadError error;
 };
 
+// NOLINTNEXTLINE(readability-identifier-naming): GoogleTest looks for this name.
 void PrintTo(const RequestCase &value, std::ostream *out)
 {
     *out << value.name;
--- a/src/presence/tests/tablerelay_test.cpp
+++ b/src/presence/tests/tablerelay_test.cpp
@@ -22,7 +22,6 @@
     std::shared_ptr<TableRelay> relay;
     std::shared_ptr<rows::RowWatch> watch;
     std::map<std::string, std::string> known;
-    bool isReachable = true;
 };
 
 /// Several VMs with one store, on a paused clock.
@@ -61,9 +60,13 @@
             vm.known.clear();
             take(vm, rows);
         };
-        handlers.onChanges = [&vm](const std::vector<rows::Row> &rows) { take(vm, rows); };
-        handlers.onConfirmed = [](TimePoint) {};
-        handlers.onReachable = [](bool, rows::StoreFailure) {};
+        handlers.onChanges = [&vm](const std::vector<rows::Row> &rows) {
+            take(vm, rows);
+        };
+        handlers.onConfirmed = [](TimePoint) {
+        };
+        handlers.onReachable = [](bool, rows::StoreFailure) {
+        };
         vm.watch = rows::RowWatch::start(*loop_, vm.store, "t", milliseconds(800), std::move(handlers));
         vm.relay = TableRelay::create(*loop_, vm.presence);
         vm.relay->add(vm.watch, AskAfter);
@@ -91,7 +94,8 @@
     }
 
     /// Lets time pass; @p check runs at each step.
-    void pass(Duration time, const std::function<void()> &check = [] {})
+    void pass(
+        Duration time, const std::function<void()> &check = [] {})
     {
         for (Duration passed(0); passed < time; passed += milliseconds(10)) {
             loop_->runDue();
--- a/src/usage/usagecounter.h
+++ b/src/usage/usagecounter.h
@@ -33,6 +33,7 @@
     struct Source {
         std::string instance;
         std::uint64_t incarnation = 0;
+        // NOLINTNEXTLINE(modernize-use-nullptr): a false finding on a defaulted comparison.
         auto operator<=>(const Source &) const = default;
     };
     UsageCounter(std::shared_ptr<presence::Presence> presence, std::shared_ptr<presence::TrueTime> time, Duration window);
--- a/tests/routes_test.cpp
+++ b/tests/routes_test.cpp
@@ -57,11 +57,14 @@
     for (const char *worker : {"worker-1", "worker-2"}) {
         fleet.controlWorker(worker, slow);
     }
+    constexpr int Streams = 30;
     std::vector<TestCallPtr> calls;
-    for (int i = 0; i < 30; i++) {
+    calls.reserve(Streams + 3);
+    for (int i = 0; i < Streams; i++) {
         calls.push_back(fleet.caller.start(fleet.request(i % 3 + 1, "/single/1", fmt::format("id-{}", i))));
     }
-    ASSERT_TRUE(fleet.caller.waitUntil([&] { return std::all_of(calls.begin(), calls.end(), [](const auto &call) { return !call->body.empty(); }); }, "streams begin"));
+    ASSERT_TRUE(
+        fleet.caller.waitUntil([&] { return std::all_of(calls.begin(), calls.end(), [](const auto &call) { return !call->body.empty(); }); }, "streams begin"));
     for (int vm = 1; vm <= 3; vm++) {
         fleet.entry(vm).signal(SIGTERM);
         // Callers who do not know yet go on coming to the same VM.
@@ -97,7 +100,9 @@
     RouteFleet fleet(2, 1);
     fleet.waitReady();
     fleet.setStoreFault("silent");
-    const auto status = [&](int vm) { return fleet.caller.call(fleet.request(vm, "/safe/1", "x"))->status; };
+    const auto status = [&](int vm) {
+        return fleet.caller.call(fleet.request(vm, "/safe/1", "x"))->status;
+    };
     for (int vm = 1; vm <= 2; vm++) {
         EXPECT_TRUE(fleet.caller.waitUntil([&] { return status(vm) == 503; }, "refused for want of fresh knowledge"));
     }
