--- /dev/null
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -0,0 +1,143 @@
+#include "forwarding/internal/forwardedrequest.h"
+#include "forwarding/internal/forwardinglimits.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace cardamomlift::forwarding {
+
+namespace {
+
+using eventlog::Attribute;
+using eventlog::Event;
+
+} // namespace
+
+void ForwardedRequest::onDeadline()
+{
+    if (finished_) {
+        return;
+    }
+    if (attempt_) {
+        const bool connected = attempt_->channel->isConnected();
+        runs_ += connected ? 1 : 0;
+        logAttempt("deadline");
+        endAttempt(false);
+    }
+    if (runs_ > 0) {
+        fail(StatusGatewayTimeout, Reason::OutOfTime);
+        return;
+    }
+    refuse(StatusUnavailable, Reason::OutOfTime, FullRetryAfter);
+}
+
+void ForwardedRequest::onGone()
+{
+    if (finished_) {
+        return;
+    }
+    const std::string server = attempt_ ? attempt_->server->server.instance : std::string();
+    endAttempt(false);
+    tools_.metrics->add("requests_gone_total");
+    tools_.log->write(Event::RequestGone,
+        {{Attribute::Request, request_.id},
+            {Attribute::Server, server},
+            {Attribute::TookMs, millisecondsSince(exchange_->startedAt())},
+            {Attribute::Attempt, std::int64_t(sends_)}});
+    finish();
+}
+
+void ForwardedRequest::refuse(int status, Reason reason, Duration retryAfter)
+{
+    if (allowanceTaken_) {
+        tools_.allowances->giveBack(*customer_, cost());
+    }
+    http1::ResponseHead head;
+    head.status = status;
+    if (retryAfter.count() > 0) {
+        head.fields.add("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(retryAfter).count()));
+    }
+    const auto age = tools_.manifests->age(tools_.loop->now());
+    tools_.metrics->add(fmt::format("forwarding_refusals_total{{reason=\"{}\"}}", reasonName(reason)));
+    tools_.log->write(Event::RequestRefused,
+        {{Attribute::Request, request_.id},
+            {Attribute::Reason, reasonName(reason)},
+            {Attribute::Status, std::int64_t(status)},
+            {Attribute::Route, route_ ? std::string_view(route_->name) : std::string_view()},
+            {Attribute::Customer, customer_ ? std::string_view(customer_->name) : std::string_view()},
+            {Attribute::Version, static_cast<std::int64_t>(manifest_ ? manifest_->manifest().version : 0)},
+            {Attribute::AgeMs, age ? milliseconds(*age) : std::int64_t(-1)},
+            {Attribute::Attempt, std::int64_t(sends_)},
+            {Attribute::TookMs, millisecondsSince(exchange_->startedAt())},
+            {Attribute::RetryAfterMs, milliseconds(retryAfter)}});
+    exchange_->answer(std::move(head), {});
+    finish();
+}
+
+void ForwardedRequest::fail(int status, Reason reason)
+{
+    tools_.metrics->add(fmt::format("forwarding_failures_total{{reason=\"{}\"}}", reasonName(reason)));
+    tools_.log->write(Event::RequestFailed,
+        {{Attribute::Request, request_.id},
+            {Attribute::Reason, reasonName(reason)},
+            {Attribute::Status, std::int64_t(streamBegan() ? 0 : status)},
+            {Attribute::Route, route_->name},
+            {Attribute::Attempt, std::int64_t(sends_)},
+            {Attribute::Events, static_cast<std::int64_t>(splitter_.events())},
+            {Attribute::TookMs, millisecondsSince(exchange_->startedAt())}});
+    if (attempt_) {
+        endAttempt(false);
+    }
+    if (streamBegan()) {
+        exchange_->breakOff();
+        finish();
+        return;
+    }
+    http1::ResponseHead head;
+    head.status = status;
+    exchange_->answer(std::move(head), {});
+    finish();
+}
+
+void ForwardedRequest::finish()
+{
+    if (finished_) {
+        return;
+    }
+    finished_ = true;
+    if (demandNoted_) {
+        tools_.demand->noteEnded(service_);
+    }
+    tools_.loop->cancel(deadlineTimer_);
+    tools_.loop->cancel(connectTimer_);
+    forwarder_.forget(this);
+}
+
+void ForwardedRequest::logAttempt(std::string_view outcome)
+{
+    const auto &server = attempt_->server->server;
+    const auto &load = tools_.pool->load(server.instance);
+    const bool isAnswered = outcome == "answered";
+    if (isAnswered) {
+        tools_.metrics->observe("request_seconds", tools_.loop->now() - exchange_->startedAt());
+    }
+    tools_.log->write(isAnswered ? Event::RequestAnswered : Event::AttemptFailed,
+        {{Attribute::Request, request_.id},
+            {Attribute::Route, route_->name},
+            {Attribute::Customer, customer_ ? std::string_view(customer_->name) : std::string_view()},
+            {Attribute::Server, server.instance},
+            {Attribute::Zone, server.zone},
+            {Attribute::Outcome, outcome},
+            {Attribute::Status, std::int64_t(attempt_->head.status)},
+            {Attribute::Attempt, std::int64_t(sends_)},
+            {Attribute::Version, static_cast<std::int64_t>(manifest_->manifest().version)},
+            {Attribute::Open, std::int64_t(load.openHere)},
+            {Attribute::Tokens, request_.promptTokens},
+            {Attribute::Events, static_cast<std::int64_t>(splitter_.events())},
+            {Attribute::FirstEventMs, headPassed_ ? milliseconds(firstEventAt_ - exchange_->startedAt()) : std::int64_t(-1)},
+            {Attribute::TookMs, millisecondsSince(exchange_->startedAt())},
+            {Attribute::LeftMs, milliseconds(timeLeft())}});
+}
+
+} // namespace cardamomlift::forwarding
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -47,7 +47,8 @@
     partial.tables = status.tables;
     partial.storeBack = status.storeBack;
     partial.isFast = status.isFast;
-    std::copy_if(status.demands.begin(), status.demands.end(), std::back_inserter(partial.demands), [](const CustomerDemand &demand) { return demand.isPressed; });
+    std::copy_if(
+        status.demands.begin(), status.demands.end(), std::back_inserter(partial.demands), [](const CustomerDemand &demand) { return demand.isPressed; });
     partial.holdsLease = status.holdsLease;
     partial.isDraining = status.isDraining;
     partial.isPartial = true;
--- a/src/standins/rowstore/main.cpp
+++ b/src/standins/rowstore/main.cpp
@@ -194,8 +194,11 @@
     return standinkit::standinMain(argc, argv, description, [](EventLoop &loop, const auto &values, Json::Value &ready) -> Result<void> {
         store.loop = &loop;
         http1::ServerHandlers handlers;
-        handlers.onRequest = [](const http1::ExchangePtr &exchange) { store.handle(exchange); };
-        handlers.onRejected = [](int) {};
+        handlers.onRequest = [](const http1::ExchangePtr &exchange) {
+            store.handle(exchange);
+        };
+        handlers.onRejected = [](int) {
+        };
         const http1::Endpoint at{values["address"].template as<std::string>(), values["port"].template as<std::uint16_t>()};
         BOOST_OUTCOME_TRY(server, http1::CallerServer::listen(loop, at, {}, std::move(handlers)));
         store.server = server;
--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -63,7 +63,9 @@
     {
         const Json::Value body = http::parseJson(exchange->body()).value_or(Json::Value(Json::objectValue));
         // What a request does not name stays as it is.
-        const auto number = [&body](const char *name, std::int64_t current) { return body.isMember(name) ? body[name].asInt64() : current; };
+        const auto number = [&body](const char *name, std::int64_t current) {
+            return body.isMember(name) ? body[name].asInt64() : current;
+        };
         eventGap = std::chrono::milliseconds(number("eventGapMs", std::chrono::duration_cast<std::chrono::milliseconds>(eventGap).count()));
         delay = std::chrono::milliseconds(number("delayMs", std::chrono::duration_cast<std::chrono::milliseconds>(delay).count()));
         events = static_cast<int>(number("events", events));
@@ -102,9 +104,7 @@
             startStream(exchange, id);
             return;
         }
-        loop->after(delay, [this, exchange, id] {
-            exchange->answer(signedHead(id), fmt::format("{} {}", id, exchange->body()));
-        });
+        loop->after(delay, [this, exchange, id] { exchange->answer(signedHead(id), fmt::format("{} {}", id, exchange->body())); });
     }
 
     void startStream(const http1::ExchangePtr &exchange, const std::string &id)
@@ -152,8 +152,11 @@
         worker.loop = &loop;
         worker.instance = values["instance"].template as<std::string>();
         http1::ServerHandlers handlers;
-        handlers.onRequest = [](const http1::ExchangePtr &exchange) { worker.handle(exchange); };
-        handlers.onRejected = [](int) {};
+        handlers.onRequest = [](const http1::ExchangePtr &exchange) {
+            worker.handle(exchange);
+        };
+        handlers.onRejected = [](int) {
+        };
         const http1::Endpoint at{values["address"].template as<std::string>(), values["port"].template as<std::uint16_t>()};
         BOOST_OUTCOME_TRY(server, http1::CallerServer::listen(loop, at, {}, std::move(handlers)));
         worker.server = server;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -283,7 +283,9 @@
     {
         fleet_.waitReady();
         for (int entry = 1; entry <= Entries; entry++) {
-            const auto isServed = [&] { return fleet_.caller.call(fleet_.request(entry, "/safe/1", "after"))->status == StatusOk; };
+            const auto isServed = [&] {
+                return fleet_.caller.call(fleet_.request(entry, "/safe/1", "after"))->status == StatusOk;
+            };
             EXPECT_TRUE(fleet_.caller.waitUntil(isServed, fmt::format("entry {} serves again", entry)));
         }
     }
