--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -21,7 +21,7 @@
     RequestGone, ///< The caller left first.
     RequestUnreadable,
     AttemptFailed, ///< One send ended without a usable answer.
-    StreamResumed,
+    StreamMoved, ///< Its run is moved with its KV cache, since its server is reclaimed.
     ManifestInForce,
     ManifestRejected,
     ServerKnown,
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -18,7 +18,7 @@
     "request_gone",
     "request_unreadable",
     "attempt_failed",
-    "stream_resumed",
+    "stream_moved",
     "manifest_in_force",
     "manifest_rejected",
     "server_known",
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -38,7 +38,7 @@
 class ForwardedRequest;
 
 /// Takes callers' requests and has them answered by backend servers, by the declared routes.
-class Forwarder
+class Forwarder : public std::enable_shared_from_this<Forwarder>
 {
 public:
     static std::shared_ptr<Forwarder> create(ForwarderTools tools);
@@ -53,6 +53,7 @@
 
 private:
     friend class ForwardedRequest;
+    void onLeaving(const directory::ServerPtr &server);
     explicit Forwarder(ForwarderTools tools);
     retry::RetryBudget &budget(const std::string &service);
     void forget(ForwardedRequest *request);
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -41,6 +41,7 @@
 {
     tools_.loop->cancel(deadlineTimer_);
     tools_.loop->cancel(connectTimer_);
+    tools_.loop->cancel(moveTimer_);
 }
 
 void ForwardedRequest::start()
@@ -245,6 +246,7 @@
     if (customer_) {
         fields.customer = customer_->name;
     }
+    fields.kvSource = kvSource_;
     fields.lastEventId = splitter_.lastId().empty() ? request_.lastEventId : splitter_.lastId();
     return fields;
 }
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/eventsplitter.h"
 #include "forwarding/forwarder.h"
+#include "http1/callclient.h"
 
 #include <optional>
 #include <set>
@@ -15,6 +16,8 @@
     static std::shared_ptr<ForwardedRequest> create(Forwarder &forwarder, http1::ExchangePtr exchange);
     ~ForwardedRequest();
     void start();
+    /// A backend server is being reclaimed at @p endsAt: if the request runs there, its run is moved before that.
+    void onReclaim(const std::string &instance, TimePoint endsAt);
 
 private:
     /// One send to one backend server.
@@ -51,6 +54,10 @@
     void onFailure(http1::CallFailure failure);
     void onBroken(std::string_view why);
     void onConnectTime();
+    bool mayMove(const std::string &instance) const;
+    void startMove();
+    void onMoved(const std::optional<std::string> &handle);
+    void continueMoved();
     bool mayRunAgain() const;
     bool takeRepeat();
     void repeat();
@@ -84,6 +91,18 @@
     std::set<std::string> tried_; ///< Instances that failed or refused.
     int sends_ = 0;
     int runs_ = 0; ///< Sends after which the request may have run.
+    /// A run that is being moved to another server.
+    struct Move {
+        directory::ServerPtr from;
+        directory::ServerPtr to;
+        std::shared_ptr<http1::CallClient> client;
+        std::string kvSource; ///< Where the copy came from: "address:port/handle"; empty until the source has answered.
+        bool isDone = false; ///< The source has answered, with a handle or without.
+        bool hasStopped = false; ///< The source has ended its stream.
+    };
+    std::optional<Move> move_;
+    std::string kvSource_; ///< For the next send.
+    TimerId moveTimer_ = 0;
     bool allowanceTaken_ = false;
     bool headPassed_ = false; ///< The head of a stream's answer has gone to the caller.
     bool usageNoted_ = false;
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -144,6 +144,15 @@
 void ForwardedRequest::onFailure(http1::CallFailure failure)
 {
     const std::string instance = attempt_->server->server.instance;
+    if (move_ && failure == http1::CallFailure::Broken) {
+        // The source ends its stream when the run stops; where it goes on depends on its answer to the move.
+        logAttempt("stopped_for_move");
+        endAttempt(false);
+        splitter_.dropRest();
+        move_->hasStopped = true;
+        continueMoved();
+        return;
+    }
     if (tools_.pool->noteFailure(instance)) {
         tools_.log->write(Event::ServerAvoided, {{Attribute::Server, instance}, {Attribute::Request, request_.id}});
     }
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -11,6 +11,8 @@
 /// How long after the notice requests are taken whatever they last: callers learn of it within this, and nearly all
 /// streams begun by then end within the grace time.
 constexpr Duration TakesAllFor = std::chrono::milliseconds(2500);
+/// A reclaimable server that drains is gone after this at the earliest: the platform gives two to three seconds.
+constexpr Duration LeastNotice = std::chrono::milliseconds(2000);
 
 } // namespace
 
@@ -21,7 +23,26 @@
 
 std::shared_ptr<Forwarder> Forwarder::create(ForwarderTools tools)
 {
-    return std::shared_ptr<Forwarder>(new Forwarder(std::move(tools)));
+    std::shared_ptr<Forwarder> forwarder(new Forwarder(std::move(tools)));
+    forwarder->tools_->directory->onLeaving([weak = std::weak_ptr<Forwarder>(forwarder)](const directory::ServerPtr &server) {
+        if (const auto self = weak.lock()) {
+            self->onLeaving(server);
+        }
+    });
+    return forwarder;
+}
+
+void Forwarder::onLeaving(const directory::ServerPtr &server)
+{
+    const directory::BackendServer &leaving = server->server;
+    if (!leaving.isReclaimable || leaving.state != directory::ServerState::Draining) {
+        return;
+    }
+    // The list does not always say when.
+    const TimePoint endsAt = leaving.endsAt.value_or(tools_->loop->now() + LeastNotice);
+    for (const auto &[key, request] : open_) {
+        request->onReclaim(leaving.instance, endsAt);
+    }
 }
 
 void Forwarder::handle(http1::ExchangePtr exchange)
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -118,6 +118,9 @@
         manifest.routes[3].isResumable = true;
         manifest.routes.push_back(route("/short/", manifest::RouteKind::NonIdempotent, 1));
         manifest.routes.back().timeout = milliseconds(150);
+        manifest.services.resize(1);
+        manifest.services[0].name = "service";
+        manifest.services[0].engine = manifest::EngineProfile{8, 100'000, true, false};
         manifest.customers.resize(1);
         manifest.customers[0].name = "customer";
         manifest.customers[0].keys = {"key"};
@@ -126,6 +129,16 @@
         manifests_->confirm(loop_->now());
     }
 
+    /// The server says that it is reclaimed in a moment.
+    void reclaim(const std::string &instance)
+    {
+        directory::BackendServer server = directory_->find(instance)->server;
+        server.state = directory::ServerState::Draining;
+        server.isReclaimable = true;
+        server.endsAt = loop_->now() + milliseconds(500);
+        directory_->put(std::move(server));
+    }
+
     static std::string request(const std::string &path, const std::string &more = {})
     {
         return "POST " + path + " HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: id1\r\nX-Credential: key\r\n" + more + "Content-Length: 4\r\n\r\nbody";
@@ -303,6 +316,75 @@
     EXPECT_EQ(arrivals(), 2);
 }
 
+TEST_F(ForwarderTest, ARunMovesWithItsCacheWhenItsServerIsReclaimed)
+{
+    const auto client = call(request("/stream/1"));
+    const auto first = next();
+    const std::string source(first->head().fields.get("X-Expect-Instance"));
+    const std::string target = source == "one" ? "two" : "one";
+    first->begin(signedHead());
+    first->send("id: 1\ndata: a\n\n");
+    ASSERT_TRUE(runUntil([&] { return client->received().find("data: a") != std::string::npos; }));
+    reclaim(source);
+    const auto order = next();
+    EXPECT_EQ(order->head().target, "/api/kv-move");
+    EXPECT_NE(order->body().find("\"id\":\"id1\""), std::string::npos);
+    EXPECT_NE(order->body().find(std::to_string(backends_[target].server->port())), std::string::npos);
+    // The source stops: what it had made comes first, then its answer to the order.
+    first->send("id: 2\ndata: b\n\n");
+    first->breakOff();
+    http1::ResponseHead done;
+    done.status = 200;
+    order->answer(std::move(done), R"({"handle":"h7","created":2})");
+    const auto second = next();
+    EXPECT_EQ(second->head().fields.get("X-Expect-Instance"), target);
+    EXPECT_EQ(second->head().fields.get("Kv-From"), "127.0.0.1:" + std::to_string(backends_[source].server->port()) + "/h7");
+    EXPECT_EQ(second->head().fields.get("Last-Event-Id"), "2");
+    second->begin(signedHead());
+    second->send("id: 3\ndata: c\n\n");
+    second->end();
+    ASSERT_TRUE(runUntil([&] { return client->received().ends_with("0\r\n\r\n"); }));
+    EXPECT_NE(client->received().find("data: b"), std::string::npos);
+    EXPECT_NE(client->received().find("data: c"), std::string::npos);
+}
+
+TEST_F(ForwarderTest, ARunThatCanNotMoveGoesOnAsFarAsItGets)
+{
+    const auto client = call(request("/stream/1"));
+    const auto first = next();
+    first->begin(signedHead());
+    first->send("id: 1\ndata: a\n\n");
+    ASSERT_TRUE(runUntil([&] { return client->received().find("data: a") != std::string::npos; }));
+    reclaim(std::string(first->head().fields.get("X-Expect-Instance")));
+    const auto order = next();
+    http1::ResponseHead none;
+    none.status = 404;
+    order->answer(std::move(none), "{}");
+    loop_->runDue();
+    first->send("id: 2\ndata: b\n\n");
+    first->end();
+    ASSERT_TRUE(runUntil([&] { return client->received().ends_with("0\r\n\r\n"); }));
+    EXPECT_NE(client->received().find("data: b"), std::string::npos);
+}
+
+TEST_F(ForwarderTest, AFailedMoveOfAStoppedRunEndsTheStreamVisibly)
+{
+    const auto client = call(request("/stream/1"));
+    const auto first = next();
+    first->begin(signedHead());
+    first->send("id: 1\ndata: a\n\n");
+    ASSERT_TRUE(runUntil([&] { return client->received().find("data: a") != std::string::npos; }));
+    reclaim(std::string(first->head().fields.get("X-Expect-Instance")));
+    const auto order = next();
+    first->breakOff();
+    http1::ResponseHead full;
+    full.status = 503;
+    order->answer(std::move(full), "{}");
+    ASSERT_TRUE(runUntil([&] { return client->hasEnded(); }));
+    EXPECT_EQ(client->received().find("0\r\n\r\n"), std::string::npos);
+    EXPECT_EQ(arrivals(), 2) << "the request and the order";
+}
+
 TEST_F(ForwarderTest, ACallerThatLeavesEndsTheWorkAtOnce)
 {
     const auto client = call(request("/stream/1"));
--- a/src/forwarding/wireformat.h
+++ b/src/forwarding/wireformat.h
@@ -54,6 +54,12 @@
     std::optional<LoadReport> load;
 };
 
+/// The order to a backend server to copy a run's KV cache to another one and to stop the run.
+struct MoveOrder {
+    std::string requestId;
+    http1::Endpoint to;
+};
+
 /// How these are spelled on the wire: functions that the platform's adapter gives.
 struct WireFormat {
     CallerRequest (*readRequest)(const http1::RequestHead &head) = nullptr;
@@ -62,6 +68,10 @@
     BackendAnswer (*readAnswer)(const http1::ResponseHead &head) = nullptr;
     /// The head for the caller: the server's, without what concerns one connection.
     http1::ResponseHead (*writeAnswer)(const http1::ResponseHead &head) = nullptr;
+    /// The call of a move; its body is filled into @p body.
+    http1::RequestHead (*writeMove)(const MoveOrder &order, std::string &body) = nullptr;
+    /// The handle of the copy; empty if the move did not come about.
+    std::optional<std::string> (*readMove)(const http1::Response &response) = nullptr;
 };
 
 } // namespace cardamomlift::forwarding
