Tell starts of a backend server apart, and take unreadable entries for no server

Cause: a server may start again under its name, and others than servers may write its entry. Ruled out: keying each module by name and start by itself. The instance is now name and start, read once in the adapter, so pool, outliers, attempts and statuses follow without a change; only the header of a send names the server. Rule for a missing start: the name alone, unless the server has told one before; then the entry is not its own.

--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -31,10 +31,15 @@
 public:
     static std::shared_ptr<Directory> create();
 
-    /// An entry appeared or changed.
+    /// An entry appeared or changed. A later start under a known name ends the one before; an entry of an earlier start
+    /// than the known one came late and is passed over; one without a start, where the server has told one, drops it.
     void put(BackendServer server);
-    /// An entry went. Around an outage of the store the server stays usable until RelistTime after the store's return.
-    void remove(std::string_view instance, TimePoint now);
+    /// The entry of the server @p name went. Around an outage of the store the server stays usable until RelistTime after
+    /// the store's return.
+    void remove(std::string_view name, TimePoint now);
+    /// The entry of the server @p name cannot be read: it is no longer used, also around an outage of the store, until a
+    /// good entry comes.
+    void drop(std::string_view name);
     /// The whole list was read anew: entries that it lacks went.
     void replaceAll(std::span<const BackendServer> servers, TimePoint now);
     /// The store did not answer, or answers again.
@@ -46,8 +51,10 @@
 
     /// Servers of @p service that may get new work, in order of their instances.
     std::span<const ServerPtr> usable(std::string_view service) const;
-    /// The server, also a leaving one; null once it is forgotten.
+    /// The start with this identity, also a leaving one; null once it is forgotten.
     ServerPtr find(std::string_view instance) const;
+    /// The known start of the server @p name; null if there is none.
+    ServerPtr findNamed(std::string_view name) const;
     std::size_t size() const;
     /// All that is known, leaving servers too.
     const std::map<std::string, ServerPtr, std::less<>> &all() const;
@@ -61,7 +68,8 @@
     void forget(const std::string &instance);
     void rememberGone(const std::string &instance);
     void rebuild();
-    std::map<std::string, ServerPtr, std::less<>> servers_;
+    std::map<std::string, ServerPtr, std::less<>> servers_; ///< By instance.
+    std::map<std::string, std::string, std::less<>> instances_; ///< By name: the known start.
     std::map<std::string, std::vector<ServerPtr>, std::less<>> usable_;
     std::set<std::string, std::less<>> gone_; ///< Instances that said they leave and went; never to be used again.
     bool storeReachable_ = true;
--- a/src/directory/directorytypes.h
+++ b/src/directory/directorytypes.h
@@ -3,17 +3,22 @@
 #include "http1/http1types.h"
 #include "kernel/clock.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cardamomlift::directory {
 
 /// What the platform's list says of a backend server.
 enum class ServerState { Ready, Draining };
 
-/// One life of a backend server. The instance is its identity; its address may belong to another server later.
+/// One start of a backend server. All that is believed of a server belongs to a start: its load, what its requests came to,
+/// connections, what was tried. Its address may belong to another server later.
 struct BackendServer {
-    std::string instance;
+    std::string instance; ///< Identity of this start, see startIdentity().
+    std::string name; ///< What it calls itself; a later start may bear the same name.
+    std::optional<std::int64_t> startedAt; ///< Unix milliseconds by its own clock; empty if it does not say.
     std::string service;
     http1::Endpoint endpoint;
     std::string zone; ///< The failure domain.
@@ -24,4 +29,7 @@
     std::optional<TimePoint> coldUntil; ///< It works slowly until then.
 };
 
+/// The identity of the start of the server @p name at @p startedAt; the name alone where the server gives no start.
+std::string startIdentity(std::string_view name, std::optional<std::int64_t> startedAt);
+
 } // namespace cardamomlift::directory
--- a/src/directory/internal/directory.cpp
+++ b/src/directory/internal/directory.cpp
@@ -18,18 +18,39 @@
 
 void Directory::put(BackendServer server)
 {
+    const auto before = findNamed(server.name);
+    if (before && before->server.startedAt && !server.startedAt) {
+        // A server that has told its start tells it always: somebody else wrote this.
+        drop(server.name);
+        return;
+    }
+    if (before && before->server.startedAt && *server.startedAt < *before->server.startedAt) {
+        return;
+    }
+    if (before && before->server.instance != server.instance) {
+        // What it knew and ran before is gone with the start before, whatever that one said of itself.
+        rememberGone(before->server.instance);
+        forget(before->server.instance);
+    }
     KnownServer known;
     known.isLeaving = server.state == ServerState::Draining || gone_.contains(server.instance);
-    if (const auto before = find(server.instance)) {
+    if (before && before->server.instance == server.instance) {
         known.isLeaving = known.isLeaving || before->isLeaving;
     }
     known.server = std::move(server);
     store(std::move(known));
 }
 
-void Directory::remove(std::string_view instance, TimePoint now)
+void Directory::drop(std::string_view name)
 {
-    const auto before = find(instance);
+    if (const auto known = findNamed(name)) {
+        forget(known->server.instance);
+    }
+}
+
+void Directory::remove(std::string_view name, TimePoint now)
+{
+    const auto before = findNamed(name);
     if (!before) {
         return;
     }
@@ -48,17 +69,17 @@
 {
     std::set<std::string> listed;
     for (const BackendServer &server : servers) {
-        listed.insert(server.instance);
+        listed.insert(server.name);
         put(server);
     }
     std::vector<std::string> missing;
-    for (const auto &[instance, known] : servers_) {
-        if (!listed.contains(instance)) {
-            missing.push_back(instance);
+    for (const auto &[name, instance] : instances_) {
+        if (!listed.contains(name)) {
+            missing.push_back(name);
         }
     }
-    for (const std::string &instance : missing) {
-        remove(instance, now);
+    for (const std::string &name : missing) {
+        remove(name, now);
     }
 }
 
@@ -103,6 +124,7 @@
     const bool beginsToLeave = known.isLeaving && (!before || !before->isLeaving);
     const auto entry = std::make_shared<const KnownServer>(std::move(known));
     servers_[entry->server.instance] = entry;
+    instances_[entry->server.name] = entry->server.instance;
     rebuild();
     if (!beginsToLeave) {
         return;
@@ -126,6 +148,7 @@
     last.isLeaving = true;
     const auto entry = std::make_shared<const KnownServer>(std::move(last));
     servers_.erase(found);
+    instances_.erase(entry->server.name);
     rebuild();
     for (const auto &handler : leavingHandlers_) {
         handler(entry);
@@ -165,6 +188,12 @@
     return found == servers_.end() ? nullptr : found->second;
 }
 
+ServerPtr Directory::findNamed(std::string_view name) const
+{
+    const auto found = instances_.find(name);
+    return found == instances_.end() ? nullptr : find(found->second);
+}
+
 std::size_t Directory::size() const
 {
     return servers_.size();
--- a/src/directory/tests/directory_test.cpp
+++ b/src/directory/tests/directory_test.cpp
@@ -13,6 +13,7 @@
 BackendServer server(const std::string &instance, ServerState state = ServerState::Ready)
 {
     BackendServer result;
+    result.name = instance;
     result.instance = instance;
     result.service = "models";
     result.endpoint = {"10.0.0.1", 80};
@@ -76,6 +77,63 @@
     EXPECT_EQ(directory->find("a"), nullptr);
 }
 
+BackendServer startOf(const std::string &name, std::int64_t startedAt, ServerState state = ServerState::Ready)
+{
+    BackendServer result = server(name, state);
+    result.startedAt = startedAt;
+    result.instance = startIdentity(name, startedAt);
+    return result;
+}
+
+TEST(Directory, ALaterStartUnderANameIsAnotherServer)
+{
+    const auto directory = Directory::create();
+    std::vector<std::string> left;
+    directory->onLeaving([&left](const ServerPtr &known) { left.push_back(known->server.instance); });
+    directory->put(startOf("a", 1000));
+    directory->put(startOf("a", 1000, ServerState::Draining));
+    directory->put(startOf("a", 5000));
+    ASSERT_EQ(usableCount(*directory), 1U) << "the notice was the earlier start's";
+    EXPECT_EQ(directory->usable("models")[0]->server.instance, "a@5000");
+    EXPECT_EQ(directory->find("a@1000"), nullptr);
+    EXPECT_EQ(left, (std::vector<std::string>{"a@1000", "a@1000"})) << "it began to leave, and is gone";
+    directory->remove("a", Start);
+    EXPECT_EQ(usableCount(*directory), 0U) << "the entry of a name is that of its known start";
+}
+
+TEST(Directory, ALateEntryOfAnEarlierStartIsPassedOver)
+{
+    const auto directory = Directory::create();
+    directory->put(startOf("a", 5000));
+    directory->put(startOf("a", 1000, ServerState::Draining));
+    ASSERT_EQ(usableCount(*directory), 1U);
+    EXPECT_EQ(directory->usable("models")[0]->server.instance, "a@5000");
+}
+
+TEST(Directory, AnEntryWithoutTheStartThatWasToldBeforeNamesNoServer)
+{
+    const auto directory = Directory::create();
+    directory->put(startOf("a", 5000));
+    directory->put(startOf("b", 5000));
+    directory->put(server("a"));
+    ASSERT_EQ(usableCount(*directory), 1U);
+    directory->put(startOf("a", 5000));
+    EXPECT_EQ(usableCount(*directory), 2U) << "its own entry brings it back";
+}
+
+TEST(Directory, AnEntryThatCannotBeReadIsNotUsedInAnOutageEither)
+{
+    const auto directory = Directory::create();
+    directory->put(server("a"));
+    directory->put(server("b"));
+    directory->noteStoreReachable(false, Start);
+    directory->drop("a");
+    ASSERT_EQ(usableCount(*directory), 1U);
+    EXPECT_EQ(directory->usable("models")[0]->server.instance, "b");
+    directory->put(server("a"));
+    EXPECT_EQ(usableCount(*directory), 2U);
+}
+
 TEST(Directory, AWholeListComparesWithWhatWasKnown)
 {
     const auto directory = Directory::create();
--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -27,6 +27,7 @@
     ManifestRejected,
     ServerKnown,
     ServerLeaving,
+    ServerUnreadable, ///< Its entry in the list names no server; others than the servers may write there.
     ServerAvoided, ///< Its requests failed too often: work goes elsewhere while it can.
     ServerTrusted, ///< It gets work like the others again.
     ServerSilent, ///< A request waits long, and nothing was heard from its server since.
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -24,6 +24,7 @@
     "manifest_rejected",
     "server_known",
     "server_leaving",
+    "server_unreadable",
     "server_avoided",
     "server_trusted",
     "server_silent",
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -249,7 +249,7 @@
 {
     DispatchFields fields;
     fields.timeLeft = timeLeft();
-    fields.instance = server->server.instance;
+    fields.serverName = server->server.name;
     if (customer_) {
         fields.customer = customer_->name;
     }
--- a/src/forwarding/tests/forwardertest.h
+++ b/src/forwarding/tests/forwardertest.h
@@ -127,6 +127,7 @@
         };
         backend.server = http1::CallerServer::listen(*loop_, {"127.0.0.1", 0}, {}, std::move(handlers)).value();
         directory::BackendServer server;
+        server.name = instance;
         server.instance = instance;
         server.service = "service";
         server.endpoint = {"127.0.0.1", backend.server->port()};
--- a/src/forwarding/wireformat.h
+++ b/src/forwarding/wireformat.h
@@ -32,7 +32,7 @@
 /// What an entry VM adds to a request that it sends to a backend server.
 struct DispatchFields {
     std::optional<Duration> timeLeft;
-    std::string instance; ///< The only backend server that may run it.
+    std::string serverName; ///< The only backend server that may run it.
     std::string customer; ///< Empty: none.
     std::optional<int> priority; ///< 0 is first.
     std::string lastEventId; ///< Go on behind this event.
--- a/tests/routes_test.cpp
+++ b/tests/routes_test.cpp
@@ -206,6 +206,45 @@
     EXPECT_EQ(fleet.runsOf("full"), 0);
 }
 
+TEST(Routes, AServerThatStartsAgainUnderItsNameGetsWork)
+{
+    RouteFleet fleet(2, 1);
+    fleet.waitReady();
+    constexpr std::int64_t FirstStart = 1'789'532'221'022;
+    const auto isServed = [&](int vm, const std::string &id) {
+        return fleet.caller.call(fleet.request(vm, "/safe/1", id))->status == 200;
+    };
+    fleet.listWorker("worker-1", "draining", FirstStart);
+    for (int vm = 1; vm <= 2; vm++) {
+        EXPECT_TRUE(fleet.caller.waitUntil([&] { return !isServed(vm, "before"); }, "it leaves"));
+    }
+    fleet.restartWorker("worker-1");
+    fleet.listWorker("worker-1", "ready", FirstStart + 1);
+    for (int vm = 1; vm <= 2; vm++) {
+        EXPECT_TRUE(fleet.caller.waitUntil([&] { return isServed(vm, "after"); }, "the new start serves"));
+    }
+}
+
+TEST(Routes, AnEntryThatCannotBeReadTakesOnlyItsOwnServerOut)
+{
+    RouteFleet fleet(1, 2);
+    fleet.waitReady();
+    fleet.listUnreadable("worker-1", R"({"service":"service","address":"127.0.0.1:1","zone":"zone-0","slots":16,"state":"resting"})");
+    fleet.listUnreadable("stranger", "\xff\xfe");
+    int used = -1;
+    const auto isOut = [&] {
+        const int before = static_cast<int>(fleet.controlWorker("worker-1")["runs"].size());
+        for (int i = 0; i < 8; i++) {
+            EXPECT_EQ(fleet.caller.call(fleet.request(1, "/once/1", fmt::format("probe-{}-{}", before, i)))->status, 200);
+        }
+        used = static_cast<int>(fleet.controlWorker("worker-1")["runs"].size());
+        return used == before;
+    };
+    EXPECT_TRUE(fleet.caller.waitUntil(isOut, "it gets no more work"));
+    fleet.listWorker("worker-1", "ready");
+    EXPECT_TRUE(fleet.caller.waitUntil([&] { return !isOut(); }, "its own entry brings it back"));
+}
+
 TEST(Routes, HangUpReloadsAndTheProcessGoesOn)
 {
     RouteFleet fleet(1, 1);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -30,6 +30,8 @@
 constexpr std::size_t OpenRequests = 24;
 constexpr milliseconds FaultGap(150);
 constexpr int FaultKinds = 11;
+/// And servers that start again under their name, and entries of another writer in their list.
+constexpr int FaultKindsWithRestarts = 13;
 /// From SIGTERM to the end: the grace time of the fleet's settings and a margin for a busy machine.
 constexpr seconds ExitBound(20);
 constexpr int StatusOk = 200;
@@ -51,8 +53,9 @@
 class SoakRun
 {
 public:
-    SoakRun(unsigned seed, milliseconds length)
+    SoakRun(unsigned seed, milliseconds length, int faultKinds)
         : random_(seed)
+        , faultKinds_(faultKinds)
         , fleet_(Entries, Workers, true)
         , end_(fleet_.caller.loop().now() + length)
     {
@@ -122,7 +125,7 @@
         const int entry = pick(Entries) + 1;
         const auto names = fleet_.workerNames();
         const std::string worker = names[static_cast<std::size_t>(pick(static_cast<int>(names.size())))];
-        switch (pick(FaultKinds)) {
+        switch (pick(faultKinds_)) {
         case 0:
             pauseEntry(entry);
             break;
@@ -158,6 +161,13 @@
         case 9:
             pauseWorker(worker);
             break;
+        case 11:
+            restartWorker(worker);
+            break;
+        case 12:
+            fleet_.listUnreadable(worker, pick(2) == 0 ? "{\"service\":\"service\"}" : "\xff no entry");
+            later(milliseconds(100 + pick(1200)), [this, worker] { fleet_.listWorker(worker, "ready", workerStart_[worker]); });
+            break;
         default:
             fleet_.setStoreFault(pick(2) == 0 ? "down" : "loseAnswers");
             storeHealsAt_ = now() + milliseconds(300 + pick(1500));
@@ -191,6 +201,20 @@
         });
     }
 
+    // Its entry tells of the new start a moment after the process is there, as a heartbeat would.
+    void restartWorker(const std::string &worker)
+    {
+        if (pausedWorkers_.contains(worker)) {
+            return;
+        }
+        fleet_.restartWorker(worker);
+        Json::Value pace = fault("eventGapMs", 25);
+        pace["events"] = Events;
+        fleet_.controlWorker(worker, pace);
+        workerStart_[worker] = ++lastStart_;
+        later(milliseconds(pick(600)), [this, worker, start = lastStart_] { fleet_.listWorker(worker, "ready", start); });
+    }
+
     void restartEntry(int entry, int signal)
     {
         if (busy_.contains(entry)) {
@@ -312,10 +336,13 @@
     }
 
     std::mt19937 random_;
+    int faultKinds_;
     RouteFleet fleet_;
     TimePoint end_;
     std::vector<Sent> sent_;
     std::set<std::string> pausedWorkers_;
+    std::map<std::string, std::int64_t> workerStart_; ///< As its entry says it; 0: it says nothing.
+    std::int64_t lastStart_ = 1'700'000'000'000;
     std::set<int> busy_; ///< Entry VMs that are paused or being restarted.
     std::vector<std::pair<TimePoint, int>> storePathHeals_;
     std::vector<std::pair<TimePoint, std::string>> workerPathHeals_;
@@ -347,7 +374,12 @@
 
 TEST_P(Soak, KeepsItsPromises)
 {
-    SoakRun(GetParam(), chosenLength()).run();
+    SoakRun(GetParam(), chosenLength(), FaultKinds).run();
+}
+
+TEST_P(Soak, KeepsItsPromisesWhileServersStartAgainUnderTheirNames)
+{
+    SoakRun(GetParam(), chosenLength(), FaultKindsWithRestarts).run();
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Soak, testing::ValuesIn(chosenSeeds()), [](const auto &info) { return std::to_string(info.param); });
--- a/tests/support/routefleet.cpp
+++ b/tests/support/routefleet.cpp
@@ -107,6 +107,12 @@
 }
 
 void RouteFleet::addWorker(const std::string &instance)
+{
+    startWorker(instance);
+    listWorker(instance, "ready");
+}
+
+void RouteFleet::startWorker(const std::string &instance)
 {
     const std::string own = proxied_ ? "127.0.0.1" : address(FirstWorkerHost + workerHosts_++);
     workers_[instance] = Process::start("standin-worker", {"--instance", instance, "--address", own, "--port", std::to_string(proxied_ ? 0 : WorkerPort)});
@@ -114,7 +120,6 @@
     if (proxied_) {
         workerProxies_[instance] = addProxy(workers_[instance]->port());
     }
-    listWorker(instance, "ready");
 }
 
 RouteFleet::Proxied RouteFleet::addProxy(int port)
@@ -135,12 +140,23 @@
     caller.post(workerProxies_.at(instance).proxy->port("control"), "/control/0", faults);
 }
 
-void RouteFleet::replaceWorker(const std::string &instance, const std::string &successor)
+void RouteFleet::stopWorker(const std::string &instance)
 {
-    lastCounts_[instance] = controlWorker(instance);
+    lastCounts_[fmt::format("{}, start {}", instance, lastCounts_.size())] = controlWorker(instance);
     workers_.at(instance)->signal(SIGKILL);
     workers_.at(instance)->wait();
     workers_.erase(instance);
+}
+
+void RouteFleet::restartWorker(const std::string &instance)
+{
+    stopWorker(instance);
+    startWorker(instance);
+}
+
+void RouteFleet::replaceWorker(const std::string &instance, const std::string &successor)
+{
+    stopWorker(instance);
     unlistWorker(instance);
     addWorker(successor);
 }
@@ -154,7 +170,12 @@
     return names;
 }
 
-void RouteFleet::listWorker(const std::string &instance, const std::string &state)
+void RouteFleet::listUnreadable(const std::string &instance, const std::string &bytes)
+{
+    put("PUT", storeUrl("/control/rows/servers/" + instance), bytes);
+}
+
+void RouteFleet::listWorker(const std::string &instance, const std::string &state, std::int64_t startedAt)
 {
     Json::Value entry;
     entry["service"] = "service";
@@ -162,6 +183,9 @@
     entry["zone"] = "zone-0";
     entry["slots"] = 16;
     entry["state"] = state;
+    if (startedAt != 0) {
+        entry["born"] = Json::Int64(startedAt);
+    }
     put("PUT", storeUrl("/control/rows/servers/" + instance), http::writeJson(entry));
 }
 
--- a/tests/support/routefleet.h
+++ b/tests/support/routefleet.h
@@ -22,7 +22,10 @@
     void addWorker(const std::string &instance);
     /// Writes the manifest: routes /safe/, /once/, /stream/ (resumable) and /single/ (a stream that may not be resumed).
     void putManifest(int version, const std::vector<std::string> &keys);
-    void listWorker(const std::string &instance, const std::string &state);
+    /// @p startedAt: Unix milliseconds that the worker gives as its start; 0: it gives none.
+    void listWorker(const std::string &instance, const std::string &state, std::int64_t startedAt = 0);
+    /// Writes bytes of another writer where the worker's entry stands.
+    void listUnreadable(const std::string &instance, const std::string &bytes);
     void unlistWorker(const std::string &instance);
     /// "down", "silent" or "loseAnswers" set to true, or nothing.
     void setStoreFault(const std::string &fault);
@@ -42,6 +45,8 @@
     void setWorkerPathFault(const std::string &instance, const Json::Value &faults);
     /// Ends a worker with SIGKILL and starts another instance in its place.
     void replaceWorker(const std::string &instance, const std::string &successor);
+    /// Ends a worker with SIGKILL and starts it again under its name; its entry says nothing of that yet.
+    void restartWorker(const std::string &instance);
     std::vector<std::string> workerNames() const;
 
     http::ClientRequest request(int entry, const std::string &path, const std::string &id, const std::string &key = "key-1");
@@ -52,6 +57,8 @@
 
 private:
     std::string address(int host) const;
+    void startWorker(const std::string &instance);
+    void stopWorker(const std::string &instance);
     std::string storeUrl(const std::string &path) const;
     TestCallPtr put(const std::string &method, const std::string &url, const std::string &body);
     /// A process with the proxy before it.
@@ -63,7 +70,7 @@
     bool proxied_;
     std::map<int, Proxied> storeProxies_; ///< By entry VM.
     std::map<std::string, Proxied> workerProxies_;
-    std::map<std::string, Json::Value> lastCounts_; ///< Of workers that have ended.
+    std::map<std::string, Json::Value> lastCounts_; ///< Of workers that have ended, by name and start.
     int workerHosts_ = 0;
     int base_; ///< Of the addresses: 127.(base / 256).(base % 256).host
     std::unique_ptr<Process> store_;
