Choose backend servers by the work before the first token, and copy cached prompts

Cause: load was open requests over slots, so a prompt of 17,000 tokens weighed like one of 1,400; nobody knew what a server keeps; each VM saw only its own waiting prompts. Change: a prefix index (own sends, and those of peers in statuses), cost of a server by tokens to read before the first token, a copy from the server that keeps the prompt (Kv-Fetch) in place of reading it again, waiting tokens of peers in statuses; the dispatch line tells cached, to_read, waiting_tokens and source.

--- a/src/balancing/choose.h
+++ b/src/balancing/choose.h
@@ -8,10 +8,14 @@
 namespace cardamomlift::balancing {
 
 /// The requests that a server is believed to hold now.
-double estimatedOpen(const ServerLoad &load, TimePoint now);
+double estimatedOpen(const ServerLoad &load, const ChoiceFigures &figures, TimePoint now);
 
-/// The index of the server that shall get the request; empty if there is none. Requests of one affinity go to the same
+/// The rank of the server @p instance for requests of @p affinity, the same on all VMs; the highest are its homes.
+std::uint64_t homeRank(std::string_view affinity, std::string_view instance);
+
+/// The index of the server that shall get the request; empty if there is none. Where the beginning of its prompt is cached
+/// somewhere, it is the server with the least work before its first token; else requests of one affinity go to the same
 /// few servers on all VMs, without a word between them, unless those hold much more than the others.
-std::optional<std::size_t> choose(std::span<const Candidate> candidates, const ChoiceInput &input, TimePoint now);
+std::optional<std::size_t> choose(std::span<const Candidate> candidates, const ChoiceInput &input, const ChoiceFigures &figures, TimePoint now);
 
 } // namespace cardamomlift::balancing
--- a/src/balancing/internal/choose.cpp
+++ b/src/balancing/internal/choose.cpp
@@ -10,42 +10,35 @@
 
 namespace {
 
-/// A server's own report counts for this long; after it only what this VM and its peers have open there does.
-constexpr Duration ReportLife = std::chrono::milliseconds(1500);
-/// Servers that requests of one affinity go to first. Two: a hot prompt does not depend on one server, and a shared part
-/// is read twice at most.
-constexpr std::size_t HomeServers = 2;
-/// A home server is passed over when its share of taken slots exceeds the least by this. A miss reads some thousand
-/// tokens again, about the time that a quarter of the slots costs the others.
-constexpr double HomeAdvantage = 0.25;
-/// Another failure domain counts as this share of a slot more: bytes between domains are paid for, and take longer.
-constexpr double OtherZoneCost = 0.3;
-/// An outlier counts as this full. It is still better than none.
-constexpr double OutlierCost = 4.0;
-
 struct Ranked {
     std::size_t index = 0;
     double cost = 0;
     std::uint64_t hash = 0;
 };
 
-std::uint64_t affinityHash(std::string_view affinity, std::string_view instance)
+/// The prompt tokens that come before this request's first token at @p candidate: those that wait there and its own. Copied
+/// tokens count as the part of read ones that they cost.
+double tokensBefore(const Candidate &candidate, const ChoiceInput &input, const ChoiceFigures &figures)
 {
-    return XXH3_64bits_withSeed(instance.data(), instance.size(), XXH3_64bits(affinity.data(), affinity.size()));
+    const std::int64_t known = std::max(candidate.cachedTokens, input.fetchableTokens);
+    const auto read = static_cast<double>(std::max<std::int64_t>(0, input.promptTokens - known));
+    const auto copied = static_cast<double>(known - candidate.cachedTokens);
+    return static_cast<double>(candidate.load.promptTokensHere + candidate.load.promptTokensElsewhere) + read + copied * figures.copiedTokenCost;
 }
 
-double costOf(const Candidate &candidate, const ChoiceInput &input, TimePoint now)
+double costOf(const Candidate &candidate, const ChoiceInput &input, const ChoiceFigures &figures, TimePoint now)
 {
     const double slots = std::max(1, candidate.server->server.slots);
-    double cost = estimatedOpen(candidate.load, now) / slots;
+    double cost = estimatedOpen(candidate.load, figures, now) / slots;
+    cost += tokensBefore(candidate, input, figures) / figures.tokensOfAFullServer;
     if (candidate.isOutlier) {
-        cost += OutlierCost;
+        cost += figures.outlierCost;
     }
     if (candidate.server->unlistedAt || (candidate.server->server.coldUntil && now < *candidate.server->server.coldUntil)) {
         cost += 1;
     }
     if (candidate.server->server.zone != input.zone) {
-        cost += OtherZoneCost / slots;
+        cost += figures.otherZoneCost / slots;
     }
     return cost;
 }
@@ -57,16 +50,21 @@
 
 } // namespace
 
-double estimatedOpen(const ServerLoad &load, TimePoint now)
+std::uint64_t homeRank(std::string_view affinity, std::string_view instance)
+{
+    return XXH3_64bits_withSeed(instance.data(), instance.size(), XXH3_64bits(affinity.data(), affinity.size()));
+}
+
+double estimatedOpen(const ServerLoad &load, const ChoiceFigures &figures, TimePoint now)
 {
     const double known = load.openHere;
-    if (!load.reportedAt || now - *load.reportedAt > ReportLife) {
+    if (!load.reportedAt || now - *load.reportedAt > figures.reportLife) {
         return known;
     }
     return std::max(known, static_cast<double>(load.reported + std::max(0, load.sentSinceReport)));
 }
 
-std::optional<std::size_t> choose(std::span<const Candidate> candidates, const ChoiceInput &input, TimePoint now)
+std::optional<std::size_t> choose(std::span<const Candidate> candidates, const ChoiceInput &input, const ChoiceFigures &figures, TimePoint now)
 {
     if (candidates.empty()) {
         return std::nullopt;
@@ -76,20 +74,20 @@
     for (std::size_t i = 0; i < candidates.size(); i++) {
         const std::string_view instance = candidates[i].server->server.instance;
         const std::uint64_t hash =
-            input.affinity.empty() ? XXH3_64bits_withSeed(instance.data(), instance.size(), input.salt) : affinityHash(input.affinity, instance);
-        ranked.push_back({i, costOf(candidates[i], input, now), hash});
+            input.affinity.empty() ? XXH3_64bits_withSeed(instance.data(), instance.size(), input.salt) : homeRank(input.affinity, instance);
+        ranked.push_back({i, costOf(candidates[i], input, figures, now), hash});
     }
     const auto cheapest = std::min_element(ranked.begin(), ranked.end(), isCheaper);
-    if (input.affinity.empty()) {
+    if (input.affinity.empty() || input.fetchableTokens > 0) {
         return cheapest->index;
     }
     const double least = cheapest->cost;
     const std::size_t best = cheapest->index;
-    const std::size_t homes = std::min(HomeServers, ranked.size());
+    const std::size_t homes = std::min(figures.homeServers, ranked.size());
     std::partial_sort(
         ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(homes), ranked.end(), [](const Ranked &a, const Ranked &b) { return a.hash > b.hash; });
     for (std::size_t i = 0; i < homes; i++) {
-        if (ranked[i].cost <= least + HomeAdvantage) {
+        if (ranked[i].cost <= least + figures.homeAdvantage) {
             return ranked[i].index;
         }
     }
--- a/src/balancing/tests/choose_test.cpp
+++ b/src/balancing/tests/choose_test.cpp
@@ -43,7 +43,7 @@
         input.zone = "here";
         input.affinity = affinity;
         input.salt = salt;
-        return *choose(candidates(), input, Now);
+        return *choose(candidates(), input, {}, Now);
     }
 
     std::vector<directory::KnownServer> servers;
@@ -53,7 +53,7 @@
 
 TEST(Choose, NoCandidateIsNoChoice)
 {
-    EXPECT_FALSE(choose({}, {}, Now));
+    EXPECT_FALSE(choose({}, {}, {}, Now));
 }
 
 TEST(Choose, OneAffinityGoesToOneServerOnAllVms)
@@ -126,11 +126,57 @@
     ServerLoad load;
     load.reported = 8;
     load.reportedAt = Now - milliseconds(200);
-    EXPECT_EQ(estimatedOpen(load, Now), 8);
+    EXPECT_EQ(estimatedOpen(load, {}, Now), 8);
     load.sentSinceReport = 2;
-    EXPECT_EQ(estimatedOpen(load, Now), 10);
+    EXPECT_EQ(estimatedOpen(load, {}, Now), 10);
     load.reportedAt = Now - std::chrono::seconds(10);
-    EXPECT_EQ(estimatedOpen(load, Now), 0);
+    EXPECT_EQ(estimatedOpen(load, {}, Now), 0);
+}
+
+/// A long prompt whose first 20,000 tokens server 0 keeps.
+struct CachedPrompt {
+    CachedPrompt()
+        : fleet(3)
+    {
+        input.zone = "here";
+        input.affinity = "dossier";
+        input.promptTokens = 24'000;
+        input.fetchableTokens = 20'000;
+    }
+
+    std::size_t pick() const
+    {
+        auto candidates = fleet.candidates();
+        candidates[0].cachedTokens = 20'000;
+        return *choose(candidates, input, {}, Now);
+    }
+
+    Fleet fleet;
+    ChoiceInput input;
+};
+
+TEST(Choose, ACachedPromptGoesWhereItIsCached)
+{
+    EXPECT_EQ(CachedPrompt().pick(), 0U);
+}
+
+TEST(Choose, ACachedPromptIsCopiedWhenItsServerHasMoreToReadThanTheCopyCosts)
+{
+    CachedPrompt prompt;
+    prompt.fleet.loads[0].promptTokensHere = 7'000;
+    EXPECT_EQ(prompt.pick(), 0U) << "copying 20,000 tokens costs more";
+    prompt.fleet.loads[0].promptTokensElsewhere = 3'000;
+    EXPECT_NE(prompt.pick(), 0U) << "what other VMs sent there waits before it too";
+}
+
+// Few requests are open, and the slots say nothing: one prompt of 40,000 tokens takes a second to read.
+TEST(Choose, LongPromptsThatWaitCountMoreThanOpenRequests)
+{
+    Fleet fleet(2);
+    fleet.loads[0].openHere = 4;
+    fleet.loads[1].openHere = 1;
+    fleet.loads[1].promptTokensHere = 40'000;
+    EXPECT_EQ(fleet.pick(""), 0U);
 }
 
 TEST(Choose, AnOutlierIsTakenOnlyWhenItIsTheLast)
--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -79,6 +79,10 @@
     Candidates, ///< Backend servers that could have been chosen.
     Outliers, ///< Of these.
     InARow, ///< Failures without an answer between.
+    Cached, ///< Prompt tokens that the server is believed to keep.
+    ToRead, ///< Prompt tokens that the server is believed to have to read.
+    WaitingTokens, ///< Prompt tokens that this VM has sent there and that wait to be read.
+    Source, ///< A server from whose cache a part of the prompt is copied.
     Left, ///< Of an allowance, in its unit.
     LimitPerSecond,
     HerePerSecond, ///< Asked by callers of this VM.
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -4,6 +4,7 @@
 #include "eventlog/eventlog.h"
 #include "forwarding/customerhooks.h"
 #include "forwarding/forwardingtypes.h"
+#include "forwarding/peerwork.h"
 #include "forwarding/serverpool.h"
 #include "forwarding/servicedemand.h"
 #include "forwarding/wireformat.h"
@@ -12,6 +13,7 @@
 #include "manifest/manifestkeeper.h"
 #include "metrics/metrics.h"
 #include "outliers/outlierdetector.h"
+#include "prefixindex/prefixindex.h"
 #include "retry/retrybudget.h"
 
 #include <functional>
@@ -36,6 +38,8 @@
     std::function<std::optional<std::size_t>()> vmCount;
     std::shared_ptr<ServiceDemand> demand;
     std::shared_ptr<outliers::OutlierDetector> outliers;
+    std::shared_ptr<prefixindex::PrefixIndex> prefixes;
+    std::shared_ptr<PeerWork> peerWork;
     WireFormat wire;
     ForwardingSettings settings;
 };
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -40,7 +40,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"manifest", "directory", "eventlog", "metrics", "platform", "presence", "allowance", "usage", "outliers"};
+        return {"manifest", "directory", "eventlog", "metrics", "platform", "presence", "allowance", "usage", "outliers", "prefixindex"};
     }
 
     Result<void> start(Context &context) override
@@ -61,10 +61,18 @@
         context.set(tools.demand);
         context.get<presence::Presence>()->contribute(
             [demand = tools.demand, loop = tools.loop](presence::Status &status) { status.services = demand->loads(loop->now()); });
+        tools.peerWork = std::make_shared<PeerWork>();
+        context.get<presence::Presence>()->contribute([pool](presence::Status &status) { status.works = pool->waitingWork(); });
+        context.get<presence::Presence>()->onStatus([work = tools.peerWork, loop = tools.loop](const presence::Status &status, std::optional<TimePoint>) {
+            if (!status.isPartial) {
+                work->takeTold(status.instance, status.works, loop->now());
+            }
+        });
         tools.vmCount = [presence = context.get<presence::Presence>()] {
             return presence->vmCount();
         };
         tools.outliers = context.get<outliers::OutlierDetector>();
+        tools.prefixes = context.get<prefixindex::PrefixIndex>();
         tools.wire = *context.get<WireFormat>();
         tools.settings = forwardingSettings(*settings->routes, settings->zone);
         GatewayTools gatewayTools;
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -1,6 +1,5 @@
 #include "forwarding/internal/forwardedrequest.h"
 
-#include "balancing/choose.h"
 #include "forwarding/internal/forwardinglimits.h"
 
 #include <xxhash.h>
@@ -70,6 +69,7 @@
 bool ForwardedRequest::readAndCheck()
 {
     request_ = tools_.wire.readRequest(exchange_->head());
+    prefixes_ = prefixindex::prefixesOf(request_.prompt);
     manifest_ = tools_.manifests->current();
     if (!manifest_) {
         refuse(StatusUnavailable, Reason::NoManifest, StaleRetryAfter);
@@ -191,42 +191,6 @@
     return headPassed_;
 }
 
-// The parts that other requests of the same session share: all but the last.
-std::string ForwardedRequest::affinity() const
-{
-    if (request_.prompt.size() < 2) {
-        return {};
-    }
-    return request_.prompt[request_.prompt.size() - 2].id;
-}
-
-ForwardedRequest::Choice ForwardedRequest::chooseServer() const
-{
-    Choice choice;
-    const auto servers = tools_.directory->usable(service_);
-    std::vector<balancing::Candidate> candidates;
-    candidates.reserve(servers.size());
-    for (const auto &server : servers) {
-        if (tried_.contains(server->server.instance)) {
-            continue;
-        }
-        const ServerEntry *entry = tools_.pool->find(server->server.instance);
-        const bool isOutlier = tools_.outliers->isOutlier(server->server.instance, service_);
-        choice.outliers += isOutlier ? 1 : 0;
-        candidates.push_back({server.get(), entry ? entry->load : balancing::ServerLoad(), isOutlier});
-    }
-    const std::string shared = affinity();
-    balancing::ChoiceInput input;
-    input.zone = tools_.settings.zone;
-    input.affinity = shared;
-    input.promptTokens = request_.promptTokens;
-    input.salt = XXH3_64bits(request_.id.data(), request_.id.size());
-    const auto chosen = balancing::choose(candidates, input, tools_.loop->now());
-    choice.candidates = candidates.size();
-    choice.server = chosen ? tools_.directory->find(candidates[*chosen].server->server.instance) : nullptr;
-    return choice;
-}
-
 void ForwardedRequest::dispatch()
 {
     if (timeLeft() < LeastTimeForSend) {
@@ -245,8 +209,9 @@
     refuse(StatusUnavailable, sends_ == 0 ? Reason::NoServer : Reason::ServersFull, FullRetryAfter);
 }
 
-DispatchFields ForwardedRequest::dispatchFields(const directory::ServerPtr &server) const
+DispatchFields ForwardedRequest::dispatchFields(const Choice &choice) const
 {
+    const directory::ServerPtr &server = choice.server;
     DispatchFields fields;
     fields.timeLeft = timeLeft();
     fields.serverName = server->server.name;
@@ -254,6 +219,7 @@
         fields.customer = customer_->name;
     }
     fields.kvSource = kvSource_;
+    fields.kvFetch = choice.fetchFrom;
     fields.lastEventId = splitter_.lastId().empty() ? request_.lastEventId : splitter_.lastId();
     return fields;
 }
@@ -268,8 +234,10 @@
     attempt_->sentAt = tools_.loop->now();
     attempt_->lastByteAt = attempt_->sentAt;
     attempt_->channel = tools_.pool->take(server->server);
-    tools_.pool->noteSent(server->server.instance, request_.promptTokens);
-    const std::string head = http1::encodeHead(tools_.wire.writeRequest(exchange_->head(), dispatchFields(server)), exchange_->body().size());
+    attempt_->tokensToRead = choice.tokensToRead;
+    tools_.pool->noteSent(server->server.instance, choice.tokensToRead);
+    tools_.prefixes->noteSent(prefixes_, server->server.instance);
+    const std::string head = http1::encodeHead(tools_.wire.writeRequest(exchange_->head(), dispatchFields(choice)), exchange_->body().size());
     http1::CallHandlers handlers;
     handlers.accepts = [this](const http1::ResponseHead &answer) {
         const std::string id = tools_.wire.readAnswer(answer).requestId;
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -3,6 +3,7 @@
 #include "forwarding/eventsplitter.h"
 #include "forwarding/forwarder.h"
 #include "http1/callclient.h"
+#include "prefixindex/prefixrules.h"
 
 #include <optional>
 #include <set>
@@ -31,6 +32,7 @@
         bool hasHead = false;
         bool hasFirstByte = false;
         bool failureNoted = false; ///< A failure, or its silence, has been counted against its server.
+        std::int64_t tokensToRead = 0; ///< Of the prompt, as it was thought when it was sent.
         TimePoint lastByteAt; ///< When it was sent, before the first byte.
     };
 
@@ -47,11 +49,22 @@
         directory::ServerPtr server; ///< Null if there is none.
         std::size_t candidates = 0;
         std::size_t outliers = 0;
+        std::int64_t cachedTokens = 0; ///< Of the prompt, believed to be in its cache.
+        std::int64_t tokensToRead = 0; ///< Of the prompt: neither cached there nor to be copied.
+        std::string fetchFrom; ///< "address:port" of a server to copy a part of the prompt's KV cache from; empty: none.
     };
     Choice chooseServer() const;
+    /// What the servers of the service are believed to keep of the prompt.
+    struct Cached {
+        std::int64_t tokens = 0; ///< The most that one server keeps.
+        directory::ServerPtr holder; ///< It; null if none keeps any.
+    };
+    Cached bestCached(const std::string &except) const;
+    directory::ServerPtr likelyHolder(const std::string &except) const;
+    void planReading(Choice &choice, std::int64_t cachedTokens) const;
     std::string affinity() const;
     void send(const Choice &choice);
-    DispatchFields dispatchFields(const directory::ServerPtr &server) const;
+    DispatchFields dispatchFields(const Choice &choice) const;
     void onHead(http1::ResponseHead head);
     void onBody(std::string_view part);
     void passEvents(std::string_view part);
@@ -100,6 +113,7 @@
     const ForwarderTools &tools_;
     http1::ExchangePtr exchange_;
     CallerRequest request_;
+    std::vector<prefixindex::Prefix> prefixes_; ///< Of its prompt, that other requests may share.
     manifest::ManifestPtr manifest_;
     const manifest::Route *route_ = nullptr;
     const manifest::Customer *customer_ = nullptr;
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -24,7 +24,7 @@
         attempt_->hasFirstByte = true;
         observeStep("first_byte");
         tools_.demand->noteFirstByte(service_, tools_.loop->now() - exchange_->startedAt(), route_->latencyGoal, tools_.loop->now());
-        tools_.pool->noteFirstByte(attempt_->server->server.instance, request_.promptTokens);
+        tools_.pool->noteFirstByte(attempt_->server->server.instance, attempt_->tokensToRead);
     }
     if (isStream() && attempt_->head.status == StatusOk && attempt_->answer.isSigned) {
         passEvents(part);
@@ -223,7 +223,7 @@
     }
     const std::string instance = attempt_->server->server.instance;
     if (!attempt_->hasFirstByte) {
-        tools_.pool->noteFirstByte(instance, request_.promptTokens);
+        tools_.pool->noteFirstByte(instance, attempt_->tokensToRead);
     }
     tools_.pool->noteEnded(instance);
     auto channel = std::move(attempt_->channel);
--- a/src/forwarding/internal/forwardedrequestmove.cpp
+++ b/src/forwarding/internal/forwardedrequestmove.cpp
@@ -99,7 +99,10 @@
     }
     kvSource_ = move.kvSource;
     tools_.metrics->retried(metrics::RetryReason::ServerLeaving);
-    send({move.to, 1, 0});
+    Choice choice;
+    choice.server = move.to;
+    choice.candidates = 1;
+    send(choice);
 }
 
 } // namespace cardamomlift::forwarding
--- /dev/null
+++ b/src/forwarding/internal/peerwork.cpp
@@ -0,0 +1,53 @@
+#include "forwarding/peerwork.h"
+
+#include <algorithm>
+
+namespace cardamomlift::forwarding {
+
+namespace {
+
+/// What an engine reads of waiting prompts in a second. Only how fast old news fades depends on it.
+constexpr double ReadPerSecond = 40'000;
+constexpr double MicrosecondsPerSecond = 1e6;
+
+} // namespace
+
+void PeerWork::drop(const std::string &vm)
+{
+    for (const std::uint64_t server : toldBy_[vm]) {
+        const auto found = servers_.find(server);
+        if (found == servers_.end()) {
+            continue;
+        }
+        found->second.erase(vm);
+        if (found->second.empty()) {
+            servers_.erase(found);
+        }
+    }
+    toldBy_.erase(vm);
+}
+
+void PeerWork::takeTold(const std::string &vm, std::span<const presence::ServerWork> works, TimePoint now)
+{
+    drop(vm);
+    for (const presence::ServerWork &work : works) {
+        servers_[work.server][vm] = {work.waitingTokens, now};
+        toldBy_[vm].push_back(work.server);
+    }
+}
+
+std::int64_t PeerWork::waitingTokens(std::uint64_t server, TimePoint now) const
+{
+    const auto found = servers_.find(server);
+    if (found == servers_.end()) {
+        return 0;
+    }
+    std::int64_t sum = 0;
+    for (const auto &[vm, told] : found->second) {
+        const double read = static_cast<double>((now - told.at).count()) / MicrosecondsPerSecond * ReadPerSecond;
+        sum += std::max<std::int64_t>(0, told.tokens - static_cast<std::int64_t>(read));
+    }
+    return sum;
+}
+
+} // namespace cardamomlift::forwarding
--- a/src/forwarding/internal/serverpool.cpp
+++ b/src/forwarding/internal/serverpool.cpp
@@ -139,6 +139,17 @@
     return sum;
 }
 
+std::vector<presence::ServerWork> ServerPool::waitingWork() const
+{
+    std::vector<presence::ServerWork> works;
+    for (const auto &[instance, entry] : entries_) {
+        if (entry.load.promptTokensHere > 0) {
+            works.push_back({presence::nameHash(instance), entry.load.promptTokensHere});
+        }
+    }
+    return works;
+}
+
 const std::map<std::string, ServerEntry> &ServerPool::entries() const
 {
     return entries_;
--- a/src/forwarding/serverpool.h
+++ b/src/forwarding/serverpool.h
@@ -4,6 +4,7 @@
 #include "directory/directory.h"
 #include "forwarding/wireformat.h"
 #include "http1/backendchannel.h"
+#include "presence/presencetypes.h"
 
 #include <map>
 #include <memory>
@@ -46,6 +47,8 @@
     /// Empty if nothing was heard yet.
     std::optional<TimePoint> heardAt(const std::string &instance) const;
     std::size_t openChannels() const;
+    /// What waits to be read at each server, for the other VMs.
+    std::vector<presence::ServerWork> waitingWork() const;
     const std::map<std::string, ServerEntry> &entries() const;
     /// Forgets servers that are no longer listed, and idle channels that the server will close soon.
     void tick();
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -143,6 +143,29 @@
     EXPECT_NE(client->received().find("data: c"), std::string::npos);
 }
 
+TEST_F(ForwarderTest, APromptThatAServerKeepsGoesThereAndIsCopiedWhenThatOneLeaves)
+{
+    const std::string prompt = "X-Token-Usage: 9000,80\r\nX-Prompt-Prefix: aa:8000,bb:1000\r\nKv-Fetch: 10.9.9.9:1\r\n";
+    std::vector<std::unique_ptr<http1::RawClient>> clients;
+    std::string holder;
+    for (int i = 0; i < 4; i++) {
+        clients.push_back(call(request("/stream/1", prompt)));
+        const auto exchange = next();
+        const std::string server(exchange->head().fields.get("X-Expect-Instance"));
+        EXPECT_NE(exchange->head().fields.get("Kv-Fetch"), "10.9.9.9:1") << "a caller may not name a source";
+        holder = holder.empty() ? server : holder;
+        EXPECT_EQ(server, holder);
+        exchange->answer(signedHead(), "id: 1\ndata: a\n\n");
+        ASSERT_TRUE(runUntil([&] { return !clients.back()->received().empty(); }));
+    }
+    reclaim(holder);
+    clients.push_back(call(request("/stream/1", prompt)));
+    const auto moved = next();
+    EXPECT_NE(moved->head().fields.get("X-Expect-Instance"), holder);
+    EXPECT_EQ(moved->head().fields.get("Kv-Fetch"), "127.0.0.1:" + std::to_string(backends_[holder].server->port()));
+    EXPECT_NE(lines_.find("\"to_read\":1000"), std::string::npos) << "only the last part";
+}
+
 TEST_F(ForwarderTest, ARunThatCanNotMoveGoesOnAsFarAsItGets)
 {
     const auto client = call(request("/stream/1"));
--- a/src/forwarding/tests/forwardertest.h
+++ b/src/forwarding/tests/forwardertest.h
@@ -67,6 +67,8 @@
         tools.metrics = metrics::Metrics::create();
         tools.demand = std::make_shared<ServiceDemand>();
         tools.outliers = outliers::OutlierDetector::create(*loop_, log_);
+        tools.peerWork = std::make_shared<PeerWork>();
+        tools.prefixes = prefixindex::PrefixIndex::create(*loop_);
         tools.allowances = gate_;
         tools.wire = platform::requestFormat();
         tools.settings.zone = "zone";
--- a/src/forwarding/wireformat.h
+++ b/src/forwarding/wireformat.h
@@ -36,6 +36,7 @@
     std::string customer; ///< Empty: none.
     std::optional<int> priority; ///< 0 is first.
     std::string lastEventId; ///< Go on behind this event.
+    std::string kvFetch; ///< "address:port" of a server to copy cached parts of the prompt from; empty: none.
     std::string kvSource; ///< Where the KV cache of the run lies: "address:port/handle"; empty: nowhere.
 };
 
--- /dev/null
+++ b/src/prefixindex/tests/prefixindex_test.cpp
@@ -0,0 +1,95 @@
+#include "prefixindex/prefixindex.h"
+#include "prefixindex/prefixrules.h"
+
+#include <gtest/gtest.h>
+
+namespace cardamomlift::prefixindex {
+
+namespace {
+
+using forwarding::PromptPart;
+
+const std::vector<PromptPart> Prompt{{"shared", 2500}, {"dossier", 3800}, {"own", 2900}};
+
+TEST(PrefixRules, TheLastPartIsNobodyElses)
+{
+    const auto prefixes = prefixesOf(Prompt);
+    ASSERT_EQ(prefixes.size(), 2U);
+    EXPECT_EQ(prefixes[0].tokens, 2500);
+    EXPECT_EQ(prefixes[1].tokens, 6300);
+    EXPECT_TRUE(prefixesOf(std::vector<PromptPart>{{"own", 100}}).empty());
+    EXPECT_TRUE(prefixesOf({}).empty());
+}
+
+TEST(PrefixRules, APartCountsOnlyBehindTheSameParts)
+{
+    const auto one = prefixesOf(Prompt);
+    const auto other = prefixesOf(std::vector<PromptPart>{{"else", 2500}, {"dossier", 3800}, {"own", 2900}});
+    EXPECT_NE(one[0].hash, other[0].hash);
+    EXPECT_NE(one[1].hash, other[1].hash) << "a cache keeps it only with all parts before it";
+}
+
+class PrefixIndexTest : public testing::Test
+{
+protected:
+    PrefixIndexTest()
+        : prefixes_(prefixesOf(Prompt))
+        , loop_(std::move(EventLoop::create(clock_).value()))
+        , index_(PrefixIndex::create(*loop_))
+    {
+    }
+
+    std::vector<Prefix> prefixes_;
+    ManualClock clock_;
+    std::unique_ptr<EventLoop> loop_;
+    std::shared_ptr<PrefixIndex> index_;
+};
+
+TEST_F(PrefixIndexTest, KnowsTheLongestPrefixOfEachServer)
+{
+    index_->noteSent(std::span(prefixes_).first(1), "a");
+    index_->noteSent(prefixes_, "b");
+    EXPECT_EQ(index_->heldTokens(prefixes_, "a"), 2500);
+    EXPECT_EQ(index_->heldTokens(prefixes_, "b"), 6300);
+    EXPECT_EQ(index_->heldTokens(prefixes_, "c"), 0);
+}
+
+TEST_F(PrefixIndexTest, HearsFromOtherVms)
+{
+    const auto other = PrefixIndex::create(*loop_);
+    other->noteSent(prefixes_, "a");
+    index_->takeTold(other->told());
+    EXPECT_EQ(index_->heldTokens(prefixes_, "a"), 6300);
+    EXPECT_TRUE(index_->told().empty()) << "what was heard is not told again";
+}
+
+TEST_F(PrefixIndexTest, ForgetsWhatNobodyUses)
+{
+    index_->noteSent(prefixes_, "a");
+    clock_.advance(std::chrono::seconds(29));
+    index_->tick();
+    EXPECT_EQ(index_->heldTokens(prefixes_, "a"), 6300);
+    EXPECT_TRUE(index_->told().empty()) << "old news";
+    clock_.advance(std::chrono::seconds(2));
+    index_->tick();
+    EXPECT_EQ(index_->size(), 0U);
+}
+
+// A caller that makes up a new prompt for each request must not cost memory or datagrams without bound.
+TEST_F(PrefixIndexTest, StaysBoundedUnderPromptsThatNeverComeAgain)
+{
+    for (int i = 0; i < 30'000; i++) {
+        const auto prefixes = prefixesOf(std::vector<PromptPart>{{std::to_string(i), 10}, {"own", 1}});
+        index_->noteSent(prefixes, "a");
+    }
+    EXPECT_LE(index_->size(), 20'000U);
+    EXPECT_LE(index_->told().size(), 32U);
+    for (int i = 0; i < 100; i++) {
+        index_->noteSent(prefixes_, "server-" + std::to_string(i));
+    }
+    EXPECT_LE(index_->told().size(), 32U);
+}
+
+} // namespace
+
+} // namespace cardamomlift::prefixindex
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -145,6 +145,16 @@
         entry->set_lateness(static_cast<float>(load.lateness));
         entry->set_answers_per_second(static_cast<float>(load.answersPerSecond));
     }
+    for (const PrefixUse &use : status.prefixes) {
+        auto *entry = out.add_prefixes();
+        entry->set_prefix(use.prefix);
+        entry->set_server(use.server);
+    }
+    for (const ServerWork &work : status.works) {
+        auto *entry = out.add_works();
+        entry->set_server(work.server);
+        entry->set_waiting_tokens(static_cast<std::uint32_t>(std::clamp<std::int64_t>(work.waitingTokens, 0, UINT32_MAX)));
+    }
     for (const std::uint64_t suspect : status.suspects) {
         out.add_suspects(suspect);
     }
@@ -196,6 +206,12 @@
     for (const auto &entry : in.services()) {
         status.services.push_back({entry.service(), entry.prompt_tokens_per_second(), entry.open(), entry.lateness(), entry.answers_per_second()});
     }
+    for (const auto &entry : in.prefixes()) {
+        status.prefixes.push_back({entry.prefix(), entry.server()});
+    }
+    for (const auto &entry : in.works()) {
+        status.works.push_back({entry.server(), entry.waiting_tokens()});
+    }
     status.suspects.assign(in.suspects().begin(), in.suspects().end());
     status.holdsLease = in.holds_lease();
     status.isDraining = in.draining();
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -47,6 +47,18 @@
     double answersPerSecond = 0;
 };
 
+/// A request with a prefix of a prompt went to a backend server.
+struct PrefixUse {
+    std::uint64_t prefix = 0; ///< Hash of the prefix, the same on all VMs.
+    std::uint64_t server = 0; ///< nameHash() of the instance.
+};
+
+/// Work that one entry VM has sent to a backend server.
+struct ServerWork {
+    std::uint64_t server = 0; ///< nameHash() of the instance.
+    std::int64_t waitingTokens = 0; ///< Of prompts whose answers have not begun.
+};
+
 /// What one entry VM tells the others.
 struct Status {
     std::string instance;
@@ -60,6 +72,8 @@
     std::vector<UsageCount> usage;
     std::vector<ServerOutcomes> outcomes;
     std::vector<ServiceLoad> services;
+    std::vector<PrefixUse> prefixes; ///< Of the last seconds.
+    std::vector<ServerWork> works; ///< Servers where work waits.
     std::vector<std::uint64_t> suspects; ///< Hashes of requests that crash servers.
     bool holdsLease = false;
     bool isFast = false; ///< It follows the store for others, and tells them of it in each round.
