Let a VM that the store turns away pass its turn for the lease, and take one's own again at once

After a restart of all VMs the first waited out the lease of its own earlier process, 5 s without orders. Change: a status tells that the sender's calls for the lease fail; a row that names this VM's earlier process is taken at once. Ruled out: a shorter wait of the others. It is what keeps two holders from acting in turns. Tests: DutiesTest.AVmThatTheStoreTurnsAwayDoesNotKeepTheOthersFromTheLease, .AHolderThatStartsAgainTakesItsLeaseAtOnce.

--- a/src/duties/dutylease.h
+++ b/src/duties/dutylease.h
@@ -56,6 +56,7 @@
     bool holds_ = false;
     bool writing_ = false;
     bool reading_ = false;
+    bool lacksStore_ = false; ///< The last call for the lease failed.
     bool ended_ = false; ///< Released; never taken again by this process.
     LeaseRow row_;
     std::uint64_t version_ = 0; ///< Of the row as it was written or seen last.
--- a/src/duties/internal/dutylease.cpp
+++ b/src/duties/internal/dutylease.cpp
@@ -38,6 +38,7 @@
     raw->tools_.presence->contribute([weak = std::weak_ptr<DutyLease>(lease)](presence::Status &status) {
         const auto self = weak.lock();
         status.holdsLease = self && self->holds_ && !self->ended_;
+        status.lacksStore = self && self->lacksStore_;
     });
     return lease;
 }
@@ -62,12 +63,12 @@
     return row_;
 }
 
-// The first by name of those that run, so that they do not all try at once.
+// The first by name of those that run and reach the store, so that they do not all try at once.
 bool DutyLease::isMyTurn() const
 {
     const TimePoint now = tools_.loop->now();
     for (const auto &[instance, peer] : tools_.presence->peers()) {
-        const bool runs = peer.heardAt && now - *peer.heardAt <= RunningWithin && peer.status && !peer.status->isDraining;
+        const bool runs = peer.heardAt && now - *peer.heardAt <= RunningWithin && peer.status && !peer.status->isDraining && !peer.status->lacksStore;
         const bool holds = peer.heardAt && now - *peer.heardAt <= HolderSilence && peer.status && peer.status->holdsLease;
         if (holds || (runs && instance < tools_.presence->instance())) {
             return false;
@@ -127,6 +128,7 @@
 
 void DutyLease::takeRow(const rows::ReadResult &result)
 {
+    lacksStore_ = result.failure != rows::StoreFailure::None;
     if (result.failure != rows::StoreFailure::None || ended_ || holds_) {
         return;
     }
@@ -142,7 +144,9 @@
     }
     // NOTE Measured from when the question was sent, for the wait of the next holder to cover the whole lease of the last.
     const bool wasUnchanged = seenAt_ && version_ == found->version && result.askedAt - *seenAt_ >= tools_.length + TakeMargin;
-    if (before.isReleased || wasUnchanged) {
+    // An earlier process of this VM is over, and acts no more.
+    const bool wasOurs = before.holder == tools_.presence->instance();
+    if (before.isReleased || wasOurs || wasUnchanged) {
         tryTake(before, found->version);
         return;
     }
@@ -192,6 +196,7 @@
 
 void DutyLease::onWritten(const LeaseRow &row, TimePoint sentAt, const rows::WriteResult &result, const std::function<void(bool written)> &done)
 {
+    lacksStore_ = result.outcome == rows::WriteOutcome::NotWritten || result.outcome == rows::WriteOutcome::Unknown;
     if (result.outcome == rows::WriteOutcome::Written) {
         if (!holds_) {
             tools_.log->write(Event::LeaseTaken, {{Attribute::Fence, static_cast<std::int64_t>(row.fence)}});
--- a/src/duties/tests/duties_test.cpp
+++ b/src/duties/tests/duties_test.cpp
@@ -16,20 +16,26 @@
 
 constexpr Duration Lease = seconds(3);
 
-/// No datagram arrives: what the VMs agree on goes through the store alone.
-class NoDatagrams : public presence::Datagrams
+/// Datagrams arrive at all VMs that are connected, and at none by default: then what they agree on goes through the store.
+class TestDatagrams : public presence::Datagrams
 {
 public:
     void send(const http1::Endpoint &, std::string_view bytes) override
     {
         last = bytes;
+        for (TestDatagrams *peer : connected) {
+            peer->handler(bytes);
+        }
     }
 
-    void onDatagram(Handler) override
+    void onDatagram(Handler handler_) override
     {
+        handler = std::move(handler_);
     }
 
     std::string last; ///< What was sent last.
+    Handler handler;
+    std::vector<TestDatagrams *> connected; ///< Peers drop what is not for them by the sender's name.
 };
 
 /// What the platform has been told, by all VMs.
@@ -67,7 +73,7 @@
 /// One VM: its own store client, so that it can be cut off alone.
 struct Vm {
     std::shared_ptr<rows::MemoryRowStore> store;
-    std::shared_ptr<NoDatagrams> datagrams;
+    std::shared_ptr<TestDatagrams> datagrams;
     std::shared_ptr<presence::Presence> presence;
     std::shared_ptr<presence::TrueTime> time;
     std::shared_ptr<usage::UsageCounter> usage;
@@ -97,7 +103,7 @@
         presence::PresenceTools presenceTools;
         presenceTools.loop = loop_.get();
         presenceTools.store = vm.store;
-        vm.datagrams = std::make_shared<NoDatagrams>();
+        vm.datagrams = std::make_shared<TestDatagrams>();
         presenceTools.datagrams = vm.datagrams;
         presenceTools.log = log_;
         presenceTools.instance = instance;
@@ -180,6 +186,37 @@
     EXPECT_GT(two.lease->fence(), one.lease->fence());
 }
 
+// The first by name is the holder, and is turned away by the store while the others hear it.
+TEST_F(DutiesTest, AVmThatTheStoreTurnsAwayDoesNotKeepTheOthersFromTheLease)
+{
+    const Vm one = start("1");
+    pass(seconds(1));
+    ASSERT_TRUE(one.lease->mayAct());
+    const Vm two = start("2");
+    one.datagrams->connected = {two.datagrams.get()};
+    two.datagrams->connected = {one.datagrams.get()};
+    pass(seconds(2));
+    one.store->faults.down = true;
+    pass(Lease * 3, [&] { EXPECT_FALSE(one.lease->mayAct() && two.lease->mayAct()); });
+    EXPECT_TRUE(two.lease->mayAct());
+    one.store->faults.down = false;
+    pass(seconds(5), [&] { EXPECT_FALSE(one.lease->mayAct() && two.lease->mayAct()); });
+    EXPECT_TRUE(two.lease->mayAct()) << "it keeps what it has";
+}
+
+TEST_F(DutiesTest, AHolderThatStartsAgainTakesItsLeaseAtOnce)
+{
+    Vm one = start("1");
+    pass(seconds(1));
+    ASSERT_TRUE(one.lease->mayAct());
+    const std::uint64_t fence = one.lease->fence();
+    one = Vm();
+    const Vm again = start("1");
+    pass(seconds(1));
+    EXPECT_TRUE(again.lease->mayAct()) << "nobody else can act before, and its earlier process is over";
+    EXPECT_GT(again.lease->fence(), fence);
+}
+
 TEST_F(DutiesTest, AHolderThatWasSuspendedKnowsItBeforeItActs)
 {
     const Vm one = start("1");
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -51,6 +51,7 @@
     std::copy_if(
         status.demands.begin(), status.demands.end(), std::back_inserter(partial.demands), [](const CustomerDemand &demand) { return demand.isPressed; });
     partial.holdsLease = status.holdsLease;
+    partial.lacksStore = status.lacksStore;
     partial.isDraining = status.isDraining;
     partial.isPartial = true;
     return partial;
@@ -315,6 +316,7 @@
     peer.status->storeBack = status.storeBack;
     peer.status->isFast = status.isFast;
     peer.status->holdsLease = status.holdsLease;
+    peer.status->lacksStore = status.lacksStore;
     peer.status->isDraining = status.isDraining;
 }
 
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -159,6 +159,7 @@
         out.add_suspects(suspect);
     }
     out.set_holds_lease(status.holdsLease);
+    out.set_lacks_store(status.lacksStore);
     out.set_draining(status.isDraining);
     out.set_partial(status.isPartial);
     out.set_fast(status.isFast);
@@ -214,6 +215,7 @@
     }
     status.suspects.assign(in.suspects().begin(), in.suspects().end());
     status.holdsLease = in.holds_lease();
+    status.lacksStore = in.lacks_store();
     status.isDraining = in.draining();
     status.isPartial = in.partial();
     status.isFast = in.fast();
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -76,6 +76,7 @@
     std::vector<ServerWork> works; ///< Servers where work waits.
     std::vector<std::uint64_t> suspects; ///< Hashes of requests that crash servers.
     bool holdsLease = false;
+    bool lacksStore = false; ///< Its calls for the lease fail: it is not the one to take it.
     bool isFast = false; ///< It follows the store for others, and tells them of it in each round.
     bool isDraining = false;
     bool isPartial = false; ///< Holds only tables and storeBack; the rest is as the sender told it last.
