Cover the next reclaim for half of the need again, and order by a list that has stopped growing

Change: KeptAfterReclaim 0.5; before the first request a list that grew within 1.5 s may lack servers.

--- a/src/duties/internal/orderkeeper.cpp
+++ b/src/duties/internal/orderkeeper.cpp
@@ -21,9 +21,9 @@
 
 /// A new holder looks on before it orders more reclaimable servers: by then it has read the list and heard of its peers.
 constexpr Duration FirstLook = std::chrono::milliseconds(500);
-/// And so long before it says anything else. When all start together, servers come into the list over more than a second;
-/// an order by a list that lacks some sends those away: of 60 ordinary servers 12 were left, and a third of the requests
-/// of the first six seconds failed.
+/// And so long before it says anything else, also after the list has grown before the first request. When all start
+/// together, servers come into the list over seconds; an order by a list that lacks some sends those away: of 60 ordinary
+/// servers 12 were left, and a third of the requests of the first six seconds failed.
 constexpr Duration ListFills = std::chrono::milliseconds(1500);
 
 PresentServers presentServers(std::span<const ZoneServers> zones)
@@ -72,7 +72,7 @@
     if (fence_ != tools_.lease->fence()) {
         fence_ = tools_.lease->fence();
         said_.clear();
-        needs_.clear();
+        remembered_.clear();
         heldSince_ = tools_.loop->now();
     }
     if (tools_.loop->now() - heldSince_ < FirstLook) {
@@ -125,20 +125,36 @@
 {
     const auto zones = countServers(service);
     const double need = neededServers(fleetLoad(service.name), service);
-    const PlanGoal goal = updateGoal(needs_[service.name], need, presentServers(zones), zones.size(), *service.scaling, tools_.loop->now());
+    const PresentServers present = presentServers(zones);
+    Remembered &remembered = remembered_[service.name];
+    const bool isListShort = mayLackServers(remembered, present, need);
+    const PlanGoal goal = updateGoal(remembered.need, need, present, zones.size(), *service.scaling, tools_.loop->now());
     for (const ServerOrder &order : planOrders(service.name, *service.scaling, zones, goal)) {
         const auto zone = std::find_if(zones.begin(), zones.end(), [&](const ZoneServers &entry) { return entry.zone == order.zone; });
-        const int present = order.isReclaimable ? zone->reclaimable : zone->ordinary;
-        if (isDue(said_[{order.service, order.zone, order.isReclaimable}], order, present, *service.scaling)) {
-            say(order, present);
+        const int there = order.isReclaimable ? zone->reclaimable : zone->ordinary;
+        if (isListShort && !(order.isReclaimable && order.wanted > there)) {
+            continue;
+        }
+        if (isDue(said_[{order.service, order.zone, order.isReclaimable}], order, there, *service.scaling)) {
+            say(order, there);
         }
     }
 }
 
+bool OrderKeeper::mayLackServers(Remembered &remembered, const PresentServers &present, double need) const
+{
+    const TimePoint now = tools_.loop->now();
+    if (present.ordinary > remembered.mostOrdinary) {
+        remembered.mostOrdinary = present.ordinary;
+        remembered.listGrewAt = now;
+    }
+    const bool isGrowing = need <= 0 && now - remembered.listGrewAt < ListFills;
+    return isGrowing || now - heldSince_ < ListFills;
+}
+
 bool OrderKeeper::isDue(const Said &said, const ServerOrder &order, int present, const manifest::Scaling &scaling) const
 {
-    const bool isCareful = tools_.loop->now() - heldSince_ < ListFills;
-    if (said.isOpen || (isCareful && !(order.isReclaimable && order.wanted > present))) {
+    if (said.isOpen) {
         return false;
     }
     if (said.wanted != order.wanted) {
--- a/src/duties/internal/orderplan.cpp
+++ b/src/duties/internal/orderplan.cpp
@@ -19,14 +19,16 @@
     std::vector<ServerOrder> orders;
     std::vector<const ZoneServers *> byPrice;
     int reclaimable = 0;
+    int worstLoss = 0;
     for (const ZoneServers &zone : zones) {
         byPrice.push_back(&zone);
         reclaimable += zone.reclaimable;
+        worstLoss = std::max(worstLoss, zone.reclaimable);
         orders.push_back({service, zone.zone, true, std::min(goal.reclaimablePerZone, scaling.most)});
     }
     std::stable_sort(
         byPrice.begin(), byPrice.end(), [&](const ZoneServers *a, const ZoneServers *b) { return priceOf(scaling, a->zone) < priceOf(scaling, b->zone); });
-    int missing = goal.servers - reclaimable;
+    int missing = std::max(goal.servers - reclaimable, goal.serversAfterReclaim - (reclaimable - worstLoss));
     // One in each failure domain before a second in the cheapest: a server that is near, and less lost with one of them.
     std::vector<int> ordinary(byPrice.size(), 0);
     bool placed = true;
--- a/src/duties/internal/servergoal.cpp
+++ b/src/duties/internal/servergoal.cpp
@@ -31,6 +31,11 @@
 /// at first, and the rest once there was load, the ordinary ones stayed six seconds longer (0.018 of what is owed in a
 /// minute, on three deployments 0.010 to 0.019).
 constexpr double StartReserve = 2;
+/// The part of the need that the next reclaim must leave: while reclaimable servers are not to be had, one failure domain
+/// after the other loses them, and ordinary ones take seconds to start. 0.7 cost 0.005 more of what is owed than this in
+/// the mean of 25 plays on three deployments each; nothing at all cost the same as this, but on a day on which the orders
+/// failed in the third reclaim five of twelve servers were left for eight seconds.
+constexpr double KeptAfterReclaim = 0.5;
 /// Reclaimable servers in each failure domain at least.
 constexpr int LeastReclaimable = 2;
 constexpr double MicrosecondsPerSecond = 1e6;
@@ -86,6 +91,7 @@
     }
     PlanGoal goal;
     goal.servers = memory.servers;
+    goal.serversAfterReclaim = static_cast<int>(std::ceil(memory.servers * KeptAfterReclaim));
     const int reclaimable = static_cast<int>(std::lround(memory.longTerm * ReclaimableReserve / places));
     goal.reclaimablePerZone = std::clamp(reclaimable, std::min(LeastReclaimable, scaling.most), std::max(1, scaling.most));
     return goal;
--- a/src/duties/orderkeeper.h
+++ b/src/duties/orderkeeper.h
@@ -45,18 +45,25 @@
         TimePoint at;
         bool isOpen = false;
     };
+    /// What is remembered of one service.
+    struct Remembered {
+        NeedMemory need;
+        int mostOrdinary = 0; ///< Servers that the list has shown at once.
+        TimePoint listGrewAt;
+    };
     explicit OrderKeeper(OrderTools tools);
     void tick();
     void planService(const manifest::Service &service);
     FleetLoad fleetLoad(const std::string &service) const;
     std::vector<ZoneServers> countServers(const manifest::Service &service) const;
     bool isDue(const Said &said, const ServerOrder &order, int present, const manifest::Scaling &scaling) const;
+    bool mayLackServers(Remembered &remembered, const PresentServers &present, double need) const;
     void say(const ServerOrder &order, int present);
     OrderTools tools_;
     std::uint64_t fence_ = 0; ///< Of the lease under which said_ was learned.
     TimePoint heldSince_;
     std::map<Subject, Said> said_;
-    std::map<std::string, NeedMemory> needs_; ///< By service.
+    std::map<std::string, Remembered> remembered_; ///< By service.
     TimerId timer_ = 0;
 };
 
--- a/src/duties/orderplan.h
+++ b/src/duties/orderplan.h
@@ -20,6 +20,7 @@
 /// What a plan must hold.
 struct PlanGoal {
     int servers = 0; ///< That must be ready, of either kind, in all failure domains together.
+    int serversAfterReclaim = 0; ///< That must be left when the failure domain with the most reclaimable ones loses them.
     int reclaimablePerZone = 0; ///< Kept while they are to be had: cheap, so more than the goal needs.
 };
 
--- a/src/duties/tests/duties_test.cpp
+++ b/src/duties/tests/duties_test.cpp
@@ -432,10 +432,10 @@
 TEST(OrderPlan, OrdinaryServersMakeUpForMissingReclaimableOnesOnly)
 {
     std::vector<ZoneServers> zones{{"a", 3, 3}, {"b", 3, 3}, {"c", 3, 3}, {"d", 3, 3}};
-    EXPECT_EQ(sumOf(planOrders("s", scaling(), zones, {8, 3}), false), 0);
+    EXPECT_EQ(sumOf(planOrders("s", scaling(), zones, {8, 0, 3}), false), 0);
     zones[0].reclaimable = 0;
     zones[1].reclaimable = 0;
-    const auto orders = planOrders("s", scaling(), zones, {8, 3});
+    const auto orders = planOrders("s", scaling(), zones, {8, 0, 3});
     EXPECT_EQ(sumOf(orders, false), 2);
     EXPECT_EQ(sumOf(orders, true), 12);
     for (const ServerOrder &order : orders) {
@@ -443,13 +443,12 @@
     }
 }
 
-// A server that is bought for a reclaim that may come costs five times a reclaimable one all the while; one that is bought
-// at the notice serves two seconds after the others have gone.
-TEST(OrderPlan, NoOrdinaryServerIsBoughtBeforeOneIsMissing)
+TEST(OrderPlan, TheNextReclaimIsCoveredBeforeItComes)
 {
+    // Two failure domains have lost theirs; the third would leave four.
     const std::vector<ZoneServers> zones{{"a", 0, 0}, {"b", 0, 0}, {"c", 0, 6}, {"d", 0, 4}};
-    EXPECT_EQ(sumOf(planOrders("s", scaling(), zones, {10, 3}), false), 0);
-    EXPECT_EQ(sumOf(planOrders("s", scaling(), zones, {11, 3}), false), 1);
+    EXPECT_EQ(sumOf(planOrders("s", scaling(), zones, {10, 0, 3}), false), 0);
+    EXPECT_EQ(sumOf(planOrders("s", scaling(), zones, {10, 7, 3}), false), 3);
 }
 
 TEST(OrderPlan, NeverOrdersMoreThanAFailureDomainMayHold)
@@ -458,7 +457,7 @@
         for (int reclaimable = 0; reclaimable <= 6; reclaimable++) {
             for (int leaving = 0; leaving <= 6; leaving++) {
                 const std::vector<ZoneServers> zones{{"a", 0, reclaimable, leaving}, {"b", 2, 0, 0}, {"c", 0, 6, 0}, {"d", 0, 0, 6}};
-                const auto orders = planOrders("s", scaling(), zones, {need, 3});
+                const auto orders = planOrders("s", scaling(), zones, {need, need, 3});
                 for (const ServerOrder &order : orders) {
                     const auto zone = std::find_if(zones.begin(), zones.end(), [&](const ZoneServers &entry) { return entry.zone == order.zone; });
                     EXPECT_LE(order.wanted + (order.isReclaimable ? 0 : zone->reclaimable), 6);
@@ -558,7 +557,7 @@
         server.service = "models";
         server.zone = std::string(1, static_cast<char>('a' + i % 4));
         servers->put(std::move(server));
-        pass(milliseconds(20));
+        pass(milliseconds(60));
     }
     pass(seconds(3));
     EXPECT_GT(sumOf(record_.orders, true), 0) << "their successors are ordered early";
