Let each VM pass the same part of what a customer over its limit asks

Cause: a VM's part of a low bucket was saved up by what its callers asked at that moment.

Now the part that fits, limit over what is asked of all VMs, is the same for each request at each VM. Tests of 288 VMs in groups, and all older ones unchanged but for the call's new arguments; the test of the Retry-After sets the level in place of the saved part, which is gone.

Figures on a site: none yet.

--- a/src/allowance/allowancekeeper.h
+++ b/src/allowance/allowancekeeper.h
@@ -24,10 +24,10 @@
     Account &accountOf(std::uint64_t customer);
     void fill(presence::Status &status);
     void takeStatus(const presence::Status &status);
+    void forgetPeers();
     EventLoop &loop_;
     std::shared_ptr<presence::Presence> presence_;
     TimePoint startedAt_;
-    std::unordered_map<std::uint64_t, double> bursts_; ///< As declared, by the same hash.
     std::unordered_map<std::uint64_t, Account> accounts_; ///< By the hash of the customer's name.
 };
 
--- a/src/allowance/internal/allowancekeeper.cpp
+++ b/src/allowance/internal/allowancekeeper.cpp
@@ -2,15 +2,15 @@
 
 #include "allowance/allowancerules.h"
 
+#include <cmath>
+
 namespace cardamomlift::allowance {
 
 namespace {
 
-/// Below this part of its burst a customer's use is told to all VMs in each round, not only in full statuses: with 79 VMs
-/// these come every 1.4 s, and seven times the usual load let a tenth too much pass in that time.
-constexpr double PressedPart = 0.9;
 /// A young process that does not know how many VMs there are takes no more than one of so many.
 constexpr std::size_t VmsWhileUnknown = 16;
+constexpr int HashBits = 64;
 
 } // namespace
 
@@ -35,6 +35,11 @@
             self->takeStatus(status);
         }
     });
+    keeper->presence_->onRegrouped([weak] {
+        if (const auto self = weak.lock()) {
+            self->forgetPeers();
+        }
+    });
     return keeper;
 }
 
@@ -51,6 +56,7 @@
         place->second.beganAt = startedAt_;
         place->second.updatedAt = startedAt_;
         place->second.askedAt = loop_.now();
+        place->second.turn = std::ldexp(static_cast<double>(customer ^ presence_->incarnation()), -HashBits);
     }
     return place->second;
 }
@@ -60,17 +66,16 @@
     const TimePoint now = loop_.now();
     Account &books = account(customer.name);
     const auto asked = static_cast<double>(amount);
-    bursts_[presence::nameHash(customer.name)] = customer.allowance.burst;
     noteAsked(books, asked, now);
     const std::size_t vms = presence_->vmCount().value_or(VmsWhileUnknown);
-    refill(books, customer.allowance, vms, now);
+    refill(books, customer.allowance, now);
     forwarding::AllowanceVerdict verdict;
     verdict.asked = amount;
     verdict.left = static_cast<std::int64_t>(availableLevel(books, now));
     verdict.limitPerSecond = static_cast<std::int64_t>(customer.allowance.perSecond);
     verdict.hereAskedPerSecond = static_cast<std::int64_t>(askedNow(books, now));
     verdict.elsewhereAskedPerSecond = static_cast<std::int64_t>(peersAskedNow(books, now));
-    verdict.isAllowed = allowance::take(books, customer.allowance, asked, now);
+    verdict.isAllowed = allowance::take(books, customer.allowance, vms, asked, now);
     if (!verdict.isAllowed) {
         verdict.retryAfter = timeUntilRoom(books, customer.allowance, vms, now);
     }
@@ -88,9 +93,7 @@
 {
     const TimePoint now = loop_.now();
     for (const auto &[customer, books] : accounts_) {
-        const auto burst = bursts_.find(customer);
-        const bool isPressed = burst != bursts_.end() && availableLevel(books, now) < PressedPart * burst->second;
-        status.demands.push_back({customer, askedNow(books, now), books.taken, isPressed});
+        status.demands.push_back({customer, askedNow(books, now), books.taken});
     }
 }
 
@@ -98,7 +101,15 @@
 {
     const TimePoint now = loop_.now();
     for (const presence::CustomerDemand &demand : status.demands) {
-        notePeer(accountOf(demand.customer), status.instance, {status.incarnation, demand.taken, demand.perSecond, now, status.upFor});
+        const bool isGroup = !status.summaryOf.empty();
+        notePeer(accountOf(demand.customer), status.instance, {status.incarnation, demand.taken, demand.perSecond, now, status.upFor, isGroup});
+    }
+}
+
+void AllowanceKeeper::forgetPeers()
+{
+    for (auto &[customer, books] : accounts_) {
+        allowance::forgetPeers(books, loop_.now());
     }
 }
 
--- a/src/allowance/internal/allowancerules.cpp
+++ b/src/allowance/internal/allowancerules.cpp
@@ -13,6 +13,10 @@
 /// Below this part of the burst nobody takes: what the VMs took before they heard of each other is waited for, whoever
 /// took it. Each of many VMs may leave a debt of one request, which together is more than the customer may have.
 constexpr double EmptyPart = 0.1;
+/// Between the two, so much of the refill is let through where each VM tells of itself: what one long prompt takes, a quarter
+/// of a burst, comes back only by requests that are refused, and the level below which nobody takes bounds the rest. Eight VMs
+/// at four times the limit give 0.9 of it so, with the refill alone 0.87. The sums of groups are too old for it.
+constexpr double RefillUsed = 1.1;
 /// Requests that cost at most this part of a burst are small: a thousand fit beside a few long prompts of the same customer.
 constexpr double SmallPart = 0.002;
 /// Small requests are let through down to this part of the burst, below nothing. A customer that is over its limit by its
@@ -25,12 +29,16 @@
 constexpr double StartPart = 0.65;
 /// What is asked is averaged over about this long: a few statuses.
 constexpr double AskedAverageSeconds = 1.5;
-/// A share is saved up for this long, so that a request of usual size fits.
-constexpr double ShareSeconds = 0.5;
+/// Where twice as much is asked as fits, a refused caller comes back after this long, later the more is asked: what is asked
+/// of a customer changes in seconds.
+constexpr double TurnSeconds = 0.5;
 /// What a silent peer takes is reckoned with for this long. A VM without the store ends keyed service in a few seconds, so
 /// one that is silent longer has ended or serves nothing.
 constexpr Duration PeerLife = std::chrono::seconds(15);
 constexpr double MicrosecondsPerSecond = 1e6;
+/// How much of a peer's rate is what it took since it was heard last; the rest is as before. One long prompt is as much as
+/// several statuses bring otherwise.
+constexpr double NewRatePart = 0.5;
 /// A retry sooner than this would only meet the same state.
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(250);
 constexpr Duration MostRetryAfter = std::chrono::seconds(8);
@@ -48,6 +56,11 @@
     return use.upFor <= ownTime ? use.taken : std::min(use.taken, use.perSecond * seconds(ownTime));
 }
 
+bool hearsOfGroups(const Account &account)
+{
+    return std::any_of(account.peers.begin(), account.peers.end(), [](const auto &peer) { return peer.second.isGroup; });
+}
+
 } // namespace
 
 double peersAskedNow(const Account &account, TimePoint now)
@@ -77,19 +90,18 @@
     return level;
 }
 
-double ownShare(const Account &account, std::size_t vmCount, TimePoint now)
+double fittingPart(const Account &account, const manifest::Allowance &allowance, std::size_t vmCount, TimePoint now)
 {
-    const double even = 1.0 / static_cast<double>(std::max<std::size_t>(1, vmCount));
     const double own = askedNow(account, now);
-    const double sum = own + peersAskedNow(account, now);
-    if (sum <= 0 || account.peers.empty()) {
+    if (account.peers.empty()) {
         // Nothing is known of others: half of an even part, since as many VMs again may have started just now.
-        return even / 2;
+        const double even = allowance.perSecond / static_cast<double>(std::max<std::size_t>(1, vmCount));
+        return std::min(1.0, even / 2 / std::max(1e-9, own));
     }
-    return own / sum;
+    return std::min(1.0, allowance.perSecond / std::max(1e-9, own + peersAskedNow(account, now)));
 }
 
-void refill(Account &account, const manifest::Allowance &allowance, std::size_t vmCount, TimePoint now)
+void refill(Account &account, const manifest::Allowance &allowance, TimePoint now)
 {
     if (!account.isOpened) {
         account.isOpened = true;
@@ -98,8 +110,6 @@
     const double elapsed = std::max(0.0, seconds(now - account.updatedAt));
     account.updatedAt = now;
     account.level = std::min(allowance.burst, account.level + elapsed * allowance.perSecond);
-    const double share = ownShare(account, vmCount, now) * allowance.perSecond;
-    account.shareLevel = std::min(share * ShareSeconds, account.shareLevel + elapsed * share);
 }
 
 void noteAsked(Account &account, double amount, TimePoint now)
@@ -108,7 +118,7 @@
     account.askedAt = now;
 }
 
-bool take(Account &account, const manifest::Allowance &allowance, double amount, TimePoint now)
+bool take(Account &account, const manifest::Allowance &allowance, std::size_t vmCount, double amount, TimePoint now)
 {
     const double available = availableLevel(account, now);
     // NOTE Judged by what is known to have been taken: what peers may have taken since is reckoned from what they are asked,
@@ -120,12 +130,15 @@
         return true;
     }
     const bool isFull = available >= std::min(std::max(amount, FullPart * allowance.burst), allowance.burst * 0.95);
-    // NOTE A request may be larger than what is saved up; it leaves a debt, which the next ones wait for.
-    if (!isFull && (account.shareLevel <= 0 || available < EmptyPart * allowance.burst)) {
+    if (!isFull && available < EmptyPart * allowance.burst) {
         return false;
     }
     if (!isFull) {
-        account.shareLevel -= amount;
+        account.turn += fittingPart(account, allowance, vmCount, now) * (hearsOfGroups(account) ? 1 : RefillUsed);
+        if (account.turn < 1) {
+            return false;
+        }
+        account.turn -= 1;
     }
     account.level -= amount;
     account.taken += amount;
@@ -134,23 +147,43 @@
 
 Duration timeUntilRoom(const Account &account, const manifest::Allowance &allowance, std::size_t vmCount, TimePoint now)
 {
-    const double share = std::max(1e-9, ownShare(account, vmCount, now) * allowance.perSecond);
-    const double wait = std::max(0.0, -account.shareLevel / share);
-    const auto duration = Duration(static_cast<std::int64_t>(std::min(wait, seconds(MostRetryAfter)) * MicrosecondsPerSecond));
-    return std::clamp(duration, LeastRetryAfter, MostRetryAfter);
+    const double missing = std::max(0.0, EmptyPart * allowance.burst - availableLevel(account, now));
+    const double untilRefilled = missing / std::max(1e-9, allowance.perSecond);
+    const double untilTurn = TurnSeconds * (1 / std::max(1e-9, fittingPart(account, allowance, vmCount, now)) - 1);
+    const double wait = std::min(std::max(untilRefilled, untilTurn), seconds(MostRetryAfter));
+    return std::clamp(Duration(static_cast<std::int64_t>(wait * MicrosecondsPerSecond)), LeastRetryAfter, MostRetryAfter);
 }
 
-void notePeer(Account &account, const std::string &instance, const PeerUse &use)
+void notePeer(Account &account, const std::string &instance, PeerUse use)
 {
     const auto found = account.peers.find(instance);
     if (found == account.peers.end()) {
         account.level -= takenSince(use, account.beganAt);
+        use.takenPerSecond = use.perSecond;
         account.peers.emplace(instance, use);
         return;
     }
-    const bool isSameProcess = found->second.incarnation == use.incarnation;
-    account.level -= isSameProcess ? use.taken - found->second.taken : use.taken;
+    const PeerUse &before = found->second;
+    const double passed = seconds(use.heardAt - before.heardAt);
+    const bool isComparable = before.incarnation == use.incarnation;
+    double taken = use.taken;
+    if (isComparable) {
+        taken = use.taken - before.taken;
+        const double rate = passed > 0 ? std::max(0.0, taken / passed) : before.takenPerSecond;
+        use.takenPerSecond = NewRatePart * rate + (1 - NewRatePart) * before.takenPerSecond;
+    } else if (use.isGroup) {
+        // The sum is over other processes than before.
+        use.takenPerSecond = before.takenPerSecond;
+        taken = before.takenPerSecond * passed;
+    }
+    account.level -= taken;
     found->second = use;
 }
 
+void forgetPeers(Account &account, TimePoint now)
+{
+    account.peers.clear();
+    account.beganAt = now;
+}
+
 } // namespace cardamomlift::allowance
--- a/src/allowance/tests/allowance_test.cpp
+++ b/src/allowance/tests/allowance_test.cpp
@@ -24,6 +24,9 @@
 constexpr int PressedSteps = 35;
 constexpr double PressedPart = 0.9;
 
+/// Of the prompts that arrive.
+constexpr double MeanPrompt = 12'000;
+
 /// Several entry VMs with one customer, their statuses late and sometimes lost, on a clock of the test's.
 class Fleet
 {
@@ -39,6 +42,16 @@
         }
     }
 
+    /// The VMs are in groups of @p size from now on, and hear of other groups only their sums, which are @p quietSteps old.
+    /// Their first requests come one after the other.
+    void formGroups(std::size_t size)
+    {
+        groupSize_ = size;
+        for (Vm &vm : vms_) {
+            vm.credit = -std::uniform_real_distribution<double>(0, MeanPrompt)(random_);
+        }
+    }
+
     /// Requests of @p tokens arrive at VM @p index at @p perSecond (in tokens) during the coming steps.
     void setDemand(std::size_t index, double perSecond)
     {
@@ -120,6 +133,7 @@
         double credit = 0;
         bool isCut = false;
         int sinceStatus = 0;
+        PeerUse told; ///< To its group.
     };
 
     void start(Vm &vm)
@@ -128,6 +142,7 @@
         vm.account.beganAt = now_;
         vm.account.updatedAt = now_;
         vm.account.askedAt = now_;
+        vm.account.turn = std::uniform_real_distribution<double>(0, 1)(random_);
         vm.incarnation = ++incarnations_;
     }
 
@@ -151,8 +166,8 @@
             vm.credit -= tokens;
             offered_ += tokens;
             noteAsked(vm.account, tokens, now_);
-            refill(vm.account, Limit, vms_.size(), now_);
-            if (take(vm.account, Limit, tokens, now_)) {
+            refill(vm.account, Limit, now_);
+            if (take(vm.account, Limit, vms_.size(), tokens, now_)) {
                 passed_ += tokens;
                 perStep_.back() += tokens;
             }
@@ -166,8 +181,8 @@
         }
         smallAsked_++;
         noteAsked(vm.account, smallTokens_, now_);
-        refill(vm.account, Limit, vms_.size(), now_);
-        if (take(vm.account, Limit, smallTokens_, now_)) {
+        refill(vm.account, Limit, now_);
+        if (take(vm.account, Limit, vms_.size(), smallTokens_, now_)) {
             smallPassed_++;
             perStep_.back() += smallTokens_;
         }
@@ -177,21 +192,67 @@
     {
         Vm &vm = vms_[index];
         vm.sinceStatus++;
+        if (groupSize_ > 0) {
+            tellGroup(index);
+            return;
+        }
         const bool isPressed = availableLevel(vm.account, now_) < PressedPart * Limit.burst;
         if (vm.sinceStatus < (isPressed ? PressedSteps : quietSteps_)) {
             return;
         }
         vm.sinceStatus = 0;
         for (std::size_t i = 0; i < vms_.size(); i++) {
-            const bool isLost = std::bernoulli_distribution(0.05)(random_);
-            if (i != index && !isLost && !vm.isCut && !vms_[i].isCut) {
+            const bool isGone = isLost();
+            if (i != index && !isGone && !vm.isCut && !vms_[i].isCut) {
                 notePeer(
                     vms_[i].account, std::to_string(index), {vm.incarnation, vm.account.taken, askedNow(vm.account, now_), now_, now_ - vm.account.beganAt});
             }
         }
     }
 
+    void tellGroup(std::size_t index)
+    {
+        Vm &vm = vms_[index];
+        // Statuses and questions of the VMs are spread over the period.
+        if ((perStep_.size() + index) % static_cast<std::size_t>(quietSteps_) != 0 || vm.isCut) {
+            return;
+        }
+        vm.told = {vm.incarnation, vm.account.taken, askedNow(vm.account, now_), now_, now_ - vm.account.beganAt};
+        for (std::size_t i = 0; i < vms_.size(); i++) {
+            if (i != index && i / groupSize_ == index / groupSize_ && !isLost() && !vms_[i].isCut) {
+                notePeer(vms_[i].account, std::to_string(index), vm.told);
+            }
+        }
+        for (std::size_t first = 0; first < vms_.size(); first += groupSize_) {
+            if (first / groupSize_ != index / groupSize_ && !isLost()) {
+                notePeer(vm.account, "group " + std::to_string(first), sumOf(first));
+            }
+        }
+    }
+
+    PeerUse sumOf(std::size_t first) const
+    {
+        PeerUse sum;
+        sum.isGroup = true;
+        sum.heardAt = now_;
+        for (std::size_t i = first; i < std::min(first + groupSize_, vms_.size()); i++) {
+            if (!vms_[i].isCut) {
+                sum.incarnation ^= vms_[i].told.incarnation * 0x9E3779B97F4A7C15U;
+                sum.taken += vms_[i].told.taken;
+                sum.perSecond += vms_[i].told.perSecond;
+                sum.upFor = std::max(sum.upFor, now_ - vms_[i].account.beganAt);
+            }
+        }
+        return sum;
+    }
+
+    bool isLost()
+    {
+        return std::bernoulli_distribution(0.05)(random_);
+    }
+
     std::vector<Vm> vms_;
+    std::size_t groupSize_ = 0;
     std::mt19937 random_;
     int quietSteps_;
     TimePoint now_{std::chrono::hours(1)};
@@ -277,6 +338,66 @@
     EXPECT_LT(fleet.worstWindow(), MostInWindow);
 }
 
+/// 288 VMs in 12 groups, which tell of a customer that is pressed each 0.35 s, with @p total asked evenly: a prompt is as much as a VM's part of many seconds.
+constexpr std::size_t ManyVms = 288;
+constexpr int GroupSteps = 35;
+
+Fleet manyVms(unsigned seed)
+{
+    Fleet fleet(ManyVms, seed, GroupSteps);
+    fleet.formGroups(24);
+    return fleet;
+}
+
+void spreadOverMany(Fleet &fleet, double total)
+{
+    for (std::size_t i = 0; i < ManyVms; i++) {
+        fleet.setDemand(i, total / ManyVms);
+    }
+}
+
+TEST_P(AllowanceSeeds, ACustomerWithinItsLimitIsNotRefusedByManyVmsInGroups)
+{
+    Fleet fleet = manyVms(GetParam());
+    spreadOverMany(fleet, Rate * 0.55);
+    fleet.run(5);
+    fleet.resetTotals();
+    fleet.run(20);
+    EXPECT_GT(fleet.passed() / fleet.offered(), 0.98);
+}
+
+TEST_P(AllowanceSeeds, ManyVmsInGroupsKeepTheLimitAtSevenTimesTheUsual)
+{
+    Fleet fleet = manyVms(GetParam());
+    spreadOverMany(fleet, Rate * 0.55);
+    fleet.run(10);
+    spreadOverMany(fleet, Rate * 0.55 * 7.5);
+    fleet.run(12);
+    EXPECT_LT(fleet.worstWindow(), MostInWindow);
+}
+
+TEST_P(AllowanceSeeds, ManyVmsInGroupsGiveWhatIsAllowed)
+{
+    Fleet fleet = manyVms(GetParam());
+    spreadOverMany(fleet, Rate * 1.3);
+    fleet.run(10);
+    fleet.resetTotals();
+    fleet.run(20);
+    EXPECT_GT(fleet.passed(), Rate * 20 * 0.85);
+}
+
+TEST_P(AllowanceSeeds, ManyVmsInGroupsKeepTheLimitWhenHalfOfThemStartAgain)
+{
+    Fleet fleet = manyVms(GetParam());
+    spreadOverMany(fleet, Rate * 0.55 * 4);
+    fleet.run(8);
+    for (std::size_t i = 0; i < ManyVms; i += 2) {
+        fleet.restart(i);
+    }
+    fleet.run(8);
+    EXPECT_LT(fleet.worstWindow(), MostInWindow);
+}
+
 TEST_P(AllowanceSeeds, WhatIsAllowedIsAlsoGiven)
 {
     Fleet fleet(8, GetParam());
@@ -385,7 +506,7 @@
     Account account;
     const TimePoint now(std::chrono::hours(1));
     account.updatedAt = now;
-    account.shareLevel = -Rate;
+    account.level = -Rate;
     const Duration wait = timeUntilRoom(account, Limit, 1, now);
     EXPECT_GT(wait, milliseconds(500));
     EXPECT_LE(wait, std::chrono::seconds(8));
