--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -38,11 +38,8 @@
         return best;
     }
     for (const auto &[instance, known] : tools_.directory->all()) {
-        if (instance == except || !mayBeSource(*known)) {
-            continue;
-        }
-        const std::int64_t tokens = tools_.prefixes->heldTokens(prefixes_, instance);
-        if (tokens > best.tokens) {
+        const std::int64_t tokens = instance == except ? 0 : tools_.prefixes->heldTokens(prefixes_, instance);
+        if (tokens > best.tokens && mayBeSource(*known)) {
             best = {tokens, known};
         }
     }
@@ -90,11 +87,11 @@
     directory::ServerPtr best;
     std::uint64_t bestRank = 0;
     for (const auto &[instance, known] : tools_.directory->all()) {
-        if (shared.empty() || instance == except || !mayBeSource(*known)) {
+        if (shared.empty() || instance == except) {
             continue;
         }
         const std::uint64_t rank = balancing::homeRank(shared, instance);
-        if (!best || rank > bestRank) {
+        if ((!best || rank > bestRank) && mayBeSource(*known)) {
             best = known;
             bestRank = rank;
         }
