Log when the VMs are divided into other groups, and groups that fall silent

What an on-call engineer could not see: by which groups a VM reckons what others take, and that the sums of one no longer come. One line at each new layout (group, mates, groups), `peer_lost` for groups too; group mates alone are followed one by one, since the others are heard only when they ask.

--- a/src/allowance/internal/allowancerules.cpp
+++ b/src/allowance/internal/allowancerules.cpp
@@ -59,6 +59,24 @@
     return std::any_of(account.peers.begin(), account.peers.end(), [](const auto &peer) { return peer.second.isGroup; });
 }
 
+/// Whether a request passes while the bucket runs low. A VM of few has many requests in a second, and uses up its share: who
+/// was refused finds room when the debt is paid. With a request in many seconds a share says nothing, so each VM of many lets
+/// the same part of its requests through. (Few VMs with the second rule: 0.02 and 0.06 less of what is owed on days with a
+/// customer at several times its usual, five seeds each of two deployments; many with the first pass a fifth too much.)
+bool takePart(Account &account, const manifest::Allowance &allowance, double amount, TimePoint now)
+{
+    if (!hearsOfGroups(account)) {
+        // NOTE A request may be larger than what is saved up; it leaves a debt, which the next ones wait for.
+        const bool fits = account.shareLevel > 0;
+        account.shareLevel -= fits ? amount : 0;
+        return fits;
+    }
+    account.turn += fittingPart(account, allowance, now);
+    const bool isTurn = account.turn >= 1;
+    account.turn -= isTurn ? 1 : 0;
+    return isTurn;
+}
+
 } // namespace
 
 double peersAskedNow(const Account &account, TimePoint now)
@@ -124,28 +142,6 @@
     account.askedAt = now;
 }
 
-namespace {
-
-/// Whether a request passes while the bucket runs low. A VM of few has many requests in a second, and uses up its share: who
-/// was refused finds room when the debt is paid. With a request in many seconds a share says nothing, so each VM of many lets
-/// the same part of its requests through. (Few VMs with the second rule: 0.02 and 0.06 less of what is owed on days with a
-/// customer at several times its usual, five seeds each of two deployments; many with the first pass a fifth too much.)
-bool takePart(Account &account, const manifest::Allowance &allowance, double amount, TimePoint now)
-{
-    if (!hearsOfGroups(account)) {
-        // NOTE A request may be larger than what is saved up; it leaves a debt, which the next ones wait for.
-        const bool fits = account.shareLevel > 0;
-        account.shareLevel -= fits ? amount : 0;
-        return fits;
-    }
-    account.turn += fittingPart(account, allowance, now);
-    const bool isTurn = account.turn >= 1;
-    account.turn -= isTurn ? 1 : 0;
-    return isTurn;
-}
-
-} // namespace
-
 bool take(Account &account, const manifest::Allowance &allowance, double amount, TimePoint now)
 {
     const double available = availableLevel(account, now);
--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -35,6 +35,7 @@
     StoreRegained,
     PeerLost,
     PeerRegained,
+    PeersRegrouped, ///< The entry VMs are divided into other groups.
     LeaseTaken,
     LeaseLost,
     UsageReported,
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -32,6 +32,7 @@
     "store_regained",
     "peer_lost",
     "peer_regained",
+    "peers_regrouped",
     "lease_taken",
     "lease_lost",
     "usage_reported",
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -32,7 +32,7 @@
 /// carry a megabyte a second. A failure domain's servers fit; a large manifest does not and is read from the store. With
 /// 8,000 a new manifest kept the links of such VMs busy for 1.6 s.
 constexpr std::size_t MostPacked = 2500;
-/// A peer that was silent this long is logged as lost.
+/// A group mate, or a group, that was silent this long is logged as lost.
 constexpr Duration LostAfter = std::chrono::seconds(5);
 const std::string NoChanges;
 /// Leaves room above the first sequence, which is drawn at random.
@@ -403,21 +403,27 @@
 
 void Presence::notePeers()
 {
-    const TimePoint now = tools_.loop->now();
     for (const auto &[instance, peer] : peers_) {
-        if (peer.group != group_) {
-            continue;
-        }
-        const bool isSilent = !peer.heardAt || now - *peer.heardAt > LostAfter;
-        bool &wasSilent = silent_[instance];
-        if (isSilent && !wasSilent && peer.heardAt) {
-            tools_.log->write(Event::PeerLost, {{Attribute::Server, instance}, {Attribute::Zone, peer.zone}});
-            wasSilent = true;
-        } else if (!isSilent && wasSilent) {
-            tools_.log->write(Event::PeerRegained, {{Attribute::Server, instance}, {Attribute::Zone, peer.zone}});
-            wasSilent = false;
+        if (peer.group == group_) {
+            noteHeard(instance, peer);
         }
     }
+    for (const auto &[name, group] : groups_) {
+        noteHeard(name, group);
+    }
+}
+
+void Presence::noteHeard(const std::string &name, const Peer &peer)
+{
+    const bool isSilent = !peer.heardAt || tools_.loop->now() - *peer.heardAt > LostAfter;
+    bool &wasSilent = silent_[name];
+    if (isSilent && !wasSilent && peer.heardAt) {
+        tools_.log->write(Event::PeerLost, {{Attribute::Server, name}, {Attribute::Zone, peer.zone}});
+        wasSilent = true;
+    } else if (!isSilent && wasSilent) {
+        tools_.log->write(Event::PeerRegained, {{Attribute::Server, name}, {Attribute::Zone, peer.zone}});
+        wasSilent = false;
+    }
 }
 
 void Presence::contribute(std::function<void(Status &status)> fill)
--- a/src/presence/internal/presencegroups.cpp
+++ b/src/presence/internal/presencegroups.cpp
@@ -56,9 +56,18 @@
         }
     }
     if (isOther) {
-        for (const auto &handler : regrouped_) {
-            handler();
-        }
+        noteRegrouped();
+    }
+}
+
+void Presence::noteRegrouped() const
+{
+    tools_.log->write(eventlog::Event::PeersRegrouped,
+        {{eventlog::Attribute::Server, group_},
+            {eventlog::Attribute::Count, static_cast<std::int64_t>(groupMates_)},
+            {eventlog::Attribute::Present, static_cast<std::int64_t>(groups_.size())}});
+    for (const auto &handler : regrouped_) {
+        handler();
     }
 }
 
--- a/src/presence/presence.h
+++ b/src/presence/presence.h
@@ -90,6 +90,7 @@
     void takeRow(const rows::Row &row);
     void replaceRows(const std::vector<rows::Row> &rows);
     void regroup();
+    void noteRegrouped() const;
     void sendRound();
     void sendToGroup(const Status &full, const Status &partial);
     void askGroups(const Status &partial);
@@ -108,6 +109,7 @@
     void sendSoon();
     void onDatagram(std::string_view bytes);
     void notePeers();
+    void noteHeard(const std::string &name, const Peer &peer);
     std::optional<TimePoint> provenTime(std::uint64_t echo) const;
     int fullRounds() const;
 
@@ -120,7 +122,7 @@
     std::map<std::string, std::vector<std::string>> members_; ///< Of the other groups, in the order in which they are asked.
     std::size_t groupMates_ = 0;
     Partners partners_;
-    std::map<std::string, bool> silent_; ///< Peers that were told to the log as lost.
+    std::map<std::string, bool> silent_; ///< Peers and groups that were told to the log as lost.
     std::vector<std::function<void(Status &)>> fillers_;
     std::vector<std::function<void(const Status &, std::optional<TimePoint>)>> handlers_;
     std::vector<std::function<void()>> regrouped_;
