--- a/src/presence/internal/partners.cpp
+++ b/src/presence/internal/partners.cpp
@@ -1,4 +1,4 @@
-#include "presence/internal/partners.h"
+#include "presence/partners.h"
 
 namespace cardamomlift::presence {
 
--- a/src/presence/presence.h
+++ b/src/presence/presence.h
@@ -3,7 +3,7 @@
 #include "eventlog/eventlog.h"
 #include "kernel/eventloop.h"
 #include "presence/datagrams.h"
-#include "presence/internal/partners.h"
+#include "presence/partners.h"
 #include "presence/presencetypes.h"
 #include "presence/vmgroups.h"
 #include "rows/rowwatch.h"
