--- a/src/allowance/internal/allowancerules.cpp
+++ b/src/allowance/internal/allowancerules.cpp
@@ -62,7 +62,7 @@
 /// Whether a request passes while the bucket runs low. A VM of few has many requests in a second, and uses up its share: who
 /// was refused finds room when the debt is paid. With a request in many seconds a share says nothing, so each VM of many lets
 /// the same part of its requests through. (Few VMs with the second rule: 0.02 and 0.06 less of what is owed on days with a
-/// customer at several times its usual, five seeds each of two deployments; many with the first pass a fifth too much.)
+/// customer at several times its usual, five seeds each of two deployments; many with the first pass up to 0.15 more than the limit.)
 bool takePart(Account &account, const manifest::Allowance &allowance, double amount, TimePoint now)
 {
     if (!hearsOfGroups(account)) {
