Test that all VMs together hold to the limit that a server names; it fails

Hypotheses before the logs were read: (1) nothing here reads the limit; (2) each VM holds to the whole limit by itself; (3) what is sent again, resumed or moved goes past the choice. Logs: 44 requests to the two in the 8 s before they named it, 40 in the 8 s after; all 40 are first attempts, from all nine VMs, 1 to 4 each. So (1); (2) and (3) are ruled out as the cause. No log line and no metric knew of a limit.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 test: packages build
 	scripts/check_packages.sh
 	scripts/check_proofs.sh $(BUILD)
-	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+	scripts/test.sh $(BUILD) $(JOBS)
 
 packages:
 	scripts/packages.sh
--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -7,7 +7,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace {
@@ -19,6 +22,39 @@
 constexpr int StatusFailed = 500;
 constexpr int StatusUnavailable = 503;
 
+/// What comes in any span of this length, this long after the limit was first named, counts against it.
+constexpr Duration LimitWindow = std::chrono::seconds(4);
+constexpr Duration LimitKnownAfter = std::chrono::seconds(3);
+
+/// A limit on the requests of all callers together, named in each answer, and how it is kept.
+struct NamedLimit {
+    std::string perSecond; ///< As it is written in answers; empty: none is named.
+    std::optional<TimePoint> firstNamedAt;
+    std::deque<TimePoint> arrivals; ///< Of the last window.
+    std::size_t mostInWindow = 0;
+
+    void noteArrival(TimePoint now)
+    {
+        if (perSecond.empty() || !firstNamedAt || now - *firstNamedAt < LimitKnownAfter) {
+            return;
+        }
+        arrivals.push_back(now);
+        while (now - arrivals.front() > LimitWindow) {
+            arrivals.pop_front();
+        }
+        mostInWindow = std::max(mostInWindow, arrivals.size());
+    }
+
+    void addTo(http1::ResponseHead &head, TimePoint now)
+    {
+        if (perSecond.empty()) {
+            return;
+        }
+        firstNamedAt = firstNamedAt.value_or(now);
+        head.fields.add("Server-Limit", perSecond);
+    }
+};
+
 struct Worker {
     EventLoop *loop = nullptr;
     std::shared_ptr<http1::CallerServer> server;
@@ -36,16 +72,18 @@
     int cancelled = 0;
     int afterLeaving = 0; ///< Requests that came after the worker said that it leaves.
     bool leaving = false;
+    NamedLimit limit;
 
-    static http1::ResponseHead head(int status, const std::string &id)
+    http1::ResponseHead head(int status, const std::string &id)
     {
         http1::ResponseHead head;
         head.status = status;
         head.fields.add("X-Attempt-Id", id);
+        limit.addTo(head, loop->now());
         return head;
     }
 
-    http1::ResponseHead signedHead(const std::string &id) const
+    http1::ResponseHead signedHead(const std::string &id)
     {
         http1::ResponseHead answer = head(StatusOk, id);
         answer.fields.add("X-Response-Signature", instance + "." + id);
@@ -61,6 +99,9 @@
         }
         json["cancelled"] = cancelled;
         json["afterLeaving"] = afterLeaving;
+        json["mostInLimitWindow"] = Json::Int64(limit.mostInWindow);
+        json["limitNamedMs"] =
+            limit.firstNamedAt ? Json::Int64(std::chrono::duration_cast<std::chrono::milliseconds>(loop->now() - *limit.firstNamedAt).count()) : -1;
         return json;
     }
 
@@ -83,7 +124,8 @@
             breakHeld();
         }
         leaving = body.get("leaving", leaving).asBool();
-        exchange->answer(head(StatusOk, ""), http::writeJson(report()));
+        limit.perSecond = body.get("limit", limit.perSecond).asString();
+        exchange->answer(http1::ResponseHead{StatusOk, {}, {}}, http::writeJson(report()));
     }
 
     void breakHeld()
@@ -106,6 +148,7 @@
             return;
         }
         afterLeaving += leaving ? 1 : 0;
+        limit.noteArrival(loop->now());
         if (full) {
             http1::ResponseHead refusal = head(StatusUnavailable, id);
             refusal.fields.add("X-Not-Executed", "1");
