--- a/src/forwarding/wireformat.h
+++ b/src/forwarding/wireformat.h
@@ -47,12 +47,24 @@
     int slots = 1;
 };
 
+/// What a backend server's answer says of a limit on its requests.
+struct LimitStatement {
+    enum class Kind {
+        Unknown, ///< Nothing that can be used: what was known stays.
+        Unlimited,
+        Limited,
+    };
+    Kind kind = Kind::Unknown;
+    double perSecond = 0; ///< If it is limited: the requests of all VMs together that it takes in a second; not negative.
+};
+
 /// What a backend server's answer says beside its status and body.
 struct BackendAnswer {
     std::string requestId; ///< The request that it answers; empty if it does not say.
     bool isNotRun = false; ///< The server did not run the request and never will.
     bool isSigned = false; ///< It bears the server's signature over the body.
     std::optional<LoadReport> load;
+    LimitStatement limit;
 };
 
 /// The order to a backend server to copy a run's KV cache to another one and to stop the run.
