Tell servers' limits between VMs, and give them a log line

A status holds the limits that a VM has heard with their age, and those that have ended; a group's summary holds the newest word on each server, 64 at most.

--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -31,6 +31,7 @@
     ServerAvoided, ///< Its requests failed too often: work goes elsewhere while it can.
     ServerTrusted, ///< It gets work like the others again.
     ServerSilent, ///< A request waits long, and nothing was heard from its server since.
+    ServerLimited, ///< It named a limit on its requests, another one, or none any more.
     StoreLost,
     StoreRegained,
     PeerLost,
@@ -97,6 +98,8 @@
     LimitPerSecond,
     HerePerSecond, ///< Asked by callers of this VM.
     ElsewherePerSecond, ///< Asked by callers of the other VMs.
+    Limit, ///< Requests a second that a backend server takes from all VMs; empty: it has named no limit.
+    Limited, ///< Backend servers passed over, since their limits leave no room now.
     Count,
     Last
 };
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -28,6 +28,7 @@
     "server_avoided",
     "server_trusted",
     "server_silent",
+    "server_limited",
     "store_lost",
     "store_regained",
     "peer_lost",
@@ -90,6 +91,8 @@
     "limit_per_s",
     "here_per_s",
     "elsewhere_per_s",
+    "limit",
+    "limited",
     "count"};
 
 } // namespace
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -182,6 +182,14 @@
         entry->set_server(work.server);
         entry->set_waiting_tokens(static_cast<std::uint32_t>(std::clamp<std::int64_t>(work.waitingTokens, 0, UINT32_MAX)));
     }
+    for (const ServerLimit &limit : status.limits) {
+        auto *entry = out.add_limits();
+        entry->set_server(limit.server);
+        entry->set_age_ms(millis(limit.age));
+        if (limit.isLimited) {
+            entry->set_per_second(limit.perSecond);
+        }
+    }
     for (const std::uint64_t suspect : status.suspects) {
         out.add_suspects(suspect);
     }
@@ -247,6 +255,9 @@
     for (const auto &entry : in.works()) {
         status.works.push_back({entry.server(), entry.waiting_tokens()});
     }
+    for (const auto &entry : in.limits()) {
+        status.limits.push_back({entry.server(), entry.has_per_second(), entry.per_second(), std::chrono::milliseconds(entry.age_ms())});
+    }
     status.suspects.assign(in.suspects().begin(), in.suspects().end());
     for (const auto &entry : in.rollouts()) {
         status.rollouts.push_back(readRollout(entry));
--- a/src/presence/internal/statussummary.cpp
+++ b/src/presence/internal/statussummary.cpp
@@ -11,6 +11,8 @@
 
 /// Servers in a summary, those where most work waits and most requests failed: two kilobytes of each datagram between zones.
 constexpr std::size_t MostServers = 64;
+/// Limits of servers in a summary, the newest: each comes again as long as some VM gets answers that name it.
+constexpr std::size_t MostLimits = 64;
 /// Prefixes in a summary. A group of 24 VMs with five requests a second each uses some 100 new ones between two summaries.
 constexpr std::size_t MostPrefixes = 96;
 
@@ -94,6 +96,18 @@
     entries.resize(std::min(entries.size(), most));
 }
 
+// The newest word on each server.
+void addLimits(std::map<std::uint64_t, ServerLimit> &newest, const MemberStatus &member)
+{
+    for (ServerLimit limit : member.status->limits) {
+        limit.age += member.age;
+        const auto [place, isNew] = newest.try_emplace(limit.server, limit);
+        if (!isNew && limit.age < place->second.age) {
+            place->second = limit;
+        }
+    }
+}
+
 // The group's part in questions of one VM for all: the lease, and who follows the store.
 void addStanding(Status &summary, const MemberStatus &member)
 {
@@ -133,6 +147,7 @@
     std::map<std::uint64_t, ServiceLoad> loads;
     std::map<std::uint64_t, ServerViews> views;
     std::map<std::uint64_t, ServerWork> works;
+    std::map<std::uint64_t, ServerLimit> limits;
     std::set<std::pair<std::uint64_t, std::uint64_t>> prefixes;
     std::set<std::uint64_t> suspects;
     for (const MemberStatus &member : members) {
@@ -142,6 +157,7 @@
         addDemands(demands, status);
         addLoads(loads, status);
         addOutcomes(views, member);
+        addLimits(limits, member);
         for (const ServerWork &work : status.works) {
             works[work.server].server = work.server;
             works[work.server].waitingTokens += work.waitingTokens;
@@ -155,6 +171,8 @@
     takeValues(summary.services, loads);
     takeValues(summary.works, works);
     keepLargest(summary.works, MostServers, [](const ServerWork &work) { return work.waitingTokens; });
+    takeValues(summary.limits, limits);
+    keepLargest(summary.limits, MostLimits, [](const ServerLimit &limit) { return -limit.age; });
     for (const auto &[server, view] : views) {
         summary.outcomes.push_back(together(view));
     }
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -58,6 +58,14 @@
     std::int64_t waitingTokens = 0; ///< Of prompts whose answers have not begun.
 };
 
+/// What a backend server has said of a limit on its requests, as one entry VM heard it.
+struct ServerLimit {
+    std::uint64_t server = 0; ///< nameHash() of the instance.
+    bool isLimited = false; ///< False: it has named no limit in its newest answer.
+    double perSecond = 0; ///< Requests of all VMs together.
+    Duration age{0}; ///< Since it was heard.
+};
+
 /// What one entry VM's requests on one route came to at servers of one kind, since the order of a rollout.
 struct RolloutCounts {
     std::uint64_t route = 0; ///< nameHash() of the route.
@@ -89,6 +97,7 @@
     std::vector<ServiceLoad> services;
     std::vector<PrefixUse> prefixes; ///< Of the last seconds.
     std::vector<ServerWork> works; ///< Servers where work waits.
+    std::vector<ServerLimit> limits; ///< Servers that have named a limit, or ended one.
     std::vector<std::uint64_t> suspects; ///< Hashes of requests that crash servers.
     std::vector<RolloutNews> rollouts; ///< Those that are not over.
     bool holdsLease = false;
