Test that limits of servers reach other VMs whole, and the newest word of a group

Round trip of a status with a limit of nothing and an ended one; a summary goes by the age of what each member heard, with the age of its status.

--- a/src/presence/tests/presence_test.cpp
+++ b/src/presence/tests/presence_test.cpp
@@ -145,6 +145,7 @@
     message.status.outcomes = {{7, 8.5, 2.25, 3, milliseconds(400), milliseconds(900)}};
     message.status.services = {{9, 10.5, 11, 0.5, 2}};
     message.status.suspects = {12};
+    message.status.limits = {{13, true, 1.1, milliseconds(200)}, {14, true, 0, milliseconds(0)}, {15, false, 0, milliseconds(7)}};
     message.status.holdsLease = true;
     const auto read = decodeStatus(encodeStatus(message, {{"t", packChanges(message.status.tables["t"].changes)}}));
     ASSERT_TRUE(read);
@@ -163,6 +164,12 @@
     EXPECT_EQ(read->status.outcomes[0].failedInARow, 3);
     EXPECT_EQ(read->status.outcomes[0].sinceFailure, milliseconds(400));
     EXPECT_EQ(read->status.outcomes[0].sinceAnswer, milliseconds(900));
+    ASSERT_EQ(read->status.limits.size(), 3U);
+    EXPECT_EQ(read->status.limits[0].server, 13U);
+    EXPECT_EQ(read->status.limits[0].perSecond, 1.1);
+    EXPECT_EQ(read->status.limits[0].age, milliseconds(200));
+    EXPECT_TRUE(read->status.limits[1].isLimited) << "a limit of nothing is one";
+    EXPECT_FALSE(read->status.limits[2].isLimited);
     EXPECT_EQ(read->status.services[0].open, 11U);
     EXPECT_EQ(read->status.suspects[0], 12U);
     EXPECT_TRUE(read->status.holdsLease);
--- a/src/presence/tests/vmgroups_test.cpp
+++ b/src/presence/tests/vmgroups_test.cpp
@@ -150,6 +150,23 @@
     EXPECT_NE(summarize("g", std::vector<MemberStatus>{{&one, milliseconds(0)}, {&two, milliseconds(0)}}).members, sum.members);
 }
 
+TEST(StatusSummary, KeepsTheNewestWordOnEachServersLimit)
+{
+    Status one;
+    one.limits = {{7, true, 1, milliseconds(100)}, {8, true, 3, milliseconds(50)}};
+    Status two;
+    two.limits = {{7, false, 0, milliseconds(300)}};
+    const auto first = summarize("g", std::vector<MemberStatus>{{&one, milliseconds(100)}, {&two, milliseconds(0)}});
+    ASSERT_EQ(first.limits.size(), 2U);
+    EXPECT_EQ(first.limits[0].server, 8U);
+    EXPECT_EQ(first.limits[0].age, milliseconds(150));
+    EXPECT_TRUE(first.limits[1].isLimited);
+    EXPECT_EQ(first.limits[1].age, milliseconds(200)) << "with the age of the status that told it";
+    const auto second = summarize("g", std::vector<MemberStatus>{{&one, milliseconds(500)}, {&two, milliseconds(0)}});
+    EXPECT_EQ(second.limits.at(0).server, 7U);
+    EXPECT_FALSE(second.limits.at(0).isLimited);
+}
+
 TEST(StatusSummary, SaysNothingOfTheLeaseOfAMemberThatFellSilent)
 {
     Status holder;
