Keep to the limits that servers name, all VMs together

What callers saw: nothing yet; servers in need got two to three times what they had said they take, from nine VMs together, and were on the way to be lost with all that they ran.

Cause: a bound that all VMs must keep together, for which no VM read what it is about. A class, not a slip: what a server says in its answers was decoded field by field, and an unknown field went past unseen.

The mend: the requests that a server takes come as turns, at even intervals of the store's clock; each turn belongs to one VM by the same hash on all of them. So in any four seconds at most 5 x limit + 4 pass, for 6 x limit + 5 allowed, however many VMs there are and whatever is asked, with no news between them. The choice passes over servers without room on all ways to a server: first sends, repeats, resumed and moved streams, trials. Where none is left a request is refused at once, with its place among those that come back.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -5,6 +5,8 @@
 #include "forwarding/customerhooks.h"
 #include "forwarding/forwardingtypes.h"
 #include "forwarding/peerwork.h"
+#include "forwarding/returntimes.h"
+#include "forwarding/serverlimitgate.h"
 #include "forwarding/serverpool.h"
 #include "forwarding/servicedemand.h"
 #include "forwarding/versiongate.h"
@@ -36,6 +38,7 @@
     std::shared_ptr<AllowanceGate> allowances; ///< May be null: no bound.
     std::shared_ptr<UsageMeter> usage; ///< May be null.
     std::shared_ptr<VersionGate> versions; ///< May be null: versions make no difference.
+    std::shared_ptr<ServerLimitGate> limits; ///< May be null: servers name no limits.
     /// How many VMs share what may be repeated; empty while it is not known.
     std::function<std::optional<std::size_t>()> vmCount;
     std::shared_ptr<ServiceDemand> demand;
@@ -84,6 +87,7 @@
     double grantedPart() const;
     TimePoint startedAt_;
     std::map<std::string, ServiceBudget> budgets_; ///< By service.
+    ReturnTimes returnTimes_; ///< Of callers refused by servers' limits.
     std::map<ForwardedRequest *, std::shared_ptr<ForwardedRequest>> open_;
 };
 
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -40,7 +40,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"manifest", "directory", "eventlog", "metrics", "platform", "presence", "allowance", "usage", "outliers", "prefixindex", "rollout"};
+        return {"manifest", "directory", "eventlog", "metrics", "platform", "presence", "allowance", "usage", "outliers", "prefixindex", "rollout", "serverlimits"};
     }
 
     Result<void> start(Context &context) override
@@ -58,6 +58,7 @@
         tools.allowances = context.find<AllowanceGate>();
         tools.usage = context.find<UsageMeter>();
         tools.versions = context.find<VersionGate>();
+        tools.limits = context.find<ServerLimitGate>();
         tools.demand = std::make_shared<ServiceDemand>();
         context.set(tools.demand);
         context.get<presence::Presence>()->contribute(
--- a/src/forwarding/forwardingtypes.h
+++ b/src/forwarding/forwardingtypes.h
@@ -18,6 +18,7 @@
     OverAllowance, ///< The customer has used what it may.
     NoServer, ///< No backend server is known.
     ServersFull, ///< All backend servers refused.
+    ServersLimited, ///< The limits that backend servers have named leave no room.
     RetryBudget, ///< It may run again, but another send would exceed what all VMs may repeat.
     OutOfTime, ///< The time limit came before an answer.
     AttemptsUsed, ///< It may run again, but as many sends as the route allows have failed.
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -206,17 +206,36 @@
     }
     // A repeat is for the caller's sake: it goes where most do.
     pick_ = VersionPick::Usual;
-    if (choice.server) {
-        send(choice);
+    if (!choice.server) {
+        endWithoutServer(choice);
         return;
     }
+    noteSending(choice.server->server.instance);
+    send(choice);
+}
+
+void ForwardedRequest::endWithoutServer(const Choice &choice)
+{
     if (runs_ > 0) {
         fail(StatusBadGateway, Reason::OutcomeUnknown);
         return;
     }
+    if (choice.limited > 0) {
+        const Duration back = forwarder_.returnTimes_.next(service_, choice.limitedPerSecond, tools_.loop->now());
+        refuse(StatusUnavailable, Reason::ServersLimited, back);
+        return;
+    }
     refuse(StatusUnavailable, sends_ == 0 ? Reason::NoServer : Reason::ServersFull, FullRetryAfter);
 }
 
+// Counted when a server is decided on, also for a moved run, which reaches it a little later.
+void ForwardedRequest::noteSending(const std::string &instance)
+{
+    if (tools_.limits) {
+        tools_.limits->noteSent(instance);
+    }
+}
+
 DispatchFields ForwardedRequest::dispatchFields(const Choice &choice) const
 {
     const directory::ServerPtr &server = choice.server;
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -53,12 +53,17 @@
         VersionPick pick = VersionPick::Usual; ///< What it was chosen for.
         std::size_t candidates = 0;
         std::size_t outliers = 0;
+        std::size_t limited = 0; ///< Passed over, since their limits leave no room now.
+        double limitedPerSecond = 0; ///< What this VM may send to these in a second.
         std::int64_t cachedTokens = 0; ///< Of the prompt, believed to be in its cache.
         std::int64_t tokensToRead = 0; ///< Of the prompt: neither cached there nor to be copied.
         std::string fetchFrom; ///< "address:port" of a server to copy a part of the prompt's KV cache from; empty: none.
     };
     Choice chooseServer() const;
     Choice chooseAmong(std::span<const directory::ServerPtr> servers) const;
+    bool passesOver(const std::string &instance, Choice &choice) const;
+    void noteSending(const std::string &instance);
+    void endWithoutServer(const Choice &choice);
     std::vector<directory::ServerPtr> eligibleServers(VersionPick pick) const;
     void noteVersionOutcome(std::optional<Duration> firstByteAfter);
     /// What the servers of the service are believed to keep of the prompt.
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -14,6 +14,9 @@
     if (attempt_->answer.load) {
         tools_.pool->noteReport(instance, *attempt_->answer.load);
     }
+    if (tools_.limits) {
+        tools_.limits->noteAnswer(instance, attempt_->answer.limit, attempt_->sentAt);
+    }
 }
 
 void ForwardedRequest::onBody(std::string_view part)
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -82,6 +82,16 @@
     return choice;
 }
 
+bool ForwardedRequest::passesOver(const std::string &instance, Choice &choice) const
+{
+    if (!tools_.limits || tools_.limits->hasRoom(instance)) {
+        return false;
+    }
+    choice.limited++;
+    choice.limitedPerSecond += tools_.limits->ownPerSecond(instance);
+    return true;
+}
+
 ForwardedRequest::Choice ForwardedRequest::chooseAmong(std::span<const directory::ServerPtr> servers) const
 {
     Choice choice;
@@ -89,7 +99,7 @@
     candidates.reserve(servers.size());
     for (const auto &server : servers) {
         const std::string &instance = server->server.instance;
-        if (tried_.contains(instance)) {
+        if (tried_.contains(instance) || passesOver(instance, choice)) {
             continue;
         }
         const ServerEntry *entry = tools_.pool->find(instance);
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -169,6 +169,8 @@
     const directory::BackendServer &server = choice.server->server;
     const auto &load = tools_.pool->load(server.instance);
     const auto age = tools_.manifests->age(tools_.loop->now());
+    const auto perSecond = tools_.limits ? tools_.limits->perSecond(server.instance) : std::nullopt;
+    const std::string limit = perSecond ? fmt::format("{}", *perSecond) : std::string();
     tools_.log->write(Event::RequestDispatched,
         {{Attribute::Request, request_.id},
             {Attribute::Customer, customer_ ? std::string_view(customer_->name) : std::string_view()},
@@ -180,6 +182,8 @@
             {Attribute::Attempt, std::int64_t(sends_)},
             {Attribute::Candidates, static_cast<std::int64_t>(choice.candidates)},
             {Attribute::Outliers, static_cast<std::int64_t>(choice.outliers)},
+            {Attribute::Limit, limit},
+            {Attribute::Limited, static_cast<std::int64_t>(choice.limited)},
             {Attribute::Open, std::int64_t(load.openHere)},
             {Attribute::Reported, std::int64_t(load.reportedAt ? load.reported : -1)},
             {Attribute::WaitingTokens, load.promptTokensHere},
--- a/src/forwarding/internal/forwardedrequestmove.cpp
+++ b/src/forwarding/internal/forwardedrequestmove.cpp
@@ -52,6 +52,7 @@
     if (!to || !takeRepeat()) {
         return;
     }
+    noteSending(to->server.instance);
     move_ = Move{attempt_->server, to, nullptr, {}, false, false};
     move_->client = http1::CallClient::create(*tools_.loop, attempt_->server->server.endpoint, {}, MoveAnswerLimits);
     std::string body;
--- a/src/forwarding/internal/forwardingtypes.cpp
+++ b/src/forwarding/internal/forwardingtypes.cpp
@@ -13,6 +13,7 @@
     "over_allowance",
     "no_server",
     "servers_full",
+    "servers_limited",
     "retry_budget",
     "out_of_time",
     "attempts_used",
--- /dev/null
+++ b/src/serverlimits/serverlimitsmodule.cpp
@@ -0,0 +1,76 @@
+#include "kernel/module.h"
+#include "kernel/runtime.h"
+#include "metrics/metrics.h"
+#include "presence/presence.h"
+#include "presence/truetime.h"
+#include "serverlimits/serverlimitkeeper.h"
+
+namespace cardamomlift::serverlimits {
+
+namespace {
+
+/// How often the list of VMs is read.
+constexpr Duration TickPeriod = std::chrono::milliseconds(500);
+
+/// All VMs of the deployment; empty until their rows have been read.
+std::vector<std::string> vmNames(const presence::Presence &presence)
+{
+    if (!presence.vmCount()) {
+        return {};
+    }
+    std::vector<std::string> names{presence.instance()};
+    for (const auto &[instance, peer] : presence.peers()) {
+        names.push_back(instance);
+    }
+    return names;
+}
+
+/// A VM's part in the limits that backend servers name.
+class ServerLimitsModule : public Module
+{
+public:
+    std::string_view name() const override
+    {
+        return "serverlimits";
+    }
+
+    ModuleUse use() const override
+    {
+        return ModuleUse::Routes;
+    }
+
+    std::vector<std::string_view> dependencies() const override
+    {
+        return {"presence", "directory", "eventlog", "metrics"};
+    }
+
+    Result<void> start(Context &context) override
+    {
+        const auto presence = context.get<presence::Presence>();
+        KeeperTools tools;
+        tools.loop = context.get<Runtime>()->loop;
+        tools.directory = context.get<directory::Directory>();
+        tools.log = context.get<eventlog::EventLog>();
+        tools.instance = presence->instance();
+        tools.storeNow = [time = context.get<presence::TrueTime>()] {
+            return time->storeNow();
+        };
+        tools.vms = [presence] {
+            return vmNames(*presence);
+        };
+        EventLoop *loop = tools.loop;
+        const auto keeper = ServerLimitKeeper::create(std::move(tools));
+        context.set<forwarding::ServerLimitGate>(keeper);
+        presence->contribute([keeper](presence::Status &status) { status.limits = keeper->told(); });
+        presence->onStatus([keeper](const presence::Status &status, std::optional<TimePoint>) { keeper->takeTold(status.instance, status.limits); });
+        loop->every(TickPeriod, [keeper] { keeper->tick(); });
+        context.get<metrics::Metrics>()->gauge("servers_limited", [keeper] { return static_cast<double>(keeper->limitedServers()); });
+        return success();
+    }
+};
+
+const ModuleRegistration<ServerLimitsModule> Registration;
+
+} // namespace
+
+} // namespace cardamomlift::serverlimits
--- /dev/null
+++ b/src/serverlimits/tests/serverlimitkeeper_test.cpp
@@ -0,0 +1,224 @@
+#include "serverlimits/serverlimitkeeper.h"
+
+#include <gtest/gtest.h>
+
+namespace cardamomlift::serverlimits {
+
+namespace {
+
+using forwarding::LimitStatement;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const LimitStatement Unlimited{LimitStatement::Kind::Unlimited, 0};
+const LimitStatement Unknown{};
+
+LimitStatement limited(double perSecond)
+{
+    return {LimitStatement::Kind::Limited, perSecond};
+}
+
+/// Two VMs before one server, on a paused clock.
+class ServerLimitKeeperTest : public testing::Test
+{
+protected:
+    ServerLimitKeeperTest()
+    {
+        loop_ = EventLoop::create(clock_).value();
+        log_ = eventlog::EventLog::create(clock_, "test", [this](std::string_view line) {
+            lines_ += line;
+            return true;
+        });
+        list("server");
+        one_ = create("one");
+        two_ = create("two");
+    }
+
+    void list(const std::string &name)
+    {
+        directory::BackendServer server;
+        server.name = name;
+        server.instance = name;
+        server.service = "service";
+        directory_->put(std::move(server));
+    }
+
+    std::shared_ptr<ServerLimitKeeper> create(const std::string &vm)
+    {
+        KeeperTools tools;
+        tools.loop = loop_.get();
+        tools.directory = directory_;
+        tools.log = log_;
+        tools.instance = vm;
+        tools.storeNow = [this]() -> std::optional<Duration> {
+            return isClockKnown_ ? std::optional(loop_->now().time_since_epoch()) : std::nullopt;
+        };
+        tools.vms = [this] {
+            return vms_;
+        };
+        return ServerLimitKeeper::create(std::move(tools));
+    }
+
+    void pass(Duration time)
+    {
+        clock_.advance(time);
+        one_->tick();
+        two_->tick();
+    }
+
+    TimePoint now() const
+    {
+        return loop_->now();
+    }
+
+    /// Requests that a VM may send in some time, if it sends as many as it may.
+    int sent(ServerLimitKeeper &keeper, Duration time)
+    {
+        int count = 0;
+        for (Duration passed(0); passed < time; passed += milliseconds(10)) {
+            pass(milliseconds(10));
+            if (keeper.hasRoom("server")) {
+                keeper.noteSent("server");
+                count++;
+            }
+        }
+        return count;
+    }
+
+    void tell(const ServerLimitKeeper &from, ServerLimitKeeper &to)
+    {
+        to.takeTold("peer", from.told());
+    }
+
+    ManualClock clock_;
+    std::unique_ptr<EventLoop> loop_;
+    std::string lines_;
+    std::shared_ptr<eventlog::EventLog> log_;
+    std::shared_ptr<directory::Directory> directory_ = directory::Directory::create();
+    bool isClockKnown_ = true;
+    std::vector<std::string> vms_{"one", "two"};
+    std::shared_ptr<ServerLimitKeeper> one_;
+    std::shared_ptr<ServerLimitKeeper> two_;
+};
+
+TEST_F(ServerLimitKeeperTest, AServerWithoutALimitAlwaysHasRoom)
+{
+    one_->noteAnswer("server", Unlimited, now());
+    EXPECT_TRUE(one_->hasRoom("server"));
+    EXPECT_FALSE(one_->perSecond("server"));
+    EXPECT_TRUE(one_->told().empty());
+}
+
+TEST_F(ServerLimitKeeperTest, AVmGetsItsPartOfTheLimit)
+{
+    one_->noteAnswer("server", limited(1), now());
+    EXPECT_EQ(one_->perSecond("server"), 1);
+    EXPECT_EQ(one_->ownPerSecond("server"), 0.5);
+    EXPECT_NEAR(sent(*one_, seconds(200)), 100, 25);
+}
+
+TEST_F(ServerLimitKeeperTest, AVmHearsOfALimitFromAnother)
+{
+    one_->noteAnswer("server", limited(1), now());
+    tell(*one_, *two_);
+    EXPECT_EQ(two_->perSecond("server"), 1);
+    EXPECT_TRUE(two_->told().empty()) << "who heard it tells it";
+}
+
+TEST_F(ServerLimitKeeperTest, TheNewestWordHolds)
+{
+    one_->noteAnswer("server", limited(1), now());
+    const auto old = one_->told();
+    pass(milliseconds(100));
+    two_->noteAnswer("server", limited(2), now());
+    two_->takeTold("one", one_->told());
+    EXPECT_EQ(two_->perSecond("server"), 2);
+    tell(*two_, *one_);
+    EXPECT_EQ(one_->perSecond("server"), 2);
+    EXPECT_TRUE(one_->told().empty()) << "its own word is no longer the newest";
+}
+
+TEST_F(ServerLimitKeeperTest, OnlyAnAnswerToALaterRequestEndsALimit)
+{
+    const TimePoint before = now();
+    pass(milliseconds(100));
+    one_->noteAnswer("server", limited(1), now());
+    one_->noteAnswer("server", Unlimited, before);
+    EXPECT_TRUE(one_->perSecond("server")) << "that answer may have been made before";
+    one_->noteAnswer("server", Unknown, now());
+    EXPECT_TRUE(one_->perSecond("server"));
+    pass(milliseconds(100));
+    one_->noteAnswer("server", Unlimited, now());
+    EXPECT_FALSE(one_->perSecond("server"));
+    EXPECT_TRUE(one_->hasRoom("server"));
+}
+
+TEST_F(ServerLimitKeeperTest, NewsFromBeforeDoesNotBringALimitBack)
+{
+    one_->noteAnswer("server", limited(1), now());
+    tell(*one_, *two_);
+    pass(milliseconds(100));
+    two_->noteAnswer("server", Unlimited, now());
+    EXPECT_FALSE(two_->perSecond("server"));
+    tell(*one_, *two_);
+    EXPECT_FALSE(two_->perSecond("server"));
+    tell(*two_, *one_);
+    EXPECT_FALSE(one_->perSecond("server")) << "the end is told too";
+}
+
+TEST_F(ServerLimitKeeperTest, AnEndIsToldForAWhileOnly)
+{
+    one_->noteAnswer("server", limited(1), now());
+    pass(milliseconds(100));
+    one_->noteAnswer("server", Unlimited, now());
+    EXPECT_EQ(one_->told().size(), 1U);
+    for (int i = 0; i < 20; i++) {
+        pass(seconds(1));
+        one_->noteAnswer("server", Unlimited, now());
+    }
+    EXPECT_TRUE(one_->told().empty());
+}
+
+TEST_F(ServerLimitKeeperTest, AnotherStartOfAServerHasNoLimit)
+{
+    one_->noteAnswer("server", limited(1), now());
+    list("server-2");
+    EXPECT_TRUE(one_->hasRoom("server-2"));
+    directory_->drop("server");
+    pass(seconds(60));
+    EXPECT_EQ(one_->limitedServers(), 0U);
+}
+
+TEST_F(ServerLimitKeeperTest, WithoutAClockOrTheListOfVmsALimitedServerGetsNothing)
+{
+    isClockKnown_ = false;
+    one_->noteAnswer("server", limited(1), now());
+    EXPECT_EQ(sent(*one_, seconds(20)), 0);
+    isClockKnown_ = true;
+    vms_.clear();
+    EXPECT_EQ(sent(*one_, seconds(20)), 0);
+    vms_ = {"one"};
+    EXPECT_GT(sent(*one_, seconds(20)), 10);
+}
+
+TEST_F(ServerLimitKeeperTest, ALimitThatNobodyReachesBindsNobody)
+{
+    one_->noteAnswer("server", limited(1e300), now());
+    EXPECT_TRUE(one_->hasRoom("server"));
+}
+
+TEST_F(ServerLimitKeeperTest, EachChangeIsLoggedOnce)
+{
+    for (int i = 0; i < 3; i++) {
+        one_->noteAnswer("server", limited(1.5), now());
+    }
+    EXPECT_NE(lines_.find(R"("event":"server_limited")"), std::string::npos) << lines_;
+    EXPECT_NE(lines_.find(R"("outcome":"named","limit":"1.5")"), std::string::npos) << lines_;
+    EXPECT_EQ(lines_.find("server_limited"), lines_.rfind("server_limited"));
+    one_->noteAnswer("server", limited(2), now());
+    EXPECT_NE(lines_.find(R"("outcome":"changed","limit":"2")"), std::string::npos) << lines_;
+}
+
+} // namespace
+
+} // namespace cardamomlift::serverlimits
