Test how soon many VMs know of changes that are too large to be told; it fails

Hypotheses: (1) the VM waits until what it knows is 2.8 s old, since the changes were too large for a datagram and its group has no VM that follows the store; (2) reading the list of 1,000 servers takes seconds on an eighth of a core; (3) a follower that packs up to 48 KB in each round falls behind. The test is for (1), with a store that answers at once and no processor time: 100 VMs in 8 groups, 250 entries of 200 bytes that change in one instant, twelve times. The groups of the three followers know after 50 ms, the others after 1.3 to 1.8 s: they ask when their knowledge is 2.8 s old, and it is a second old when all is well. 1.7 s are allowed, as in the tests beside it. (2) and (3) are not ruled out.

--- a/src/presence/tests/tablerelay_test.cpp
+++ b/src/presence/tests/tablerelay_test.cpp
@@ -121,6 +121,16 @@
         return static_cast<std::size_t>(std::count_if(vms_.begin(), vms_.end(), [](const auto &vm) { return vm->relay->follows(); }));
     }
 
+    /// Text that can't be packed into less.
+    static std::string noise(std::size_t length, std::mt19937 &random)
+    {
+        std::string text(length, ' ');
+        for (char &letter : text) {
+            letter = static_cast<char>(' ' + random() % 95);
+        }
+        return text;
+    }
+
     bool allKnow(const std::string &key, const std::string &value) const
     {
         return std::all_of(vms_.begin(), vms_.end(), [&](const auto &vm) {
@@ -250,6 +260,40 @@
     EXPECT_TRUE(allKnow("a", large));
 }
 
+// Seen: servers got requests for up to five seconds after they had said that they leave, with 100 and 300 VMs before 1,000
+// and 3,000 servers, where three are allowed; with 30 VMs none did.
+// How: a failure domain's servers leave in one instant. Their entries do not fit into a datagram, so a VM that follows the
+// store tells only that it knows more; VMs of groups without a follower, which hear that of a group mate, waited until what
+// they knew was 2.8 s old before they read the store.
+// Proof: the first request that came too late was sent 3.48 s after the word, by a VM of such a group; this test.
+TEST_F(TableRelayTest, ChangesTooLargeToTellAreReadByTheVmsOfAllGroups)
+{
+    constexpr std::size_t Servers = 250;
+    constexpr int Reclaims = 12;
+    start(100, 4);
+    std::mt19937 random(1);
+    Duration slowest(0);
+    for (int reclaim = 0; reclaim < Reclaims; reclaim++) {
+        // Each time the VMs know that nothing has changed up to another moment before.
+        pass(seconds(4) + reclaim * milliseconds(130));
+        for (std::size_t i = 0; i < Servers; i++) {
+            put("server-" + std::to_string(reclaim) + "-" + std::to_string(i), noise(200, random));
+        }
+        const std::size_t all = Servers * static_cast<std::size_t>(reclaim + 1);
+        Duration took(0);
+        const auto isKnown = [&] {
+            return std::all_of(vms_.begin(), vms_.end(), [all](const auto &vm) { return vm->known.size() == all; });
+        };
+        while (!isKnown() && took < seconds(5)) {
+            pass(milliseconds(50));
+            took += milliseconds(50);
+        }
+        slowest = std::max(slowest, took);
+    }
+    // A server that leaves must get no more work after two seconds.
+    EXPECT_LE(slowest, milliseconds(1700));
+}
+
 TEST_F(TableRelayTest, AVmWithoutTheStoreHearsOfChanges)
 {
     start(8);
