Ask for changes that are too large to be told as soon as a group mate knows of them

What callers saw: requests at servers that had said seconds before that they leave, with 100 VMs and more; the last of them could be lost with it.

Cause: a VM that is told "I know more than you" without the changes can't tell whether the table changed or only others did, so it did not ask until its knowledge was 2.8 s old; and a VM that reads changes itself without being one of the three that follow the store told nobody.

The mend: news of a table name the newest version at which it changed. Without a change between there is no gap, and the store is not asked, where a follower's news asked it before; with one, it is asked after 0.45 s, more than a round in which what fits is told. A VM that has read changes tells its group in any case. Holds for all tables, whatever made the change large.

--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -298,15 +298,13 @@
 {
     packed_.clear();
     const Status partial = partialOf(makeStatus());
-    if (reach == Reach::All && !partial.isFast) {
-        return;
-    }
     for (const auto &[instance, peer] : peers_) {
         if (peer.group == group_) {
             sendTo(peer, partial, true);
         }
     }
-    if (reach == Reach::Group) {
+    // A VM that does not follow the store may have read it all the same; then only its group may lack the change.
+    if (reach == Reach::Group || !partial.isFast) {
         return;
     }
     std::vector<std::string> told;
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -31,6 +31,7 @@
     entry->set_version(news.version);
     entry->set_since(news.since);
     entry->set_age_us(micros(news.age));
+    entry->set_changed_at(news.changedAt);
     entry->set_changes(packed);
 }
 
@@ -41,6 +42,7 @@
     news.version = entry.version();
     news.since = entry.since();
     news.age = Duration(entry.age_us());
+    news.changedAt = entry.changed_at();
     if (entry.changes().empty()) {
         return news;
     }
--- a/src/presence/internal/tablerelay.cpp
+++ b/src/presence/internal/tablerelay.cpp
@@ -17,6 +17,9 @@
 /// A VM that hears no follower asks the store itself when its knowledge is this old. A server that leaves may get work for
 /// two seconds after the store has said so; with the usual age the VMs knew too late when all followers had ended at once.
 constexpr Duration AskAfterAlone = std::chrono::milliseconds(900);
+/// A change that others know is waited for so long: a VM that follows the store tells it in each of its rounds, until it is
+/// known, unless it is too large for a datagram.
+constexpr Duration WaitsForChange = std::chrono::milliseconds(450);
 /// An outage that ended longer ago says nothing of the entries that are missing now.
 constexpr Duration OutageTold = std::chrono::seconds(4);
 
@@ -61,6 +64,9 @@
         if (!self || !own) {
             return false;
         }
+        if (self->lacksChange(*own)) {
+            return true;
+        }
         const auto confirmed = own->confirmedAt();
         const Duration bound = self->hearsAFollower() ? askAfter : std::min(askAfter, AskAfterAlone);
         return !confirmed || self->loop_.now() - *confirmed > bound || self->follows();
@@ -127,7 +133,7 @@
 
 void TableRelay::fill(Status &status) const
 {
-    for (const auto &[watch, askAfter] : watches_) {
+    for (const auto &[watch, askAfter, lacked, lackedSince] : watches_) {
         if (auto news = watch->news()) {
             status.tables[watch->table()] = std::move(*news);
         }
@@ -158,24 +164,39 @@
         outage_(loop_.now() - *status.storeBack);
     }
     bool isNews = false;
-    for (const auto &[watch, askAfter] : watches_) {
-        const auto found = status.tables.find(watch->table());
+    for (Entry &entry : watches_) {
+        const auto found = status.tables.find(entry.watch->table());
         if (found == status.tables.end()) {
             continue;
         }
         const rows::TableNews &news = found->second;
-        const auto own = watch->version();
-        // NOTE The version rises with each write to any table of the store, mostly without changes to this one. That a VM which
-        // does not tell what lies between is ahead is no reason to ask the store: one that follows will tell within a round.
-        const bool isComplete = news.version <= own || news.since <= own;
-        if (isComplete || (status.isFast && status.summaryOf.empty())) {
-            watch->offer(news, *provenAt);
-        }
-        isNews = isNews || (watch->version() > own && !news.changes.empty());
+        const auto own = entry.watch->version();
+        takeNews(entry, news, *provenAt, status.isFast && status.summaryOf.empty());
+        isNews = isNews || (entry.watch->version() > own && !news.changes.empty());
     }
     if (isNews && !presence_->isGroupMate(status.instance)) {
         presence_->sendNow(Reach::Group);
     }
 }
 
+// NOTE That a VM which does not tell a change is ahead is no reason to ask the store: one that follows will tell it within a
+// round. Only what is too large to be told is asked for, after a while.
+void TableRelay::takeNews(Entry &entry, const rows::TableNews &news, TimePoint provenAt, bool isOfFollower)
+{
+    if (isOfFollower || !entry.watch->isGap(news)) {
+        entry.watch->offer(news, provenAt);
+        return;
+    }
+    if (entry.lacked <= entry.watch->version()) {
+        entry.lacked = news.changedAt;
+        entry.lackedSince = loop_.now();
+    }
+}
+
+bool TableRelay::lacksChange(const rows::RowWatch &watch) const
+{
+    const auto entry = std::find_if(watches_.begin(), watches_.end(), [&watch](const Entry &entry) { return entry.watch.get() == &watch; });
+    return entry != watches_.end() && entry->lacked > watch.version() && loop_.now() - entry->lackedSince > WaitsForChange;
+}
+
 } // namespace cardamomlift::presence
--- a/src/presence/tablerelay.h
+++ b/src/presence/tablerelay.h
@@ -28,6 +28,8 @@
     struct Entry {
         std::shared_ptr<rows::RowWatch> watch;
         Duration askAfter{0};
+        std::uint64_t lacked = 0; ///< Version of a change that another VM knows and that was not told; known here if the watch has it.
+        TimePoint lackedSince;
     };
     TableRelay(EventLoop &loop, std::shared_ptr<Presence> presence);
     /// True if a VM that follows the store was heard lately.
@@ -37,6 +39,8 @@
     bool mayFollow(const Peer &peer) const;
     bool isSource(const Status &status) const;
     bool bringsNews(const Status &status) const;
+    bool lacksChange(const rows::RowWatch &watch) const;
+    void takeNews(Entry &entry, const rows::TableNews &news, TimePoint provenAt, bool isOfFollower);
     void fill(Status &status) const;
     void takeStatus(const Status &status, std::optional<TimePoint> provenAt);
     EventLoop &loop_;
--- a/src/presence/tests/presence_test.cpp
+++ b/src/presence/tests/presence_test.cpp
@@ -137,7 +137,7 @@
     message.status.instance = "vm";
     message.status.incarnation = 1;
     message.status.sequence = 2;
-    message.status.tables["t"] = {3, 2, {{"key", "value", 3, true}}, milliseconds(4)};
+    message.status.tables["t"] = {3, 2, {{"key", "value", 3, true}}, milliseconds(4), 3};
     message.status.storeBack = milliseconds(9);
     message.status.clockOffset = milliseconds(-5);
     message.status.demands = {{1, 2.5, 3.5}};
@@ -151,6 +151,7 @@
     ASSERT_TRUE(read);
     EXPECT_EQ(read->echo, 7U);
     EXPECT_EQ(read->status.tables.at("t").age, milliseconds(4));
+    EXPECT_EQ(read->status.tables.at("t").changedAt, 3U);
     EXPECT_EQ(read->status.tables.at("t").changes[0].key, "key");
     EXPECT_TRUE(read->status.tables.at("t").changes[0].isDeleted);
     EXPECT_EQ(read->status.storeBack, message.status.storeBack);
--- a/src/rows/internal/rowwatch.cpp
+++ b/src/rows/internal/rowwatch.cpp
@@ -78,6 +78,7 @@
     }
     // Pages are of different moments: what changed between them comes again by the feed from the first page's version.
     version_ = collectVersion_;
+    changedAt_ = version_;
     recent_.clear();
     recentBytes_ = 0;
     recentSince_ = version_;
@@ -123,6 +124,7 @@
     for (const Row &row : rows) {
         recent_.push_back({row, now});
         recentBytes_ += row.key.size() + row.value.size();
+        changedAt_ = std::max(changedAt_, row.version);
     }
     forgetOld();
 }
@@ -150,6 +152,7 @@
     TableNews news;
     news.version = version_;
     news.since = recentSince_;
+    news.changedAt = changedAt_;
     news.age = loop_.now() - *confirmedAt_;
     for (const Recent &recent : recent_) {
         news.changes.push_back(recent.row);
@@ -157,12 +160,17 @@
     return news;
 }
 
+bool RowWatch::isGap(const TableNews &news) const
+{
+    return news.version > version_ && news.since > version_ && news.changedAt > version_;
+}
+
 void RowWatch::offer(const TableNews &news, TimePoint provenAt)
 {
     if (version_ == 0 || stopped_) {
         return;
     }
-    if (news.version > version_ && news.since > version_) {
+    if (isGap(news)) {
         behind_ = true;
         askIfMay();
         return;
--- a/src/rows/rowtypes.h
+++ b/src/rows/rowtypes.h
@@ -3,6 +3,7 @@
 #include "kernel/clock.h"
 
 #include <cstdint>
+#include <limits>
 #include <functional>
 #include <string>
 #include <vector>
@@ -48,6 +49,7 @@
     std::uint64_t since = 0; ///< @c changes holds all that came after this version.
     std::vector<Row> changes; ///< In order; the newest ones only.
     Duration age{0}; ///< How old the sender's knowledge is that nothing newer exists.
+    std::uint64_t changedAt = std::numeric_limits<std::uint64_t>::max(); ///< No change came between this version and @c version.
 };
 
 /// One change of a transaction. All rows of a transaction lie in one part.
--- a/src/rows/rowwatch.h
+++ b/src/rows/rowwatch.h
@@ -31,7 +31,9 @@
 
     /// The store is asked only while @p mayAsk says so: other VMs may tell what is new. Without a gate it always is.
     void setGate(std::function<bool()> mayAsk);
-    /// Another VM's knowledge, which was complete at @p provenAt less its age.
+    /// Whether @p news lack changes that this watch does not know either.
+    bool isGap(const TableNews &news) const;
+    /// Another VM's knowledge, which was complete at @p provenAt less its age. With a gap the store is asked at once.
     void offer(const TableNews &news, TimePoint provenAt);
     /// How long the store may hold the questions that are asked from now on.
     void setWait(Duration wait);
@@ -71,6 +73,7 @@
     TimePoint collectSince_;
     std::uint64_t collectVersion_ = 0;
     std::uint64_t version_ = 0; ///< 0: not read yet.
+    std::uint64_t changedAt_ = 0; ///< Of the newest known change; of a whole reading, which does not show what was removed, its version.
     Duration backoff_{0};
     bool reachable_ = true;
     /// A change that is told to others for a while.
