Soak: a server names a limit while VMs pause, reload and lose the store

Faults that restart VMs are left out of this one: a VM that starts knows of no limit until it is told.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <random>
+#include <span>
 #include <sstream>
 
 using namespace cardamomlift;
@@ -29,9 +30,14 @@
 /// Requests open at a time.
 constexpr std::size_t OpenRequests = 24;
 constexpr milliseconds FaultGap(150);
-constexpr int FaultKinds = 11;
+const std::vector<int> FaultKinds{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10};
 /// And servers that start again under their name, and entries of another writer in their list.
-constexpr int FaultKindsWithRestarts = 13;
+const std::vector<int> FaultKindsWithRestarts{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12};
+/// Those that leave the VMs what they know: one that starts knows of no limit until it is told.
+const std::vector<int> FaultKindsWithoutRestarts{0, 3, 4, 10};
+/// Requests a second that a server in need takes, and the most that it bears in four seconds.
+constexpr int ServerLimit = 2;
+constexpr int MostInLimitWindow = ServerLimit * 4 * 3 / 2 + 5;
 /// From SIGTERM to the end: the grace time of the fleet's settings and a margin for a busy machine.
 constexpr seconds ExitBound(20);
 constexpr int StatusOk = 200;
@@ -53,14 +59,27 @@
 class SoakRun
 {
 public:
-    SoakRun(unsigned seed, milliseconds length, int faultKinds)
+    SoakRun(unsigned seed, milliseconds length, std::span<const int> faultKinds)
         : random_(seed)
-        , faultKinds_(faultKinds)
+        , faultKinds_(faultKinds.begin(), faultKinds.end())
         , fleet_(Entries, Workers, true)
         , end_(fleet_.caller.loop().now() + length)
     {
     }
 
+    /// The first server names a limit from now on.
+    void limitAServer()
+    {
+        fleet_.waitReady();
+        fleet_.controlWorker(fleet_.workerNames().front(), fault("limit", std::to_string(ServerLimit)));
+    }
+
+    /// What it got in any four seconds.
+    int mostInLimitWindow()
+    {
+        return fleet_.controlWorker(fleet_.workerNames().front())["mostInLimitWindow"].asInt();
+    }
+
     void run()
     {
         fleet_.waitReady();
@@ -125,7 +144,7 @@
         const int entry = pick(Entries) + 1;
         const auto names = fleet_.workerNames();
         const std::string worker = names[static_cast<std::size_t>(pick(static_cast<int>(names.size())))];
-        switch (pick(faultKinds_)) {
+        switch (faultKinds_[static_cast<std::size_t>(pick(static_cast<int>(faultKinds_.size())))]) {
         case 0:
             pauseEntry(entry);
             break;
@@ -336,7 +355,7 @@
     }
 
     std::mt19937 random_;
-    int faultKinds_;
+    std::vector<int> faultKinds_;
     RouteFleet fleet_;
     TimePoint end_;
     std::vector<Sent> sent_;
@@ -382,6 +401,15 @@
     SoakRun(GetParam(), chosenLength(), FaultKindsWithRestarts).run();
 }
 
+TEST_P(Soak, KeepsToALimitThatAServerNames)
+{
+    SoakRun soak(GetParam(), chosenLength(), FaultKindsWithoutRestarts);
+    soak.limitAServer();
+    soak.run();
+    EXPECT_LE(soak.mostInLimitWindow(), MostInLimitWindow);
+    EXPECT_GT(soak.mostInLimitWindow(), 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, Soak, testing::ValuesIn(chosenSeeds()), [](const auto &info) { return std::to_string(info.param); });
 
 } // namespace
