Make the messages' code in the build, not in the tree

The build makes them now, below its own folder; src/M/N.proto is included as "M/N.pb.h". The two packages that the build needs for it are declared for developers and for the platform; the check of packages knows both tools.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The two commands of the README: make run, make test. All else is for developers.
 BUILD ?= build
 JOBS ?= $(shell nproc)
-SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.h' | grep -v /generated/)
+SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.h')
 
 # Some minutes of fresh seeds: make soak SOAK_SEEDS="101 102" SOAK_SECONDS=20
 SOAK_SEEDS ?= $(shell shuf -i 1000-999999 -n 6)
--- a/scripts/check_packages.sh
+++ b/scripts/check_packages.sh
@@ -49,7 +49,7 @@
         continue 2
     done
 done
-for tool in g++ cmake ninja pkg-config clang-format clang-tidy curl ccache; do
+for tool in g++ cmake ninja pkg-config protoc grpc_cpp_plugin clang-format clang-tidy curl ccache; do
     path=$(command -v "$tool" || true)
     [ -n "$path" ] || { report "tool $tool is missing"; continue; }
     owner_is_listed "tool $tool" "$path"
--- a/src/claims/internal/claimwire.cpp
+++ b/src/claims/internal/claimwire.cpp
@@ -1,6 +1,6 @@
 #include "claims/internal/claimwire.h"
 
-#include "claims/generated/claims.pb.h"
+#include "claims/claims.pb.h"
 
 namespace cardamomlift::claims {
 
--- a/src/contract/internal/contractexchange.cpp
+++ b/src/contract/internal/contractexchange.cpp
@@ -1,6 +1,6 @@
 #include "contract/contractexchange.h"
 
-#include "contract/generated/contract.pb.h"
+#include "contract/contract.pb.h"
 #include "kernel/log.h"
 #include "text/digest.h"
 
--- a/src/fleet/internal/demand.cpp
+++ b/src/fleet/internal/demand.cpp
@@ -1,6 +1,6 @@
 #include "fleet/demand.h"
 
-#include "fleet/generated/fleet.pb.h"
+#include "fleet/fleet.pb.h"
 
 #include <algorithm>
 
--- a/src/limits/internal/grantrules.cpp
+++ b/src/limits/internal/grantrules.cpp
@@ -1,6 +1,6 @@
 #include "limits/grantrules.h"
 
-#include "limits/generated/limits.pb.h"
+#include "limits/limits.pb.h"
 #include "text/digest.h"
 
 #include <algorithm>
--- a/src/limits/internal/limitkeeper.cpp
+++ b/src/limits/internal/limitkeeper.cpp
@@ -1,7 +1,7 @@
 #include "limits/limitkeeper.h"
 
 #include "kernel/log.h"
-#include "limits/generated/limits.pb.h"
+#include "limits/limits.pb.h"
 #include "limitshare.h"
 
 #include <algorithm>
--- a/src/membership/internal/gossip.cpp
+++ b/src/membership/internal/gossip.cpp
@@ -1,6 +1,6 @@
 #include "membership/gossip.h"
 
-#include "membership/generated/membership.pb.h"
+#include "membership/membership.pb.h"
 
 #include <span>
 #include <utility>
--- a/src/membership/internal/spread.cpp
+++ b/src/membership/internal/spread.cpp
@@ -1,7 +1,7 @@
 #include "membership/spread.h"
 
 #include "kernel/log.h"
-#include "membership/generated/membership.pb.h"
+#include "membership/membership.pb.h"
 #include "membership/overlay.h"
 #include "membership/wirevm.h"
 #include "text/digest.h"
--- a/src/membership/internal/wirevm.cpp
+++ b/src/membership/internal/wirevm.cpp
@@ -1,6 +1,6 @@
 #include "membership/wirevm.h"
 
-#include "membership/generated/membership.pb.h"
+#include "membership/membership.pb.h"
 
 namespace cardamomlift::membership {
 
--- a/src/peers/internal/opencalls.h
+++ b/src/peers/internal/opencalls.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "kernel/eventloop.h"
-#include "peers/generated/peers.grpc.pb.h"
+#include "peers/peers.grpc.pb.h"
 #include "peers/peertransport.h"
 
 #include <condition_variable>
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -1,6 +1,6 @@
 #include "presence/statusformat.h"
 
-#include "presence/generated/status.pb.h"
+#include "presence/status.pb.h"
 
 #include <xxhash.h>
 #include <zlib.h>
--- a/src/streams/streamcodec.h
+++ b/src/streams/streamcodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "streams/generated/streams.pb.h"
+#include "streams/streams.pb.h"
 #include "streams/streamtypes.h"
 
 namespace cardamomlift::streams {
--- a/src/streams/streamkeeper.h
+++ b/src/streams/streamkeeper.h
@@ -5,7 +5,7 @@
 #include "metrics/metrics.h"
 #include "peers/peertransport.h"
 #include "streams/copysender.h"
-#include "streams/generated/streams.pb.h"
+#include "streams/streams.pb.h"
 #include "streams/streamdecision.h"
 #include "streams/streamsession.h"
 
--- a/src/suspects/internal/newsformat.cpp
+++ b/src/suspects/internal/newsformat.cpp
@@ -1,6 +1,6 @@
 #include "suspects/newsformat.h"
 
-#include "suspects/generated/suspects.pb.h"
+#include "suspects/suspects.pb.h"
 
 #include <algorithm>
 
