--- a/src/serverlimits/internal/serverlimitkeeper.cpp
+++ b/src/serverlimits/internal/serverlimitkeeper.cpp
@@ -21,6 +21,8 @@
 constexpr Duration EndToldFor = std::chrono::seconds(10);
 /// The newest that fit beside the rest of a status.
 constexpr std::size_t MostTold = 64;
+/// How much older than told an end may be: its way here is not in its age. The limit may have been named anew since.
+constexpr Duration EndDoubt = std::chrono::milliseconds(300);
 /// What was told of a server that is not in the list here is kept for this long: the list may lag.
 constexpr Duration UnlistedKeptFor = std::chrono::seconds(30);
 
@@ -76,15 +78,25 @@
     }
     const std::uint64_t server = presence::nameHash(instance);
     const bool isLimited = statement.kind == LimitStatement::Kind::Limited && statement.perSecond <= MostPerSecond;
-    if (!isLimited) {
-        const auto known = servers_.find(server);
-        // NOTE An answer may have been made before the limit was named that another VM heard of. Only one to a request that was
-        // sent after that ends it.
-        if (known == servers_.end() || !known->second.isLimited || sentAt < known->second.heardAt) {
-            return;
-        }
+    if (isLimited || mayEnd(server, sentAt)) {
+        take({server, isLimited, statement.perSecond, tools_.loop->now(), {}});
     }
-    take({server, isLimited, statement.perSecond, tools_.loop->now(), {}});
+}
+
+// NOTE An answer may have been made before the limit was named that another VM heard of. Only one to a request that was sent
+// after that ends it. Answers after the end are taken too for as long as it is told: newer ones convince who doubts it.
+bool ServerLimitKeeper::mayEnd(std::uint64_t server, TimePoint sentAt) const
+{
+    const auto found = servers_.find(server);
+    if (found == servers_.end() || sentAt < found->second.heardAt) {
+        return false;
+    }
+    return found->second.isLimited || isEndTold(found->second);
+}
+
+bool ServerLimitKeeper::isEndTold(const Known &known) const
+{
+    return tools_.loop->now() - known.changedAt < EndToldFor;
 }
 
 std::optional<double> ServerLimitKeeper::perSecond(const std::string &instance) const
@@ -109,6 +121,7 @@
     const bool isChange = known.isLimited != word.isLimited || (word.isLimited && known.book.perSecond != word.perSecond);
     if (isChange) {
         logChange(word, known);
+        known.changedAt = tools_.loop->now();
     }
     known.isLimited = word.isLimited;
     known.heardAt = word.heardAt;
@@ -136,9 +149,8 @@
     const TimePoint now = tools_.loop->now();
     std::vector<presence::ServerLimit> limits;
     for (const auto &[server, known] : servers_) {
-        const Duration age = now - known.heardAt;
-        if (known.isOwn && (known.isLimited || age < EndToldFor)) {
-            limits.push_back({server, known.isLimited, known.book.perSecond, age});
+        if (known.isOwn && (known.isLimited || isEndTold(known))) {
+            limits.push_back({server, known.isLimited, known.book.perSecond, now - known.heardAt});
         }
     }
     std::sort(limits.begin(), limits.end(), [](const auto &a, const auto &b) { return a.age < b.age; });
@@ -150,7 +162,8 @@
 {
     const TimePoint now = tools_.loop->now();
     for (const presence::ServerLimit &limit : limits) {
-        take({limit.server, limit.isLimited, limit.perSecond, now - limit.age, vm});
+        const TimePoint heardAt = now - limit.age - (limit.isLimited ? Duration(0) : EndDoubt);
+        take({limit.server, limit.isLimited, limit.perSecond, heardAt, vm});
     }
 }
 
--- a/src/serverlimits/serverlimitkeeper.h
+++ b/src/serverlimits/serverlimitkeeper.h
@@ -54,6 +54,7 @@
     struct Known {
         bool isLimited = false;
         TimePoint heardAt; ///< When the answer came, here or at another VM.
+        TimePoint changedAt; ///< When it was named, became another one, or ended.
         bool isOwn = false; ///< It came here.
         TurnBook book;
     };
@@ -67,6 +68,8 @@
     };
     explicit ServerLimitKeeper(KeeperTools tools);
     const Known *limited(const std::string &instance) const;
+    bool mayEnd(std::uint64_t server, TimePoint sentAt) const;
+    bool isEndTold(const Known &known) const;
     void take(const Word &word);
     void changeRate(TurnBook &book, double perSecond);
     void logChange(const Word &word, const Known &before) const;
--- a/src/serverlimits/tests/serverlimitkeeper_test.cpp
+++ b/src/serverlimits/tests/serverlimitkeeper_test.cpp
@@ -157,7 +157,7 @@
 {
     one_->noteAnswer("server", limited(1), now());
     tell(*one_, *two_);
-    pass(milliseconds(100));
+    pass(seconds(1));
     two_->noteAnswer("server", Unlimited, now());
     EXPECT_FALSE(two_->perSecond("server"));
     tell(*one_, *two_);
@@ -166,6 +166,35 @@
     EXPECT_FALSE(one_->perSecond("server")) << "the end is told too";
 }
 
+TEST_F(ServerLimitKeeperTest, AnEndThatWasOnItsWayDoesNotEndALimitThatWasNamedAnew)
+{
+    one_->noteAnswer("server", limited(1), now());
+    tell(*one_, *two_);
+    pass(seconds(1));
+    one_->noteAnswer("server", Unlimited, now());
+    const auto end = one_->told();
+    pass(milliseconds(50));
+    two_->noteAnswer("server", limited(1), now());
+    pass(milliseconds(100));
+    two_->takeTold("one", end);
+    EXPECT_TRUE(two_->perSecond("server"));
+}
+
+TEST_F(ServerLimitKeeperTest, AnEndIsBelievedAfterFurtherAnswers)
+{
+    one_->noteAnswer("server", limited(1), now());
+    pass(milliseconds(100));
+    two_->noteAnswer("server", limited(1), now());
+    pass(milliseconds(50));
+    one_->noteAnswer("server", Unlimited, now());
+    tell(*one_, *two_);
+    EXPECT_TRUE(two_->perSecond("server")) << "it may be the older of the two";
+    pass(milliseconds(500));
+    one_->noteAnswer("server", Unlimited, now());
+    tell(*one_, *two_);
+    EXPECT_FALSE(two_->perSecond("server"));
+}
+
 TEST_F(ServerLimitKeeperTest, AnEndIsToldForAWhileOnly)
 {
     one_->noteAnswer("server", limited(1), now());
