Count a run that stopped for its move as one that has run

What callers saw, in two tests: a stream that was moved and that no other server took never ended, since an answer of ours has no place in a stream that has begun, and its timer was gone; and a non-idempotent run that had begun at its first server was told as "not run" (503) when the second one refused it. Found by reading what a moved run comes to where no server has room.

Cause: the end of the source's stream for a move was the one way to end a send that did not count as a run. So the last word was chosen as for a request that no server had begun.

--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -148,6 +148,8 @@
     const std::string instance = attempt_->server->server.instance;
     if (move_ && failure == http1::CallFailure::Broken) {
         // The source ends its stream when the run stops; where it goes on depends on its answer to the move.
+        // It may not be told as not run, whatever becomes of the copy.
+        runs_++;
         logAttempt("stopped_for_move");
         endAttempt(false);
         splitter_.dropRest();
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -143,6 +143,40 @@
     EXPECT_NE(client->received().find("data: c"), std::string::npos);
 }
 
+// Its caller would wait for the rest until its own time limit: an answer of ours has no place in a stream that has begun.
+TEST_F(ForwarderTest, AMovedStreamThatNoServerTakesEndsVisibly)
+{
+    const auto client = call(request("/stream/1"));
+    const auto first = next();
+    first->begin(signedHead());
+    first->send("id: 1\ndata: a\n\n");
+    ASSERT_TRUE(runUntil([&] { return client->received().find("data: a") != std::string::npos; }));
+    reclaim(std::string(first->head().fields.get("X-Expect-Instance")));
+    const auto order = next();
+    first->breakOff();
+    http1::ResponseHead done;
+    done.status = 200;
+    order->answer(std::move(done), R"({"handle":"h7","created":1})");
+    next()->answer(notRunHead(), {});
+    ASSERT_TRUE(runUntil([&] { return client->hasEnded(); }));
+    EXPECT_FALSE(client->received().ends_with("0\r\n\r\n"));
+    EXPECT_NE(lines_.find(R"("event":"request_failed")"), std::string::npos) << lines_;
+}
+
+TEST_F(ForwarderTest, ARunThatBeganBeforeItsMoveIsNotToldAsNotRun)
+{
+    const auto client = call(request("/stream/1"));
+    const auto first = next();
+    reclaim(std::string(first->head().fields.get("X-Expect-Instance")));
+    const auto order = next();
+    first->breakOff();
+    http1::ResponseHead done;
+    done.status = 200;
+    order->answer(std::move(done), R"({"handle":"h7","created":0})");
+    next()->answer(notRunHead(), {});
+    EXPECT_TRUE(runUntil([&] { return answered(*client, "502"); })) << client->received();
+}
+
 TEST_F(ForwarderTest, APromptThatAServerKeepsGoesThereAndIsCopiedWhenThatOneLeaves)
 {
     const std::string prompt = "X-Token-Usage: 9000,80\r\nX-Prompt-Prefix: aa:8000,bb:1000\r\nKv-Fetch: 10.9.9.9:1\r\n";
