--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -40,7 +40,8 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"manifest", "directory", "eventlog", "metrics", "platform", "presence", "allowance", "usage", "outliers", "prefixindex", "rollout", "serverlimits"};
+        return {
+            "manifest", "directory", "eventlog", "metrics", "platform", "presence", "allowance", "usage", "outliers", "prefixindex", "rollout", "serverlimits"};
     }
 
     Result<void> start(Context &context) override
--- a/src/rows/rowtypes.h
+++ b/src/rows/rowtypes.h
@@ -3,8 +3,8 @@
 #include "kernel/clock.h"
 
 #include <cstdint>
-#include <limits>
 #include <functional>
+#include <limits>
 #include <string>
 #include <vector>
 
--- a/src/streams/streamkeeper.h
+++ b/src/streams/streamkeeper.h
@@ -5,8 +5,8 @@
 #include "metrics/metrics.h"
 #include "peers/peertransport.h"
 #include "streams/copysender.h"
-#include "streams/streams.pb.h"
 #include "streams/streamdecision.h"
+#include "streams/streams.pb.h"
 #include "streams/streamsession.h"
 
 #include <functional>
