--- a/src/rows/tests/rowwatch_test.cpp
+++ b/src/rows/tests/rowwatch_test.cpp
@@ -166,6 +166,34 @@
     EXPECT_GT(*confirmedAt_, before);
 }
 
+// Most writes to the store are to other tables.
+TEST_F(RowWatchTest, OnlyNewsOfAChangeThatWasNotToldAreAskedFor)
+{
+    put("a", "1");
+    start();
+    bool mayAsk = true;
+    watch_->setGate([&mayAsk] { return mayAsk; });
+    pass(milliseconds(2000));
+    mayAsk = false;
+    pass(milliseconds(2000));
+    const auto calls = store_->calls;
+    TableNews news;
+    news.version = watch_->version() + 10;
+    news.since = news.version;
+    news.changedAt = watch_->version();
+    watch_->offer(news, loop_->now());
+    pass(milliseconds(300));
+    EXPECT_EQ(store_->calls, calls) << "nothing has changed in this table";
+    EXPECT_EQ(watch_->version(), news.version);
+    news.version += 10;
+    news.since = news.version;
+    news.changedAt = news.version - 1;
+    EXPECT_TRUE(watch_->isGap(news));
+    watch_->offer(news, loop_->now());
+    pass(milliseconds(300));
+    EXPECT_EQ(store_->calls, calls + 1);
+}
+
 TEST_F(RowWatchTest, SurvivesSilence)
 {
     start();
