--- a/src/presence/internal/tablerelay.cpp
+++ b/src/presence/internal/tablerelay.cpp
@@ -18,9 +18,8 @@
 /// two seconds after the store has said so; with the usual age the VMs knew too late when all followers had ended at once.
 constexpr Duration AskAfterAlone = std::chrono::milliseconds(900);
 /// A change that others know is waited for so long: a VM that follows the store tells it in each of its rounds, until it is
-/// known, unless it is too large for a datagram. Changes that come meanwhile are read with it: reading each by itself takes
-/// processor time, and a leaving server may get work for two seconds.
-constexpr Duration WaitsForChange = std::chrono::milliseconds(1000);
+/// known, unless it is too large for a datagram.
+constexpr Duration WaitsForChange = std::chrono::milliseconds(450);
 /// An outage that ended longer ago says nothing of the entries that are missing now.
 constexpr Duration OutageTold = std::chrono::seconds(4);
 
