Log whole readings of tables, and the version and age of the list that a send went by

Timeline: the store was away from 44.0 to 46.5 s and refused three readings of each VM when it was back. Six of nine VMs logged that the server leaves within 30 ms of the word at 49.810; three never did, and went on to choose it. All nine took the manifest of 49.834.

Hypotheses: (1) the store came back with lower versions, and a VM that had read them took a higher, older version from another VM, so that changes below it passed for known; (2) the directory drops the change; (3) the news between VMs were late or lost. For (1): the three VMs that missed it read the tables while the VMs that follow the store still told the versions of before; three others in the same place read them a second time, and heard it. Against (2): six VMs with the same list took it. Against (3): the manifest came in the same datagrams.

What no line told: which version of a table a VM goes by, why it read one whole, and how old the list was at a send. No decision changes.

Tests of rows, presence, directory, forwarding, eventlog, rollout, platform and duties: green.

--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -42,6 +42,11 @@
     void drop(std::string_view name);
     /// The whole list was read anew: entries that it lacks went.
     void replaceAll(std::span<const BackendServer> servers, TimePoint now);
+    /// The list was complete up to @p listVersion at some time at or after @p askedAt.
+    void confirm(std::uint64_t listVersion, TimePoint askedAt);
+    std::uint64_t listVersion() const;
+    /// Time since the list was certainly complete; empty if it never was.
+    std::optional<Duration> listAge(TimePoint now) const;
     /// The store did not answer, or answers again.
     void noteStoreReachable(bool reachable, TimePoint now);
     /// Another VM has seen the store away until @p backAt.
@@ -75,6 +80,8 @@
     mutable std::map<std::string, std::vector<ServerPtr>, std::less<>> usable_;
     mutable bool isUsableStale_ = false;
     std::set<std::string, std::less<>> gone_; ///< Instances that said they leave and went; never to be used again.
+    std::uint64_t listVersion_ = 0;
+    std::optional<TimePoint> listConfirmedAt_;
     bool storeReachable_ = true;
     std::optional<TimePoint> storeBackAt_;
     std::vector<std::function<void(const ServerPtr &)>> leavingHandlers_;
--- a/src/directory/internal/directory.cpp
+++ b/src/directory/internal/directory.cpp
@@ -83,6 +83,25 @@
     }
 }
 
+void Directory::confirm(std::uint64_t listVersion, TimePoint askedAt)
+{
+    listVersion_ = listVersion;
+    listConfirmedAt_ = listConfirmedAt_ ? std::max(*listConfirmedAt_, askedAt) : askedAt;
+}
+
+std::uint64_t Directory::listVersion() const
+{
+    return listVersion_;
+}
+
+std::optional<Duration> Directory::listAge(TimePoint now) const
+{
+    if (!listConfirmedAt_) {
+        return std::nullopt;
+    }
+    return now - *listConfirmedAt_;
+}
+
 void Directory::noteStoreReachable(bool reachable, TimePoint now)
 {
     if (reachable && !storeReachable_) {
--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -32,6 +32,7 @@
     ServerTrusted, ///< It gets work like the others again.
     ServerSilent, ///< A request waits long, and nothing was heard from its server since.
     ServerLimited, ///< It named a limit on its requests, another one, or none any more.
+    TableRead, ///< A table of the store was read whole.
     StoreLost,
     StoreRegained,
     PeerLost,
@@ -99,6 +100,9 @@
     HerePerSecond, ///< Asked by callers of this VM.
     ElsewherePerSecond, ///< Asked by callers of the other VMs.
     Limit, ///< Requests a second that a backend server takes from all VMs; empty: it has named no limit.
+    Table, ///< Of the store.
+    ListVersion, ///< Version of the table of backend servers that decided.
+    ListAgeMs, ///< Since that list was certainly complete.
     Limited, ///< Backend servers passed over, since their limits leave no room now.
     Count,
     Last
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -29,6 +29,7 @@
     "server_trusted",
     "server_silent",
     "server_limited",
+    "table_read",
     "store_lost",
     "store_regained",
     "peer_lost",
@@ -92,6 +93,9 @@
     "here_per_s",
     "elsewhere_per_s",
     "limit",
+    "table",
+    "list_version",
+    "list_age_ms",
     "limited",
     "count"};
 
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -169,6 +169,7 @@
     const directory::BackendServer &server = choice.server->server;
     const auto &load = tools_.pool->load(server.instance);
     const auto age = tools_.manifests->age(tools_.loop->now());
+    const auto listAge = tools_.directory->listAge(tools_.loop->now());
     const auto perSecond = tools_.limits ? tools_.limits->perSecond(server.instance) : std::nullopt;
     const std::string limit = perSecond ? fmt::format("{}", *perSecond) : std::string();
     tools_.log->write(Event::RequestDispatched,
@@ -193,6 +194,8 @@
             {Attribute::ReportAgeMs, load.reportedAt ? millisecondsSince(*load.reportedAt) : std::int64_t(-1)},
             {Attribute::Version, static_cast<std::int64_t>(manifest_->manifest().version)},
             {Attribute::AgeMs, age ? milliseconds(*age) : std::int64_t(-1)},
+            {Attribute::ListVersion, static_cast<std::int64_t>(tools_.directory->listVersion())},
+            {Attribute::ListAgeMs, listAge ? milliseconds(*listAge) : std::int64_t(-1)},
             {Attribute::LeftMs, milliseconds(timeLeft())}});
 }
 
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -82,8 +82,8 @@
     Presence *raw = presence.get();
     raw->tools_.datagrams->onDatagram([raw](std::string_view bytes) { raw->onDatagram(bytes); });
     rows::WatchHandlers handlers;
-    handlers.onAll = [raw](const std::vector<rows::Row> &rows) {
-        raw->replaceRows(rows);
+    handlers.onAll = [raw](const rows::WholeTable &whole) {
+        raw->replaceRows(whole.rows);
     };
     handlers.onChanges = [raw](const std::vector<rows::Row> &rows) {
         raw->takeRows(rows);
@@ -92,7 +92,7 @@
     };
     handlers.onReachable = [](bool, rows::StoreFailure) {
     };
-    raw->watch_ = rows::RowWatch::start(*raw->tools_.loop, raw->tools_.store, Table, WatchWait, std::move(handlers));
+    raw->watch_ = rows::RowWatch::start({raw->tools_.loop, raw->tools_.store, raw->tools_.log}, Table, WatchWait, std::move(handlers));
     raw->writeRow();
     raw->sendSoon();
     return presence;
--- a/src/presence/tests/tablerelay_test.cpp
+++ b/src/presence/tests/tablerelay_test.cpp
@@ -58,9 +58,9 @@
         tools.datagrams = vm.datagrams;
         vm.presence = Presence::start(std::move(tools));
         rows::WatchHandlers handlers;
-        handlers.onAll = [&vm](const std::vector<rows::Row> &rows) {
+        handlers.onAll = [&vm](const rows::WholeTable &whole) {
             vm.known.clear();
-            take(vm, rows);
+            take(vm, whole.rows);
         };
         handlers.onChanges = [&vm](const std::vector<rows::Row> &rows) {
             take(vm, rows);
@@ -69,7 +69,7 @@
         };
         handlers.onReachable = [](bool, rows::StoreFailure) {
         };
-        vm.watch = rows::RowWatch::start(*loop_, vm.store, "t", milliseconds(800), std::move(handlers));
+        vm.watch = rows::RowWatch::start({loop_.get(), vm.store, log_}, "t", milliseconds(800), std::move(handlers));
         vm.relay = TableRelay::create(*loop_, vm.presence);
         vm.relay->add(vm.watch, AskAfter);
         vm.relay->add(vm.presence->watch(), seconds(15));
@@ -86,10 +86,10 @@
         }
     }
 
-    void put(const std::string &key, const std::string &value)
+    void put(const std::string &key, const std::string &value, const std::string &table = "t")
     {
         rows::RowWrite write;
-        write.table = "t";
+        write.table = table;
         write.key = key;
         write.value = value;
         rows_->transact({write});
--- a/src/rollout/rolloutmodule.cpp
+++ b/src/rollout/rolloutmodule.cpp
@@ -105,8 +105,8 @@
     void watchRecords(Context &context)
     {
         rows::WatchHandlers handlers;
-        handlers.onAll = [this](const std::vector<rows::Row> &rows) {
-            keeper_->takeRecords(rows, true);
+        handlers.onAll = [this](const rows::WholeTable &whole) {
+            keeper_->takeRecords(whole.rows, true);
         };
         handlers.onChanges = [this](const std::vector<rows::Row> &rows) {
             keeper_->takeRecords(rows, false);
@@ -115,7 +115,7 @@
         };
         handlers.onReachable = [](bool, rows::StoreFailure) {
         };
-        watch_ = rows::RowWatch::start(*loop_, context.get<rows::RowStore>(), RecordsTable, UsualWait, std::move(handlers));
+        watch_ = rows::RowWatch::start({loop_, context.get<rows::RowStore>(), context.get<eventlog::EventLog>()}, RecordsTable, UsualWait, std::move(handlers));
         context.get<presence::TableRelay>()->add(watch_, AskAfter);
     }
 
--- a/src/rollout/tests/rolloutjudge_test.cpp
+++ b/src/rollout/tests/rolloutjudge_test.cpp
@@ -88,8 +88,8 @@
     void watchRecords(JudgingVm &vm)
     {
         rows::WatchHandlers handlers;
-        handlers.onAll = [keeper = vm.keeper](const std::vector<rows::Row> &rows) {
-            keeper->takeRecords(rows, true);
+        handlers.onAll = [keeper = vm.keeper](const rows::WholeTable &whole) {
+            keeper->takeRecords(whole.rows, true);
         };
         handlers.onChanges = [keeper = vm.keeper](const std::vector<rows::Row> &rows) {
             keeper->takeRecords(rows, false);
@@ -98,7 +98,7 @@
         };
         handlers.onReachable = [](bool, rows::StoreFailure) {
         };
-        vm.watch = rows::RowWatch::start(*loop_, vm.vm.store, RecordsTable, milliseconds(800), std::move(handlers));
+        vm.watch = rows::RowWatch::start({loop_.get(), vm.vm.store, log_}, RecordsTable, milliseconds(800), std::move(handlers));
     }
 
     static void order(const JudgingVm &vm)
--- a/src/rows/internal/rowwatch.cpp
+++ b/src/rows/internal/rowwatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace cardamomlift::rows {
 
@@ -25,18 +26,17 @@
 
 } // namespace
 
-RowWatch::RowWatch(EventLoop &loop, std::shared_ptr<RowStore> store, std::string table, Duration wait, WatchHandlers handlers)
-    : loop_(loop)
-    , store_(std::move(store))
+RowWatch::RowWatch(WatchTools tools, std::string table, Duration wait, WatchHandlers handlers)
+    : tools_(std::move(tools))
     , table_(std::move(table))
     , wait_(wait)
     , handlers_(std::move(handlers))
 {
 }
 
-std::shared_ptr<RowWatch> RowWatch::start(EventLoop &loop, std::shared_ptr<RowStore> store, std::string table, Duration wait, WatchHandlers handlers)
+std::shared_ptr<RowWatch> RowWatch::start(WatchTools tools, std::string table, Duration wait, WatchHandlers handlers)
 {
-    std::shared_ptr<RowWatch> watch(new RowWatch(loop, std::move(store), std::move(table), wait, std::move(handlers)));
+    std::shared_ptr<RowWatch> watch(new RowWatch(std::move(tools), std::move(table), wait, std::move(handlers)));
     watch->readAll({});
     return watch;
 }
@@ -51,7 +51,7 @@
     if (from.empty()) {
         collected_.clear();
     }
-    store_->read(table_, std::move(from), [weak = weak_from_this()](const ReadResult &result) {
+    tools_.store->read(table_, std::move(from), [weak = weak_from_this()](const ReadResult &result) {
         const auto self = weak.lock();
         if (self && !self->stopped_) {
             self->onPage(result);
@@ -83,13 +83,25 @@
     recentBytes_ = 0;
     recentSince_ = version_;
     setReachable(true, StoreFailure::None);
-    const std::vector<Row> all = std::move(collected_);
-    collected_.clear();
-    handlers_.onAll(all);
+    WholeTable whole;
+    whole.rows = std::exchange(collected_, {});
+    whole.version = version_;
+    whole.reason = readReason_;
+    logReading(whole);
+    handlers_.onAll(whole);
     confirm(collectSince_);
     askIfMay();
 }
 
+void RowWatch::logReading(const WholeTable &whole) const
+{
+    tools_.log->write(eventlog::Event::TableRead,
+        {{eventlog::Attribute::Table, table_},
+            {eventlog::Attribute::Reason, readReasonName(whole.reason)},
+            {eventlog::Attribute::Version, static_cast<std::int64_t>(whole.version)},
+            {eventlog::Attribute::Count, static_cast<std::int64_t>(whole.rows.size())}});
+}
+
 void RowWatch::askIfMay()
 {
     if (stopped_ || asking_) {
@@ -104,8 +116,8 @@
 
 void RowWatch::askLater(Duration delay)
 {
-    loop_.cancel(askTimer_);
-    askTimer_ = loop_.after(delay, [weak = weak_from_this()] {
+    tools_.loop->cancel(askTimer_);
+    askTimer_ = tools_.loop->after(delay, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->askIfMay();
         }
@@ -120,7 +132,7 @@
 
 void RowWatch::remember(const std::vector<Row> &rows)
 {
-    const TimePoint now = loop_.now();
+    const TimePoint now = tools_.loop->now();
     for (const Row &row : rows) {
         recent_.push_back({row, now});
         recentBytes_ += row.key.size() + row.value.size();
@@ -131,7 +143,7 @@
 
 void RowWatch::forgetOld()
 {
-    const TimePoint now = loop_.now();
+    const TimePoint now = tools_.loop->now();
     while (!recent_.empty() && (now - recent_.front().at > RecentTime || recentBytes_ > RecentBytes)) {
         // NOTE One transaction may write several rows at one version: they are told together or not at all.
         const std::uint64_t version = recent_.front().row.version;
@@ -153,7 +165,7 @@
     news.version = version_;
     news.since = recentSince_;
     news.changedAt = changedAt_;
-    news.age = loop_.now() - *confirmedAt_;
+    news.age = tools_.loop->now() - *confirmedAt_;
     for (const Recent &recent : recent_) {
         news.changes.push_back(recent.row);
     }
@@ -219,7 +231,7 @@
 
 std::optional<TimePoint> RowWatch::lostUntil() const
 {
-    return reachable_ ? regainedAt_ : std::optional(loop_.now());
+    return reachable_ ? regainedAt_ : std::optional(tools_.loop->now());
 }
 
 void RowWatch::ask()
@@ -228,7 +240,7 @@
     const Duration wait = confirmAtOnce_ || behind_ || isGated ? Duration(0) : wait_;
     confirmAtOnce_ = false;
     asking_ = true;
-    store_->changes(table_, version_, wait, [weak = weak_from_this()](const ReadResult &result) {
+    tools_.store->changes(table_, version_, wait, [weak = weak_from_this()](const ReadResult &result) {
         const auto self = weak.lock();
         if (self && !self->stopped_) {
             self->asking_ = false;
@@ -241,6 +253,7 @@
 {
     if (result.failure == StoreFailure::HistoryLost) {
         version_ = 0;
+        readReason_ = ReadReason::HistoryLost;
         readAll({});
         return;
     }
@@ -254,7 +267,7 @@
     const bool hasChanges = !result.page.rows.empty();
     takeChanges(result.page);
     confirm(result.askedAt);
-    const Duration since = loop_.now() - result.askedAt;
+    const Duration since = tools_.loop->now() - result.askedAt;
     if (hasChanges && since < PauseBetweenChanges) {
         askLater(PauseBetweenChanges - since);
         return;
@@ -297,14 +310,14 @@
     }
     reachable_ = reachable;
     if (reachable) {
-        regainedAt_ = loop_.now();
+        regainedAt_ = tools_.loop->now();
     }
     handlers_.onReachable(reachable, failure);
 }
 
 void RowWatch::readAllLater()
 {
-    loop_.after(backoff_, [weak = weak_from_this()] {
+    tools_.loop->after(backoff_, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && !self->stopped_) {
             self->readAll({});
--- a/src/rows/rowtypes.h
+++ b/src/rows/rowtypes.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <limits>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cardamomlift::rows {
@@ -26,6 +27,22 @@
     Duration storeTime{0}; ///< The store's steady clock.
 };
 
+/// Why a table is read whole.
+enum class ReadReason {
+    First, ///< Nothing of it was known.
+    HistoryLost, ///< The store does not keep the changes since what was known.
+};
+
+/// For the log.
+std::string_view readReasonName(ReadReason reason);
+
+/// All rows of a table.
+struct WholeTable {
+    std::vector<Row> rows;
+    std::uint64_t version = 0; ///< Changes after it may be missing.
+    ReadReason reason = ReadReason::First;
+};
+
 /// Why a call to the store gave nothing.
 enum class StoreFailure {
     None,
--- a/src/rows/rowwatch.h
+++ b/src/rows/rowwatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "eventlog/eventlog.h"
 #include "kernel/eventloop.h"
 #include "rows/rowstore.h"
 
@@ -11,9 +12,16 @@
 
 namespace cardamomlift::rows {
 
+/// What a watch works with.
+struct WatchTools {
+    EventLoop *loop = nullptr;
+    std::shared_ptr<RowStore> store;
+    std::shared_ptr<eventlog::EventLog> log;
+};
+
 /// What a watch tells its owner.
 struct WatchHandlers {
-    std::function<void(const std::vector<Row> &rows)> onAll; ///< The whole table was read: at the start and after lost history.
+    std::function<void(const WholeTable &whole)> onAll; ///< The whole table was read.
     std::function<void(const std::vector<Row> &rows)> onChanges;
     /// All that was written before @p askedAt has been told.
     std::function<void(TimePoint askedAt)> onConfirmed;
@@ -25,7 +33,7 @@
 {
 public:
     /// @p wait: how long the store may hold a question that has no answer yet.
-    static std::shared_ptr<RowWatch> start(EventLoop &loop, std::shared_ptr<RowStore> store, std::string table, Duration wait, WatchHandlers handlers);
+    static std::shared_ptr<RowWatch> start(WatchTools tools, std::string table, Duration wait, WatchHandlers handlers);
     /// Ends it; no handler is called any more.
     void stop();
 
@@ -50,9 +58,10 @@
     std::optional<TimePoint> lostUntil() const;
 
 private:
-    RowWatch(EventLoop &loop, std::shared_ptr<RowStore> store, std::string table, Duration wait, WatchHandlers handlers);
+    RowWatch(WatchTools tools, std::string table, Duration wait, WatchHandlers handlers);
     void readAll(std::string from);
     void onPage(const ReadResult &result);
+    void logReading(const WholeTable &whole) const;
     void ask();
     void onChanges(const ReadResult &result);
     void takeChanges(const RowPage &page);
@@ -64,14 +73,14 @@
     void setReachable(bool reachable, StoreFailure failure);
     void askLater(Duration delay);
     void readAllLater();
-    EventLoop &loop_;
-    std::shared_ptr<RowStore> store_;
+    WatchTools tools_;
     std::string table_;
     Duration wait_;
     WatchHandlers handlers_;
     std::vector<Row> collected_; ///< Of a table that is read in several pages.
     TimePoint collectSince_;
     std::uint64_t collectVersion_ = 0;
+    ReadReason readReason_ = ReadReason::First; ///< Of the reading that is under way.
     std::uint64_t version_ = 0; ///< 0: not read yet.
     std::uint64_t changedAt_ = 0; ///< Of the newest known change; of a whole reading, which does not show what was removed, its version.
     Duration backoff_{0};
--- a/src/rows/tests/rowwatch_test.cpp
+++ b/src/rows/tests/rowwatch_test.cpp
@@ -17,15 +17,16 @@
     {
         loop_ = std::move(EventLoop::create(clock_).value());
         store_ = MemoryRowStore::create(*loop_, rows_);
+        log_ = eventlog::EventLog::create(clock_, "test", [](std::string_view) { return true; });
     }
 
     void start()
     {
         WatchHandlers handlers;
-        handlers.onAll = [this](const std::vector<Row> &rows) {
+        handlers.onAll = [this](const WholeTable &whole) {
             allCalls_++;
             known_.clear();
-            take(rows);
+            take(whole.rows);
         };
         handlers.onChanges = [this](const std::vector<Row> &rows) {
             take(rows);
@@ -36,7 +37,7 @@
         handlers.onReachable = [this](bool reachable, StoreFailure) {
             reachable_ = reachable;
         };
-        watch_ = RowWatch::start(*loop_, store_, "t", milliseconds(1500), std::move(handlers));
+        watch_ = RowWatch::start({loop_.get(), store_, log_}, "t", milliseconds(1500), std::move(handlers));
     }
 
     void take(const std::vector<Row> &rows)
@@ -73,6 +74,7 @@
     std::unique_ptr<EventLoop> loop_;
     std::shared_ptr<MemoryRows> rows_ = std::make_shared<MemoryRows>();
     std::shared_ptr<MemoryRowStore> store_;
+    std::shared_ptr<eventlog::EventLog> log_;
     std::shared_ptr<RowWatch> watch_;
     std::map<std::string, std::string> known_;
     std::optional<TimePoint> confirmedAt_;
