Test that changes are known after the store was restored from a copy; it fails

What callers saw: nothing; a server that had said it leaves got work for 2.1 s. The two tests play what the logs of the incident show: the store is away for 2.5 s and comes back in an earlier state, versions are given out again, and the VMs that follow it come back some tenths of a second later than the others.

It fails only if the lost versions were used up by other tables: then the news of a follower have no gap, carry no change, and raise the version all the same. With changes of the table itself they had a gap, and the table was read anew. - RowWatchTest: a VM alone loses changes whose versions the restored store gave out again before the next question.

The stand-in store in memory can go back to a copy, and answers "history lost" to versions that it does not have.

--- a/src/presence/tests/tablerelay_test.cpp
+++ b/src/presence/tests/tablerelay_test.cpp
@@ -404,6 +404,58 @@
     }
 }
 
+/// How much later than the others the VMs that follow the store reach it again.
+class RestoredStoreTest : public TableRelayTest, public testing::WithParamInterface<int>
+{
+protected:
+    std::vector<Vm *> followers() const
+    {
+        std::vector<Vm *> result;
+        for (const auto &vm : vms_) {
+            if (vm->relay->follows()) {
+                result.push_back(vm.get());
+            }
+        }
+        return result;
+    }
+};
+
+// A VM that reads the restored store before the others do hears from them of versions that are gone.
+TEST_P(RestoredStoreTest, NewsFromBeforeTheRestoreDoNotHideChanges)
+{
+    start(9);
+    put("server", "ready");
+    pass(seconds(5));
+    const std::vector<Vm *> late = followers();
+    const rows::MemoryRows copy = *rows_;
+    for (int i = 0; i < 10; i++) {
+        // Each write raises the store's version for all tables.
+        put("lost", std::to_string(i), "other");
+        pass(milliseconds(200));
+    }
+    for (const auto &vm : vms_) {
+        vm->store->faults.down = true;
+    }
+    pass(milliseconds(2500));
+    rows_->restore(copy);
+    for (const auto &vm : vms_) {
+        vm->store->faults.down = std::find(late.begin(), late.end(), vm.get()) != late.end();
+    }
+    pass(milliseconds(GetParam()));
+    for (Vm *vm : late) {
+        vm->store->faults.down = false;
+    }
+    pass(seconds(1));
+    put("server", "draining");
+    // A server that leaves must get no more work after two seconds.
+    pass(milliseconds(1700));
+    for (const auto &vm : vms_) {
+        EXPECT_EQ(vm->known["server"], "draining") << vm->presence->instance();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(LateByMilliseconds, RestoredStoreTest, testing::Values(0, 400, 800));
+
 } // namespace
 
 } // namespace cardamomlift::presence
--- a/src/rows/internal/memoryrowstore.cpp
+++ b/src/rows/internal/memoryrowstore.cpp
@@ -65,7 +65,7 @@
 {
     RowPage page;
     page.version = version_;
-    if (version < compactedTo_) {
+    if (version < compactedTo_ || version > version_) {
         return {StoreFailure::HistoryLost, page};
     }
     for (const Change &change : history_) {
@@ -83,6 +83,11 @@
     history_.clear();
 }
 
+void MemoryRows::restore(const MemoryRows &copy)
+{
+    *this = copy;
+}
+
 std::uint64_t MemoryRows::version() const
 {
     return version_;
--- a/src/rows/memoryrowstore.h
+++ b/src/rows/memoryrowstore.h
@@ -22,6 +22,8 @@
     std::pair<StoreFailure, RowPage> changes(const std::string &table, std::uint64_t version) const;
     /// Forgets the changes up to now.
     void compact();
+    /// Goes back to @p copy, an earlier state of these rows: what was written since is gone, and versions are given out again.
+    void restore(const MemoryRows &copy);
     std::uint64_t version() const;
 
 private:
--- a/src/rows/tests/rowwatch_test.cpp
+++ b/src/rows/tests/rowwatch_test.cpp
@@ -153,6 +153,29 @@
     EXPECT_TRUE(known_.empty());
 }
 
+// The versions of the restored store pass the one that is known here before the next question.
+TEST_F(RowWatchTest, ChangesAreKnownAfterTheStoreWasRestoredAndHasCaughtUp)
+{
+    put("a", "1");
+    put("b", "1");
+    start();
+    pass(milliseconds(100));
+    const MemoryRows copy = *rows_;
+    put("b", "lost");
+    put("c", "lost");
+    pass(milliseconds(100));
+    store_->faults.down = true;
+    pass(milliseconds(100));
+    rows_->restore(copy);
+    put("a", "2");
+    put("c", "2");
+    put("d", "2");
+    store_->faults.down = false;
+    pass(milliseconds(2000));
+    const std::map<std::string, std::string> expected{{"a", "2"}, {"b", "1"}, {"c", "2"}, {"d", "2"}};
+    EXPECT_EQ(known_, expected);
+}
+
 TEST_F(RowWatchTest, SaysWhenTheStoreIsLostAndRegained)
 {
     start();
