--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -43,8 +43,8 @@
     /// The whole list was read anew: entries that it lacks went.
     void replaceAll(std::span<const BackendServer> servers, TimePoint now);
     /// The list was complete up to @p listVersion at some time at or after @p askedAt.
-    void confirm(std::uint64_t listVersion, TimePoint askedAt);
-    std::uint64_t listVersion() const;
+    void confirm(rows::StoreVersion listVersion, TimePoint askedAt);
+    rows::StoreVersion listVersion() const;
     /// Time since the list was certainly complete; empty if it never was.
     std::optional<Duration> listAge(TimePoint now) const;
     /// The store did not answer, or answers again.
@@ -80,7 +80,7 @@
     mutable std::map<std::string, std::vector<ServerPtr>, std::less<>> usable_;
     mutable bool isUsableStale_ = false;
     std::set<std::string, std::less<>> gone_; ///< Instances that said they leave and went; never to be used again.
-    std::uint64_t listVersion_ = 0;
+    rows::StoreVersion listVersion_;
     std::optional<TimePoint> listConfirmedAt_;
     bool storeReachable_ = true;
     std::optional<TimePoint> storeBackAt_;
--- a/src/directory/directorytypes.h
+++ b/src/directory/directorytypes.h
@@ -2,6 +2,7 @@
 
 #include "http1/http1types.h"
 #include "kernel/clock.h"
+#include "rows/rowtypes.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,7 +24,7 @@
     http1::Endpoint endpoint;
     std::string zone; ///< The failure domain.
     std::string version; ///< Of its software; empty if it does not say.
-    std::uint64_t listedAs = 0; ///< Version of the store's row that says this: orders with a lower one came before.
+    rows::StoreVersion listedAs; ///< Version of the store's row that says this: orders with a lower one came before.
     int slots = 1; ///< Requests that run at once.
     ServerState state = ServerState::Ready;
     bool isReclaimable = false;
--- a/src/directory/internal/directory.cpp
+++ b/src/directory/internal/directory.cpp
@@ -83,13 +83,13 @@
     }
 }
 
-void Directory::confirm(std::uint64_t listVersion, TimePoint askedAt)
+void Directory::confirm(rows::StoreVersion listVersion, TimePoint askedAt)
 {
     listVersion_ = listVersion;
     listConfirmedAt_ = listConfirmedAt_ ? std::max(*listConfirmedAt_, askedAt) : askedAt;
 }
 
-std::uint64_t Directory::listVersion() const
+rows::StoreVersion Directory::listVersion() const
 {
     return listVersion_;
 }
--- a/src/duties/dutylease.h
+++ b/src/duties/dutylease.h
@@ -47,8 +47,8 @@
     void observe();
     void takeRow(const rows::ReadResult &result);
     void tryRelease();
-    void tryTake(const LeaseRow &before, std::uint64_t expectedVersion);
-    void write(LeaseRow row, std::uint64_t expectedVersion, std::function<void(bool written)> done);
+    void tryTake(const LeaseRow &before, rows::StoreVersion expectedVersion);
+    void write(LeaseRow row, rows::StoreVersion expectedVersion, std::function<void(bool written)> done);
     void onWritten(const LeaseRow &row, TimePoint sentAt, const rows::WriteResult &result, const std::function<void(bool written)> &done);
     void lose(std::string_view reason);
     bool isMyTurn() const;
@@ -59,7 +59,7 @@
     bool lacksStore_ = false; ///< The last call for the lease failed.
     bool ended_ = false; ///< Released; never taken again by this process.
     LeaseRow row_;
-    std::uint64_t version_ = 0; ///< Of the row as it was written or seen last.
+    rows::StoreVersion version_; ///< Of the row as it was written or seen last.
     TimePoint heldUntil_;
     TimePoint renewedAt_;
     std::optional<TimePoint> seenAt_; ///< Since when another's row has had version_.
--- a/src/duties/internal/dutylease.cpp
+++ b/src/duties/internal/dutylease.cpp
@@ -138,7 +138,7 @@
     }
     const auto found = std::find_if(result.page.rows.begin(), result.page.rows.end(), [](const rows::Row &row) { return row.key == Key; });
     if (found == result.page.rows.end()) {
-        tryTake(LeaseRow(), 0);
+        tryTake(LeaseRow(), {});
         return;
     }
     LeaseRow before;
@@ -160,7 +160,7 @@
     }
 }
 
-void DutyLease::tryTake(const LeaseRow &before, std::uint64_t expectedVersion)
+void DutyLease::tryTake(const LeaseRow &before, rows::StoreVersion expectedVersion)
 {
     LeaseRow row = before;
     row.holder = tools_.presence->instance();
@@ -180,7 +180,7 @@
     write(std::move(row), version_, std::move(done));
 }
 
-void DutyLease::write(LeaseRow row, std::uint64_t expectedVersion, std::function<void(bool written)> done)
+void DutyLease::write(LeaseRow row, rows::StoreVersion expectedVersion, std::function<void(bool written)> done)
 {
     writing_ = true;
     rows::RowWrite write;
--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -33,6 +33,7 @@
     ServerSilent, ///< A request waits long, and nothing was heard from its server since.
     ServerLimited, ///< It named a limit on its requests, another one, or none any more.
     TableRead, ///< A table of the store was read whole.
+    StoreRestored, ///< The store came back from an older copy: what was written there since is gone.
     StoreLost,
     StoreRegained,
     PeerLost,
@@ -101,6 +102,7 @@
     ElsewherePerSecond, ///< Asked by callers of the other VMs.
     Limit, ///< Requests a second that a backend server takes from all VMs; empty: it has named no limit.
     Table, ///< Of the store.
+    Era, ///< Of the store: it rises each time the store is restored from an older copy.
     ListVersion, ///< Version of the table of backend servers that decided.
     ListAgeMs, ///< Since that list was certainly complete.
     Limited, ///< Backend servers passed over, since their limits leave no room now.
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -194,7 +194,8 @@
             {Attribute::ReportAgeMs, load.reportedAt ? millisecondsSince(*load.reportedAt) : std::int64_t(-1)},
             {Attribute::Version, static_cast<std::int64_t>(manifest_->manifest().version)},
             {Attribute::AgeMs, age ? milliseconds(*age) : std::int64_t(-1)},
-            {Attribute::ListVersion, static_cast<std::int64_t>(tools_.directory->listVersion())},
+            {Attribute::Era, static_cast<std::int64_t>(tools_.directory->listVersion().era)},
+            {Attribute::ListVersion, static_cast<std::int64_t>(tools_.directory->listVersion().number)},
             {Attribute::ListAgeMs, listAge ? milliseconds(*listAge) : std::int64_t(-1)},
             {Attribute::LeftMs, milliseconds(timeLeft())}});
 }
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -219,7 +219,8 @@
     for (auto &[table, news] : message.status.tables) {
         const auto known = peer.status ? peer.status->tables.find(table) : status.tables.end();
         const bool isKnown = peer.status && known != peer.status->tables.end();
-        const bool tells = tellsChanges && isKnown && known->second.version < news.version;
+        // What a peer of another era lacks can't be told: it reads the tables anew.
+        const bool tells = tellsChanges && isKnown && known->second.version.era == news.version.era && known->second.version < news.version;
         const std::string &changes = tells ? packedChanges(table, known->second.version, news) : NoChanges;
         if (changes.empty()) {
             news.since = news.version;
@@ -232,7 +233,7 @@
 }
 
 // Most peers lack the same changes, so they are packed once a round. Empty: too much for a datagram.
-const std::string &Presence::packedChanges(const std::string &table, std::uint64_t has, const rows::TableNews &news)
+const std::string &Presence::packedChanges(const std::string &table, rows::StoreVersion has, const rows::TableNews &news)
 {
     const auto [place, isNew] = packed_.try_emplace({table, has});
     if (!isNew) {
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -28,8 +28,9 @@
 {
     auto *entry = out.add_tables();
     entry->set_table(table);
-    entry->set_version(news.version);
-    entry->set_since(news.since);
+    entry->set_era(news.version.era);
+    entry->set_version(news.version.number);
+    entry->set_since(news.since.number);
     entry->set_age_us(micros(news.age));
     entry->set_changed_at(news.changedAt);
     entry->set_changes(packed);
@@ -39,14 +40,14 @@
 std::optional<rows::TableNews> readTable(const wire::TableNews &entry)
 {
     rows::TableNews news;
-    news.version = entry.version();
-    news.since = entry.since();
+    news.version = {entry.era(), entry.version()};
+    news.since = {entry.era(), entry.since()};
     news.age = Duration(entry.age_us());
     news.changedAt = entry.changed_at();
     if (entry.changes().empty()) {
         return news;
     }
-    auto changes = unpackChanges(entry.changes());
+    auto changes = unpackChanges(entry.changes(), entry.era());
     if (!changes) {
         return std::nullopt;
     }
@@ -58,7 +59,8 @@
 {
     auto *entry = out.add_rollouts();
     entry->set_service(news.service);
-    entry->set_order(news.order);
+    entry->set_order(news.order.number);
+    entry->set_order_era(news.order.era);
     entry->set_open_at_others(news.openAtOthers);
     for (const RolloutCounts &counts : news.counts) {
         auto *told = entry->add_counts();
@@ -73,7 +75,7 @@
 {
     RolloutNews news;
     news.service = entry.service();
-    news.order = entry.order();
+    news.order = {entry.order_era(), entry.order()};
     news.openAtOthers = entry.open_at_others();
     for (const auto &told : entry.counts()) {
         news.counts.push_back({told.route(), told.server(), told.failed(), {told.answered().begin(), told.answered().end()}});
@@ -95,7 +97,7 @@
         auto *change = list.add_changes();
         change->set_key(row.key);
         change->set_value(row.value);
-        change->set_version(row.version);
+        change->set_version(row.version.number);
         change->set_deleted(row.isDeleted);
     }
     const std::string plain = list.SerializeAsString();
@@ -108,7 +110,7 @@
     return packed;
 }
 
-std::optional<std::vector<rows::Row>> unpackChanges(std::string_view packed)
+std::optional<std::vector<rows::Row>> unpackChanges(std::string_view packed, std::uint64_t era)
 {
     std::string plain(MostUnpacked, '\0');
     uLongf size = plain.size();
@@ -120,7 +122,7 @@
     }
     std::vector<rows::Row> changes;
     for (const auto &change : list.changes()) {
-        changes.push_back({change.key(), change.value(), change.version(), change.deleted()});
+        changes.push_back({change.key(), change.value(), {era, change.version()}, change.deleted()});
     }
     return changes;
 }
--- a/src/presence/internal/tablerelay.cpp
+++ b/src/presence/internal/tablerelay.cpp
@@ -127,7 +127,7 @@
     }
     return std::all_of(watches_.begin(), watches_.end(), [&status](const Entry &entry) {
         const auto found = status.tables.find(entry.watch->table());
-        return found != status.tables.end() && found->second.age <= entry.askAfter;
+        return found != status.tables.end() && found->second.age <= entry.askAfter && found->second.version.era >= entry.watch->version().era;
     });
 }
 
@@ -183,12 +183,13 @@
 // round. Only what is too large to be told is asked for, after a while.
 void TableRelay::takeNews(Entry &entry, const rows::TableNews &news, TimePoint provenAt, bool isOfFollower)
 {
-    if (isOfFollower || !entry.watch->isGap(news)) {
+    const bool isOfOtherEra = news.version.era != entry.watch->version().era;
+    if (isOfFollower || isOfOtherEra || !entry.watch->isGap(news)) {
         entry.watch->offer(news, provenAt);
         return;
     }
     if (entry.lacked <= entry.watch->version()) {
-        entry.lacked = news.changedAt;
+        entry.lacked = {news.version.era, news.changedAt};
         entry.lackedSince = loop_.now();
     }
 }
--- a/src/presence/presence.h
+++ b/src/presence/presence.h
@@ -98,7 +98,7 @@
     void answer(const Peer &peer);
     void sendChanges(Reach reach);
     void sendTo(const Peer &peer, const Status &status, bool tellsChanges);
-    const std::string &packedChanges(const std::string &table, std::uint64_t has, const rows::TableNews &news);
+    const std::string &packedChanges(const std::string &table, rows::StoreVersion has, const rows::TableNews &news);
     Status makeStatus();
     void merge(Peer &peer, Status status);
     void takeSummary(Peer &peer, Status status, std::optional<TimePoint> provenAt);
@@ -134,7 +134,7 @@
     TimePoint ownAt_;
     std::optional<Status> summary_; ///< Of this VM's group, made once a round if it is asked for.
     std::function<bool()> isFast_;
-    std::map<std::pair<std::string, std::uint64_t>, std::string> packed_; ///< Changes of a table after a version, for one round.
+    std::map<std::pair<std::string, rows::StoreVersion>, std::string> packed_; ///< Changes of a table after a version, for one round.
     int round_ = 0;
     std::optional<Reach> sendNowReach_; ///< Set while changes are about to be sent.
     TimerId timer_ = 0;
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -77,7 +77,7 @@
 /// What one entry VM knows of a rollout that is not over.
 struct RolloutNews {
     std::uint64_t service = 0; ///< nameHash() of the service.
-    std::uint64_t order = 0; ///< Which rollout.
+    rows::StoreVersion order; ///< Which rollout.
     std::vector<RolloutCounts> counts;
     std::uint32_t openAtOthers = 0; ///< Its requests that are open at servers of other versions.
 };
--- a/src/presence/statusformat.h
+++ b/src/presence/statusformat.h
@@ -14,8 +14,8 @@
 
 /// Changes of rows in few bytes: entries of one table are much alike.
 std::string packChanges(std::span<const rows::Row> changes);
-/// Empty if @p packed is no such text.
-std::optional<std::vector<rows::Row>> unpackChanges(std::string_view packed);
+/// @p era: of the store when they were read. Empty if @p packed is no such text.
+std::optional<std::vector<rows::Row>> unpackChanges(std::string_view packed, std::uint64_t era);
 
 /// @p packed: packChanges() of the changes of each table; a table that is missing there has none to tell.
 std::string encodeStatus(const StatusMessage &message, const std::map<std::string, std::string> &packed);
--- a/src/presence/tablerelay.h
+++ b/src/presence/tablerelay.h
@@ -28,7 +28,7 @@
     struct Entry {
         std::shared_ptr<rows::RowWatch> watch;
         Duration askAfter{0};
-        std::uint64_t lacked = 0; ///< Version of a change that another VM knows and that was not told; known here if the watch has it.
+        rows::StoreVersion lacked; ///< Version of a change that another VM knows and that was not told; known here if the watch has it.
         TimePoint lackedSince;
     };
     TableRelay(EventLoop &loop, std::shared_ptr<Presence> presence);
--- a/src/presence/tests/presence_test.cpp
+++ b/src/presence/tests/presence_test.cpp
@@ -137,7 +137,7 @@
     message.status.instance = "vm";
     message.status.incarnation = 1;
     message.status.sequence = 2;
-    message.status.tables["t"] = {3, 2, {{"key", "value", 3, true}}, milliseconds(4), 3};
+    message.status.tables["t"] = {{6, 3}, {6, 2}, {{"key", "value", {6, 3}, true}}, milliseconds(4), 3};
     message.status.storeBack = milliseconds(9);
     message.status.clockOffset = milliseconds(-5);
     message.status.demands = {{1, 2.5, 3.5}};
@@ -152,6 +152,9 @@
     EXPECT_EQ(read->echo, 7U);
     EXPECT_EQ(read->status.tables.at("t").age, milliseconds(4));
     EXPECT_EQ(read->status.tables.at("t").changedAt, 3U);
+    EXPECT_EQ(read->status.tables.at("t").version, (rows::StoreVersion{6, 3}));
+    EXPECT_EQ(read->status.tables.at("t").since, (rows::StoreVersion{6, 2}));
+    EXPECT_EQ(read->status.tables.at("t").changes[0].version, (rows::StoreVersion{6, 3}));
     EXPECT_EQ(read->status.tables.at("t").changes[0].key, "key");
     EXPECT_TRUE(read->status.tables.at("t").changes[0].isDeleted);
     EXPECT_EQ(read->status.storeBack, message.status.storeBack);
@@ -189,11 +192,11 @@
     }
     const std::string packed = packChanges(rows);
     EXPECT_LT(packed.size() * 3, plain);
-    const auto unpacked = unpackChanges(packed);
+    const auto unpacked = unpackChanges(packed, 1);
     ASSERT_TRUE(unpacked);
     EXPECT_EQ(unpacked->size(), rows.size());
     EXPECT_EQ(unpacked->back().key, rows.back().key);
-    EXPECT_FALSE(unpackChanges("nonsense"));
+    EXPECT_FALSE(unpackChanges("nonsense", 1));
 }
 
 TEST(TrueTime, MostClocksDecide)
--- a/src/rollout/internal/orderbook.cpp
+++ b/src/rollout/internal/orderbook.cpp
@@ -39,7 +39,7 @@
     }
 }
 
-void OrderBook::noteKnownUpTo(std::uint64_t rowVersion)
+void OrderBook::noteKnownUpTo(rows::StoreVersion rowVersion)
 {
     knownUpTo_ = std::max(knownUpTo_, rowVersion);
 }
@@ -55,7 +55,7 @@
     return orders_;
 }
 
-std::uint64_t OrderBook::knownUpTo() const
+rows::StoreVersion OrderBook::knownUpTo() const
 {
     return knownUpTo_;
 }
--- a/src/rollout/internal/rolloutjudge.cpp
+++ b/src/rollout/internal/rolloutjudge.cpp
@@ -98,7 +98,7 @@
     if (!next || watched.isWriting) {
         return;
     }
-    const std::uint64_t on = record ? record->rowVersion : 0;
+    const rows::StoreVersion on = record ? record->rowVersion : rows::StoreVersion();
     const bool waitsForNews = watched.triedOn == on && tools_.loop->now() - watched.writtenAt < WriteAgainAfter;
     if (!waitsForNews) {
         watched.triedOn = on;
@@ -143,7 +143,7 @@
         self->tools_.log->write(Event::RolloutStep,
             {{Attribute::Service, record.service},
                 {Attribute::Software, record.toVersion},
-                {Attribute::Order, static_cast<std::int64_t>(record.order)},
+                {Attribute::Order, static_cast<std::int64_t>(record.order.number)},
                 {Attribute::Outcome, phaseName(record.phase)},
                 {Attribute::Reason, isWritten ? "written" : "not_written"},
                 {Attribute::Count, static_cast<std::int64_t>(verdict.trialSends)},
--- a/src/rollout/internal/rolloutkeeper.cpp
+++ b/src/rollout/internal/rolloutkeeper.cpp
@@ -32,9 +32,9 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-double drawOf(std::string_view instance, std::uint64_t order)
+double drawOf(std::string_view instance, rows::StoreVersion order)
 {
-    return static_cast<double>(XXH3_64bits_withSeed(instance.data(), instance.size(), order) >> 11) * 0x1.0p-53;
+    return static_cast<double>(XXH3_64bits_withSeed(instance.data(), instance.size(), order.number) >> 11) * 0x1.0p-53;
 }
 
 } // namespace
@@ -65,7 +65,7 @@
     tools_.log->write(Event::RolloutOrdered,
         {{Attribute::Service, order.service},
             {Attribute::Software, order.toVersion},
-            {Attribute::Order, static_cast<std::int64_t>(order.id)},
+            {Attribute::Order, static_cast<std::int64_t>(order.id.number)},
             {Attribute::LeftMs, milliseconds(order.length)}});
     state.countedFor = order.id;
     const std::size_t sharers = tools_.upFor() < YoungFor ? 0 : tools_.vmCount().value_or(0);
@@ -164,7 +164,7 @@
         state.pausedFor = reason;
         tools_.log->write(Event::RolloutPaused,
             {{Attribute::Service, service},
-                {Attribute::Order, static_cast<std::int64_t>(order->id)},
+                {Attribute::Order, static_cast<std::int64_t>(order->id.number)},
                 {Attribute::Reason, reason.empty() ? std::string_view("resumed") : reason}});
     }
     return reason.empty();
@@ -269,7 +269,7 @@
     tools_.log->write(Event::RolloutPhase,
         {{Attribute::Service, current.service},
             {Attribute::Software, current.toVersion},
-            {Attribute::Order, static_cast<std::int64_t>(current.order)},
+            {Attribute::Order, static_cast<std::int64_t>(current.order.number)},
             {Attribute::Outcome, phaseName(current.phase)},
             {Attribute::AgeMs, storeNow ? milliseconds(*storeNow - current.phaseAt) : std::int64_t(-1)}});
     if (current.phase != Phase::Moving || !storeNow) {
--- a/src/rollout/internal/rollouttypes.cpp
+++ b/src/rollout/internal/rollouttypes.cpp
@@ -50,7 +50,8 @@
 std::string encodeRecord(const Record &record)
 {
     Json::Value json;
-    json["order"] = static_cast<Json::UInt64>(record.order);
+    json["orderEra"] = static_cast<Json::UInt64>(record.order.era);
+    json["order"] = static_cast<Json::UInt64>(record.order.number);
     json["service"] = record.service;
     json["toVersion"] = record.toVersion;
     json["phase"] = std::string(phaseName(record.phase));
@@ -71,7 +72,8 @@
         return false;
     }
     const bool hasTexts = (*json)["service"].isString() && (*json)["toVersion"].isString() && (*json)["phase"].isString();
-    const bool hasNumbers = (*json)["order"].isUInt64() && (*json)["startedAtUs"].isInt64() && (*json)["endsAtUs"].isInt64() && (*json)["phaseAtUs"].isInt64();
+    const bool hasOrder = (*json)["order"].isUInt64() && (*json)["orderEra"].isUInt64();
+    const bool hasNumbers = hasOrder && (*json)["startedAtUs"].isInt64() && (*json)["endsAtUs"].isInt64() && (*json)["phaseAtUs"].isInt64();
     if (!hasTexts || !hasNumbers || !(*json)["excluded"].isArray()) {
         return false;
     }
@@ -79,7 +81,7 @@
     if (!phase) {
         return false;
     }
-    record.order = (*json)["order"].asUInt64();
+    record.order = {(*json)["orderEra"].asUInt64(), (*json)["order"].asUInt64()};
     record.service = (*json)["service"].asString();
     record.toVersion = (*json)["toVersion"].asString();
     record.phase = *phase;
--- a/src/rollout/orderbook.h
+++ b/src/rollout/orderbook.h
@@ -24,18 +24,18 @@
     /// The whole table was read: orders that it lacks were withdrawn.
     void replaceAll(std::span<const Order> orders);
     /// All orders with a row version up to @p rowVersion are known.
-    void noteKnownUpTo(std::uint64_t rowVersion);
+    void noteKnownUpTo(rows::StoreVersion rowVersion);
 
     const Order *find(std::string_view service) const;
     const std::map<std::string, Order, std::less<>> &all() const;
-    std::uint64_t knownUpTo() const;
+    rows::StoreVersion knownUpTo() const;
     /// Called with each order that is new.
     void onOrder(std::function<void(const Order &order)> handler);
 
 private:
     OrderBook() = default;
     std::map<std::string, Order, std::less<>> orders_; ///< By service.
-    std::uint64_t knownUpTo_ = 0;
+    rows::StoreVersion knownUpTo_;
     std::vector<std::function<void(const Order &)>> handlers_;
 };
 
--- a/src/rollout/rolloutjudge.h
+++ b/src/rollout/rolloutjudge.h
@@ -50,11 +50,11 @@
     };
     /// Of one service.
     struct Watched {
-        std::uint64_t order = 0;
+        rows::StoreVersion order;
         std::deque<Snapshot> snapshots; ///< Oldest first.
         bool isWriting = false;
         TimePoint writtenAt;
-        std::uint64_t triedOn = 0; ///< Row version of the record that the last step was written on.
+        rows::StoreVersion triedOn; ///< Row version of the record that the last step was written on.
     };
     explicit RolloutJudge(JudgeTools tools);
     void tick();
--- a/src/rollout/rolloutkeeper.h
+++ b/src/rollout/rolloutkeeper.h
@@ -87,7 +87,7 @@
         std::optional<Record> record;
         std::set<std::string, std::less<>> metVersions; ///< Whose orders, if there were any, are known.
         std::map<std::string, int, std::less<>> open; ///< Requests at servers, by version.
-        std::uint64_t countedFor = 0; ///< The order of what follows.
+        rows::StoreVersion countedFor; ///< The order of what follows.
         std::optional<ExposureAccount> account;
         Evidence own;
         std::map<std::pair<std::string, std::uint64_t>, Told> told; ///< By VM and incarnation.
--- a/src/rollout/rollouttypes.h
+++ b/src/rollout/rollouttypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/clock.h"
+#include "rows/rowtypes.h"
 
 #include <cstdint>
 #include <string>
@@ -14,7 +15,7 @@
     std::string service;
     std::string toVersion;
     Duration length{0}; ///< From the order on; the version is accepted or rolled back within it.
-    std::uint64_t id = 0; ///< Version of its row in the store: later orders have higher ones.
+    rows::StoreVersion id; ///< Version of its row in the store: later orders have higher ones.
 };
 
 /// How far a rollout has come. It goes forward only.
@@ -27,7 +28,7 @@
 
 /// The state of a service's newest rollout, as it stands in the store. Only the holder of the duty lease writes it.
 struct Record {
-    std::uint64_t order = 0; ///< Order::id
+    rows::StoreVersion order; ///< Order::id
     std::string service;
     std::string toVersion;
     Phase phase = Phase::Trial;
@@ -35,7 +36,7 @@
     Duration endsAt{0}; ///< By the store's clock: the time limit of the order.
     Duration phaseAt{0}; ///< By the store's clock: when the phase began.
     std::vector<std::string> excluded; ///< Versions that get nothing: rolled back, or replaced.
-    std::uint64_t rowVersion = 0; ///< Of its row; 0: not in the store yet.
+    rows::StoreVersion rowVersion; ///< Of its row; number 0: not in the store yet.
 };
 
 /// What all VMs together may send to a version that is not proved, and how soon that must end.
--- a/src/rollout/tests/rolloutjudge_test.cpp
+++ b/src/rollout/tests/rolloutjudge_test.cpp
@@ -15,7 +15,7 @@
 constexpr char Service[] = "service";
 constexpr char Route[] = "route";
 constexpr char StatusTable[] = "status";
-constexpr std::uint64_t OrderRow = 1;
+constexpr rows::StoreVersion OrderRow{1, 1};
 
 rows::RowWrite writeStatus(std::string_view service, std::string_view, ReportedState state)
 {
--- a/src/rollout/tests/rolloutkeeper_test.cpp
+++ b/src/rollout/tests/rolloutkeeper_test.cpp
@@ -15,7 +15,7 @@
 
 constexpr char Service[] = "service";
 constexpr char Route[] = "route";
-constexpr std::uint64_t OrderRow = 100;
+constexpr rows::StoreVersion OrderRow{1, 100};
 
 /// One VM's keeper, whose surroundings the test sets.
 class RolloutKeeperTest : public testing::Test
@@ -55,7 +55,7 @@
         };
         confirmedAt_ = loop_->now();
         keeper_ = RolloutKeeper::create(std::move(tools));
-        orders_->noteKnownUpTo(50);
+        orders_->noteKnownUpTo({1, 50});
         for (const char *name : {"old-1", "old-2"}) {
             list(name, "v1", 10);
         }
@@ -69,7 +69,7 @@
         server.service = Service;
         server.zone = "zone";
         server.version = version;
-        server.listedAs = listedAs;
+        server.listedAs = {1, listedAs};
         directory_->put(std::move(server));
     }
 
@@ -77,7 +77,7 @@
     void order()
     {
         orders_->put({Service, "v2", seconds(12), OrderRow});
-        orders_->noteKnownUpTo(120);
+        orders_->noteKnownUpTo({1, 120});
         list("new-1", "v2", 110);
         list("new-2", "v2", 111);
     }
@@ -92,7 +92,7 @@
         record.startedAt = seconds(1000);
         record.endsAt = seconds(1012);
         record.phaseAt = storeNow_;
-        keeper_->takeRecords({{Service, encodeRecord(record), ++rowVersion_}}, false);
+        keeper_->takeRecords({{Service, encodeRecord(record), {1, ++rowVersion_}}}, false);
     }
 
     Eligibility eligibility(const std::string &name, VersionPick pick = VersionPick::Usual)
@@ -134,9 +134,9 @@
     list("new-1", "v2", 110);
     EXPECT_EQ(eligibility("old-1"), Eligibility::Preferred);
     EXPECT_EQ(eligibility("new-1"), Eligibility::None);
-    orders_->noteKnownUpTo(109);
+    orders_->noteKnownUpTo({1, 109});
     EXPECT_EQ(eligibility("new-1"), Eligibility::None);
-    orders_->noteKnownUpTo(110);
+    orders_->noteKnownUpTo({1, 110});
     EXPECT_EQ(eligibility("new-1"), Eligibility::Preferred);
 }
 
@@ -144,7 +144,7 @@
 {
     list("first", "v1", 110);
     EXPECT_EQ(eligibility("first"), Eligibility::Fallback);
-    orders_->noteKnownUpTo(110);
+    orders_->noteKnownUpTo({1, 110});
     EXPECT_EQ(eligibility("first"), Eligibility::Preferred);
 }
 
--- a/src/rollout/tests/rolloutrules_test.cpp
+++ b/src/rollout/tests/rolloutrules_test.cpp
@@ -16,13 +16,13 @@
 
 Order order(std::uint64_t id = 10, const std::string &to = "v2")
 {
-    return {"service", to, seconds(12), id};
+    return {"service", to, seconds(12), {1, id}};
 }
 
 Record record(Phase phase, std::uint64_t id = 10)
 {
     Record result;
-    result.order = id;
+    result.order = {1, id};
     result.service = "service";
     result.toVersion = "v2";
     result.phase = phase;
@@ -30,7 +30,7 @@
     result.endsAt = seconds(112);
     result.phaseAt = seconds(100);
     result.excluded = {"v0"};
-    result.rowVersion = 20;
+    result.rowVersion = {1, 20};
     return result;
 }
 
@@ -103,7 +103,7 @@
     ASSERT_TRUE(begun);
     EXPECT_EQ(begun->phase, Phase::Trial);
     EXPECT_EQ(begun->endsAt, seconds(112));
-    EXPECT_EQ(begun->order, 10U);
+    EXPECT_EQ(begun->order.number, 10U);
 }
 
 TEST(RolloutPlan, TriesAsLongAsTheOrderAllows)
--- a/src/rows/internal/memoryrowstore.cpp
+++ b/src/rows/internal/memoryrowstore.cpp
@@ -13,27 +13,35 @@
 
 } // namespace
 
+// Rows of the copy belong to the new era too.
+Row MemoryRows::asOfNow(Row row) const
+{
+    row.version.era = era_;
+    return row;
+}
+
 WriteResult MemoryRows::transact(const std::vector<RowWrite> &writes)
 {
     WriteResult result;
     bool holds = true;
     for (const RowWrite &write : writes) {
         const auto found = rows_.find({write.table, write.key});
-        const std::uint64_t current = found == rows_.end() ? 0 : found->second.version;
-        if (write.isConditional && current != write.expectedVersion) {
+        const std::uint64_t current = found == rows_.end() ? 0 : found->second.version.number;
+        if (write.isConditional && current != write.expectedVersion.number) {
             holds = false;
         }
         if (write.isConditional && found != rows_.end()) {
-            result.current.push_back(found->second);
+            result.current.push_back(asOfNow(found->second));
         }
     }
+    result.version = version();
     if (!holds) {
         result.outcome = WriteOutcome::Conflict;
         return result;
     }
     version_++;
     for (const RowWrite &write : writes) {
-        const Row row{write.key, write.value, version_, write.removes};
+        const Row row{write.key, write.value, version(), write.removes};
         history_.push_back({write.table, row});
         if (write.removes) {
             rows_.erase({write.table, write.key});
@@ -42,7 +50,7 @@
         }
     }
     result.outcome = WriteOutcome::Written;
-    result.version = version_;
+    result.version = version();
     result.current.clear();
     return result;
 }
@@ -50,27 +58,27 @@
 RowPage MemoryRows::read(const std::string &table, const std::string &from, std::size_t limit) const
 {
     RowPage page;
-    page.version = version_;
+    page.version = version();
     for (auto row = rows_.lower_bound({table, from}); row != rows_.end() && row->first.first == table; ++row) {
         if (page.rows.size() == limit) {
             page.hasMore = true;
             break;
         }
-        page.rows.push_back(row->second);
+        page.rows.push_back(asOfNow(row->second));
     }
     return page;
 }
 
-std::pair<StoreFailure, RowPage> MemoryRows::changes(const std::string &table, std::uint64_t version) const
+std::pair<StoreFailure, RowPage> MemoryRows::changes(const std::string &table, StoreVersion version) const
 {
     RowPage page;
-    page.version = version_;
-    if (version < compactedTo_ || version > version_) {
+    page.version = this->version();
+    if (version.era != era_ || version.number < compactedTo_ || version.number > version_) {
         return {StoreFailure::HistoryLost, page};
     }
     for (const Change &change : history_) {
-        if (change.table == table && change.row.version > version) {
-            page.rows.push_back(change.row);
+        if (change.table == table && change.row.version.number > version.number) {
+            page.rows.push_back(asOfNow(change.row));
         }
     }
     return {StoreFailure::None, page};
@@ -85,12 +93,14 @@
 
 void MemoryRows::restore(const MemoryRows &copy)
 {
+    const std::uint64_t next = era_ + 1;
     *this = copy;
+    era_ = next;
 }
 
-std::uint64_t MemoryRows::version() const
+StoreVersion MemoryRows::version() const
 {
-    return version_;
+    return {era_, version_};
 }
 
 MemoryRowStore::MemoryRowStore(EventLoop &loop, std::shared_ptr<MemoryRows> rows)
@@ -128,13 +138,14 @@
         }
         ReadResult result;
         result.askedAt = askedAt;
+        self->eras().note(self->rows_->version().era);
         result.page = self->rows_->read(table, from, self->pageSize);
         result.page.storeTime = self->loop_.now().time_since_epoch();
         handler(result);
     });
 }
 
-void MemoryRowStore::changes(std::string table, std::uint64_t version, Duration wait, ReadHandler handler)
+void MemoryRowStore::changes(std::string table, StoreVersion version, Duration wait, ReadHandler handler)
 {
     calls++;
     const TimePoint askedAt = loop_.now();
@@ -148,12 +159,13 @@
     });
 }
 
-void MemoryRowStore::pollChanges(const std::string &table, std::uint64_t version, TimePoint askedAt, TimePoint end, const ReadHandler &handler)
+void MemoryRowStore::pollChanges(const std::string &table, StoreVersion version, TimePoint askedAt, TimePoint end, const ReadHandler &handler)
 {
     if (faults.down) {
         handler(failed(StoreFailure::Refused, askedAt));
         return;
     }
+    eras().note(rows_->version().era);
     auto [failure, page] = rows_->changes(table, version);
     if (failure == StoreFailure::None && page.rows.empty() && loop_.now() < end) {
         loop_.after(
@@ -183,7 +195,10 @@
             handler(refused);
             return;
         }
-        handler(self->rows_->transact(writes));
+        self->eras().note(self->rows_->version().era);
+        WriteResult conflict;
+        conflict.outcome = WriteOutcome::Conflict;
+        handler(isOutdated(writes, self->eras().current()) ? conflict : self->rows_->transact(writes));
     });
 }
 
--- a/src/rows/internal/rowwatch.cpp
+++ b/src/rows/internal/rowwatch.cpp
@@ -37,6 +37,11 @@
 std::shared_ptr<RowWatch> RowWatch::start(WatchTools tools, std::string table, Duration wait, WatchHandlers handlers)
 {
     std::shared_ptr<RowWatch> watch(new RowWatch(std::move(tools), std::move(table), wait, std::move(handlers)));
+    watch->tools_.store->eras().onRestored([weak = std::weak_ptr<RowWatch>(watch)] {
+        if (const auto self = weak.lock()) {
+            self->onRestored();
+        }
+    });
     watch->readAll({});
     return watch;
 }
@@ -70,41 +75,78 @@
         collectSince_ = result.askedAt;
         collectVersion_ = result.page.version;
     }
+    if (result.page.version.era != collectVersion_.era) {
+        readAll({});
+        return;
+    }
     collected_.insert(collected_.end(), result.page.rows.begin(), result.page.rows.end());
     if (result.page.hasMore && !result.page.rows.empty()) {
         // The key that follows the last one in byte order.
         readAll(result.page.rows.back().key + '\0');
         return;
     }
+    takeAll();
+}
+
+void RowWatch::takeAll()
+{
+    WholeTable whole;
+    whole.rows = std::exchange(collected_, {});
     // Pages are of different moments: what changed between them comes again by the feed from the first page's version.
+    whole.version = collectVersion_;
+    whole.reason = readReason();
+    isRead_ = true;
+    behind_ = false;
     version_ = collectVersion_;
-    changedAt_ = version_;
+    changedAt_ = version_.number;
     recent_.clear();
     recentBytes_ = 0;
-    recentSince_ = version_;
+    recentSince_ = version_.number;
     setReachable(true, StoreFailure::None);
-    WholeTable whole;
-    whole.rows = std::exchange(collected_, {});
-    whole.version = version_;
-    whole.reason = readReason_;
     logReading(whole);
     handlers_.onAll(whole);
     confirm(collectSince_);
+    if (whole.reason == ReadReason::StoreRestored && onNews_) {
+        onNews_();
+    }
     askIfMay();
 }
 
+ReadReason RowWatch::readReason() const
+{
+    if (version_ == StoreVersion()) {
+        return ReadReason::First;
+    }
+    return collectVersion_.era == version_.era ? ReadReason::HistoryLost : ReadReason::StoreRestored;
+}
+
+void RowWatch::onRestored()
+{
+    if (!stopped_ && isRead_) {
+        readAnew();
+    }
+}
+
+void RowWatch::readAnew()
+{
+    isRead_ = false;
+    tools_.loop->cancel(askTimer_);
+    readAll({});
+}
+
 void RowWatch::logReading(const WholeTable &whole) const
 {
     tools_.log->write(eventlog::Event::TableRead,
         {{eventlog::Attribute::Table, table_},
             {eventlog::Attribute::Reason, readReasonName(whole.reason)},
-            {eventlog::Attribute::Version, static_cast<std::int64_t>(whole.version)},
+            {eventlog::Attribute::Era, static_cast<std::int64_t>(whole.version.era)},
+            {eventlog::Attribute::Version, static_cast<std::int64_t>(whole.version.number)},
             {eventlog::Attribute::Count, static_cast<std::int64_t>(whole.rows.size())}});
 }
 
 void RowWatch::askIfMay()
 {
-    if (stopped_ || asking_) {
+    if (stopped_ || asking_ || !isRead_) {
         return;
     }
     if (!mayAsk_ || behind_ || mayAsk_()) {
@@ -136,7 +178,7 @@
     for (const Row &row : rows) {
         recent_.push_back({row, now});
         recentBytes_ += row.key.size() + row.value.size();
-        changedAt_ = std::max(changedAt_, row.version);
+        changedAt_ = std::max(changedAt_, row.version.number);
     }
     forgetOld();
 }
@@ -146,24 +188,24 @@
     const TimePoint now = tools_.loop->now();
     while (!recent_.empty() && (now - recent_.front().at > RecentTime || recentBytes_ > RecentBytes)) {
         // NOTE One transaction may write several rows at one version: they are told together or not at all.
-        const std::uint64_t version = recent_.front().row.version;
-        while (!recent_.empty() && recent_.front().row.version == version) {
+        const std::uint64_t number = recent_.front().row.version.number;
+        while (!recent_.empty() && recent_.front().row.version.number == number) {
             recentBytes_ -= recent_.front().row.key.size() + recent_.front().row.value.size();
             recent_.pop_front();
         }
-        recentSince_ = std::max(recentSince_, version);
+        recentSince_ = std::max(recentSince_, number);
     }
 }
 
 std::optional<TableNews> RowWatch::news()
 {
     forgetOld();
-    if (version_ == 0 || !confirmedAt_) {
+    if (!isRead_ || !confirmedAt_) {
         return std::nullopt;
     }
     TableNews news;
     news.version = version_;
-    news.since = recentSince_;
+    news.since = {version_.era, recentSince_};
     news.changedAt = changedAt_;
     news.age = tools_.loop->now() - *confirmedAt_;
     for (const Recent &recent : recent_) {
@@ -179,7 +221,11 @@
 
 void RowWatch::offer(const TableNews &news, TimePoint provenAt)
 {
-    if (version_ == 0 || stopped_) {
+    if (!isRead_ || stopped_ || news.version.era < version_.era) {
+        return;
+    }
+    if (news.version.era > version_.era) {
+        readAnew();
         return;
     }
     if (isGap(news)) {
@@ -219,7 +265,7 @@
     return table_;
 }
 
-std::uint64_t RowWatch::version() const
+StoreVersion RowWatch::version() const
 {
     return version_;
 }
@@ -240,11 +286,17 @@
     const Duration wait = confirmAtOnce_ || behind_ || isGated ? Duration(0) : wait_;
     confirmAtOnce_ = false;
     asking_ = true;
-    tools_.store->changes(table_, version_, wait, [weak = weak_from_this()](const ReadResult &result) {
+    tools_.store->changes(table_, version_, wait, [weak = weak_from_this(), era = version_.era](const ReadResult &result) {
         const auto self = weak.lock();
-        if (self && !self->stopped_) {
-            self->asking_ = false;
+        if (!self || self->stopped_) {
+            return;
+        }
+        self->asking_ = false;
+        if (self->isRead_ && self->version_.era == era) {
             self->onChanges(result);
+        } else {
+            // The table was read anew meanwhile, or still is.
+            self->askIfMay();
         }
     });
 }
@@ -252,9 +304,7 @@
 void RowWatch::onChanges(const ReadResult &result)
 {
     if (result.failure == StoreFailure::HistoryLost) {
-        version_ = 0;
-        readReason_ = ReadReason::HistoryLost;
-        readAll({});
+        readAnew();
         return;
     }
     if (result.failure != StoreFailure::None) {
@@ -293,10 +343,12 @@
 
 void RowWatch::onFailure(StoreFailure failure)
 {
-    setReachable(false, failure);
+    if (failure != StoreFailure::Outdated) {
+        setReachable(false, failure);
+    }
     confirmAtOnce_ = true;
     backoff_ = backoff_.count() == 0 ? FirstBackoff : std::min(backoff_ * 2, LongestBackoff);
-    if (version_ == 0) {
+    if (!isRead_) {
         readAllLater();
         return;
     }
--- a/src/rows/memoryrowstore.h
+++ b/src/rows/memoryrowstore.h
@@ -19,20 +19,22 @@
     WriteResult transact(const std::vector<RowWrite> &writes);
     RowPage read(const std::string &table, const std::string &from, std::size_t limit) const;
     /// Changes after @p version. HistoryLost if some of them were forgotten.
-    std::pair<StoreFailure, RowPage> changes(const std::string &table, std::uint64_t version) const;
+    std::pair<StoreFailure, RowPage> changes(const std::string &table, StoreVersion version) const;
     /// Forgets the changes up to now.
     void compact();
-    /// Goes back to @p copy, an earlier state of these rows: what was written since is gone, and versions are given out again.
+    /// Goes back to @p copy, an earlier state of these rows, and begins the next era.
     void restore(const MemoryRows &copy);
-    std::uint64_t version() const;
+    StoreVersion version() const;
 
 private:
     struct Change {
         std::string table;
         Row row;
     };
+    Row asOfNow(Row row) const;
     std::map<std::pair<std::string, std::string>, Row> rows_; ///< By table and key.
     std::deque<Change> history_;
+    std::uint64_t era_ = 1;
     std::uint64_t version_ = 1;
     std::uint64_t compactedTo_ = 0;
 };
@@ -50,7 +52,7 @@
 public:
     static std::shared_ptr<MemoryRowStore> create(EventLoop &loop, std::shared_ptr<MemoryRows> rows);
     void read(std::string table, std::string from, ReadHandler handler) override;
-    void changes(std::string table, std::uint64_t version, Duration wait, ReadHandler handler) override;
+    void changes(std::string table, StoreVersion version, Duration wait, ReadHandler handler) override;
     void write(std::vector<RowWrite> writes, WriteHandler handler) override;
     std::optional<StoreClock> clock() const override;
 
@@ -61,7 +63,7 @@
 
 private:
     MemoryRowStore(EventLoop &loop, std::shared_ptr<MemoryRows> rows);
-    void pollChanges(const std::string &table, std::uint64_t version, TimePoint askedAt, TimePoint end, const ReadHandler &handler);
+    void pollChanges(const std::string &table, StoreVersion version, TimePoint askedAt, TimePoint end, const ReadHandler &handler);
     ReadResult failed(StoreFailure failure, TimePoint askedAt) const;
     EventLoop &loop_;
     std::shared_ptr<MemoryRows> rows_;
--- a/src/rows/rowstore.h
+++ b/src/rows/rowstore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rows/eratracker.h"
 #include "rows/rowtypes.h"
 
 #include <optional>
@@ -20,12 +21,20 @@
     virtual ~RowStore() = default;
     /// Rows of @p table with a key of at least @p from, in order.
     virtual void read(std::string table, std::string from, ReadHandler handler) = 0;
-    /// What changed in @p table after @p version, as soon as there is something or @p wait has passed.
-    virtual void changes(std::string table, std::uint64_t version, Duration wait, ReadHandler handler) = 0;
-    /// All or none of @p writes.
+    /// What changed in @p table after @p version, as soon as there is something or @p wait has passed. HistoryLost if the store
+    /// has been restored since that version.
+    virtual void changes(std::string table, StoreVersion version, Duration wait, ReadHandler handler) = 0;
+    /// All or none of @p writes. Conflict, without rows, if a condition names a version from before the store was restored.
     virtual void write(std::vector<RowWrite> writes, WriteHandler handler) = 0;
     /// The newest reading of its clock; empty before the first answer.
     virtual std::optional<StoreClock> clock() const = 0;
+    EraTracker &eras()
+    {
+        return eras_;
+    }
+
+private:
+    EraTracker eras_;
 };
 
 } // namespace cardamomlift::rows
--- a/src/rows/rowtypes.h
+++ b/src/rows/rowtypes.h
@@ -5,17 +5,26 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace cardamomlift::rows {
 
+/// A moment in the history of the platform's store. The store numbers its transactions over all tables. If it is restored
+/// from an older copy, it goes on from the copy's number in the next era, so numbers of two eras do not compare.
+struct StoreVersion {
+    std::uint64_t era = 0; ///< 0 if the store names none.
+    std::uint64_t number = 0; ///< 0: before the first transaction.
+    auto operator<=>(const StoreVersion &) const = default;
+};
+
 /// A row of a table of the platform's store.
 struct Row {
     std::string key;
     std::string value;
-    std::uint64_t version = 0; ///< Of the transaction that wrote it; rises over all tables.
+    StoreVersion version; ///< Of the transaction that wrote it, in the era in which it was read.
     bool isDeleted = false; ///< Only in changes.
 };
 
@@ -23,7 +32,7 @@
 struct RowPage {
     std::vector<Row> rows;
     bool hasMore = false;
-    std::uint64_t version = 0; ///< The store's newest.
+    StoreVersion version; ///< The store's newest.
     Duration storeTime{0}; ///< The store's steady clock.
 };
 
@@ -31,6 +40,7 @@
 enum class ReadReason {
     First, ///< Nothing of it was known.
     HistoryLost, ///< The store does not keep the changes since what was known.
+    StoreRestored, ///< The store was restored from an older copy: what was known may be gone.
 };
 
 /// For the log.
@@ -39,7 +49,7 @@
 /// All rows of a table.
 struct WholeTable {
     std::vector<Row> rows;
-    std::uint64_t version = 0; ///< Changes after it may be missing.
+    StoreVersion version; ///< Changes after it may be missing.
     ReadReason reason = ReadReason::First;
 };
 
@@ -50,6 +60,7 @@
     Unreachable, ///< No connection; nothing was done.
     NoAnswer, ///< The call may have been done, or may still be.
     HistoryLost, ///< The changes asked for are no longer kept; read the table anew.
+    Outdated, ///< The answer was given before the store was restored from a copy.
     Invalid, ///< The store did not understand the call, or we its answer.
 };
 
@@ -62,11 +73,11 @@
 
 /// What one VM knows of a table, for another that has not asked the store itself.
 struct TableNews {
-    std::uint64_t version = 0; ///< All changes up to it are known to the sender.
-    std::uint64_t since = 0; ///< @c changes holds all that came after this version.
+    StoreVersion version; ///< All changes up to it are known to the sender.
+    StoreVersion since; ///< @c changes holds all that came after this version; of the same era.
     std::vector<Row> changes; ///< In order; the newest ones only.
     Duration age{0}; ///< How old the sender's knowledge is that nothing newer exists.
-    std::uint64_t changedAt = std::numeric_limits<std::uint64_t>::max(); ///< No change came between this version and @c version.
+    std::uint64_t changedAt = std::numeric_limits<std::uint64_t>::max(); ///< No change came between this number and @c version.
 };
 
 /// One change of a transaction. All rows of a transaction lie in one part.
@@ -76,7 +87,7 @@
     std::string value;
     bool removes = false;
     bool isConditional = false;
-    std::uint64_t expectedVersion = 0; ///< With isConditional; 0: the row must not exist.
+    StoreVersion expectedVersion; ///< With isConditional; its number 0: the row must not exist.
 };
 
 /// What became of a transaction.
@@ -91,10 +102,13 @@
 struct WriteResult {
     WriteOutcome outcome = WriteOutcome::Unknown;
     std::vector<Row> current; ///< With Conflict: the rows of the conditions as they are.
-    std::uint64_t version = 0; ///< With Written: of the rows written.
+    StoreVersion version; ///< With Written: of the rows written.
     Duration storeTime{0};
 };
 
+/// Whether a condition of @p writes names a version of an era before @p era: the same number may stand for another row now.
+bool isOutdated(std::span<const RowWrite> writes, std::uint64_t era);
+
 using ReadHandler = std::function<void(const ReadResult &result)>;
 using WriteHandler = std::function<void(const WriteResult &result)>;
 
--- a/src/rows/rowwatch.h
+++ b/src/rows/rowwatch.h
@@ -50,8 +50,8 @@
     /// What this VM knows, for others; empty before the first reading.
     std::optional<TableNews> news();
     const std::string &table() const;
-    /// All changes up to it are known; 0 before the first reading.
-    std::uint64_t version() const;
+    /// All changes up to it are known, unless the table is just read anew.
+    StoreVersion version() const;
     /// Since when nothing can have changed unnoticed; empty before the first reading.
     std::optional<TimePoint> confirmedAt() const;
     /// When the store was regained last; now while it is lost; empty if it was never lost.
@@ -59,9 +59,13 @@
 
 private:
     RowWatch(WatchTools tools, std::string table, Duration wait, WatchHandlers handlers);
+    void readAnew();
     void readAll(std::string from);
     void onPage(const ReadResult &result);
+    void takeAll();
+    ReadReason readReason() const;
     void logReading(const WholeTable &whole) const;
+    void onRestored();
     void ask();
     void onChanges(const ReadResult &result);
     void takeChanges(const RowPage &page);
@@ -79,9 +83,9 @@
     WatchHandlers handlers_;
     std::vector<Row> collected_; ///< Of a table that is read in several pages.
     TimePoint collectSince_;
-    std::uint64_t collectVersion_ = 0;
-    ReadReason readReason_ = ReadReason::First; ///< Of the reading that is under way.
-    std::uint64_t version_ = 0; ///< 0: not read yet.
+    StoreVersion collectVersion_;
+    bool isRead_ = false; ///< False while the whole table is read.
+    StoreVersion version_; ///< Of an earlier reading while the table is read anew.
     std::uint64_t changedAt_ = 0; ///< Of the newest known change; of a whole reading, which does not show what was removed, its version.
     Duration backoff_{0};
     bool reachable_ = true;
@@ -94,7 +98,7 @@
     std::function<void()> onNews_;
     std::deque<Recent> recent_; ///< Oldest first.
     std::size_t recentBytes_ = 0;
-    std::uint64_t recentSince_ = 0; ///< recent_ holds all changes after this version.
+    std::uint64_t recentSince_ = 0; ///< recent_ holds all changes after this version's number.
     std::optional<TimePoint> confirmedAt_;
     std::optional<TimePoint> regainedAt_;
     TimerId askTimer_ = 0;
--- a/src/rows/tests/rowwatch_test.cpp
+++ b/src/rows/tests/rowwatch_test.cpp
@@ -205,9 +205,9 @@
     const auto version = watch_->version();
     const auto confirmed = watch_->confirmedAt();
     TableNews news;
-    news.version = version + 10;
+    news.version = {version.era, version.number + 10};
     news.since = news.version;
-    news.changedAt = version;
+    news.changedAt = version.number;
     EXPECT_TRUE(watch_->isGap(news)) << "whatever the sender thinks of changes between";
     watch_->offer(news, loop_->now());
     EXPECT_EQ(watch_->version(), version);
--- a/src/standins/rowstore/main.cpp
+++ b/src/standins/rowstore/main.cpp
@@ -49,16 +49,18 @@
     EventLoop *loop = nullptr;
     std::shared_ptr<http1::CallerServer> server;
     rows::MemoryRows rows;
+    rows::MemoryRows copy; ///< Which "restore" goes back to.
     bool down = false;
     bool silent = false;
     bool loseAnswers = false;
     std::uint64_t calls = 0;
     std::vector<http1::ExchangePtr> unanswered;
 
-    static void answer(const http1::ExchangePtr &exchange, int status, const Json::Value &body = Json::Value(Json::objectValue))
+    void answer(const http1::ExchangePtr &exchange, int status, const Json::Value &body = Json::Value(Json::objectValue)) const
     {
         http1::ResponseHead head;
         head.status = status;
+        head.fields.add("Store-Era", std::to_string(rows.version().era));
         head.fields.add("Content-Type", "application/json");
         exchange->answer(std::move(head), http::writeJson(body));
     }
@@ -71,12 +73,12 @@
             Json::Value entry;
             entry["key"] = row.key;
             entry["value"] = text::encodeBase64(row.value);
-            entry["row_version"] = static_cast<Json::UInt64>(row.version);
+            entry["row_version"] = static_cast<Json::UInt64>(row.version.number);
             entry["tombstone"] = row.isDeleted;
             json["rows"].append(entry);
         }
         json["has_more"] = page.hasMore;
-        json["row_version"] = static_cast<Json::UInt64>(page.version);
+        json["row_version"] = static_cast<Json::UInt64>(page.version.number);
         json["now_ms"] = static_cast<Json::Int64>(std::chrono::duration_cast<std::chrono::milliseconds>(loop->now().time_since_epoch()).count());
         return json;
     }
@@ -108,7 +110,11 @@
 
     void feed(const http1::ExchangePtr &exchange, const std::string &table, std::uint64_t after, TimePoint end)
     {
-        const auto [failure, page] = rows.changes(table, after);
+        if (down) {
+            answer(exchange, StatusUnavailable);
+            return;
+        }
+        const auto [failure, page] = rows.changes(table, {rows.version().era, after});
         if (failure == rows::StoreFailure::HistoryLost) {
             answer(exchange, StatusGone);
             return;
@@ -142,7 +148,7 @@
             for (rows::RowWrite &write : writes) {
                 if (write.table == condition["table"].asString() && write.key == condition["key"].asString()) {
                     write.isConditional = true;
-                    write.expectedVersion = condition["row_version"].asUInt64();
+                    write.expectedVersion.number = condition["row_version"].asUInt64();
                 }
             }
         }
@@ -163,7 +169,7 @@
         return page.rows.empty() || page.rows.front().key != key ? std::string() : page.rows.front().value;
     }
 
-    // PUT, GET or DELETE rows/TABLE/KEY; POST faults, compact; GET calls.
+    // PUT, GET or DELETE rows/TABLE/KEY; POST faults, compact, copy, restore; GET calls.
     void control(const http1::ExchangePtr &exchange, std::string_view path)
     {
         if (path.starts_with("rows/")) {
@@ -187,6 +193,10 @@
             loseAnswers = body.get("loseAnswers", false).asBool();
         } else if (path == "compact") {
             rows.compact();
+        } else if (path == "copy") {
+            copy = rows;
+        } else if (path == "restore") {
+            rows.restore(copy);
         }
         Json::Value state;
         state["calls"] = static_cast<Json::UInt64>(calls);
--- a/tests/support/routefleet.cpp
+++ b/tests/support/routefleet.cpp
@@ -248,6 +248,23 @@
     put("POST", storeUrl("/control/faults"), http::writeJson(faults));
 }
 
+void RouteFleet::copyStore()
+{
+    put("POST", storeUrl("/control/copy"), {});
+}
+
+void RouteFleet::restoreStore()
+{
+    put("POST", storeUrl("/control/restore"), {});
+}
+
+void RouteFleet::useUpVersions(int count)
+{
+    for (int i = 0; i < count; i++) {
+        put("PUT", storeUrl("/control/rows/unused/key"), std::to_string(i));
+    }
+}
+
 Json::Value RouteFleet::controlWorker(const std::string &instance, const Json::Value &body)
 {
     return put("POST", fmt::format("http://{}/control", workerAddresses_.at(instance)), http::writeJson(body))->json();
--- a/tests/support/routefleet.h
+++ b/tests/support/routefleet.h
@@ -35,6 +35,12 @@
     void unlistWorker(const std::string &instance);
     /// "down", "silent" or "loseAnswers" set to true, or nothing.
     void setStoreFault(const std::string &fault);
+    /// Keeps a copy of the store's state, to which restoreStore() goes back.
+    void copyStore();
+    /// What was written since the copy is gone, and its versions are given out again.
+    void restoreStore();
+    /// Writes in a table that nobody reads: each write takes a version of the store.
+    void useUpVersions(int count);
     /// Sets what a worker does; members as standin-worker knows them. Returns what it has counted.
     Json::Value controlWorker(const std::string &instance, const Json::Value &body = Json::Value(Json::objectValue));
     /// Runs of a request over all workers, those that have ended too.
