Keep the duty lease to one holder over a restore of the store

What the platform would have seen: two VMs acting under one fence number, and two reports of one usage window with different counts.

Cause: the row of the lease that an older copy holds was believed. The holder that it names took the lease back at once ("an earlier process of this VM is over"), a lease that it shows as given up was taken at once, and both went on from its fence and from its list of reported windows, while the VM that had taken the lease since still acted.

Now: the row says in which era it was written. In a later era it proves neither that the lease is free nor who held it last, so it is taken only after the whole wait; fences of an era begin above those of the one before; the holder, which nobody can have followed while its lease lasts, writes its own row anew with all it has reported; a VM that takes a row of an earlier era leaves out windows that were due before the restore, since a second report of one might differ.

Ruled out: a condition on the old version alone does not help, since the copy has the version that it had.

--- a/src/duties/dutylease.h
+++ b/src/duties/dutylease.h
@@ -22,6 +22,8 @@
 
 /// The one lease on all duties. It is a row that the holder writes anew before the lease runs out. Another VM takes it
 /// only after it has seen the same version of the row for longer than the lease, by its own clock; so no clocks are compared.
+/// After the store was restored from an older copy the row may name a holder of before; then nobody takes the lease sooner,
+/// and a VM that holds it writes the row anew.
 class DutyLease : public std::enable_shared_from_this<DutyLease>
 {
 public:
@@ -37,6 +39,8 @@
     void update(LeaseRow row, std::function<void(bool written)> done);
     /// The platform has all reports up to @p window; stands in the row from the next renewal on.
     void noteArrived(std::int64_t window);
+    /// The store's last restore that this VM knows of, or has not seen, came before this.
+    TimePoint restoredBy() const;
     /// Gives the lease up at the end of the process.
     void release();
 
@@ -44,8 +48,13 @@
     explicit DutyLease(LeaseTools tools);
     void tick();
     void renew();
+    void rewrite();
+    void rewriteOver(const rows::ReadResult &result);
     void observe();
+    void readRow(void (DutyLease::*take)(const rows::ReadResult &));
     void takeRow(const rows::ReadResult &result);
+    bool isBeforeRestore() const;
+    std::uint64_t nextFence(const LeaseRow &before) const;
     void tryRelease();
     void tryTake(const LeaseRow &before, rows::StoreVersion expectedVersion);
     void write(LeaseRow row, rows::StoreVersion expectedVersion, std::function<void(bool written)> done);
@@ -60,6 +69,8 @@
     bool ended_ = false; ///< Released; never taken again by this process.
     LeaseRow row_;
     rows::StoreVersion version_; ///< Of the row as it was written or seen last.
+    bool sawRestore_ = false; ///< The store was restored since this process began.
+    TimePoint restoredBy_; ///< When that was noticed last; else when the process began.
     TimePoint heldUntil_;
     TimePoint renewedAt_;
     std::optional<TimePoint> seenAt_; ///< Since when another's row has had version_.
--- a/src/duties/dutytypes.h
+++ b/src/duties/dutytypes.h
@@ -47,6 +47,8 @@
     std::string holder; ///< Instance of the VM.
     std::uint64_t incarnation = 0; ///< Of its process.
     std::uint64_t fence = 0; ///< Rises with each holder.
+    std::uint64_t era = 0; ///< Of the store when it was written: in a later one the row is that of an older copy.
+    bool lacksReports = false; ///< It goes back to an older copy: reports that were made since may be missing.
     bool isReleased = false; ///< The holder has ended in order; it makes no more calls.
     std::int64_t reportedWindow = 0; ///< Windows up to this one were reported or are in reports.
     std::int64_t arrivedWindow = 0; ///< Windows up to this one are known to have arrived.
--- a/src/duties/internal/dutylease.cpp
+++ b/src/duties/internal/dutylease.cpp
@@ -22,13 +22,23 @@
 /// A process that starts hears within this of the VMs that run for longer, and leaves the lease to them. When 90 VMs started
 /// together and each took itself for the first, they made 250 calls for it.
 constexpr Duration HearFirst = std::chrono::milliseconds(800);
+/// Fences of one era of the store are below those of the next, so that holders whom an older copy does not know of keep theirs
+/// for themselves.
+constexpr std::uint64_t FencesPerEra = 1'000'000;
 /// The lease is renewed when this part of it has passed: one lost write leaves time for a second.
 constexpr int RenewPart = 2;
 
+std::optional<rows::Row> findRow(std::span<const rows::Row> rows)
+{
+    const auto found = std::find_if(rows.begin(), rows.end(), [](const rows::Row &row) { return row.key == Key; });
+    return found == rows.end() ? std::nullopt : std::optional(*found);
+}
+
 } // namespace
 
 DutyLease::DutyLease(LeaseTools tools)
     : tools_(std::move(tools))
+    , restoredBy_(tools_.loop->now())
 {
 }
 
@@ -42,6 +52,12 @@
         status.holdsLease = self && self->holds_ && !self->ended_;
         status.lacksStore = self && self->lacksStore_;
     });
+    raw->tools_.store->eras().onRestored([weak = std::weak_ptr<DutyLease>(lease)] {
+        if (const auto self = weak.lock()) {
+            self->sawRestore_ = true;
+            self->restoredBy_ = self->tools_.loop->now();
+        }
+    });
     return lease;
 }
 
@@ -91,6 +107,10 @@
         lose("expired");
         return;
     }
+    if (holds_ && isBeforeRestore()) {
+        rewrite();
+        return;
+    }
     if (holds_) {
         if (now - renewedAt_ >= tools_.length / RenewPart) {
             renew();
@@ -105,9 +125,7 @@
         seenAt_.reset();
         return;
     }
-    if (!reading_) {
-        observe();
-    }
+    observe();
 }
 
 void DutyLease::renew()
@@ -121,51 +139,105 @@
     if (seenAt_ && tools_.loop->now() - *seenAt_ < tools_.length + TakeMargin) {
         return;
     }
+    readRow(&DutyLease::takeRow);
+}
+
+void DutyLease::readRow(void (DutyLease::*take)(const rows::ReadResult &))
+{
+    if (reading_) {
+        return;
+    }
     reading_ = true;
-    tools_.store->read(Table, Key, [weak = weak_from_this()](const rows::ReadResult &result) {
+    tools_.store->read(Table, Key, [weak = weak_from_this(), take](const rows::ReadResult &result) {
         if (const auto self = weak.lock()) {
             self->reading_ = false;
-            self->takeRow(result);
+            (self.get()->*take)(result);
         }
     });
 }
 
-void DutyLease::takeRow(const rows::ReadResult &result)
+// The row as this VM knows it is of an earlier era than the store.
+bool DutyLease::isBeforeRestore() const
+{
+    return version_.era < tools_.store->eras().current();
+}
+
+void DutyLease::rewrite()
+{
+    readRow(&DutyLease::rewriteOver);
+}
+
+// While this VM holds the lease nobody else can have taken it: who does has waited for longer than the lease, in this era too.
+void DutyLease::rewriteOver(const rows::ReadResult &result)
 {
     lacksStore_ = result.failure != rows::StoreFailure::None;
-    if (result.failure != rows::StoreFailure::None || ended_ || holds_) {
+    if (lacksStore_ || writing_ || !holds_ || !mayAct()) {
         return;
     }
-    const auto found = std::find_if(result.page.rows.begin(), result.page.rows.end(), [](const rows::Row &row) { return row.key == Key; });
-    if (found == result.page.rows.end()) {
-        tryTake(LeaseRow(), {});
+    const auto found = findRow(result.page.rows);
+    LeaseRow current;
+    if (found && !decodeLease(found->value, current)) {
+        lose("its row can't be read");
         return;
     }
+    if (found && current.era == result.page.version.era && current.incarnation != row_.incarnation) {
+        lose("taken by another");
+        return;
+    }
+    tools_.log->write(Event::LeaseTaken, {{Attribute::Fence, static_cast<std::int64_t>(row_.fence)}, {Attribute::Reason, "kept_over_restore"}});
+    write(row_, found ? found->version : rows::StoreVersion{result.page.version.era, 0}, [](bool) {});
+}
+
+void DutyLease::takeRow(const rows::ReadResult &result)
+{
+    lacksStore_ = result.failure != rows::StoreFailure::None;
+    if (result.failure != rows::StoreFailure::None || ended_ || holds_) {
+        return;
+    }
+    const std::uint64_t era = result.page.version.era;
+    const auto found = findRow(result.page.rows);
+    const rows::StoreVersion version = found ? found->version : rows::StoreVersion{era, 0};
     LeaseRow before;
-    if (!decodeLease(found->value, before)) {
+    if (found && !decodeLease(found->value, before)) {
         tools_.log->write(Event::LeaseLost, {{Attribute::Reason, "its row can't be read"}});
         return;
     }
     // NOTE Measured from when the question was sent, for the wait of the next holder to cover the whole lease of the last.
-    const bool wasUnchanged = seenAt_ && version_ == found->version && result.askedAt - *seenAt_ >= tools_.length + TakeMargin;
+    const bool wasUnchanged = seenAt_ && version_ == version && result.askedAt - *seenAt_ >= tools_.length + TakeMargin;
+    // What an older copy of the store says of the holder, or that there is none, may have changed before it was restored.
+    const bool isOfThisEra = found ? before.era == era : !sawRestore_;
     // An earlier process of this VM is over, and acts no more.
     const bool wasOurs = before.holder == tools_.presence->instance();
-    if (before.isReleased || wasOurs || wasUnchanged) {
-        tryTake(before, found->version);
+    const bool isFree = isOfThisEra && (!found || before.isReleased || wasOurs);
+    if (isFree || wasUnchanged) {
+        before.lacksReports = before.lacksReports || !isOfThisEra;
+        tryTake(before, version);
         return;
     }
-    if (!seenAt_ || version_ != found->version) {
+    if (!seenAt_ || version_ != version) {
         seenAt_ = tools_.loop->now();
-        version_ = found->version;
+        version_ = version;
     }
 }
 
+std::uint64_t DutyLease::nextFence(const LeaseRow &before) const
+{
+    const std::uint64_t firstOfEra = tools_.store->eras().current() * FencesPerEra;
+    return std::max({before.fence, row_.fence, firstOfEra}) + 1;
+}
+
 void DutyLease::tryTake(const LeaseRow &before, rows::StoreVersion expectedVersion)
 {
     LeaseRow row = before;
+    if (row_.reportedWindow > row.reportedWindow) {
+        // This process held the lease in the time that the copy lacks.
+        row.reportedWindow = row_.reportedWindow;
+        row.reports = row_.reports;
+    }
+    row.arrivedWindow = std::max(row.arrivedWindow, row_.arrivedWindow);
     row.holder = tools_.presence->instance();
     row.incarnation = tools_.presence->incarnation();
-    row.fence = before.fence + 1;
+    row.fence = nextFence(before);
     row.isReleased = false;
     seenAt_.reset();
     write(std::move(row), expectedVersion, [](bool) {});
@@ -173,7 +245,7 @@
 
 void DutyLease::update(LeaseRow row, std::function<void(bool written)> done)
 {
-    if (!mayAct() || writing_) {
+    if (!mayAct() || writing_ || isBeforeRestore()) {
         done(false);
         return;
     }
@@ -184,6 +256,7 @@
 {
     writing_ = true;
     rows::RowWrite write;
+    row.era = tools_.store->eras().current();
     write.table = Table;
     write.key = Key;
     write.value = encodeLease(row);
@@ -215,12 +288,11 @@
         done(true);
         return;
     }
-    if (result.outcome == rows::WriteOutcome::Conflict) {
+    if (result.outcome == rows::WriteOutcome::Conflict && !isBeforeRestore()) {
         // A write of ours whose answer was lost shows here as ours; any other means that the lease is another's.
-        const auto found = std::find_if(result.current.begin(), result.current.end(), [](const rows::Row &current) { return current.key == Key; });
+        const auto found = findRow(result.current);
         LeaseRow current;
-        const bool isOurs = holds_ && found != result.current.end() && decodeLease(found->value, current) && current.incarnation == row_.incarnation
-            && current.fence == row_.fence;
+        const bool isOurs = holds_ && found && decodeLease(found->value, current) && current.incarnation == row_.incarnation && current.fence == row_.fence;
         if (isOurs) {
             row_ = current;
             version_ = found->version;
@@ -232,6 +304,11 @@
     done(false);
 }
 
+TimePoint DutyLease::restoredBy() const
+{
+    return restoredBy_;
+}
+
 void DutyLease::noteArrived(std::int64_t window)
 {
     row_.arrivedWindow = std::max(row_.arrivedWindow, window);
@@ -255,7 +332,7 @@
 // Tried until it stands: while the row names this VM, the others must wait until the lease has run out.
 void DutyLease::tryRelease()
 {
-    if (!holds_) {
+    if (!holds_ || isBeforeRestore()) {
         return;
     }
     LeaseRow row = row_;
--- a/src/duties/internal/dutytypes.cpp
+++ b/src/duties/internal/dutytypes.cpp
@@ -10,6 +10,8 @@
     json["holder"] = row.holder;
     json["incarnation"] = static_cast<Json::UInt64>(row.incarnation);
     json["fence"] = static_cast<Json::UInt64>(row.fence);
+    json["era"] = static_cast<Json::UInt64>(row.era);
+    json["lacksReports"] = row.lacksReports;
     json["released"] = row.isReleased;
     json["reportedWindow"] = static_cast<Json::Int64>(row.reportedWindow);
     json["arrivedWindow"] = static_cast<Json::Int64>(row.arrivedWindow);
@@ -35,6 +37,8 @@
     row.holder = (*json)["holder"].asString();
     row.incarnation = (*json)["incarnation"].asUInt64();
     row.fence = (*json)["fence"].asUInt64();
+    row.era = (*json)["era"].isUInt64() ? (*json)["era"].asUInt64() : 0;
+    row.lacksReports = (*json)["lacksReports"].isBool() && (*json)["lacksReports"].asBool();
     row.isReleased = (*json)["released"].isBool() && (*json)["released"].asBool();
     row.reportedWindow = (*json)["reportedWindow"].isInt64() ? (*json)["reportedWindow"].asInt64() : 0;
     row.arrivedWindow = (*json)["arrivedWindow"].isInt64() ? (*json)["arrivedWindow"].asInt64() : 0;
--- a/src/duties/internal/usagereporter.cpp
+++ b/src/duties/internal/usagereporter.cpp
@@ -57,11 +57,12 @@
         return false;
     }
     LeaseRow row = tools_.lease->row();
-    const std::int64_t window = row.reportedWindow == 0 ? *current - 1 : row.reportedWindow + 1;
+    const std::int64_t window = nextWindow(row, *current, *now);
     if (window >= *current || *now < tools_.usage->endOf(window) + SettleTime) {
         return false;
     }
     row.reportedWindow = window;
+    row.lacksReports = false;
     row.reports.push_back(makeReport(window));
     if (row.reports.size() > ReportsKept) {
         row.reports.erase(row.reports.begin());
@@ -81,6 +82,22 @@
     return true;
 }
 
+// Windows that were due before the store was restored may have been reported by a holder whom the copy does not know of; a
+// second report of one might differ.
+std::int64_t UsageReporter::nextWindow(const LeaseRow &row, std::int64_t current, WallTime now) const
+{
+    const std::int64_t next = row.reportedWindow == 0 ? current - 1 : row.reportedWindow + 1;
+    if (!row.lacksReports) {
+        return next;
+    }
+    const WallTime restoredBy = now - (tools_.loop->now() - tools_.lease->restoredBy());
+    std::int64_t window = next;
+    while (window < current && tools_.usage->endOf(window) + SettleTime <= restoredBy) {
+        window++;
+    }
+    return window;
+}
+
 UsageReport UsageReporter::makeReport(std::int64_t window) const
 {
     UsageReport report;
--- a/src/duties/tests/duties_test.cpp
+++ b/src/duties/tests/duties_test.cpp
@@ -253,12 +253,16 @@
     row.holder = "vm";
     row.incarnation = 0xffff'ffff'ffff'ffffULL;
     row.fence = 3;
+    row.era = 4;
+    row.lacksReports = true;
     row.reportedWindow = 7;
     row.arrivedWindow = 6;
     row.reports = {{7, {{"customer", 12}}}};
     LeaseRow read;
     ASSERT_TRUE(decodeLease(encodeLease(row), read));
     EXPECT_EQ(read.incarnation, row.incarnation);
+    EXPECT_EQ(read.era, 4U);
+    EXPECT_TRUE(read.lacksReports);
     EXPECT_EQ(read.arrivedWindow, 6);
     EXPECT_EQ(read.reports[0].counts["customer"], 12U);
     EXPECT_FALSE(decodeLease("{}", read));
--- a/src/duties/usagereporter.h
+++ b/src/duties/usagereporter.h
@@ -31,6 +31,7 @@
     explicit UsageReporter(ReporterTools tools);
     void tick();
     bool startReport();
+    std::int64_t nextWindow(const LeaseRow &row, std::int64_t current, WallTime now) const;
     UsageReport makeReport(std::int64_t window) const;
     void send();
     void onSent(std::int64_t window, DutyOutcome outcome);
