Keep entry VMs known over a restore of the store, and write their rows again

What callers would have met: VMs that came after the copy was made vanish from the restored table. Each VM dropped the others and nobody wrote a row again: in the test nine VMs each take themselves for the only one, for good, so each would give out a customer's whole allowance, and none would hear the others.

Now a reading after a restore drops no VM, and a VM whose own row is missing there, or is that of an earlier process, writes it again. Each VM does that by itself when it reads the tables: one write of a VM and four readings, against some ten writes and fifty readings a second that the store allows for each VM on every deployment, so they are not spread out.

--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -4,7 +4,7 @@
 #include "presence/statusformat.h"
 
 #include <algorithm>
-#include <set>
+#include <string_view>
 #include <utility>
 
 namespace cardamomlift::presence {
@@ -83,7 +83,7 @@
     raw->tools_.datagrams->onDatagram([raw](std::string_view bytes) { raw->onDatagram(bytes); });
     rows::WatchHandlers handlers;
     handlers.onAll = [raw](const rows::WholeTable &whole) {
-        raw->replaceRows(whole.rows);
+        raw->replaceRows(whole);
     };
     handlers.onChanges = [raw](const std::vector<rows::Row> &rows) {
         raw->takeRows(rows);
@@ -132,14 +132,20 @@
 }
 
 // What the VMs have told stays: with a lost history of the store nothing has become of them.
-void Presence::replaceRows(const std::vector<rows::Row> &rows)
+void Presence::replaceRows(const rows::WholeTable &whole)
 {
-    std::set<std::string> listed;
-    for (const rows::Row &row : rows) {
-        listed.insert(row.key);
+    std::map<std::string_view, std::string_view> listed;
+    for (const rows::Row &row : whole.rows) {
+        listed[row.key] = row.value;
+    }
+    // VMs that an older copy of the store lacks write their rows again.
+    if (whole.reason != rows::ReadReason::StoreRestored) {
+        std::erase_if(peers_, [&listed](const auto &entry) { return !listed.contains(entry.first); });
+    }
+    if (whole.reason != rows::ReadReason::First && listed[tools_.instance] != rowText(tools_)) {
+        writeRow();
     }
-    std::erase_if(peers_, [&listed](const auto &entry) { return !listed.contains(entry.first); });
-    takeRows(rows);
+    takeRows(whole.rows);
 }
 
 void Presence::takeRow(const rows::Row &row)
--- a/src/presence/presence.h
+++ b/src/presence/presence.h
@@ -88,7 +88,7 @@
     void writeRow();
     void takeRows(const std::vector<rows::Row> &rows);
     void takeRow(const rows::Row &row);
-    void replaceRows(const std::vector<rows::Row> &rows);
+    void replaceRows(const rows::WholeTable &whole);
     void regroup();
     void noteRegrouped() const;
     void sendRound();
--- a/src/presence/tests/restoredstore_test.cpp
+++ b/src/presence/tests/restoredstore_test.cpp
@@ -57,6 +57,24 @@
     }
 }
 
+// VMs whose rows the copy lacks would be unknown to all that start later, and unheard by the others.
+TEST_F(TableRelayTest, VmsThatTheCopyLacksStayKnownAndWriteTheirRowsAgain)
+{
+    const rows::MemoryRows copy = *rows_;
+    start(9);
+    pass(seconds(5));
+    rows_->restore(copy);
+    pass(seconds(3), [this] {
+        for (const auto &vm : vms_) {
+            EXPECT_EQ(vm->presence->vmCount(), 9U) << vm->presence->instance();
+        }
+    });
+    EXPECT_EQ(rows_->read("entry-vms", "", 1000).rows.size(), 9U);
+    for (const auto &vm : vms_) {
+        EXPECT_EQ(vm->presence->heardWithin(seconds(1)), 8U) << vm->presence->instance();
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(LateByMilliseconds, RestoredStoreTest, testing::Values(0, 400, 800));
 
 /// Restores from copies that are up to eight seconds old, one after the other, with what a seed draws of the rest.
