Do not take servers that have gone back out of an older copy of the store

What callers would have met: a server that crashed or was taken away without a word, and whose entry went, is listed as ready again when the store is restored from a copy of some seconds before; it got requests until its entry lapsed once more, and requests at most once would have ended in an error.

An entry that went may come back, as entries lapse in outages; that this one is a row that had been read before was not looked at.

Now the list remembers the version of the last entry of a server that went. An entry of a later era with that number or a lower one is that row, or one before it; one that was written after the restore has a higher number, unless the server came and went within the lost time, and then its next change brings it back.

Servers that had said they leave were safe before: that is never taken back.

Tests: AnEntryThatWentDoesNotComeBackWithAnOlderCopy, failing before (two usable servers for none), and that an entry which lapsed comes back in the same era.

--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -32,7 +32,8 @@
     static std::shared_ptr<Directory> create();
 
     /// An entry appeared or changed. A later start under a known name ends the one before; an entry of an earlier start
-    /// than the known one came late and is passed over; one without a start, where the server has told one, drops it.
+    /// than the known one came late and is passed over; one without a start, where the server has told one, drops it. So is
+    /// one from an older copy of the store whose server has gone since.
     void put(BackendServer server);
     /// The entry of the server @p name went. Around an outage of the store the server stays usable until RelistTime after
     /// the store's return.
@@ -72,6 +73,8 @@
     void store(KnownServer known);
     void forget(const std::string &instance);
     void rememberGone(const std::string &instance);
+    void unlist(const std::string &instance);
+    bool isOfOlderCopy(const BackendServer &server) const;
     void rebuild() const;
     std::map<std::string, ServerPtr, std::less<>> servers_; ///< By instance.
     std::map<std::string, std::string, std::less<>> instances_; ///< By name: the known start.
@@ -80,6 +83,8 @@
     mutable std::map<std::string, std::vector<ServerPtr>, std::less<>> usable_;
     mutable bool isUsableStale_ = false;
     std::set<std::string, std::less<>> gone_; ///< Instances that said they leave and went; never to be used again.
+    /// Versions of the last entries of instances that went without a word, and may be listed again.
+    std::map<std::string, rows::StoreVersion, std::less<>> unlisted_;
     rows::StoreVersion listVersion_;
     std::optional<TimePoint> listConfirmedAt_;
     bool storeReachable_ = true;
--- a/src/directory/internal/directory.cpp
+++ b/src/directory/internal/directory.cpp
@@ -27,6 +27,10 @@
     if (before && before->server.startedAt && *server.startedAt < *before->server.startedAt) {
         return;
     }
+    if (isOfOlderCopy(server)) {
+        return;
+    }
+    unlisted_.erase(server.instance);
     if (before && before->server.instance != server.instance) {
         // What it knew and ran before is gone with the start before, whatever that one said of itself.
         rememberGone(before->server.instance);
@@ -62,7 +66,7 @@
         }
         return;
     }
-    forget(before->server.instance);
+    unlist(before->server.instance);
 }
 
 void Directory::replaceAll(std::span<const BackendServer> servers, TimePoint now)
@@ -133,7 +137,7 @@
         }
     }
     for (const std::string &instance : lapsed) {
-        forget(instance);
+        unlist(instance);
     }
 }
 
@@ -174,6 +178,24 @@
     }
 }
 
+void Directory::unlist(const std::string &instance)
+{
+    if (unlisted_.size() >= GoneRemembered) {
+        unlisted_.erase(unlisted_.begin());
+    }
+    if (const auto known = find(instance)) {
+        unlisted_[instance] = known->server.listedAs;
+    }
+    forget(instance);
+}
+
+// NOTE Rows that were written before the copy was made keep their numbers in the next era.
+bool Directory::isOfOlderCopy(const BackendServer &server) const
+{
+    const auto last = unlisted_.find(server.instance);
+    return last != unlisted_.end() && server.listedAs.era > last->second.era && server.listedAs.number <= last->second.number;
+}
+
 void Directory::rememberGone(const std::string &instance)
 {
     if (gone_.size() >= GoneRemembered) {
--- a/src/directory/tests/directory_test.cpp
+++ b/src/directory/tests/directory_test.cpp
@@ -134,6 +134,38 @@
     EXPECT_EQ(usableCount(*directory), 2U);
 }
 
+BackendServer listedAs(const std::string &name, rows::StoreVersion version)
+{
+    BackendServer result = server(name);
+    result.listedAs = version;
+    return result;
+}
+
+// An older copy of the store shows servers that have ended since as if they were there.
+TEST(Directory, AnEntryThatWentDoesNotComeBackWithAnOlderCopy)
+{
+    const auto directory = Directory::create();
+    directory->put(listedAs("a", {1, 30}));
+    directory->put(listedAs("b", {1, 31}));
+    directory->put(listedAs("b", {1, 40}));
+    directory->remove("a", Start);
+    directory->remove("b", Start);
+    directory->replaceAll(std::vector<BackendServer>{listedAs("a", {2, 30}), listedAs("b", {2, 31})}, Start);
+    EXPECT_EQ(usableCount(*directory), 0U);
+    directory->put(listedAs("b", {2, 52}));
+    ASSERT_EQ(usableCount(*directory), 1U) << "it was listed anew";
+    EXPECT_EQ(directory->usable("models")[0]->server.instance, "b");
+}
+
+TEST(Directory, AnEntryThatLapsedMayComeBackInTheSameEra)
+{
+    const auto directory = Directory::create();
+    directory->put(listedAs("a", {1, 30}));
+    directory->remove("a", Start);
+    directory->put(listedAs("a", {1, 40}));
+    EXPECT_EQ(usableCount(*directory), 1U);
+}
+
 TEST(Directory, AWholeListComparesWithWhatWasKnown)
 {
     const auto directory = Directory::create();
