Do not prove keys by an older manifest than another VM has

What callers would have met: a key that was taken away works on at a VM that had not heard of it when the store was restored from a copy of before: the VM reads the older manifest there, and takes it for proven to be the newest.

Now VMs tell the version of the manifest that they have in force, and a VM that hears of a newer one than its own takes no proof of freshness until it has it; its keys end when its last proof has aged, as always. Manifests were never put in force backwards, so VMs that had the newer one were safe before.

Open: a VM that starts after such a restore and hears no other VM cannot know.

Test: IsNotConfirmedWhileAnotherVmHasANewerOne; without the check in confirm() its first comparison gives an age of 0 for 3 s.

--- a/src/manifest/internal/manifestkeeper.cpp
+++ b/src/manifest/internal/manifestkeeper.cpp
@@ -31,9 +31,18 @@
 
 void ManifestKeeper::confirm(TimePoint askedAt)
 {
+    const std::uint64_t inForce = current_ ? current_->manifest().version : 0;
+    if (inForce < newestElsewhere_) {
+        return;
+    }
     confirmedAt_ = confirmedAt_ ? std::max(*confirmedAt_, askedAt) : askedAt;
 }
 
+void ManifestKeeper::noteElsewhere(std::uint64_t version)
+{
+    newestElsewhere_ = std::max(newestElsewhere_, version);
+}
+
 std::optional<Duration> ManifestKeeper::age(TimePoint now) const
 {
     if (!confirmedAt_) {
--- a/src/manifest/manifestkeeper.h
+++ b/src/manifest/manifestkeeper.h
@@ -28,6 +28,9 @@
     /// The store has shown that at some time at or after @p askedAt no newer version than the one in force existed.
     /// NOTE The time at which the question was sent, not that of the answer: an answer may have waited on its way.
     void confirm(TimePoint askedAt);
+    /// Another VM has @p version in force. While the one here is older nothing confirms it: the store may have been restored
+    /// from a copy that lacks the newer one.
+    void noteElsewhere(std::uint64_t version);
     /// Time since the manifest in force was certainly the newest one; empty if it never was.
     std::optional<Duration> age(TimePoint now) const;
     /// True if keys may be judged at @p now: what is known is younger than @p bound.
@@ -38,6 +41,7 @@
 private:
     ManifestKeeper() = default;
     ManifestPtr current_;
+    std::uint64_t newestElsewhere_ = 0;
     std::optional<TimePoint> confirmedAt_;
     std::vector<std::function<void(const ManifestPtr &)>> handlers_;
 };
--- a/src/manifest/tests/manifest_test.cpp
+++ b/src/manifest/tests/manifest_test.cpp
@@ -92,6 +92,24 @@
     EXPECT_EQ(*keeper->age(start), Duration(0)) << "a late proof of an earlier time takes nothing back";
 }
 
+// A store that was restored from a copy without the newest manifest would prove that keys taken away by it are valid.
+TEST(ManifestKeeper, IsNotConfirmedWhileAnotherVmHasANewerOne)
+{
+    const auto keeper = ManifestKeeper::create();
+    const TimePoint start(std::chrono::hours(1));
+    keeper->offer(version(5));
+    keeper->confirm(start);
+    keeper->noteElsewhere(6);
+    keeper->confirm(start + milliseconds(3000));
+    EXPECT_EQ(*keeper->age(start + milliseconds(3000)), milliseconds(3000));
+    keeper->offer(version(6));
+    keeper->confirm(start + milliseconds(4000));
+    EXPECT_EQ(*keeper->age(start + milliseconds(4000)), Duration(0));
+    keeper->noteElsewhere(5);
+    keeper->confirm(start + milliseconds(5000));
+    EXPECT_EQ(*keeper->age(start + milliseconds(5000)), Duration(0)) << "a VM that is behind says nothing";
+}
+
 } // namespace
 
 } // namespace cardamomlift::manifest
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -47,6 +47,7 @@
     partial.incarnation = status.incarnation;
     partial.sequence = status.sequence;
     partial.tables = status.tables;
+    partial.manifestVersion = status.manifestVersion;
     partial.storeBack = status.storeBack;
     partial.isFast = status.isFast;
     partial.upFor = status.upFor;
@@ -388,6 +389,7 @@
     }
     peer.status->sequence = status.sequence;
     peer.status->tables = std::move(status.tables);
+    peer.status->manifestVersion = status.manifestVersion;
     peer.status->storeBack = status.storeBack;
     peer.status->isFast = status.isFast;
     peer.status->upFor = status.upFor;
--- a/src/presence/internal/presencegroups.cpp
+++ b/src/presence/internal/presencegroups.cpp
@@ -135,6 +135,7 @@
     summary.instance = own_.instance;
     summary.incarnation = own_.incarnation;
     summary.tables = own_.tables;
+    summary.manifestVersion = own_.manifestVersion;
     summary.storeBack = own_.storeBack;
     return summary;
 }
@@ -160,6 +161,7 @@
     teller.incarnation = status.incarnation;
     teller.sequence = status.sequence;
     teller.tables = status.tables;
+    teller.manifestVersion = status.manifestVersion;
     teller.storeBack = status.storeBack;
     teller.isPartial = true;
     merge(peer, std::move(teller));
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -139,6 +139,7 @@
         const auto changes = packed.find(table);
         addTable(out, table, news, changes == packed.end() ? std::string() : changes->second);
     }
+    out.set_manifest_version(status.manifestVersion);
     if (status.storeBack) {
         out.set_store_back_us(micros(*status.storeBack));
     }
@@ -230,6 +231,7 @@
             status.tables[entry.table()] = std::move(*news);
         }
     }
+    status.manifestVersion = in.manifest_version();
     if (in.has_store_back_us()) {
         status.storeBack = Duration(in.store_back_us());
     }
--- a/src/presence/presencemodule.cpp
+++ b/src/presence/presencemodule.cpp
@@ -1,6 +1,7 @@
 #include "directory/directory.h"
 #include "kernel/module.h"
 #include "kernel/runtime.h"
+#include "manifest/manifestkeeper.h"
 #include "metrics/metrics.h"
 #include "presence/presence.h"
 #include "presence/tablerelay.h"
@@ -44,7 +45,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"platform", "directory", "eventlog", "metrics"};
+        return {"platform", "directory", "eventlog", "manifest", "metrics"};
     }
 
     Result<void> start(Context &context) override
@@ -66,6 +67,7 @@
         addGauges(*context.get<metrics::Metrics>(), presence);
         context.set(TrueTime::create(*loop, context.get<rows::RowStore>(), presence));
         relayTables(context, *loop, presence);
+        tellManifest(presence, context.get<manifest::ManifestKeeper>());
         return success();
     }
 
@@ -77,6 +79,12 @@
         metrics.gauge("entry_vms_heard", [presence] { return static_cast<double>(presence->heardWithin(HeardWithin)); });
     }
 
+    static void tellManifest(const std::shared_ptr<Presence> &presence, const std::shared_ptr<manifest::ManifestKeeper> &manifests)
+    {
+        presence->contribute([manifests](Status &status) { status.manifestVersion = manifests->current() ? manifests->current()->manifest().version : 0; });
+        presence->onStatus([manifests](const Status &status, std::optional<TimePoint>) { manifests->noteElsewhere(status.manifestVersion); });
+    }
+
     static void relayTables(Context &context, EventLoop &loop, const std::shared_ptr<Presence> &presence)
     {
         const auto relay = TableRelay::create(loop, presence);
--- a/src/presence/tests/presence_test.cpp
+++ b/src/presence/tests/presence_test.cpp
@@ -138,6 +138,7 @@
     message.status.incarnation = 1;
     message.status.sequence = 2;
     message.status.tables["t"] = {{6, 3}, {6, 2}, {{"key", "value", {6, 3}, true}}, milliseconds(4), 3};
+    message.status.manifestVersion = 51;
     message.status.storeBack = milliseconds(9);
     message.status.clockOffset = milliseconds(-5);
     message.status.demands = {{1, 2.5, 3.5}};
@@ -150,6 +151,7 @@
     const auto read = decodeStatus(encodeStatus(message, {{"t", packChanges(message.status.tables["t"].changes)}}));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->echo, 7U);
+    EXPECT_EQ(read->status.manifestVersion, 51U);
     EXPECT_EQ(read->status.tables.at("t").age, milliseconds(4));
     EXPECT_EQ(read->status.tables.at("t").changedAt, 3U);
     EXPECT_EQ(read->status.tables.at("t").version, (rows::StoreVersion{6, 3}));
