Do not let rollouts go back with a restored store

What callers would have met: a version that was rolled back for its failures is tried once more, or, if the copy is older than the order, gets all requests: with neither order nor record it is a version like any other. Operators would have read a status that goes back from rolled_back to running.

Orders and records were known by the numbers of their rows, a whole reading that lacks them ended them, and an order that the operator wrote again was a new order with a new share of the requests.

Now an order that is written again in a later era, to the same version in the same time, is the one that was known; one of the copy that came before it is passed over; none ends because the copy lacks it. A record stays where it was if the store has an earlier phase or none, takes over the version to write on, and the holder of the lease writes it and the status again.

What stays open: a VM that starts after the restore knows the order by its new version and so tries nothing; an order of an earlier version placed before the known one was written again is taken for the copy's. Both err on the safe side.

--- a/src/rollout/internal/orderbook.cpp
+++ b/src/rollout/internal/orderbook.cpp
@@ -11,10 +11,10 @@
 
 void OrderBook::put(Order order)
 {
-    const Order *known = find(order.service);
-    if (known && known->id >= order.id) {
+    if (isKnown(order)) {
         return;
     }
+    readAs_[order.service] = order.id;
     Order &place = orders_[order.service];
     place = std::move(order);
     for (const auto &handler : handlers_) {
@@ -22,6 +22,24 @@
     }
 }
 
+bool OrderBook::isKnown(const Order &order)
+{
+    const Order *known = find(order.service);
+    if (!known) {
+        return false;
+    }
+    rows::StoreVersion &readAs = readAs_[order.service];
+    if (order.id.era <= readAs.era) {
+        return order.id <= readAs;
+    }
+    const bool isWrittenAgain = order.toVersion == known->toVersion && order.length == known->length;
+    if (isWrittenAgain) {
+        readAs = order.id;
+    }
+    // NOTE Rows that were written before the copy was made keep their numbers in the next era.
+    return isWrittenAgain || order.id.number <= readAs.number;
+}
+
 void OrderBook::remove(std::string_view service)
 {
     if (const auto found = orders_.find(service); found != orders_.end()) {
--- a/src/rollout/internal/rolloutjudge.cpp
+++ b/src/rollout/internal/rolloutjudge.cpp
@@ -87,6 +87,7 @@
     PlanInput input;
     input.order = order;
     input.record = record;
+    input.isRecordLost = tools_.keeper->isRecordLost(service);
     input.storeNow = storeNow;
     if (record && !isOver(record->phase)) {
         input.verdict = verdict(service, watched);
--- a/src/rollout/internal/rolloutkeeper.cpp
+++ b/src/rollout/internal/rolloutkeeper.cpp
@@ -259,6 +259,11 @@
     if (isOld) {
         return;
     }
+    state.isRecordLost = state.record && isBehind(record, *state.record);
+    if (state.isRecordLost) {
+        state.record->rowVersion = record.rowVersion;
+        return;
+    }
     const bool isChange = !state.record || state.record->order != record.order || state.record->phase != record.phase;
     state.record = std::move(record);
     if (!isChange) {
@@ -281,9 +286,8 @@
     }
 }
 
-void RolloutKeeper::takeRecords(const std::vector<rows::Row> &rows, bool isAll)
+void RolloutKeeper::takeRecords(const std::vector<rows::Row> &rows)
 {
-    std::set<std::string> listed;
     for (const rows::Row &row : rows) {
         Record record;
         if (row.isDeleted) {
@@ -294,13 +298,24 @@
             continue;
         }
         record.rowVersion = row.version;
-        listed.insert(record.service);
         adopt(std::move(record));
     }
+}
+
+void RolloutKeeper::takeAllRecords(const rows::WholeTable &whole)
+{
+    takeRecords(whole.rows);
     for (auto &[service, state] : services_) {
-        if (isAll && !listed.contains(service)) {
+        const bool isListed = std::any_of(whole.rows.begin(), whole.rows.end(), [&service](const rows::Row &row) { return row.key == service; });
+        if (isListed || !state.record) {
+            continue;
+        }
+        if (whole.reason != rows::ReadReason::StoreRestored) {
             state.record.reset();
+            continue;
         }
+        state.isRecordLost = true;
+        state.record->rowVersion = {whole.version.era, 0};
     }
 }
 
@@ -392,6 +407,12 @@
     return std::any_of(services_.begin(), services_.end(), [this](const auto &entry) { return isUnderWay(entry.first); });
 }
 
+bool RolloutKeeper::isRecordLost(std::string_view service) const
+{
+    const auto found = services_.find(service);
+    return found != services_.end() && found->second.isRecordLost;
+}
+
 std::vector<std::string> RolloutKeeper::servicesWithRecord() const
 {
     std::vector<std::string> services;
@@ -407,7 +428,7 @@
 {
     const Order *order = tools_.orders->find(service);
     const Record *known = record(service);
-    return (order && (!known || known->order < order->id)) || (known && !isOver(known->phase));
+    return (order && (!known || !answers(*known, *order))) || (known && !isOver(known->phase));
 }
 
 } // namespace cardamomlift::rollout
--- a/src/rollout/internal/rolloutplan.cpp
+++ b/src/rollout/internal/rolloutplan.cpp
@@ -93,10 +93,13 @@
 
 std::optional<Record> nextRecord(const PlanInput &input)
 {
-    const bool isNew = input.order && (!input.record || input.record->order < input.order->id);
+    const bool isNew = input.order && (!input.record || !answers(*input.record, *input.order));
     if (isNew) {
         return begin(*input.order, input.record, input.storeNow);
     }
+    if (input.isRecordLost) {
+        return *input.record;
+    }
     if (!input.record || isOver(input.record->phase)) {
         return std::nullopt;
     }
--- a/src/rollout/internal/rollouttypes.cpp
+++ b/src/rollout/internal/rollouttypes.cpp
@@ -42,6 +42,17 @@
     return ReportedState::Running;
 }
 
+bool answers(const Record &record, const Order &order)
+{
+    const bool isWrittenAgain = order.id.era > record.order.era && order.toVersion == record.toVersion;
+    return record.order >= order.id || isWrittenAgain;
+}
+
+bool isBehind(const Record &record, const Record &known)
+{
+    return record.order == known.order ? record.phase < known.phase : record.order < known.order;
+}
+
 bool isOver(Phase phase)
 {
     return phase == Phase::Succeeded || phase == Phase::RolledBack;
--- a/src/rollout/internal/versionrules.cpp
+++ b/src/rollout/internal/versionrules.cpp
@@ -36,7 +36,7 @@
 
 Standing standingOf(std::string_view version, const Order *order, const Record *record)
 {
-    const bool isAnswered = record && (!order || record->order >= order->id);
+    const bool isAnswered = record && (!order || answers(*record, *order));
     const bool isTarget = record && version == record->toVersion;
     if (isTarget) {
         return isAnswered ? ofTarget(record->phase) : ofReplacedTarget(record->phase);
--- a/src/rollout/orderbook.h
+++ b/src/rollout/orderbook.h
@@ -18,7 +18,8 @@
 public:
     static std::shared_ptr<OrderBook> create();
 
-    /// An older order than the known one came late and is passed over.
+    /// An older order than the known one came late and is passed over. After a restore of the store, so is one of the older
+    /// copy, and the known one that was written again stays the same order.
     void put(Order order);
     void remove(std::string_view service);
     /// The whole table was read: orders that it lacks were withdrawn.
@@ -34,7 +35,9 @@
 
 private:
     OrderBook() = default;
+    bool isKnown(const Order &order);
     std::map<std::string, Order, std::less<>> orders_; ///< By service.
+    std::map<std::string, rows::StoreVersion, std::less<>> readAs_; ///< By service: the version in which its order stands now.
     rows::StoreVersion knownUpTo_;
     std::vector<std::function<void(const Order &)>> handlers_;
 };
--- a/src/rollout/rolloutkeeper.h
+++ b/src/rollout/rolloutkeeper.h
@@ -56,8 +56,10 @@
     void noteEnded(const directory::BackendServer &server) override;
     void noteOutcome(const directory::BackendServer &server, const std::string &route, std::optional<Duration> firstByteAfter) override;
 
-    /// Rows of the table of records; @p isAll: it holds no others.
-    void takeRecords(const std::vector<rows::Row> &rows, bool isAll);
+    /// Rows of the table of records.
+    void takeRecords(const std::vector<rows::Row> &rows);
+    /// The table holds no others. After a restore of the store the records that were known stay, where they are further.
+    void takeAllRecords(const rows::WholeTable &whole);
     /// Called when the traffic of a service begins to move: others stop at @p stopAt, and what still runs there must go on
     /// elsewhere before that.
     void onMoving(std::function<void(const Record &record, TimePoint stopAt)> handler);
@@ -68,6 +70,8 @@
 
     /// Null if there is none.
     const Record *record(std::string_view service) const;
+    /// Whether the store, which was restored, lacks the record or has an earlier one: it is to be written again.
+    bool isRecordLost(std::string_view service) const;
     /// What all VMs together have seen of the service's newest order.
     Evidence evidence(const std::string &service) const;
     /// Requests that all VMs that were heard lately have open at servers of other versions.
@@ -85,6 +89,7 @@
     /// Of one service.
     struct ServiceState {
         std::optional<Record> record;
+        bool isRecordLost = false;
         std::set<std::string, std::less<>> metVersions; ///< Whose orders, if there were any, are known.
         std::map<std::string, int, std::less<>> open; ///< Requests at servers, by version.
         rows::StoreVersion countedFor; ///< The order of what follows.
--- a/src/rollout/rolloutmodule.cpp
+++ b/src/rollout/rolloutmodule.cpp
@@ -106,10 +106,10 @@
     {
         rows::WatchHandlers handlers;
         handlers.onAll = [this](const rows::WholeTable &whole) {
-            keeper_->takeRecords(whole.rows, true);
+            keeper_->takeAllRecords(whole);
         };
         handlers.onChanges = [this](const std::vector<rows::Row> &rows) {
-            keeper_->takeRecords(rows, false);
+            keeper_->takeRecords(rows);
         };
         handlers.onConfirmed = [](TimePoint) {
         };
--- a/src/rollout/rolloutplan.h
+++ b/src/rollout/rolloutplan.h
@@ -13,6 +13,7 @@
 struct PlanInput {
     const Order *order = nullptr; ///< The newest; null: it was withdrawn.
     const Record *record = nullptr; ///< The newest; null: there is none.
+    bool isRecordLost = false; ///< The store was restored and lacks it, or has an earlier one.
     Verdict verdict;
     Duration storeNow{0};
     std::uint64_t openAtOthers = 0; ///< Requests that all VMs have open at servers of other versions.
--- a/src/rollout/rollouttypes.h
+++ b/src/rollout/rollouttypes.h
@@ -50,6 +50,12 @@
 /// What the platform is told of a rollout.
 enum class ReportedState { Running, Succeeded, RolledBack };
 
+/// Whether @p record is of @p order or a later one. An order that was written again after the store was restored has a later
+/// id than the record that it began.
+bool answers(const Record &record, const Order &order);
+/// Whether @p record, as the store holds it now, goes back behind what was known: the store was restored from an older copy.
+bool isBehind(const Record &record, const Record &known);
+
 std::string_view phaseName(Phase phase);
 ReportedState reportedState(Phase phase);
 /// Whether nothing follows this phase but another order.
--- a/src/rollout/tests/rolloutjudge_test.cpp
+++ b/src/rollout/tests/rolloutjudge_test.cpp
@@ -89,10 +89,10 @@
     {
         rows::WatchHandlers handlers;
         handlers.onAll = [keeper = vm.keeper](const rows::WholeTable &whole) {
-            keeper->takeRecords(whole.rows, true);
+            keeper->takeAllRecords(whole);
         };
         handlers.onChanges = [keeper = vm.keeper](const std::vector<rows::Row> &rows) {
-            keeper->takeRecords(rows, false);
+            keeper->takeRecords(rows);
         };
         handlers.onConfirmed = [](TimePoint) {
         };
@@ -227,6 +227,24 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RolloutJudgeSeeds, testing::Range(1U, 21U));
 
+// What the platform was told must not go back with the store.
+TEST_F(RolloutJudgeTest, ARecordThatWasLostIsWrittenAgain)
+{
+    const JudgingVm vm = startJudging("1");
+    pass(seconds(2));
+    order(vm);
+    pass(seconds(2));
+    const rows::MemoryRows copy = *rows_;
+    tell(vm, 10);
+    pass(milliseconds(600));
+    ASSERT_EQ(told(), ReportedState::RolledBack);
+    rows_->restore(copy);
+    ASSERT_EQ(told(), ReportedState::Running);
+    pass(seconds(3));
+    EXPECT_EQ(told(), ReportedState::RolledBack);
+    EXPECT_FALSE(vm.keeper->isRecordLost(Service));
+}
+
 } // namespace
 
 } // namespace cardamomlift::rollout
--- a/src/rollout/tests/rolloutkeeper_test.cpp
+++ b/src/rollout/tests/rolloutkeeper_test.cpp
@@ -82,7 +82,7 @@
         list("new-2", "v2", 111);
     }
 
-    void write(Phase phase)
+    static Record recordIn(Phase phase)
     {
         Record record;
         record.order = OrderRow;
@@ -91,8 +91,23 @@
         record.phase = phase;
         record.startedAt = seconds(1000);
         record.endsAt = seconds(1012);
-        record.phaseAt = storeNow_;
-        keeper_->takeRecords({{Service, encodeRecord(record), {1, ++rowVersion_}}}, false);
+        record.phaseAt = seconds(1002);
+        return record;
+    }
+
+    void write(Phase phase)
+    {
+        keeper_->takeRecords({{Service, encodeRecord(recordIn(phase)), {1, ++rowVersion_}}});
+    }
+
+    /// The store was restored from a copy with these rows in the table of records.
+    void restoreRecords(const std::vector<rows::Row> &rows)
+    {
+        rows::WholeTable whole;
+        whole.rows = rows;
+        whole.version = {2, 180};
+        whole.reason = rows::ReadReason::StoreRestored;
+        keeper_->takeAllRecords(whole);
     }
 
     Eligibility eligibility(const std::string &name, VersionPick pick = VersionPick::Usual)
@@ -285,6 +300,45 @@
     EXPECT_EQ(route.trial.at(presence::nameHash("new-1")).total(), 1U);
 }
 
+// A version that was rolled back in the time that the copy lacks would be tried once more.
+TEST_F(RolloutKeeperTest, ARecordDoesNotGoBackWithTheStore)
+{
+    order();
+    write(Phase::RolledBack);
+    restoreRecords({{Service, encodeRecord(recordIn(Phase::Trial)), {2, 150}}});
+    EXPECT_EQ(eligibility("new-1"), Eligibility::None);
+    EXPECT_EQ(picked(200), 0);
+    EXPECT_TRUE(keeper_->isRecordLost(Service));
+    EXPECT_EQ(keeper_->record(Service)->rowVersion, (rows::StoreVersion{2, 150})) << "what the next step is written on";
+    keeper_->takeRecords({{Service, encodeRecord(recordIn(Phase::RolledBack)), {2, 190}}});
+    EXPECT_FALSE(keeper_->isRecordLost(Service));
+}
+
+// Without its record a version that is not proved would get all requests.
+TEST_F(RolloutKeeperTest, ARecordThatTheCopyLacksIsKept)
+{
+    order();
+    write(Phase::Trial);
+    restoreRecords({});
+    EXPECT_EQ(eligibility("new-1"), Eligibility::None);
+    EXPECT_TRUE(keeper_->isRecordLost(Service));
+    EXPECT_EQ(keeper_->record(Service)->rowVersion.number, 0U);
+}
+
+// Each order brings a part of the requests that may go to a version on trial.
+TEST_F(RolloutKeeperTest, AnOrderThatIsWrittenAgainIsTheSame)
+{
+    order();
+    const auto seen = lines_;
+    orders_->put({Service, "v1", seconds(12), {2, 20}});
+    EXPECT_EQ(orders_->find(Service)->toVersion, "v2") << "an order before it, from the copy";
+    orders_->put({Service, "v2", seconds(12), {2, 97}});
+    EXPECT_EQ(orders_->find(Service)->id, OrderRow);
+    EXPECT_EQ(lines_, seen) << "nothing was ordered";
+    orders_->put({Service, "v2", seconds(12), {2, 99}});
+    EXPECT_EQ(orders_->find(Service)->id, (rows::StoreVersion{2, 99})) << "ordered once more";
+}
+
 } // namespace
 
 } // namespace cardamomlift::rollout
