Tell changes only with the version up to which they were packed

What a VM would have believed: that it knows a change which nobody told it.

Cause: changes for VMs that lack the same ones are packed once a round, kept by table and the version that those VMs have. An answer to another group's question packs what the last round knew; the rest of a newer status that is just being sent took that text, with the newer version on it. Datagrams of the system come by its loop, never within a send, so no such mix can reach a VM there; the key of the kept text now names the version that it goes up to, whatever the order of calls.

--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -242,7 +242,7 @@
 // Most peers lack the same changes, so they are packed once a round. Empty: too much for a datagram.
 const std::string &Presence::packedChanges(const std::string &table, rows::StoreVersion has, const rows::TableNews &news)
 {
-    const auto [place, isNew] = packed_.try_emplace({table, has});
+    const auto [place, isNew] = packed_.try_emplace({table, has, news.version});
     if (!isNew) {
         return place->second;
     }
--- a/src/presence/presence.h
+++ b/src/presence/presence.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace cardamomlift::presence {
@@ -134,7 +135,8 @@
     TimePoint ownAt_;
     std::optional<Status> summary_; ///< Of this VM's group, made once a round if it is asked for.
     std::function<bool()> isFast_;
-    std::map<std::pair<std::string, rows::StoreVersion>, std::string> packed_; ///< Changes of a table after a version, for one round.
+    /// Changes of a table that came after one version, up to another; for one round.
+    std::map<std::tuple<std::string, rows::StoreVersion, rows::StoreVersion>, std::string> packed_;
     int round_ = 0;
     std::optional<Reach> sendNowReach_; ///< Set while changes are about to be sent.
     TimerId timer_ = 0;
--- a/src/presence/tests/tablerelaytest.h
+++ b/src/presence/tests/tablerelaytest.h
@@ -15,6 +15,7 @@
 
 namespace cardamomlift::presence {
 
+inline constexpr std::uint64_t FirstIncarnation = 1'000'000;
 inline constexpr Duration AskAfter = std::chrono::milliseconds(2800);
 
 /// One VM that follows table "t".
@@ -42,11 +43,11 @@
         zones_ = zones;
         for (std::size_t i = 0; i < count; i++) {
             vms_.push_back(std::make_unique<Vm>());
-            startVm(*vms_.back(), i);
+            startVm(*vms_.back(), i, FirstIncarnation * (i + 1));
         }
     }
 
-    void startVm(Vm &vm, std::size_t index)
+    void startVm(Vm &vm, std::size_t index, std::uint64_t incarnation)
     {
         vm.store = rows::MemoryRowStore::create(*loop_, rows_);
         PresenceTools tools;
@@ -56,7 +57,7 @@
         tools.instance = "vm-" + std::to_string(index);
         tools.zone = "zone-" + std::to_string(index % zones_);
         tools.endpoint = {"10.0.0.1", static_cast<std::uint16_t>(1000 + index)};
-        tools.incarnation = 1'000'000 * (index + 1);
+        tools.incarnation = incarnation;
         vm.datagrams = std::make_shared<TestDatagrams>(network_, tools.endpoint);
         tools.datagrams = vm.datagrams;
         vm.presence = Presence::start(std::move(tools));
