Soak: the store is restored from an older copy while all else goes on

A fourth series beside the three: the store goes back to a copy of some seconds before, again and again, is away for up to 2.5 s, gives versions out again before the VMs ask, and the servers write their entries again up to a second after it is back; VMs are killed, stopped, paused and cut off meanwhile, servers start again under their names. Promises are checked as in the other series; at the end a server that says it leaves must get no more work from any VM.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -33,6 +33,8 @@
 const std::vector<int> FaultKinds{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10};
 /// And servers that start again under their name, and entries of another writer in their list.
 const std::vector<int> FaultKindsWithRestarts{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12};
+/// And a store that goes back to an older copy.
+const std::vector<int> FaultKindsWithRestores{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 13, 13, 13};
 /// Those that leave the VMs what they know: one that starts knows of no limit until it is told.
 const std::vector<int> FaultKindsWithoutRestarts{0, 3, 4, 10};
 /// Requests a second that a server in need takes, and the most that it bears in four seconds.
@@ -80,9 +82,25 @@
         return fleet_.controlWorker(fleet_.workerNames().front())["mostInLimitWindow"].asInt();
     }
 
+    /// A server that says it leaves gets no more work, from any VM.
+    void checkThatLeavingIsKnown()
+    {
+        const std::string leaving = fleet_.workerNames().front();
+        fleet_.listWorker(leaving, "draining", workerStart_[leaving]);
+        const auto getsWork = [&] {
+            const auto runs = fleet_.controlWorker(leaving)["runs"].size();
+            for (int i = 0; i < 6 * Entries; i++) {
+                fleet_.caller.call(fleet_.request(i % Entries + 1, "/safe/1", fmt::format("probe-{}", probes_++)));
+            }
+            return runs < fleet_.controlWorker(leaving)["runs"].size();
+        };
+        EXPECT_TRUE(fleet_.caller.waitUntil([&] { return !getsWork(); }, "the leaving server gets nothing"));
+    }
+
     void run()
     {
         fleet_.waitReady();
+        fleet_.copyStore();
         Json::Value pace = fault("eventGapMs", 25);
         pace["events"] = Events;
         for (const std::string &worker : fleet_.workerNames()) {
@@ -187,6 +205,9 @@
             fleet_.listUnreadable(worker, pick(2) == 0 ? "{\"service\":\"service\"}" : "\xff no entry");
             later(milliseconds(100 + pick(1200)), [this, worker] { fleet_.listWorker(worker, "ready", workerStart_[worker]); });
             break;
+        case 13:
+            restoreStore();
+            break;
         default:
             fleet_.setStoreFault(pick(2) == 0 ? "down" : "loseAnswers");
             storeHealsAt_ = now() + milliseconds(300 + pick(1500));
@@ -220,6 +241,33 @@
         });
     }
 
+    // What servers have written since the copy is written again a moment after the store is back.
+    void restoreStore()
+    {
+        if (isRestoring_) {
+            return;
+        }
+        isRestoring_ = true;
+        fleet_.setStoreFault("down");
+        fleet_.restoreStore();
+        if (pick(2) == 0) {
+            fleet_.useUpVersions(pick(40));
+        }
+        later(milliseconds(pick(2500)), [this] {
+            fleet_.setStoreFault("");
+            later(milliseconds(pick(1000)), [this] { listAllWorkers(); });
+            later(milliseconds(1000 + pick(1000)), [this] { fleet_.copyStore(); });
+            later(milliseconds(2000 + pick(4000)), [this] { isRestoring_ = false; });
+        });
+    }
+
+    void listAllWorkers()
+    {
+        for (const std::string &worker : fleet_.workerNames()) {
+            fleet_.listWorker(worker, "ready", workerStart_[worker]);
+        }
+    }
+
     // Its entry tells of the new start a moment after the process is there, as a heartbeat would.
     void restartWorker(const std::string &worker)
     {
@@ -294,7 +342,7 @@
 
     void healAll()
     {
-        fleet_.caller.waitUntil([&] { return busy_.empty() && pausedWorkers_.empty(); }, "all processes run");
+        fleet_.caller.waitUntil([&] { return busy_.empty() && pausedWorkers_.empty() && !isRestoring_; }, "all processes run");
         for (int entry = 1; entry <= Entries; entry++) {
             healStorePath(entry);
         }
@@ -359,6 +407,8 @@
     RouteFleet fleet_;
     TimePoint end_;
     std::vector<Sent> sent_;
+    bool isRestoring_ = false;
+    int probes_ = 0;
     std::set<std::string> pausedWorkers_;
     std::map<std::string, std::int64_t> workerStart_; ///< As its entry says it; 0: it says nothing.
     std::int64_t lastStart_ = 1'700'000'000'000;
@@ -401,6 +451,13 @@
     SoakRun(GetParam(), chosenLength(), FaultKindsWithRestarts).run();
 }
 
+TEST_P(Soak, KeepsItsPromisesWhileTheStoreIsRestored)
+{
+    SoakRun soak(GetParam(), chosenLength(), FaultKindsWithRestores);
+    soak.run();
+    soak.checkThatLeavingIsKnown();
+}
+
 TEST_P(Soak, KeepsToALimitThatAServerNames)
 {
     SoakRun soak(GetParam(), chosenLength(), FaultKindsWithoutRestarts);
