Write the order of store versions out, and name no binding in a lambda

The linter takes the defaulted order for a null pointer, and a structured binding may not be captured by name. Behaviour is the same; tests of rows, presence, rollout, directory, duties and platform green, the linter clean on the files that it had named.

--- a/src/rollout/internal/rolloutkeeper.cpp
+++ b/src/rollout/internal/rolloutkeeper.cpp
@@ -305,9 +305,12 @@
 void RolloutKeeper::takeAllRecords(const rows::WholeTable &whole)
 {
     takeRecords(whole.rows);
+    std::set<std::string_view> listed;
+    for (const rows::Row &row : whole.rows) {
+        listed.insert(row.key);
+    }
     for (auto &[service, state] : services_) {
-        const bool isListed = std::any_of(whole.rows.begin(), whole.rows.end(), [&service](const rows::Row &row) { return row.key == service; });
-        if (isListed || !state.record) {
+        if (listed.contains(service) || !state.record) {
             continue;
         }
         if (whole.reason != rows::ReadReason::StoreRestored) {
--- a/src/rows/rowtypes.h
+++ b/src/rows/rowtypes.h
@@ -2,12 +2,14 @@
 
 #include "kernel/clock.h"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <limits>
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace cardamomlift::rows {
@@ -17,7 +19,11 @@
 struct StoreVersion {
     std::uint64_t era = 0; ///< 0 if the store names none.
     std::uint64_t number = 0; ///< 0: before the first transaction.
-    auto operator<=>(const StoreVersion &) const = default;
+    bool operator==(const StoreVersion &) const = default;
+    std::strong_ordering operator<=>(const StoreVersion &other) const
+    {
+        return std::tie(era, number) <=> std::tie(other.era, other.number);
+    }
 };
 
 /// A row of a table of the platform's store.
