--- a/src/duties/dutylease.h
+++ b/src/duties/dutylease.h
@@ -39,7 +39,7 @@
     void update(LeaseRow row, std::function<void(bool written)> done);
     /// The platform has all reports up to @p window; stands in the row from the next renewal on.
     void noteArrived(std::int64_t window);
-    /// The store's last restore that this VM knows of, or has not seen, came before this.
+    /// The store was restored last before this: when this VM noticed it, or else when its process began.
     TimePoint restoredBy() const;
     /// Gives the lease up at the end of the process.
     void release();
