Read the lease's row in one way, whether it is held or not

A pointer to one of two members was passed to what reads the row. What is made of it follows from whether the lease is held when the answer comes.

--- a/src/duties/dutylease.h
+++ b/src/duties/dutylease.h
@@ -48,11 +48,11 @@
     explicit DutyLease(LeaseTools tools);
     void tick();
     void renew();
-    void rewrite();
-    void rewriteOver(const rows::ReadResult &result);
     void observe();
-    void readRow(void (DutyLease::*take)(const rows::ReadResult &));
+    void readRow();
+    void onRow(const rows::ReadResult &result);
     void takeRow(const rows::ReadResult &result);
+    void rewriteOver(const rows::RowPage &page);
     bool isBeforeRestore() const;
     std::uint64_t nextFence(const LeaseRow &before) const;
     void tryRelease();
--- a/src/duties/internal/dutylease.cpp
+++ b/src/duties/internal/dutylease.cpp
@@ -108,7 +108,7 @@
         return;
     }
     if (holds_ && isBeforeRestore()) {
-        rewrite();
+        readRow();
         return;
     }
     if (holds_) {
@@ -139,61 +139,64 @@
     if (seenAt_ && tools_.loop->now() - *seenAt_ < tools_.length + TakeMargin) {
         return;
     }
-    readRow(&DutyLease::takeRow);
+    readRow();
 }
 
-void DutyLease::readRow(void (DutyLease::*take)(const rows::ReadResult &))
+void DutyLease::readRow()
 {
     if (reading_) {
         return;
     }
     reading_ = true;
-    tools_.store->read(Table, Key, [weak = weak_from_this(), take](const rows::ReadResult &result) {
+    tools_.store->read(Table, Key, [weak = weak_from_this()](const rows::ReadResult &result) {
         if (const auto self = weak.lock()) {
             self->reading_ = false;
-            (self.get()->*take)(result);
+            self->onRow(result);
         }
     });
 }
 
-// The row as this VM knows it is of an earlier era than the store.
-bool DutyLease::isBeforeRestore() const
+void DutyLease::onRow(const rows::ReadResult &result)
 {
-    return version_.era < tools_.store->eras().current();
+    lacksStore_ = result.failure != rows::StoreFailure::None;
+    if (lacksStore_ || writing_ || ended_) {
+        return;
+    }
+    if (holds_) {
+        rewriteOver(result.page);
+    } else {
+        takeRow(result);
+    }
 }
 
-void DutyLease::rewrite()
+// The row as this VM knows it is of an earlier era than the store.
+bool DutyLease::isBeforeRestore() const
 {
-    readRow(&DutyLease::rewriteOver);
+    return version_.era < tools_.store->eras().current();
 }
 
 // While this VM holds the lease nobody else can have taken it: who does has waited for longer than the lease, in this era too.
-void DutyLease::rewriteOver(const rows::ReadResult &result)
+void DutyLease::rewriteOver(const rows::RowPage &page)
 {
-    lacksStore_ = result.failure != rows::StoreFailure::None;
-    if (lacksStore_ || writing_ || !holds_ || !mayAct()) {
+    if (!mayAct()) {
         return;
     }
-    const auto found = findRow(result.page.rows);
+    const auto found = findRow(page.rows);
     LeaseRow current;
     if (found && !decodeLease(found->value, current)) {
         lose("its row can't be read");
         return;
     }
-    if (found && current.era == result.page.version.era && current.incarnation != row_.incarnation) {
+    if (found && current.era == page.version.era && current.incarnation != row_.incarnation) {
         lose("taken by another");
         return;
     }
     tools_.log->write(Event::LeaseTaken, {{Attribute::Fence, static_cast<std::int64_t>(row_.fence)}, {Attribute::Reason, "kept_over_restore"}});
-    write(row_, found ? found->version : rows::StoreVersion{result.page.version.era, 0}, [](bool) {});
+    write(row_, found ? found->version : rows::StoreVersion{page.version.era, 0}, [](bool) {});
 }
 
 void DutyLease::takeRow(const rows::ReadResult &result)
 {
-    lacksStore_ = result.failure != rows::StoreFailure::None;
-    if (result.failure != rows::StoreFailure::None || ended_ || holds_) {
-        return;
-    }
     const std::uint64_t era = result.page.version.era;
     const auto found = findRow(result.page.rows);
     const rows::StoreVersion version = found ? found->version : rows::StoreVersion{era, 0};
--- a/src/rows/rowwatch.h
+++ b/src/rows/rowwatch.h
@@ -50,7 +50,7 @@
     /// What this VM knows, for others; empty before the first reading.
     std::optional<TableNews> news();
     const std::string &table() const;
-    /// All changes up to it are known, unless the table is just read anew.
+    /// All changes up to it are known, unless the table is being read anew.
     StoreVersion version() const;
     /// Since when nothing can have changed unnoticed; empty before the first reading.
     std::optional<TimePoint> confirmedAt() const;
