--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -32,8 +32,8 @@
     static std::shared_ptr<Directory> create();
 
     /// An entry appeared or changed. A later start under a known name ends the one before; an entry of an earlier start
-    /// than the known one came late and is passed over; one without a start, where the server has told one, drops it. So is
-    /// one from an older copy of the store whose server has gone since.
+    /// than the known one came late and is passed over, as is one from an older copy of the store whose server has gone since;
+    /// one without a start, where the server has told one, drops it.
     void put(BackendServer server);
     /// The entry of the server @p name went. Around an outage of the store the server stays usable until RelistTime after
     /// the store's return.
