Tell all that is said of a table's changes as one value

Cause: changes for VMs that lack the same ones are packed once a round and kept by table, what the receiver knows and what the sender knows. Beside the packed text went the start ("all changes after this version") of the status at hand. A change is told for four seconds; then it leaves what is told and the start rises, while the versions stay. A text that was packed after that for one receiver, an empty one, went out with the start of the last round as an answer to another VM's question: "nothing has changed since". A VM without the store, which lacked a manifest too large for a datagram, took that for knowledge and kept to it, also when the store was back, since it now had the newer version.

Ruled out: the proof of age (an echo can't be younger than the question); a reading in pages; two versions in one text.

The mend: ToldChanges holds the start, the version and the packed rows, is made in one place and says only what stays true at any time: all changes after exactly what the receiver knows. A receiver that knows less sees a gap, where it took the start of all that the sender keeps before.

--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -28,13 +28,8 @@
 constexpr Duration SendNowDelay = std::chrono::milliseconds(20);
 /// Sequences whose sending time is kept: some four seconds of them. An echo older than that proves nothing of use.
 constexpr std::size_t SentKept = 256;
-/// Packed changes of one table that a datagram may hold: a VM sends them to some thirty at once, and the smallest links
-/// carry a megabyte a second. A failure domain's servers fit; a large manifest does not and is read from the store. With
-/// 8,000 a new manifest kept the links of such VMs busy for 1.6 s.
-constexpr std::size_t MostPacked = 2500;
 /// A group mate, or a group, that was silent this long is logged as lost.
 constexpr Duration LostAfter = std::chrono::seconds(5);
-const std::string NoChanges;
 /// Leaves room above the first sequence, which is drawn at random.
 constexpr unsigned SequenceShift = 8;
 constexpr Duration RowRetry = std::chrono::milliseconds(500);
@@ -222,35 +217,31 @@
     StatusMessage message;
     message.status = status;
     message.echo = peer.status ? peer.status->sequence : 0;
-    std::map<std::string, std::string> packed;
-    for (auto &[table, news] : message.status.tables) {
-        const auto known = peer.status ? peer.status->tables.find(table) : status.tables.end();
-        const bool isKnown = peer.status && known != peer.status->tables.end();
-        // What a peer of another era lacks can't be told: it reads the tables anew.
-        const bool tells = tellsChanges && isKnown && known->second.version.era == news.version.era && known->second.version < news.version;
-        const std::string &changes = tells ? packedChanges(table, known->second.version, news) : NoChanges;
-        if (changes.empty()) {
-            news.since = news.version;
-        } else {
-            packed[table] = changes;
+    std::map<std::string, ToldChanges> told;
+    if (tellsChanges) {
+        for (const auto &[table, news] : status.tables) {
+            if (auto changes = changesFor(peer, table, news)) {
+                told.emplace(table, std::move(*changes));
+            }
         }
-        news.changes.clear();
     }
-    tools_.datagrams->send(peer.endpoint, encodeStatus(message, packed));
+    tools_.datagrams->send(peer.endpoint, encodeStatus(message, told));
 }
 
-// Most peers lack the same changes, so they are packed once a round. Empty: too much for a datagram.
-const std::string &Presence::packedChanges(const std::string &table, rows::StoreVersion has, const rows::TableNews &news)
+// Most peers lack the same changes, so they are packed once a round.
+std::optional<ToldChanges> Presence::changesFor(const Peer &peer, const std::string &table, const rows::TableNews &news)
 {
+    if (!peer.status) {
+        return std::nullopt;
+    }
+    const auto known = peer.status->tables.find(table);
+    if (known == peer.status->tables.end() || known->second.version >= news.version) {
+        return std::nullopt;
+    }
+    const rows::StoreVersion has = known->second.version;
     const auto [place, isNew] = packed_.try_emplace({table, has, news.version});
-    if (!isNew) {
-        return place->second;
-    }
-    std::vector<rows::Row> missed;
-    std::copy_if(news.changes.begin(), news.changes.end(), std::back_inserter(missed), [has](const rows::Row &row) { return row.version > has; });
-    std::string changes = packChanges(missed);
-    if (changes.size() <= MostPacked) {
-        place->second = std::move(changes);
+    if (isNew) {
+        place->second = changesAfter(news, has);
     }
     return place->second;
 }
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -24,16 +24,21 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(), 0, UINT32_MAX));
 }
 
-void addTable(wire::Status &out, const std::string &table, const rows::TableNews &news, const std::string &packed)
+/// @p told: null if there is nothing to tell.
+void addTable(wire::Status &out, const std::string &table, const rows::TableNews &news, const ToldChanges *told)
 {
     auto *entry = out.add_tables();
     entry->set_table(table);
     entry->set_era(news.version.era);
     entry->set_version(news.version.number);
-    entry->set_since(news.since.number);
     entry->set_age_us(micros(news.age));
     entry->set_changed_at(news.changedAt);
-    entry->set_changes(packed);
+    // NOTE Without changes nothing is said of the time before: the receiver may lack some that are not told.
+    entry->set_since(news.version.number);
+    if (told != nullptr && told->version == news.version) {
+        entry->set_since(told->since.number);
+        entry->set_changes(told->packed);
+    }
 }
 
 /// Empty if the changes can't be read.
@@ -127,7 +132,7 @@
     return changes;
 }
 
-std::string encodeStatus(const StatusMessage &message, const std::map<std::string, std::string> &packed)
+std::string encodeStatus(const StatusMessage &message, const std::map<std::string, ToldChanges> &told)
 {
     const Status &status = message.status;
     wire::Status out;
@@ -136,8 +141,8 @@
     out.set_sequence(status.sequence);
     out.set_echo(message.echo);
     for (const auto &[table, news] : status.tables) {
-        const auto changes = packed.find(table);
-        addTable(out, table, news, changes == packed.end() ? std::string() : changes->second);
+        const auto changes = told.find(table);
+        addTable(out, table, news, changes == told.end() ? nullptr : &changes->second);
     }
     out.set_manifest_version(status.manifestVersion);
     if (status.storeBack) {
--- a/src/presence/presence.h
+++ b/src/presence/presence.h
@@ -5,6 +5,7 @@
 #include "presence/datagrams.h"
 #include "presence/partners.h"
 #include "presence/presencetypes.h"
+#include "presence/toldchanges.h"
 #include "presence/vmgroups.h"
 #include "rows/rowwatch.h"
 
@@ -99,7 +100,7 @@
     void answer(const Peer &peer);
     void sendChanges(Reach reach);
     void sendTo(const Peer &peer, const Status &status, bool tellsChanges);
-    const std::string &packedChanges(const std::string &table, rows::StoreVersion has, const rows::TableNews &news);
+    std::optional<ToldChanges> changesFor(const Peer &peer, const std::string &table, const rows::TableNews &news);
     Status makeStatus();
     void merge(Peer &peer, Status status);
     void takeSummary(Peer &peer, Status status, std::optional<TimePoint> provenAt);
@@ -135,8 +136,8 @@
     TimePoint ownAt_;
     std::optional<Status> summary_; ///< Of this VM's group, made once a round if it is asked for.
     std::function<bool()> isFast_;
-    /// Changes of a table that came after one version, up to another; for one round.
-    std::map<std::tuple<std::string, rows::StoreVersion, rows::StoreVersion>, std::string> packed_;
+    /// By table, what its receivers know and what they are told; for one round. Empty: can't be told.
+    std::map<std::tuple<std::string, rows::StoreVersion, rows::StoreVersion>, std::optional<ToldChanges>> packed_;
     int round_ = 0;
     std::optional<Reach> sendNowReach_; ///< Set while changes are about to be sent.
     TimerId timer_ = 0;
--- a/src/presence/statusformat.h
+++ b/src/presence/statusformat.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "presence/presencetypes.h"
+#include "presence/toldchanges.h"
 
 #include <span>
 
@@ -17,8 +18,9 @@
 /// @p era: of the store when they were read. Empty if @p packed is no such text.
 std::optional<std::vector<rows::Row>> unpackChanges(std::string_view packed, std::uint64_t era);
 
-/// @p packed: packChanges() of the changes of each table; a table that is missing there has none to tell.
-std::string encodeStatus(const StatusMessage &message, const std::map<std::string, std::string> &packed);
+/// @p told: the changes of each table that go with it; a table that is missing there has none to tell. The changes in the
+/// status itself are left out.
+std::string encodeStatus(const StatusMessage &message, const std::map<std::string, ToldChanges> &told);
 /// Empty if @p bytes are no status.
 std::optional<StatusMessage> decodeStatus(std::string_view bytes);
 
--- a/src/presence/tests/presence_test.cpp
+++ b/src/presence/tests/presence_test.cpp
@@ -148,7 +148,7 @@
     message.status.suspects = {12};
     message.status.limits = {{13, true, 1.1, milliseconds(200)}, {14, true, 0, milliseconds(0)}, {15, false, 0, milliseconds(7)}};
     message.status.holdsLease = true;
-    const auto read = decodeStatus(encodeStatus(message, {{"t", packChanges(message.status.tables["t"].changes)}}));
+    const auto read = decodeStatus(encodeStatus(message, {{"t", ToldChanges{{6, 2}, {6, 3}, packChanges(message.status.tables["t"].changes)}}}));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->echo, 7U);
     EXPECT_EQ(read->status.manifestVersion, 51U);
--- a/src/presence/tests/testnetwork.h
+++ b/src/presence/tests/testnetwork.h
@@ -28,6 +28,10 @@
             held.emplace_back(to, std::string(bytes));
             return;
         }
+        if (loop != nullptr) {
+            loop->post([this, to, text = std::string(bytes)] { deliver(to, text); });
+            return;
+        }
         deliver(to, bytes);
     }
 
@@ -39,6 +43,7 @@
         }
     }
 
+    EventLoop *loop = nullptr; ///< Delivers; without one a datagram arrives within the call that sends it.
     bool isCut = false;
     bool isHolding = false;
     double loss = 0; ///< Part of the datagrams that are lost.
