Look up what is known of single servers by hash when one is chosen

Now the hash by which VMs name servers to each other stands beside the server. What a prompt's prefixes are kept by is looked up once for a request, and the best keeper is sought among these few; a server of which nobody has seen anything is no outlier without a calculation. What is chosen does not change: of equal keepers the first by name still wins.

--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace cardamomlift::directory {
@@ -19,6 +20,7 @@
 /// How an entry is known.
 struct KnownServer {
     BackendServer server;
+    std::uint64_t hash = 0; ///< presence::nameHash() of the instance: VMs name servers to each other by it.
     bool isLeaving = false; ///< It said so once, or its entry went; never taken back for this instance.
     std::optional<TimePoint> unlistedAt; ///< Its entry went around an outage of the store, so that may mean nothing.
 };
@@ -59,6 +61,8 @@
     std::span<const ServerPtr> usable(std::string_view service) const;
     /// The start with this identity, also a leaving one; null once it is forgotten.
     ServerPtr find(std::string_view instance) const;
+    /// The start whose instance has this presence::nameHash(); null if none is known.
+    ServerPtr findHashed(std::uint64_t hash) const;
     /// The known start of the server @p name; null if there is none.
     ServerPtr findNamed(std::string_view name) const;
     std::size_t size() const;
@@ -77,6 +81,7 @@
     bool isOfOlderCopy(const BackendServer &server) const;
     void rebuild() const;
     std::map<std::string, ServerPtr, std::less<>> servers_; ///< By instance.
+    std::unordered_map<std::uint64_t, ServerPtr> hashed_; ///< The same by the hash of the instance.
     std::map<std::string, std::string, std::less<>> instances_; ///< By name: the known start.
     /// By service; made from servers_ when it is asked for. A list of 3,000 servers is taken in 9 ms of a whole core; when this was
     /// made anew for each of its entries, in 440 ms.
--- a/src/directory/internal/directory.cpp
+++ b/src/directory/internal/directory.cpp
@@ -1,5 +1,7 @@
 #include "directory/directory.h"
 
+#include "presence/presencetypes.h"
+
 #include <algorithm>
 
 namespace cardamomlift::directory {
@@ -145,8 +147,10 @@
 {
     const auto before = find(known.server.instance);
     const bool beginsToLeave = known.isLeaving && (!before || !before->isLeaving);
+    known.hash = presence::nameHash(known.server.instance);
     const auto entry = std::make_shared<const KnownServer>(std::move(known));
     servers_[entry->server.instance] = entry;
+    hashed_[entry->hash] = entry;
     instances_[entry->server.name] = entry->server.instance;
     isUsableStale_ = true;
     if (!beginsToLeave) {
@@ -171,6 +175,7 @@
     last.isLeaving = true;
     const auto entry = std::make_shared<const KnownServer>(std::move(last));
     servers_.erase(found);
+    hashed_.erase(entry->hash);
     instances_.erase(entry->server.name);
     isUsableStale_ = true;
     for (const auto &handler : leavingHandlers_) {
@@ -233,6 +238,12 @@
     return found == servers_.end() ? nullptr : found->second;
 }
 
+ServerPtr Directory::findHashed(std::uint64_t hash) const
+{
+    const auto found = hashed_.find(hash);
+    return found == hashed_.end() ? nullptr : found->second;
+}
+
 ServerPtr Directory::findNamed(std::string_view name) const
 {
     const auto found = instances_.find(name);
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -60,11 +60,12 @@
         std::string fetchFrom; ///< "address:port" of a server to copy a part of the prompt's KV cache from; empty: none.
     };
     Choice chooseServer() const;
-    Choice chooseAmong(std::span<const directory::ServerPtr> servers) const;
+    Choice chooseAmong(std::span<const directory::KnownServer *const> servers) const;
+    balancing::Candidate candidateOf(const directory::KnownServer &known, std::span<const prefixindex::Holding> holdings) const;
     bool passesOver(const std::string &instance, Choice &choice) const;
     void noteSending(const std::string &instance);
     void endWithoutServer(const Choice &choice);
-    std::vector<directory::ServerPtr> eligibleServers(VersionPick pick) const;
+    std::vector<const directory::KnownServer *> eligibleServers(VersionPick pick) const;
     void noteVersionOutcome(std::optional<Duration> firstByteAfter);
     /// What the servers of the service are believed to keep of the prompt.
     struct Cached {
@@ -72,9 +73,9 @@
         directory::ServerPtr holder; ///< It; null if none keeps any.
     };
     bool mayBeSource(const directory::KnownServer &known) const;
-    Cached bestCached(const std::string &except) const;
+    Cached bestCached(std::span<const prefixindex::Holding> holdings, const std::string &except) const;
     directory::ServerPtr likelyHolder(const std::string &except) const;
-    void planReading(Choice &choice, std::int64_t cachedTokens) const;
+    void planReading(Choice &choice, std::span<const prefixindex::Holding> holdings) const;
     std::string affinity() const;
     void send(const Choice &choice);
     DispatchFields dispatchFields(const Choice &choice) const;
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -28,42 +28,44 @@
 bool ForwardedRequest::mayBeSource(const directory::KnownServer &known) const
 {
     const bool mayServe = !tools_.versions || tools_.versions->eligibility(known.server, VersionPick::Usual) != Eligibility::None;
-    return mayServe && known.server.service == service_ && !known.unlistedAt && !tools_.outliers->isOutlier(known.server.instance, service_);
+    return mayServe && known.server.service == service_ && !known.unlistedAt && !tools_.outliers->isOutlier(known.hash, service_);
 }
 
 // A leaving server is a good source while it lasts: it keeps what its successors lack.
-ForwardedRequest::Cached ForwardedRequest::bestCached(const std::string &except) const
+ForwardedRequest::Cached ForwardedRequest::bestCached(std::span<const prefixindex::Holding> holdings, const std::string &except) const
 {
     Cached best;
-    if (prefixes_.empty()) {
-        return best;
-    }
-    for (const auto &[instance, known] : tools_.directory->all()) {
-        const std::int64_t tokens = instance == except ? 0 : tools_.prefixes->heldTokens(prefixes_, instance);
-        if (tokens > best.tokens && mayBeSource(*known)) {
-            best = {tokens, known};
+    for (const prefixindex::Holding &holding : holdings) {
+        if (holding.tokens == 0 || holding.tokens < best.tokens) {
+            continue;
+        }
+        directory::ServerPtr known = tools_.directory->findHashed(holding.server);
+        if (!known || known->server.instance == except || !mayBeSource(*known)) {
+            continue;
+        }
+        // Of equal ones the first by instance, so that it does not depend on the hashes.
+        if (holding.tokens > best.tokens || known->server.instance < best.holder->server.instance) {
+            best = {holding.tokens, std::move(known)};
         }
     }
     return best;
 }
 
-std::vector<directory::ServerPtr> ForwardedRequest::eligibleServers(VersionPick pick) const
+std::vector<const directory::KnownServer *> ForwardedRequest::eligibleServers(VersionPick pick) const
 {
-    std::vector<directory::ServerPtr> preferred;
-    std::vector<directory::ServerPtr> fallback;
-    for (const auto &server : tools_.directory->usable(service_)) {
+    const auto usable = tools_.directory->usable(service_);
+    std::vector<const directory::KnownServer *> preferred;
+    std::vector<const directory::KnownServer *> fallback;
+    preferred.reserve(usable.size());
+    for (const auto &server : usable) {
         if (tried_.contains(server->server.instance)) {
             continue;
         }
-        switch (tools_.versions->eligibility(server->server, pick)) {
-        case Eligibility::Preferred:
-            preferred.push_back(server);
-            break;
-        case Eligibility::Fallback:
-            fallback.push_back(server);
-            break;
-        case Eligibility::None:
-            break;
+        const Eligibility eligibility = tools_.versions ? tools_.versions->eligibility(server->server, pick) : Eligibility::Preferred;
+        if (eligibility == Eligibility::Preferred) {
+            preferred.push_back(server.get());
+        } else if (eligibility == Eligibility::Fallback) {
+            fallback.push_back(server.get());
         }
     }
     return preferred.empty() ? fallback : preferred;
@@ -71,9 +73,6 @@
 
 ForwardedRequest::Choice ForwardedRequest::chooseServer() const
 {
-    if (!tools_.versions) {
-        return chooseAmong(tools_.directory->usable(service_));
-    }
     Choice choice = chooseAmong(eligibleServers(pick_));
     choice.pick = pick_;
     if (!choice.server && pick_ == VersionPick::OnTrial) {
@@ -92,35 +91,46 @@
     return true;
 }
 
-ForwardedRequest::Choice ForwardedRequest::chooseAmong(std::span<const directory::ServerPtr> servers) const
+balancing::Candidate ForwardedRequest::candidateOf(const directory::KnownServer &known, std::span<const prefixindex::Holding> holdings) const
+{
+    balancing::Candidate candidate;
+    candidate.server = &known;
+    if (const ServerEntry *entry = tools_.pool->find(known.server.instance)) {
+        candidate.load = entry->load;
+    }
+    candidate.load.promptTokensElsewhere = tools_.peerWork->waitingTokens(known.hash, tools_.loop->now());
+    candidate.isOutlier = tools_.outliers->isOutlier(known.hash, service_);
+    candidate.cachedTokens = prefixindex::heldTokens(holdings, known.hash);
+    return candidate;
+}
+
+// NOTE Asked for each request, before up to thousands of servers: what is known of few of them is looked up by hash.
+ForwardedRequest::Choice ForwardedRequest::chooseAmong(std::span<const directory::KnownServer *const> servers) const
 {
     Choice choice;
+    const std::vector<prefixindex::Holding> holdings = tools_.prefixes->holdings(prefixes_);
     std::vector<balancing::Candidate> candidates;
     candidates.reserve(servers.size());
-    for (const auto &server : servers) {
-        const std::string &instance = server->server.instance;
-        if (tried_.contains(instance) || passesOver(instance, choice)) {
+    for (const directory::KnownServer *server : servers) {
+        if (passesOver(server->server.instance, choice)) {
             continue;
         }
-        const ServerEntry *entry = tools_.pool->find(instance);
-        balancing::ServerLoad load = entry ? entry->load : balancing::ServerLoad();
-        load.promptTokensElsewhere = tools_.peerWork->waitingTokens(presence::nameHash(instance), tools_.loop->now());
-        const bool isOutlier = tools_.outliers->isOutlier(instance, service_);
-        choice.outliers += isOutlier ? 1 : 0;
-        candidates.push_back({server.get(), load, isOutlier, tools_.prefixes->heldTokens(prefixes_, instance)});
+        candidates.push_back(candidateOf(*server, holdings));
+        choice.outliers += candidates.back().isOutlier ? 1 : 0;
     }
     const std::string shared = affinity();
     balancing::ChoiceInput input;
     input.zone = tools_.settings.zone;
     input.affinity = shared;
     input.promptTokens = request_.promptTokens;
-    input.fetchableTokens = bestCached({}).tokens;
+    input.fetchableTokens = bestCached(holdings, {}).tokens;
     input.salt = XXH3_64bits(request_.id.data(), request_.id.size());
     const auto chosen = balancing::choose(candidates, input, {}, tools_.loop->now());
     choice.candidates = candidates.size();
     if (chosen) {
         choice.server = tools_.directory->find(candidates[*chosen].server->server.instance);
-        planReading(choice, candidates[*chosen].cachedTokens);
+        choice.cachedTokens = candidates[*chosen].cachedTokens;
+        planReading(choice, holdings);
     }
     return choice;
 }
@@ -144,15 +154,14 @@
     return best;
 }
 
-void ForwardedRequest::planReading(Choice &choice, std::int64_t cachedTokens) const
+void ForwardedRequest::planReading(Choice &choice, std::span<const prefixindex::Holding> holdings) const
 {
-    choice.cachedTokens = cachedTokens;
-    std::int64_t known = cachedTokens;
-    const Cached elsewhere = bestCached(choice.server->server.instance);
-    if (elsewhere.tokens - cachedTokens >= LeastFetched) {
+    std::int64_t known = choice.cachedTokens;
+    const Cached elsewhere = bestCached(holdings, choice.server->server.instance);
+    if (elsewhere.tokens - choice.cachedTokens >= LeastFetched) {
         choice.fetchFrom = http1::formatEndpoint(elsewhere.holder->server.endpoint);
         known = elsewhere.tokens;
-    } else if (cachedTokens == 0 && !prefixes_.empty() && prefixes_.back().tokens >= LeastFetched) {
+    } else if (choice.cachedTokens == 0 && !prefixes_.empty() && prefixes_.back().tokens >= LeastFetched) {
         const directory::ServerPtr holder = likelyHolder(choice.server->server.instance);
         choice.fetchFrom = holder ? http1::formatEndpoint(holder->server.endpoint) : std::string();
     }
--- a/src/forwarding/internal/serverpool.cpp
+++ b/src/forwarding/internal/serverpool.cpp
@@ -150,11 +150,6 @@
     return works;
 }
 
-const std::map<std::string, ServerEntry> &ServerPool::entries() const
-{
-    return entries_;
-}
-
 void ServerPool::tick()
 {
     for (auto entry = entries_.begin(); entry != entries_.end();) {
--- a/src/forwarding/serverpool.h
+++ b/src/forwarding/serverpool.h
@@ -6,10 +6,10 @@
 #include "http1/backendchannel.h"
 #include "presence/presencetypes.h"
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace cardamomlift::forwarding {
@@ -49,7 +49,6 @@
     std::size_t openChannels() const;
     /// What waits to be read at each server, for the other VMs.
     std::vector<presence::ServerWork> waitingWork() const;
-    const std::map<std::string, ServerEntry> &entries() const;
     /// Forgets servers that are no longer listed, and idle channels that the server will close soon.
     void tick();
 
@@ -57,7 +56,7 @@
     ServerPool(EventLoop &loop, std::shared_ptr<directory::Directory> directory);
     EventLoop &loop_;
     std::shared_ptr<directory::Directory> directory_;
-    std::map<std::string, ServerEntry> entries_;
+    std::unordered_map<std::string, ServerEntry> entries_; ///< By instance.
 };
 
 } // namespace cardamomlift::forwarding
--- a/src/outliers/internal/outlierdetector.cpp
+++ b/src/outliers/internal/outlierdetector.cpp
@@ -40,18 +40,21 @@
 
 void OutlierDetector::note(const std::string &instance, const std::string &service, Ending ending)
 {
-    Entry &entry = servers_[instance];
+    Entry &entry = servers_[presence::nameHash(instance)];
+    entry.instance = instance;
     entry.service = service;
     outliers::note(entry.outcomes, ending, loop_.now());
     outliers::note(services_[service], ending, loop_.now());
 }
 
-Outcomes OutlierDetector::known(const std::string &instance) const
+std::optional<Outcomes> OutlierDetector::known(std::uint64_t server) const
 {
-    const TimePoint now = loop_.now();
-    const auto own = servers_.find(instance);
+    const auto own = servers_.find(server);
+    const auto others = told_.find(server);
+    if (own == servers_.end() && others == told_.end()) {
+        return std::nullopt;
+    }
     const Outcomes mine = own == servers_.end() ? Outcomes() : own->second.outcomes;
-    const auto others = told_.find(presence::nameHash(instance));
     if (others == told_.end()) {
         return mine;
     }
@@ -60,14 +63,18 @@
     for (const auto &[vm, outcomes] : others->second) {
         theirs.push_back(outcomes);
     }
-    return together(mine, theirs, now);
+    return together(mine, theirs, loop_.now());
 }
 
-bool OutlierDetector::isOutlier(const std::string &instance, const std::string &service) const
+bool OutlierDetector::isOutlier(std::uint64_t server, const std::string &service) const
 {
+    const auto outcomes = known(server);
+    if (!outcomes) {
+        return false;
+    }
     const TimePoint now = loop_.now();
     const auto usual = services_.find(service);
-    return outliers::isOutlier(known(instance), usual == services_.end() ? 0 : usualFailures(asOf(usual->second, now)), now);
+    return outliers::isOutlier(*outcomes, usual == services_.end() ? 0 : usualFailures(asOf(usual->second, now)), now);
 }
 
 std::vector<presence::ServerOutcomes> OutlierDetector::told() const
@@ -76,17 +83,17 @@
     std::vector<presence::ServerOutcomes> told;
     int used = 0;
     int silent = 0;
-    for (const auto &[instance, entry] : servers_) {
+    for (const auto &[server, entry] : servers_) {
         const bool isSilent = entry.outcomes.failedInARow > 0 && isRecent(entry.outcomes.lastFailedAt, LatelyUsed, now);
         used += isSilent || isRecent(entry.outcomes.lastAnsweredAt, LatelyUsed, now) ? 1 : 0;
         silent += isSilent ? 1 : 0;
         // Answers count as much as failures: without them a server would look worse than it is to the VMs that hear of it.
-        const bool isDoubted = told_.contains(presence::nameHash(instance));
+        const bool isDoubted = told_.contains(server);
         if (!isDoubted && !isWorthTelling(entry.outcomes, now)) {
             continue;
         }
         const Outcomes current = asOf(entry.outcomes, now);
-        told.push_back({presence::nameHash(instance),
+        told.push_back({server,
             current.answered,
             current.failed,
             current.failedInARow,
@@ -138,12 +145,12 @@
     toldBy_.erase(last);
 }
 
-void OutlierDetector::logChange(const std::string &instance, const Entry &entry, bool isNow)
+void OutlierDetector::logChange(std::uint64_t server, const Entry &entry, bool isNow)
 {
-    const Outcomes all = known(instance);
+    const Outcomes all = known(server).value_or(Outcomes());
     const auto age = all.lastFailedAt ? std::chrono::duration_cast<std::chrono::milliseconds>(loop_.now() - *all.lastFailedAt).count() : -1;
     log_->write(isNow ? Event::ServerAvoided : Event::ServerTrusted,
-        {{Attribute::Server, instance},
+        {{Attribute::Server, entry.instance},
             {Attribute::Service, entry.service},
             {Attribute::Answered, static_cast<std::int64_t>(all.answered)},
             {Attribute::Failed, static_cast<std::int64_t>(all.failed)},
--- a/src/outliers/outlierdetector.h
+++ b/src/outliers/outlierdetector.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -21,7 +22,8 @@
     static std::shared_ptr<OutlierDetector> create(EventLoop &loop, std::shared_ptr<eventlog::EventLog> log);
 
     void note(const std::string &instance, const std::string &service, Ending ending);
-    bool isOutlier(const std::string &instance, const std::string &service) const;
+    /// @p server: presence::nameHash() of the instance.
+    bool isOutlier(std::uint64_t server, const std::string &service) const;
     /// What the other VMs should hear: the servers with most failures. Nothing while most of the servers that this VM used
     /// lately gave no answer, since then the fault is likely its own.
     std::vector<presence::ServerOutcomes> told() const;
@@ -33,16 +35,18 @@
 private:
     OutlierDetector(EventLoop &loop, std::shared_ptr<eventlog::EventLog> log);
     struct Entry {
+        std::string instance;
         std::string service;
         Outcomes outcomes;
         bool wasOutlier = false; ///< As logged last.
     };
-    Outcomes known(const std::string &instance) const;
+    /// Empty if nobody has seen anything.
+    std::optional<Outcomes> known(std::uint64_t server) const;
     void dropTold(const std::string &vm);
-    void logChange(const std::string &instance, const Entry &entry, bool isNow);
+    void logChange(std::uint64_t server, const Entry &entry, bool isNow);
     EventLoop &loop_;
     std::shared_ptr<eventlog::EventLog> log_;
-    std::map<std::string, Entry> servers_; ///< By instance: what this VM has seen.
+    std::unordered_map<std::uint64_t, Entry> servers_; ///< By the hash of the instance: what this VM has seen.
     std::map<std::string, Outcomes> services_; ///< All its servers together.
     /// What other VMs said, by the hash of the instance, by VM. Mostly empty: servers without failures are not told.
     std::unordered_map<std::uint64_t, std::map<std::string, Outcomes>> told_;
--- a/src/outliers/tests/outlierdetector_test.cpp
+++ b/src/outliers/tests/outlierdetector_test.cpp
@@ -136,7 +136,7 @@
     {
         std::vector<std::size_t> usable;
         for (std::size_t i = 0; i < size_.servers; i++) {
-            const bool isOutlier = detectors_[vm]->isOutlier(nameOf(i), Service);
+            const bool isOutlier = detectors_[vm]->isOutlier(presence::nameHash(nameOf(i)), Service);
             if (!isFaultyFor(i, vm)) {
                 soundJudged_++;
                 soundAvoided_ += isOutlier ? 1 : 0;
--- a/src/prefixindex/internal/prefixindex.cpp
+++ b/src/prefixindex/internal/prefixindex.cpp
@@ -1,6 +1,7 @@
 #include "prefixindex/prefixindex.h"
 
 #include <algorithm>
+#include <map>
 
 namespace cardamomlift::prefixindex {
 
@@ -78,17 +79,24 @@
     return uses;
 }
 
-std::int64_t PrefixIndex::heldTokens(std::span<const Prefix> prefixes, std::string_view instance) const
+std::vector<Holding> PrefixIndex::holdings(std::span<const Prefix> prefixes) const
 {
-    const std::uint64_t server = presence::nameHash(instance);
-    std::int64_t tokens = 0;
+    std::map<std::uint64_t, std::int64_t> tokens;
     for (const Prefix &prefix : prefixes) {
         const auto found = holders_.find(prefix.hash);
-        const bool isHeld = found != holders_.end()
-            && std::any_of(found->second.begin(), found->second.end(), [server](const Holder &holder) { return holder.server == server; });
-        tokens = isHeld ? prefix.tokens : tokens;
+        if (found == holders_.end()) {
+            continue;
+        }
+        for (const Holder &holder : found->second) {
+            tokens[holder.server] = prefix.tokens;
+        }
+    }
+    std::vector<Holding> holdings;
+    holdings.reserve(tokens.size());
+    for (const auto &[server, held] : tokens) {
+        holdings.push_back({server, held});
     }
-    return tokens;
+    return holdings;
 }
 
 void PrefixIndex::tick()
--- a/src/prefixindex/internal/prefixrules.cpp
+++ b/src/prefixindex/internal/prefixrules.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace cardamomlift::prefixindex {
 
 std::vector<Prefix> prefixesOf(std::span<const forwarding::PromptPart> prompt)
@@ -17,4 +19,11 @@
     return prefixes;
 }
 
+std::int64_t heldTokens(std::span<const Holding> holdings, std::uint64_t server)
+{
+    const auto place =
+        std::lower_bound(holdings.begin(), holdings.end(), server, [](const Holding &holding, std::uint64_t wanted) { return holding.server < wanted; });
+    return place != holdings.end() && place->server == server ? place->tokens : 0;
+}
+
 } // namespace cardamomlift::prefixindex
--- a/src/prefixindex/prefixindex.h
+++ b/src/prefixindex/prefixindex.h
@@ -24,8 +24,8 @@
     void takeTold(std::span<const presence::PrefixUse> uses);
     /// What the other VMs should hear: this VM's newest sends, one line for each server and longest prefix.
     std::vector<presence::PrefixUse> told() const;
-    /// The tokens of the longest of @p prefixes that the server @p instance is believed to keep.
-    std::int64_t heldTokens(std::span<const Prefix> prefixes, std::string_view instance) const;
+    /// The servers that are believed to keep one of @p prefixes (shortest first), in order of their hashes.
+    std::vector<Holding> holdings(std::span<const Prefix> prefixes) const;
     /// Forgets what is too old. Call it a few times a second.
     void tick();
     std::size_t size() const;
--- a/src/prefixindex/prefixindextypes.h
+++ b/src/prefixindex/prefixindextypes.h
@@ -12,6 +12,12 @@
     std::int64_t tokens = 0; ///< Of all its parts together.
 };
 
+/// What a server is believed to keep of one prompt.
+struct Holding {
+    std::uint64_t server = 0; ///< presence::nameHash() of the instance.
+    std::int64_t tokens = 0; ///< Of the longest prefix that it keeps.
+};
+
 /// A server that is believed to keep a prefix in its cache.
 struct Holder {
     std::uint64_t server = 0; ///< presence::nameHash() of the instance.
--- a/src/prefixindex/tests/prefixindex_test.cpp
+++ b/src/prefixindex/tests/prefixindex_test.cpp
@@ -39,6 +39,11 @@
     {
     }
 
+    std::int64_t held(std::string_view instance) const
+    {
+        return heldTokens(index_->holdings(prefixes_), presence::nameHash(instance));
+    }
+
     std::vector<Prefix> prefixes_;
     ManualClock clock_;
     std::unique_ptr<EventLoop> loop_;
@@ -49,9 +54,24 @@
 {
     index_->noteSent(std::span(prefixes_).first(1), "a");
     index_->noteSent(prefixes_, "b");
-    EXPECT_EQ(index_->heldTokens(prefixes_, "a"), 2500);
-    EXPECT_EQ(index_->heldTokens(prefixes_, "b"), 6300);
-    EXPECT_EQ(index_->heldTokens(prefixes_, "c"), 0);
+    EXPECT_EQ(held("a"), 2500);
+    EXPECT_EQ(held("b"), 6300);
+    EXPECT_EQ(held("c"), 0);
+}
+
+// The choice of a server looks holders up by hash, where it does not ask each server.
+TEST_F(PrefixIndexTest, ListsEachHolderOnceInOrderOfTheHashes)
+{
+    for (const char *instance : {"c", "a", "d", "b"}) {
+        index_->noteSent(prefixes_, instance);
+    }
+    const auto holdings = index_->holdings(prefixes_);
+    ASSERT_EQ(holdings.size(), 4U);
+    for (std::size_t i = 1; i < holdings.size(); i++) {
+        EXPECT_LT(holdings[i - 1].server, holdings[i].server);
+    }
+    EXPECT_TRUE(index_->holdings({}).empty());
+    EXPECT_EQ(heldTokens({}, 7), 0);
 }
 
 TEST_F(PrefixIndexTest, HearsFromOtherVms)
@@ -59,7 +79,7 @@
     const auto other = PrefixIndex::create(*loop_);
     other->noteSent(prefixes_, "a");
     index_->takeTold(other->told());
-    EXPECT_EQ(index_->heldTokens(prefixes_, "a"), 6300);
+    EXPECT_EQ(held("a"), 6300);
     EXPECT_TRUE(index_->told().empty()) << "what was heard is not told again";
 }
 
@@ -68,7 +88,7 @@
     index_->noteSent(prefixes_, "a");
     clock_.advance(std::chrono::seconds(29));
     index_->tick();
-    EXPECT_EQ(index_->heldTokens(prefixes_, "a"), 6300);
+    EXPECT_EQ(held("a"), 6300);
     EXPECT_TRUE(index_->told().empty()) << "old news";
     clock_.advance(std::chrono::seconds(2));
     index_->tick();
--- a/src/serverlimits/internal/serverlimitkeeper.cpp
+++ b/src/serverlimits/internal/serverlimitkeeper.cpp
@@ -5,7 +5,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <set>
 
 namespace cardamomlift::serverlimits {
 
@@ -177,12 +176,8 @@
     if (servers_.empty()) {
         return;
     }
-    std::set<std::uint64_t> listed;
-    for (const auto &[instance, server] : tools_.directory->all()) {
-        listed.insert(presence::nameHash(instance));
-    }
     const TimePoint now = tools_.loop->now();
-    std::erase_if(servers_, [&](const auto &entry) { return !listed.contains(entry.first) && now - entry.second.heardAt > UnlistedKeptFor; });
+    std::erase_if(servers_, [&](const auto &entry) { return !tools_.directory->findHashed(entry.first) && now - entry.second.heardAt > UnlistedKeptFor; });
 }
 
 std::size_t ServerLimitKeeper::limitedServers() const
@@ -190,14 +185,10 @@
     return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), [](const auto &entry) { return entry.second.isLimited; }));
 }
 
-std::string_view ServerLimitKeeper::nameOf(std::uint64_t server) const
+std::string ServerLimitKeeper::nameOf(std::uint64_t server) const
 {
-    for (const auto &[instance, known] : tools_.directory->all()) {
-        if (presence::nameHash(instance) == server) {
-            return instance;
-        }
-    }
-    return {};
+    const auto known = tools_.directory->findHashed(server);
+    return known ? known->server.instance : std::string();
 }
 
 void ServerLimitKeeper::logChange(const Word &word, const Known &before) const
--- a/src/serverlimits/serverlimitkeeper.h
+++ b/src/serverlimits/serverlimitkeeper.h
@@ -73,7 +73,7 @@
     void take(const Word &word);
     void changeRate(TurnBook &book, double perSecond);
     void logChange(const Word &word, const Known &before) const;
-    std::string_view nameOf(std::uint64_t server) const;
+    std::string nameOf(std::uint64_t server) const;
 
     KeeperTools tools_;
     std::uint64_t own_; ///< Hash of this VM's name.
