Write the log lines of one change of the list together

Cause: a failure domain's servers come and go together, and each entry had a line of its own with two calls to the system.

Now the lines of one change go out in pieces of up to 4 KB, which a pipe takes whole. Nothing is held back beyond the change: a process that is killed loses no more than before. Lines that find no room are counted by kind as before.

--- a/src/directory/internal/directory.cpp
+++ b/src/directory/internal/directory.cpp
@@ -15,9 +15,8 @@
 /// Where @p instance is or would be in @p servers, which are in order.
 std::vector<ServerPtr>::iterator placeOf(std::vector<ServerPtr> &servers, std::string_view instance)
 {
-    return std::lower_bound(servers.begin(), servers.end(), instance, [](const ServerPtr &known, std::string_view wanted) {
-        return known->server.instance < wanted;
-    });
+    return std::lower_bound(
+        servers.begin(), servers.end(), instance, [](const ServerPtr &known, std::string_view wanted) { return known->server.instance < wanted; });
 }
 
 } // namespace
--- a/src/eventlog/internal/eventlog.cpp
+++ b/src/eventlog/internal/eventlog.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <mutex>
+#include <utility>
 
 namespace cardamomlift::eventlog {
 
@@ -20,9 +21,9 @@
 constexpr double MicrosecondsPerSecond = 1e6;
 constexpr std::size_t LongestText = 200;
 constexpr std::size_t LongestLine = 2000;
-
 /// A pipe with any room takes this much in one piece (POSIX: PIPE_BUF is at least 512; 4096 on Linux).
-static_assert(LongestLine <= 4096);
+constexpr std::size_t MostAtOnce = 4096;
+static_assert(LongestLine <= MostAtOnce);
 
 void appendEscaped(std::string &out, std::string_view text)
 {
@@ -118,14 +119,8 @@
     return true;
 }
 
-void EventLog::write(Event event, std::initializer_list<Value> values)
+void EventLog::formatLine(Event event, std::initializer_list<Value> values)
 {
-    Bound &bound = bounds_[static_cast<std::size_t>(event)];
-    if (!take(bound)) {
-        bound.dropped++;
-        dropped_++;
-        return;
-    }
     line_.clear();
     const auto wall = clock_.wallNow().time_since_epoch().count();
     fmt::format_to(std::back_inserter(line_),
@@ -139,17 +134,65 @@
             appendValue(line_, value);
         }
     }
-    if (bound.dropped > 0) {
-        appendValue(line_, {Attribute::Dropped, static_cast<std::int64_t>(bound.dropped)});
+    const std::uint64_t dropped = bounds_[static_cast<std::size_t>(event)].dropped;
+    if (dropped > 0) {
+        appendValue(line_, {Attribute::Dropped, static_cast<std::int64_t>(dropped)});
     }
     line_ += "}\n";
-    if (!sink_(line_)) {
+}
+
+void EventLog::write(Event event, std::initializer_list<Value> values)
+{
+    Bound &bound = bounds_[static_cast<std::size_t>(event)];
+    if (!take(bound)) {
         bound.dropped++;
         dropped_++;
         return;
     }
-    bound.dropped = 0;
-    written_++;
+    formatLine(event, values);
+    if (gathered_.size() + line_.size() > MostAtOnce) {
+        flush();
+    }
+    gathered_ += line_;
+    gatheredLines_.push_back({event, std::exchange(bound.dropped, 0)});
+    if (batches_ == 0) {
+        flush();
+    }
+}
+
+void EventLog::flush()
+{
+    if (gathered_.empty()) {
+        return;
+    }
+    if (sink_(gathered_)) {
+        written_ += gatheredLines_.size();
+    } else {
+        for (const Gathered &line : gatheredLines_) {
+            bounds_[static_cast<std::size_t>(line.event)].dropped += line.toldDropped + 1;
+        }
+        dropped_ += gatheredLines_.size();
+    }
+    gathered_.clear();
+    gatheredLines_.clear();
+}
+
+EventLog::Batch EventLog::beginBatch()
+{
+    return Batch(*this);
+}
+
+EventLog::Batch::Batch(EventLog &log)
+    : log_(log)
+{
+    log_.batches_++;
+}
+
+EventLog::Batch::~Batch()
+{
+    if (--log_.batches_ == 0) {
+        log_.flush();
+    }
 }
 
 std::uint64_t EventLog::dropped() const
--- a/src/eventlog/tests/eventlog_test.cpp
+++ b/src/eventlog/tests/eventlog_test.cpp
@@ -64,6 +64,44 @@
     EXPECT_FALSE(last().isMember("dropped"));
 }
 
+TEST_F(EventLogTest, LinesOfABatchGoOutInFewPieces)
+{
+    {
+        const auto batch = log_->beginBatch();
+        for (int i = 0; i < 100; i++) {
+            log_->write(Event::ServerKnown, {{Attribute::Count, std::int64_t(i)}});
+        }
+    }
+    EXPECT_LT(lines_.size(), 5U);
+    std::string all;
+    for (const std::string &piece : lines_) {
+        EXPECT_LE(piece.size(), 4096U) << "a pipe takes more in one piece only if it is empty enough";
+        EXPECT_EQ(piece.back(), '\n') << "whole lines";
+        all += piece;
+    }
+    EXPECT_EQ(std::count(all.begin(), all.end(), '\n'), 100);
+    EXPECT_LT(all.find("\"count\":98}"), all.find("\"count\":99}"));
+    EXPECT_EQ(log_->written(), 100U);
+}
+
+TEST_F(EventLogTest, ABatchThatNobodyReadsIsToldAsDroppedByKind)
+{
+    isFull_ = true;
+    log_->write(Event::ServerKnown, {});
+    {
+        const auto batch = log_->beginBatch();
+        log_->write(Event::ServerKnown, {});
+        log_->write(Event::ServerKnown, {});
+        log_->write(Event::ServerLeaving, {});
+    }
+    isFull_ = false;
+    EXPECT_EQ(log_->dropped(), 4U);
+    log_->write(Event::ServerKnown, {});
+    EXPECT_EQ(last()["dropped"].asInt(), 3);
+    log_->write(Event::ServerLeaving, {});
+    EXPECT_EQ(last()["dropped"].asInt(), 1);
+}
+
 TEST_F(EventLogTest, AReaderThatDoesNotReadCostsLinesNotTime)
 {
     isFull_ = true;
