Copy and unpack no more of a status than it holds

Cause: each datagram was made from a copy of the whole status, with up to 48 KB of changes in plain form that are told packed or not at all, and each text of changes was unpacked into 128 KB that were cleared first.

Now a status is encoded from where it is, and unpacked into ten times its size, or the bound if that is too little.

--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -214,9 +214,6 @@
 // Changes go only to those that have not heard of them.
 void Presence::sendTo(const Peer &peer, const Status &status, bool tellsChanges)
 {
-    StatusMessage message;
-    message.status = status;
-    message.echo = peer.status ? peer.status->sequence : 0;
     std::map<std::string, ToldChanges> told;
     if (tellsChanges) {
         for (const auto &[table, news] : status.tables) {
@@ -225,7 +222,7 @@
             }
         }
     }
-    tools_.datagrams->send(peer.endpoint, encodeStatus(message, told));
+    tools_.datagrams->send(peer.endpoint, encodeStatus(status, peer.status ? peer.status->sequence : 0, told));
 }
 
 // Most peers lack the same changes, so they are packed once a round.
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -13,6 +13,8 @@
 
 /// What changes may unpack to: more than a watch keeps for others, with the names of the fields.
 constexpr std::size_t MostUnpacked = 128 * 1024;
+/// Entries of servers unpack to about five times as much; what unpacks to more is tried again with room for all.
+constexpr std::size_t UsualRatio = 10;
 
 std::uint32_t micros(Duration duration)
 {
@@ -60,6 +62,23 @@
     return news;
 }
 
+/// Empty if @p packed is no such text, or unpacks to more than MostUnpacked.
+std::optional<std::string> inflated(std::string_view packed)
+{
+    for (std::size_t room = std::min(MostUnpacked, packed.size() * UsualRatio);; room = MostUnpacked) {
+        std::string plain(room, '\0');
+        uLongf size = plain.size();
+        const int outcome = uncompress(reinterpret_cast<Bytef *>(plain.data()), &size, reinterpret_cast<const Bytef *>(packed.data()), packed.size());
+        if (outcome == Z_OK) {
+            plain.resize(size);
+            return plain;
+        }
+        if (outcome != Z_BUF_ERROR || room == MostUnpacked) {
+            return std::nullopt;
+        }
+    }
+}
+
 void addRollout(wire::Status &out, const RolloutNews &news)
 {
     auto *entry = out.add_rollouts();
@@ -117,12 +136,9 @@
 
 std::optional<std::vector<rows::Row>> unpackChanges(std::string_view packed, std::uint64_t era)
 {
-    std::string plain(MostUnpacked, '\0');
-    uLongf size = plain.size();
+    const auto plain = inflated(packed);
     wire::RowChanges list;
-    const bool isSound = uncompress(reinterpret_cast<Bytef *>(plain.data()), &size, reinterpret_cast<const Bytef *>(packed.data()), packed.size()) == Z_OK
-        && list.ParseFromArray(plain.data(), static_cast<int>(size));
-    if (!isSound) {
+    if (!plain || !list.ParseFromString(*plain)) {
         return std::nullopt;
     }
     std::vector<rows::Row> changes;
@@ -132,14 +148,13 @@
     return changes;
 }
 
-std::string encodeStatus(const StatusMessage &message, const std::map<std::string, ToldChanges> &told)
+std::string encodeStatus(const Status &status, std::uint64_t echo, const std::map<std::string, ToldChanges> &told)
 {
-    const Status &status = message.status;
     wire::Status out;
     out.set_instance(status.instance);
     out.set_incarnation(status.incarnation);
     out.set_sequence(status.sequence);
-    out.set_echo(message.echo);
+    out.set_echo(echo);
     for (const auto &[table, news] : status.tables) {
         const auto changes = told.find(table);
         addTable(out, table, news, changes == told.end() ? nullptr : &changes->second);
--- a/src/presence/tests/presence_test.cpp
+++ b/src/presence/tests/presence_test.cpp
@@ -133,7 +133,6 @@
 TEST(StatusFormat, KeepsAllParts)
 {
     StatusMessage message;
-    message.echo = 7;
     message.status.instance = "vm";
     message.status.incarnation = 1;
     message.status.sequence = 2;
@@ -148,7 +147,7 @@
     message.status.suspects = {12};
     message.status.limits = {{13, true, 1.1, milliseconds(200)}, {14, true, 0, milliseconds(0)}, {15, false, 0, milliseconds(7)}};
     message.status.holdsLease = true;
-    const auto read = decodeStatus(encodeStatus(message, {{"t", ToldChanges{{6, 2}, {6, 3}, packChanges(message.status.tables["t"].changes)}}}));
+    const auto read = decodeStatus(encodeStatus(message.status, 7, {{"t", ToldChanges{{6, 2}, {6, 3}, packChanges(message.status.tables["t"].changes)}}}));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->echo, 7U);
     EXPECT_EQ(read->status.manifestVersion, 51U);
@@ -199,6 +198,21 @@
     EXPECT_EQ(unpacked->size(), rows.size());
     EXPECT_EQ(unpacked->back().key, rows.back().key);
     EXPECT_FALSE(unpackChanges("nonsense", 1));
+    EXPECT_FALSE(unpackChanges("", 1));
+}
+
+TEST(StatusFormat, ChangesThatUnpackToMuchMoreAreReadWithinABound)
+{
+    const auto rowOf = [](std::size_t size) {
+        return std::vector<rows::Row>{{"key", std::string(size, 'a'), {1, 2}, false}};
+    };
+    const auto unpacked = unpackChanges(packChanges(rowOf(100'000)), 1);
+    ASSERT_TRUE(unpacked);
+    EXPECT_EQ(unpacked->front().value.size(), 100'000U);
+    EXPECT_FALSE(unpackChanges(packChanges(rowOf(200'000)), 1));
+    const auto none = unpackChanges(packChanges({}), 1);
+    ASSERT_TRUE(none);
+    EXPECT_TRUE(none->empty()) << "nothing has changed, which is worth telling";
 }
 
 TEST(TrueTime, MostClocksDecide)
