Prove no keys by a manifest when a later one can't be read

What callers would see: a key that was taken away goes on being served for good, if the manifest that took it away can't be read here.

Cause: an unreadable manifest was logged and passed over; the store's answers, and other VMs' news, then proved the age of the one before it. Now nothing confirms the manifest in force until one comes that can be read.

--- a/src/manifest/internal/manifestkeeper.cpp
+++ b/src/manifest/internal/manifestkeeper.cpp
@@ -16,6 +16,7 @@
 
 OfferOutcome ManifestKeeper::offer(Manifest manifest)
 {
+    isNewestUnreadable_ = false;
     if (current_ && manifest.version == current_->manifest().version) {
         return OfferOutcome::Known;
     }
@@ -32,12 +33,17 @@
 void ManifestKeeper::confirm(TimePoint askedAt)
 {
     const std::uint64_t inForce = current_ ? current_->manifest().version : 0;
-    if (inForce < newestElsewhere_) {
+    if (inForce < newestElsewhere_ || isNewestUnreadable_) {
         return;
     }
     confirmedAt_ = confirmedAt_ ? std::max(*confirmedAt_, askedAt) : askedAt;
 }
 
+void ManifestKeeper::noteUnreadable()
+{
+    isNewestUnreadable_ = true;
+}
+
 void ManifestKeeper::noteElsewhere(std::uint64_t version)
 {
     newestElsewhere_ = std::max(newestElsewhere_, version);
--- a/src/manifest/manifestkeeper.h
+++ b/src/manifest/manifestkeeper.h
@@ -31,6 +31,9 @@
     /// Another VM has @p version in force. While the one here is older nothing confirms it: the store may have been restored
     /// from a copy that lacks the newer one.
     void noteElsewhere(std::uint64_t version);
+    /// The store holds a manifest that can't be read here. Until a readable one comes nothing confirms the one in force: a key
+    /// may have been taken away.
+    void noteUnreadable();
     /// Time since the manifest in force was certainly the newest one; empty if it never was.
     std::optional<Duration> age(TimePoint now) const;
     /// True if keys may be judged at @p now: what is known is younger than @p bound.
@@ -42,6 +45,7 @@
     ManifestKeeper() = default;
     ManifestPtr current_;
     std::uint64_t newestElsewhere_ = 0;
+    bool isNewestUnreadable_ = false;
     std::optional<TimePoint> confirmedAt_;
     std::vector<std::function<void(const ManifestPtr &)>> handlers_;
 };
--- a/src/manifest/tests/manifest_test.cpp
+++ b/src/manifest/tests/manifest_test.cpp
@@ -110,6 +110,21 @@
     EXPECT_EQ(*keeper->age(start + milliseconds(5000)), Duration(0)) << "a VM that is behind says nothing";
 }
 
+// Guards against keys that a manifest took away being proved valid by the one before it.
+TEST(ManifestKeeper, IsNotConfirmedWhileTheNewestCanNotBeRead)
+{
+    const auto keeper = ManifestKeeper::create();
+    const TimePoint start(std::chrono::hours(1));
+    keeper->offer(version(5));
+    keeper->confirm(start);
+    keeper->noteUnreadable();
+    keeper->confirm(start + milliseconds(3000));
+    EXPECT_EQ(*keeper->age(start + milliseconds(3000)), milliseconds(3000));
+    keeper->offer(version(7));
+    keeper->confirm(start + milliseconds(4000));
+    EXPECT_EQ(*keeper->age(start + milliseconds(4000)), Duration(0));
+}
+
 } // namespace
 
 } // namespace cardamomlift::manifest
--- a/tests/routes_test.cpp
+++ b/tests/routes_test.cpp
@@ -112,6 +112,24 @@
     }
 }
 
+// Guards against keys that go on being served after a manifest has come that may have taken them away, but can't be read.
+TEST(Routes, KeyedServiceEndsWithAManifestThatCanNotBeReadAndComesBackWithOneThatCan)
+{
+    RouteFleet fleet(2, 1);
+    fleet.waitReady();
+    fleet.putUnreadableManifest("{");
+    const auto status = [&](int vm) {
+        return fleet.caller.call(fleet.request(vm, "/safe/1", "x"))->status;
+    };
+    for (int vm = 1; vm <= 2; vm++) {
+        EXPECT_TRUE(fleet.caller.waitUntil([&] { return status(vm) == 503; }, "refused: its key may have been taken away"));
+    }
+    fleet.putManifest(9, {"key-1"});
+    for (int vm = 1; vm <= 2; vm++) {
+        EXPECT_TRUE(fleet.caller.waitUntil([&] { return status(vm) == 200; }, "served again"));
+    }
+}
+
 TEST(Routes, AServerThatLeavesGetsNoMoreWorkFromAnyVm)
 {
     RouteFleet fleet(3, 2);
--- a/tests/support/routefleet.cpp
+++ b/tests/support/routefleet.cpp
@@ -239,6 +239,11 @@
     put("PUT", storeUrl("/control/rows/op/config"), http::writeJson(manifest));
 }
 
+void RouteFleet::putUnreadableManifest(const std::string &bytes)
+{
+    put("PUT", storeUrl("/control/rows/op/config"), bytes);
+}
+
 void RouteFleet::setStoreFault(const std::string &fault)
 {
     Json::Value faults(Json::objectValue);
--- a/tests/support/routefleet.h
+++ b/tests/support/routefleet.h
@@ -28,6 +28,8 @@
     std::string rolloutState();
     /// Writes the manifest: routes /safe/, /once/, /stream/ (resumable) and /single/ (a stream that may not be resumed).
     void putManifest(int version, const std::vector<std::string> &keys);
+    /// Writes @p bytes where the manifest stands.
+    void putUnreadableManifest(const std::string &bytes);
     /// @p startedAt: Unix milliseconds that the worker gives as its start; 0: it gives none.
     void listWorker(const std::string &instance, const std::string &state, std::int64_t startedAt = 0);
     /// Writes bytes of another writer where the worker's entry stands.
