Confirm nothing by an answer that holds only a part of the changes

What callers would see: a key served, or a server used, after the change that ends it, for as long as the rest of the changes takes to arrive.

Cause: the store may say of any answer that there is more to come. A reading in pages went on until there was no more; an answer with changes was taken for all of them, and the time of its question became the proof that nothing is missing.

Now such an answer confirms nothing, and the rest is asked for at once. RowWatchTest.AnAnswerWithAPartOfTheChangesConfirmsNothing: red before (known up to a time after changes that were not told), green after; the store in memory now cuts long answers as it cuts long readings.

--- a/src/rows/internal/memoryrowstore.cpp
+++ b/src/rows/internal/memoryrowstore.cpp
@@ -11,6 +11,22 @@
 /// When a call without an answer is given up.
 constexpr Duration AnswerTimeout = std::chrono::seconds(1);
 
+/// The first changes of @p page, @p most or, if a transaction wrote more, as many as that one.
+RowPage firstOf(RowPage page, std::size_t most)
+{
+    std::size_t kept = std::min(most, page.rows.size());
+    while (kept > 0 && kept < page.rows.size() && page.rows[kept].version == page.rows[kept - 1].version) {
+        kept++;
+    }
+    if (kept == page.rows.size()) {
+        return page;
+    }
+    page.rows.resize(kept);
+    page.version = page.rows.back().version;
+    page.hasMore = true;
+    return page;
+}
+
 } // namespace
 
 // Rows of the copy belong to the new era too.
@@ -173,7 +189,7 @@
         return;
     }
     ReadResult result = failed(failure, askedAt);
-    result.page = std::move(page);
+    result.page = firstOf(std::move(page), pageSize);
     result.page.storeTime = loop_.now().time_since_epoch();
     handler(result);
 }
--- a/src/rows/internal/rowwatch.cpp
+++ b/src/rows/internal/rowwatch.cpp
@@ -313,9 +313,14 @@
     }
     backoff_ = Duration(0);
     setReachable(true, StoreFailure::None);
-    behind_ = false;
+    // Where there is more to come, what is known may lack a change until then.
+    behind_ = result.page.hasMore;
     const bool hasChanges = !result.page.rows.empty();
     takeChanges(result.page);
+    if (behind_) {
+        askIfMay();
+        return;
+    }
     confirm(result.askedAt);
     const Duration since = tools_.loop->now() - result.askedAt;
     if (hasChanges && since < PauseBetweenChanges) {
--- a/src/rows/memoryrowstore.h
+++ b/src/rows/memoryrowstore.h
@@ -57,7 +57,7 @@
     std::optional<StoreClock> clock() const override;
 
     MemoryRowFaults faults;
-    /// Rows that one page holds.
+    /// Rows that one page holds, and changes that one answer holds.
     std::size_t pageSize = 500;
     std::uint64_t calls = 0;
 
--- a/src/rows/rowtypes.h
+++ b/src/rows/rowtypes.h
@@ -38,7 +38,7 @@
 struct RowPage {
     std::vector<Row> rows;
     bool hasMore = false;
-    StoreVersion version; ///< The store's newest.
+    StoreVersion version; ///< The store's newest; of changes that have more to come, the last one's.
     Duration storeTime{0}; ///< The store's steady clock.
 };
 
--- a/src/rows/tests/rowwatch_test.cpp
+++ b/src/rows/tests/rowwatch_test.cpp
@@ -137,6 +137,30 @@
     EXPECT_LE(*confirmedAt_, loop_->now() - milliseconds(1500));
 }
 
+// Guards against a manifest that counts as the newest because an answer held only the changes before it.
+TEST_F(RowWatchTest, AnAnswerWithAPartOfTheChangesConfirmsNothing)
+{
+    start();
+    pass(milliseconds(100));
+    store_->pageSize = 10;
+    store_->faults.down = true;
+    pass(milliseconds(3000));
+    for (int i = 0; i < 35; i++) {
+        put("key-" + std::to_string(i), "1");
+    }
+    const TimePoint changedAt = loop_->now();
+    store_->faults.down = false;
+    bool isHonest = true;
+    for (int i = 0; i < 300; i++) {
+        pass(milliseconds(1));
+        isHonest = isHonest && (known_.size() == 35 || confirmedAt_ <= changedAt);
+    }
+    EXPECT_TRUE(isHonest);
+    pass(milliseconds(2000));
+    EXPECT_EQ(known_.size(), 35U);
+    EXPECT_GT(confirmedAt_, changedAt);
+}
+
 TEST_F(RowWatchTest, ReadsAnewWhenHistoryIsLost)
 {
     put("a", "1");
