Weigh a sample of many servers for a request

VMs that see the same reports choose the same few servers; drawn ones differ.

Of more than 256 servers 128 are drawn evenly, and beside them those that keep the beginning of the prompt or, where none does, the homes of its affinity, which all VMs know alike. While a version is tried, and where none of the sample may be used, all are weighed as before.

--- a/src/balancing/choose.h
+++ b/src/balancing/choose.h
@@ -10,8 +10,16 @@
 /// The requests that a server is believed to hold now.
 double estimatedOpen(const ServerLoad &load, const ChoiceFigures &figures, TimePoint now);
 
-/// The rank of the server @p instance for requests of @p affinity, the same on all VMs; the highest are its homes.
-std::uint64_t homeRank(std::string_view affinity, std::string_view instance);
+/// Ranks servers for requests of one affinity, the same on all VMs; the highest are its homes.
+class HomeRanker
+{
+public:
+    explicit HomeRanker(std::string_view affinity);
+    std::uint64_t rank(std::string_view instance) const;
+
+private:
+    std::uint64_t seed_;
+};
 
 /// The index of the server that shall get the request; empty if there is none. Where the beginning of its prompt is cached
 /// somewhere, it is the server with the least work before its first token; else requests of one affinity go to the same
--- a/src/balancing/internal/choose.cpp
+++ b/src/balancing/internal/choose.cpp
@@ -50,9 +50,14 @@
 
 } // namespace
 
-std::uint64_t homeRank(std::string_view affinity, std::string_view instance)
+HomeRanker::HomeRanker(std::string_view affinity)
+    : seed_(XXH3_64bits(affinity.data(), affinity.size()))
 {
-    return XXH3_64bits_withSeed(instance.data(), instance.size(), XXH3_64bits(affinity.data(), affinity.size()));
+}
+
+std::uint64_t HomeRanker::rank(std::string_view instance) const
+{
+    return XXH3_64bits_withSeed(instance.data(), instance.size(), seed_);
 }
 
 double estimatedOpen(const ServerLoad &load, const ChoiceFigures &figures, TimePoint now)
@@ -69,12 +74,12 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
+    const HomeRanker ranker(input.affinity);
     std::vector<Ranked> ranked;
     ranked.reserve(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); i++) {
         const std::string_view instance = candidates[i].server->server.instance;
-        const std::uint64_t hash =
-            input.affinity.empty() ? XXH3_64bits_withSeed(instance.data(), instance.size(), input.salt) : homeRank(input.affinity, instance);
+        const std::uint64_t hash = input.affinity.empty() ? XXH3_64bits_withSeed(instance.data(), instance.size(), input.salt) : ranker.rank(instance);
         ranked.push_back({i, costOf(candidates[i], input, figures, now), hash});
     }
     const auto cheapest = std::min_element(ranked.begin(), ranked.end(), isCheaper);
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -60,12 +60,14 @@
         std::string fetchFrom; ///< "address:port" of a server to copy a part of the prompt's KV cache from; empty: none.
     };
     Choice chooseServer() const;
-    Choice chooseAmong(std::span<const directory::KnownServer *const> servers) const;
+    std::vector<directory::ServerPtr> shortList(std::span<const directory::ServerPtr> usable, std::span<const prefixindex::Holding> holdings) const;
+    Choice chooseAmong(std::span<const directory::KnownServer *const> servers, std::span<const prefixindex::Holding> holdings) const;
+    std::uint64_t salt() const;
     balancing::Candidate candidateOf(const directory::KnownServer &known, std::span<const prefixindex::Holding> holdings) const;
     bool passesOver(const std::string &instance, Choice &choice) const;
     void noteSending(const std::string &instance);
     void endWithoutServer(const Choice &choice);
-    std::vector<const directory::KnownServer *> eligibleServers(VersionPick pick) const;
+    std::vector<const directory::KnownServer *> eligibleServers(std::span<const directory::ServerPtr> usable, VersionPick pick) const;
     void noteVersionOutcome(std::optional<Duration> firstByteAfter);
     /// What the servers of the service are believed to keep of the prompt.
     struct Cached {
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -1,4 +1,5 @@
 #include "balancing/choose.h"
+#include "balancing/shortlist.h"
 #include "forwarding/internal/forwardedrequest.h"
 #include "forwarding/internal/forwardinglimits.h"
 
@@ -51,9 +52,8 @@
     return best;
 }
 
-std::vector<const directory::KnownServer *> ForwardedRequest::eligibleServers(VersionPick pick) const
+std::vector<const directory::KnownServer *> ForwardedRequest::eligibleServers(std::span<const directory::ServerPtr> usable, VersionPick pick) const
 {
-    const auto usable = tools_.directory->usable(service_);
     std::vector<const directory::KnownServer *> preferred;
     std::vector<const directory::KnownServer *> fallback;
     preferred.reserve(usable.size());
@@ -73,14 +73,44 @@
 
 ForwardedRequest::Choice ForwardedRequest::chooseServer() const
 {
-    Choice choice = chooseAmong(eligibleServers(pick_));
+    const auto usable = tools_.directory->usable(service_);
+    const std::vector<prefixindex::Holding> holdings = tools_.prefixes->holdings(prefixes_);
+    // While a version is tried, the few servers that run it would be missed by a sample.
+    const bool isVersionTried = tools_.versions && tools_.versions->isUnderWay(service_);
+    if (usable.size() > balancing::ShortListFigures().mostWhole && !isVersionTried) {
+        Choice choice = chooseAmong(eligibleServers(shortList(usable, holdings), pick_), holdings);
+        choice.pick = pick_;
+        if (choice.server) {
+            return choice;
+        }
+    }
+    Choice choice = chooseAmong(eligibleServers(usable, pick_), holdings);
     choice.pick = pick_;
     if (!choice.server && pick_ == VersionPick::OnTrial) {
-        choice = chooseAmong(eligibleServers(VersionPick::Usual));
+        choice = chooseAmong(eligibleServers(usable, VersionPick::Usual), holdings);
     }
     return choice;
 }
 
+std::vector<directory::ServerPtr> ForwardedRequest::shortList(
+    std::span<const directory::ServerPtr> usable, std::span<const prefixindex::Holding> holdings) const
+{
+    std::vector<std::uint64_t> holders;
+    holders.reserve(holdings.size());
+    std::transform(holdings.begin(), holdings.end(), std::back_inserter(holders), [](const auto &holding) { return holding.server; });
+    const std::string shared = affinity();
+    balancing::ShortListInput input;
+    input.affinity = shared;
+    input.holders = holders;
+    input.salt = salt();
+    return balancing::shortList(usable, input, {});
+}
+
+std::uint64_t ForwardedRequest::salt() const
+{
+    return XXH3_64bits(request_.id.data(), request_.id.size());
+}
+
 bool ForwardedRequest::passesOver(const std::string &instance, Choice &choice) const
 {
     if (!tools_.limits || tools_.limits->hasRoom(instance)) {
@@ -104,11 +134,10 @@
     return candidate;
 }
 
-// NOTE Asked for each request, before up to thousands of servers: what is known of few of them is looked up by hash.
-ForwardedRequest::Choice ForwardedRequest::chooseAmong(std::span<const directory::KnownServer *const> servers) const
+ForwardedRequest::Choice ForwardedRequest::chooseAmong(
+    std::span<const directory::KnownServer *const> servers, std::span<const prefixindex::Holding> holdings) const
 {
     Choice choice;
-    const std::vector<prefixindex::Holding> holdings = tools_.prefixes->holdings(prefixes_);
     std::vector<balancing::Candidate> candidates;
     candidates.reserve(servers.size());
     for (const directory::KnownServer *server : servers) {
@@ -124,7 +153,7 @@
     input.affinity = shared;
     input.promptTokens = request_.promptTokens;
     input.fetchableTokens = bestCached(holdings, {}).tokens;
-    input.salt = XXH3_64bits(request_.id.data(), request_.id.size());
+    input.salt = salt();
     const auto chosen = balancing::choose(candidates, input, {}, tools_.loop->now());
     choice.candidates = candidates.size();
     if (chosen) {
@@ -139,13 +168,14 @@
 directory::ServerPtr ForwardedRequest::likelyHolder(const std::string &except) const
 {
     const std::string shared = affinity();
+    const balancing::HomeRanker ranker(shared);
     directory::ServerPtr best;
     std::uint64_t bestRank = 0;
     for (const auto &[instance, known] : tools_.directory->all()) {
         if (shared.empty() || instance == except) {
             continue;
         }
-        const std::uint64_t rank = balancing::homeRank(shared, instance);
+        const std::uint64_t rank = ranker.rank(instance);
         if ((!best || rank > bestRank) && mayBeSource(*known)) {
             best = known;
             bestRank = rank;
