Compare what VMs know of a table, and read it anew where they differ

What callers would see: one wrong claim among VMs, whatever its cause, stands for good: rows at or below the version that was believed are passed over, also when the store itself tells them, and each later proof of age counts for them.

A receiver that holds another one at the same version takes no proof from that news and reads the table whole from the store, once in five seconds at most; without the store it tells and proves nothing until it has. The reason in table_read is "diverged".

--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -40,6 +40,9 @@
     if (told != nullptr && told->version == news.version) {
         entry->set_since(told->since.number);
         entry->set_changes(told->packed);
+        if (told->digest) {
+            entry->set_digest(*told->digest);
+        }
     }
 }
 
@@ -51,6 +54,9 @@
     news.since = {entry.era(), entry.since()};
     news.age = Duration(entry.age_us());
     news.changedAt = entry.changed_at();
+    if (entry.has_digest()) {
+        news.digest = entry.digest();
+    }
     if (entry.changes().empty()) {
         return news;
     }
--- a/src/presence/internal/toldchanges.cpp
+++ b/src/presence/internal/toldchanges.cpp
@@ -29,7 +29,7 @@
     if (packed.empty() || packed.size() > MostPacked) {
         return std::nullopt;
     }
-    return ToldChanges{has, news.version, std::move(packed)};
+    return ToldChanges{has, news.version, std::move(packed), news.digest};
 }
 
 } // namespace cardamomlift::presence
--- a/src/presence/tests/presence_test.cpp
+++ b/src/presence/tests/presence_test.cpp
@@ -136,7 +136,7 @@
     message.status.instance = "vm";
     message.status.incarnation = 1;
     message.status.sequence = 2;
-    message.status.tables["t"] = {{6, 3}, {6, 2}, {{"key", "value", {6, 3}, true}}, milliseconds(4), 3};
+    message.status.tables["t"] = {{6, 3}, {6, 2}, {{"key", "value", {6, 3}, true}}, milliseconds(4), std::nullopt, 3};
     message.status.manifestVersion = 51;
     message.status.storeBack = milliseconds(9);
     message.status.clockOffset = milliseconds(-5);
@@ -147,12 +147,13 @@
     message.status.suspects = {12};
     message.status.limits = {{13, true, 1.1, milliseconds(200)}, {14, true, 0, milliseconds(0)}, {15, false, 0, milliseconds(7)}};
     message.status.holdsLease = true;
-    const auto read = decodeStatus(encodeStatus(message.status, 7, {{"t", ToldChanges{{6, 2}, {6, 3}, packChanges(message.status.tables["t"].changes)}}}));
+    const auto read = decodeStatus(encodeStatus(message.status, 7, {{"t", ToldChanges{{6, 2}, {6, 3}, packChanges(message.status.tables["t"].changes), 77}}}));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->echo, 7U);
     EXPECT_EQ(read->status.manifestVersion, 51U);
     EXPECT_EQ(read->status.tables.at("t").age, milliseconds(4));
     EXPECT_EQ(read->status.tables.at("t").changedAt, 3U);
+    EXPECT_EQ(read->status.tables.at("t").digest, 77U);
     EXPECT_EQ(read->status.tables.at("t").version, (rows::StoreVersion{6, 3}));
     EXPECT_EQ(read->status.tables.at("t").since, (rows::StoreVersion{6, 2}));
     EXPECT_EQ(read->status.tables.at("t").changes[0].version, (rows::StoreVersion{6, 3}));
--- a/src/presence/toldchanges.h
+++ b/src/presence/toldchanges.h
@@ -13,6 +13,7 @@
     rows::StoreVersion since;
     rows::StoreVersion version;
     std::string packed; ///< By packChanges().
+    std::optional<std::uint64_t> digest; ///< Of the whole table at @c version.
 };
 
 /// What a VM is to be told that knows all changes up to @p has. Empty if @p news does not hold all that came after, or if
--- a/src/rows/internal/rowtypes.cpp
+++ b/src/rows/internal/rowtypes.cpp
@@ -13,6 +13,8 @@
         return "history_lost";
     case ReadReason::StoreRestored:
         return "store_restored";
+    case ReadReason::Diverged:
+        return "diverged";
     }
     return "first";
 }
--- a/src/rows/internal/rowwatch.cpp
+++ b/src/rows/internal/rowwatch.cpp
@@ -16,6 +16,8 @@
 /// From one question that brought changes to the next. Servers that are ordered and leave change the list many times a
 /// second, and each answer is paid for; the first change after a pause comes at once.
 constexpr Duration PauseBetweenChanges = std::chrono::milliseconds(250);
+/// From one reading of the whole table since another VM knows other rows to the next: the other one may be the one to learn.
+constexpr Duration PauseBetweenDivergences = std::chrono::seconds(5);
 /// How often a watch that may not ask looks whether it may.
 constexpr Duration GateCheck = std::chrono::milliseconds(150);
 /// Changes are told for this long: several statuses, of which some may be lost.
@@ -79,6 +81,7 @@
         readAll({});
         return;
     }
+    collectedUpTo_ = result.page.version;
     collected_.insert(collected_.end(), result.page.rows.begin(), result.page.rows.end());
     if (result.page.hasMore && !result.page.rows.empty()) {
         // The key that follows the last one in byte order.
@@ -95,6 +98,7 @@
     // Pages are of different moments: what changed between them comes again by the feed from the first page's version.
     whole.version = collectVersion_;
     whole.reason = readReason();
+    digest_.replaceAll(whole.rows, collectedUpTo_);
     isRead_ = true;
     behind_ = false;
     version_ = collectVersion_;
@@ -102,6 +106,7 @@
     recent_.clear();
     recentBytes_ = 0;
     recentSince_ = version_.number;
+    isReadForDivergence_ = false;
     setReachable(true, StoreFailure::None);
     logReading(whole);
     handlers_.onAll(whole);
@@ -117,7 +122,10 @@
     if (version_ == StoreVersion()) {
         return ReadReason::First;
     }
-    return collectVersion_.era == version_.era ? ReadReason::HistoryLost : ReadReason::StoreRestored;
+    if (collectVersion_.era != version_.era) {
+        return ReadReason::StoreRestored;
+    }
+    return isReadForDivergence_ ? ReadReason::Diverged : ReadReason::HistoryLost;
 }
 
 void RowWatch::onRestored()
@@ -175,6 +183,7 @@
 void RowWatch::remember(const std::vector<Row> &rows)
 {
     const TimePoint now = tools_.loop->now();
+    digest_.take(rows);
     for (const Row &row : rows) {
         recent_.push_back({row, now});
         recentBytes_ += row.key.size() + row.value.size();
@@ -207,6 +216,7 @@
     news.version = version_;
     news.since = {version_.era, recentSince_};
     news.changedAt = changedAt_;
+    news.digest = digest_.at(version_);
     news.age = tools_.loop->now() - *confirmedAt_;
     for (const Recent &recent : recent_) {
         news.changes.push_back(recent.row);
@@ -242,9 +252,31 @@
             handlers_.onChanges(missed);
         }
     }
+    if (isDiverged(news)) {
+        onDiverged();
+        return;
+    }
     confirm(provenAt - news.age);
 }
 
+bool RowWatch::isDiverged(const TableNews &news) const
+{
+    const auto own = digest_.at(version_);
+    return news.version == version_ && news.digest && own && *news.digest != *own;
+}
+
+// Which of the two is wrong can't be told, so nothing is confirmed; the store knows.
+void RowWatch::onDiverged()
+{
+    const TimePoint now = tools_.loop->now();
+    if (divergedAt_ && now - *divergedAt_ < PauseBetweenDivergences) {
+        return;
+    }
+    divergedAt_ = now;
+    isReadForDivergence_ = true;
+    readAnew();
+}
+
 void RowWatch::setGate(std::function<bool()> mayAsk)
 {
     mayAsk_ = std::move(mayAsk);
--- a/src/rows/rowtypes.h
+++ b/src/rows/rowtypes.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -47,6 +48,7 @@
     First, ///< Nothing of it was known.
     HistoryLost, ///< The store does not keep the changes since what was known.
     StoreRestored, ///< The store was restored from an older copy: what was known may be gone.
+    Diverged, ///< Another VM knows other rows at the same version.
 };
 
 /// For the log.
@@ -83,6 +85,7 @@
     StoreVersion since; ///< @c changes holds all that came after this version; of the same era.
     std::vector<Row> changes; ///< In order; the newest ones only.
     Duration age{0}; ///< How old the sender's knowledge is that nothing newer exists.
+    std::optional<std::uint64_t> digest; ///< Of all rows at @c version; see TableDigest.
     std::uint64_t changedAt = std::numeric_limits<std::uint64_t>::max(); ///< No change came between this number and @c version.
 };
 
--- a/src/rows/rowwatch.h
+++ b/src/rows/rowwatch.h
@@ -3,6 +3,7 @@
 #include "eventlog/eventlog.h"
 #include "kernel/eventloop.h"
 #include "rows/rowstore.h"
+#include "rows/tabledigest.h"
 
 #include <deque>
 #include <functional>
@@ -72,6 +73,9 @@
     void onFailure(StoreFailure failure);
     void askIfMay();
     void confirm(TimePoint at);
+    /// Whether the sender of @p news, which is of the version known here, knows other rows.
+    bool isDiverged(const TableNews &news) const;
+    void onDiverged();
     void remember(const std::vector<Row> &rows);
     void forgetOld();
     void setReachable(bool reachable, StoreFailure failure);
@@ -84,6 +88,10 @@
     std::vector<Row> collected_; ///< Of a table that is read in several pages.
     TimePoint collectSince_;
     StoreVersion collectVersion_;
+    StoreVersion collectedUpTo_; ///< Of the last page.
+    TableDigest digest_;
+    std::optional<TimePoint> divergedAt_; ///< When the table was last read anew since another VM knew other rows.
+    bool isReadForDivergence_ = false;
     bool isRead_ = false; ///< False while the whole table is read.
     StoreVersion version_; ///< Of an earlier reading while the table is read anew.
     std::uint64_t changedAt_ = 0; ///< Of the newest known change; of a whole reading, which does not show what was removed, its version.
--- a/src/rows/tests/rowwatch_test.cpp
+++ b/src/rows/tests/rowwatch_test.cpp
@@ -161,6 +161,47 @@
     EXPECT_GT(confirmedAt_, changedAt);
 }
 
+// Guards against a VM that goes on with a row that has changed, because news left the change out and were believed.
+TEST_F(RowWatchTest, ReadsAnewWhenAnotherVmKnowsOtherRowsAtTheSameVersion)
+{
+    put("a", "1");
+    start();
+    pass(milliseconds(100));
+    const auto other = RowWatch::start({loop_.get(), MemoryRowStore::create(*loop_, rows_), log_},
+        "t",
+        milliseconds(1500),
+        {[](const WholeTable &) {},
+            [](const std::vector<Row> &) {},
+            [](TimePoint) {},
+            [](bool, StoreFailure) {
+            }});
+    pass(milliseconds(100));
+    // What this watch knows comes from others alone.
+    watch_->setGate([] { return false; });
+    pass(milliseconds(3000));
+    put("a", "2");
+    pass(milliseconds(1000));
+    TableNews news = *other->news();
+    EXPECT_EQ(news.changes.size(), 1U);
+    news.changes.clear();
+    const auto before = confirmedAt_;
+    watch_->offer(news, loop_->now());
+    EXPECT_EQ(confirmedAt_, before);
+    pass(milliseconds(200));
+    EXPECT_EQ(known_["a"], "2");
+    EXPECT_EQ(allCalls_, 2);
+    watch_->offer(*other->news(), loop_->now());
+    EXPECT_EQ(allCalls_, 2) << "both know the same";
+    // Where this watch is the one that is right the table is not read again and again.
+    news = *other->news();
+    *news.digest += 1;
+    for (int i = 0; i < 10; i++) {
+        watch_->offer(news, loop_->now());
+        pass(milliseconds(100));
+    }
+    EXPECT_EQ(allCalls_, 2);
+}
+
 TEST_F(RowWatchTest, ReadsAnewWhenHistoryIsLost)
 {
     put("a", "1");
