Soak: a key is taken away while many VMs lack the store

27 VMs, so that they are divided into groups, a third of them cut off from the store; then a manifest that is too large to be told takes a key away and the list of servers goes on changing for ten seconds. No request that callers send later than five seconds after the manifest was acknowledged may be served with the key; afterwards all VMs serve the other key.

The run guards the promise with real processes, whatever breaks it.

--- a/src/balancing/tests/shortlist_test.cpp
+++ b/src/balancing/tests/shortlist_test.cpp
@@ -33,6 +33,7 @@
         servers[known->server.instance] = known;
     }
     std::vector<directory::ServerPtr> list;
+    list.reserve(servers.size());
     for (const auto &[instance, known] : servers) {
         list.push_back(known);
     }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -419,6 +419,104 @@
     TimePoint storeHealsAt_ = TimePoint::max();
 };
 
+/// A key is taken away while a part of the VMs can't reach the store, by a manifest too large for what VMs tell each other, and
+/// the list of servers goes on changing. The VMs are enough to be divided into groups.
+class TakenKeyRun
+{
+public:
+    explicit TakenKeyRun(unsigned seed)
+        : random_(seed)
+        , fleet_(GroupedEntries, 2, true)
+    {
+    }
+
+    void run()
+    {
+        fleet_.waitReady();
+        cutSome();
+        waitFor(milliseconds(200 + random_() % 800));
+        fleet_.putManifest(2, {"key-2"}, UnusedRoutes);
+        const TimePoint takenAt = now();
+        while (now() - takenAt < CutFor) {
+            fleet_.listWorker("worker-1", "ready");
+            askWithTakenKey();
+            waitFor(milliseconds(100 + random_() % 100));
+        }
+        for (const int entry : cut_) {
+            fleet_.setStorePathFault(entry, healed());
+        }
+        for (int i = 0; i < 20; i++) {
+            askWithTakenKey();
+            waitFor(milliseconds(100));
+        }
+        fleet_.caller.waitUntil([&] { return std::all_of(sent_.begin(), sent_.end(), [](const Sent &sent) { return sent.call->ended; }); }, "all end");
+        for (const Sent &sent : sent_) {
+            EXPECT_FALSE(sent.call->status == StatusOk && sent.at - takenAt > RevokeBound)
+                << "entry " << sent.entry << " serves the key " << (sent.at - takenAt).count() / 1000 << " ms after it was taken away";
+        }
+        for (int entry = 1; entry <= GroupedEntries; entry++) {
+            const auto isServed = [&] {
+                return fleet_.caller.call(fleet_.request(entry, "/safe/1", "after", "key-2"))->status == StatusOk;
+            };
+            EXPECT_TRUE(fleet_.caller.waitUntil(isServed, fmt::format("entry {} serves the other key", entry)));
+        }
+    }
+
+private:
+    static constexpr int GroupedEntries = 27;
+    static constexpr int UnusedRoutes = 300;
+    static constexpr milliseconds CutFor = seconds(10);
+    /// As in the fleet's settings.
+    static constexpr milliseconds RevokeBound = seconds(5);
+
+    struct Sent {
+        int entry = 0;
+        TimePoint at;
+        TestCallPtr call;
+    };
+
+    TimePoint now()
+    {
+        return fleet_.caller.loop().now();
+    }
+
+    void waitFor(milliseconds time)
+    {
+        const TimePoint end = now() + time;
+        fleet_.caller.waitUntil([&] { return now() >= end; }, "time passes");
+    }
+
+    static Json::Value healed()
+    {
+        Json::Value off = fault("cutToClient", false);
+        off["closeAll"] = true;
+        return off;
+    }
+
+    void cutSome()
+    {
+        for (int entry = 1; entry <= GroupedEntries; entry++) {
+            if (random_() % 3 == 0) {
+                fleet_.setStorePathFault(entry, fault("cutToClient"));
+                cut_.push_back(entry);
+            }
+        }
+    }
+
+    void askWithTakenKey()
+    {
+        for (const int entry : cut_) {
+            const std::string id = fmt::format("k{}", sent_.size());
+            sent_.push_back({entry, now(), fleet_.caller.start(fleet_.request(entry, "/safe/1", id, "key-1"))});
+        }
+    }
+
+    std::mt19937 random_;
+    RouteFleet fleet_;
+    std::vector<int> cut_; ///< Entry VMs that can't reach the store.
+    std::vector<Sent> sent_;
+};
+
 std::vector<unsigned> chosenSeeds()
 {
     const char *text = std::getenv("SOAK_SEEDS");
@@ -467,6 +565,11 @@
     EXPECT_GT(soak.mostInLimitWindow(), 0);
 }
 
+TEST_P(Soak, AKeyThatIsTakenAwayStopsWhileManyVmsLackTheStore)
+{
+    TakenKeyRun(GetParam()).run();
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, Soak, testing::ValuesIn(chosenSeeds()), [](const auto &info) { return std::to_string(info.param); });
 
 } // namespace
--- a/tests/support/routefleet.cpp
+++ b/tests/support/routefleet.cpp
@@ -1,6 +1,7 @@
 #include "support/routefleet.h"
 
 #include "http/json.h"
+#include "text/digest.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -223,7 +224,7 @@
     put("DELETE", storeUrl("/control/rows/servers/" + instance), "");
 }
 
-void RouteFleet::putManifest(int version, const std::vector<std::string> &keys)
+void RouteFleet::putManifest(int version, const std::vector<std::string> &keys, int unusedRoutes)
 {
     Json::Value manifest;
     manifest["version"] = version;
@@ -231,6 +232,9 @@
     manifest["routes"].append(routeJson("once", "unsafe", 1, false));
     manifest["routes"].append(routeJson("stream", "streaming", 3, true));
     manifest["routes"].append(routeJson("single", "streaming", 1, false));
+    for (int i = 0; i < unusedRoutes; i++) {
+        manifest["routes"].append(routeJson(text::randomHex(16), "safe", 1, false));
+    }
     manifest["services"][0]["name"] = "service";
     manifest["tenants"][0]["name"] = "customer";
     for (const std::string &key : keys) {
--- a/tests/support/routefleet.h
+++ b/tests/support/routefleet.h
@@ -27,7 +27,8 @@
     /// What the platform was told of the service's rollout; empty: nothing yet.
     std::string rolloutState();
     /// Writes the manifest: routes /safe/, /once/, /stream/ (resumable) and /single/ (a stream that may not be resumed).
-    void putManifest(int version, const std::vector<std::string> &keys);
+    /// @p unusedRoutes: more of them, with names that can't be packed into less.
+    void putManifest(int version, const std::vector<std::string> &keys, int unusedRoutes = 0);
     /// Writes @p bytes where the manifest stands.
     void putUnreadableManifest(const std::string &bytes);
     /// @p startedAt: Unix milliseconds that the worker gives as its start; 0: it gives none.
