--- a/src/rows/rowwatch.h
+++ b/src/rows/rowwatch.h
@@ -42,7 +42,8 @@
     void setGate(std::function<bool()> mayAsk);
     /// Whether @p news may lack changes that this watch does not know either.
     bool isGap(const TableNews &news) const;
-    /// Another VM's knowledge, which was complete at @p provenAt less its age. With a gap the store is asked at once.
+    /// Another VM's knowledge, which was complete at @p provenAt less its age. With a gap the store is asked at once; where the
+    /// rows differ at the same version nothing is confirmed, and the table is read anew.
     void offer(const TableNews &news, TimePoint provenAt);
     /// How long the store may hold the questions that are asked from now on.
     void setWait(Duration wait);
