Identify a caller's repeats in the log, and count arrivals at stand-in servers

The id of a request is new with each repeat of its caller; nothing said how much of the retry budget was left; servers counted runs, not arrivals or the time that they were given, and could not be ended by a request. Change: attempt_failed has fingerprint (customer, method, path, body) and retries_left. standin-worker notes each arrival with its time and the time left, and ends at a target of its own, at once or in the middle of a stream; RouteFleet collects arrivals. Ruled out: an identity by header fields, which differ between repeats.

--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -106,6 +106,8 @@
     ListVersion, ///< Version of the server list on which the decision was based.
     ListAgeMs, ///< Time since the server list was last known to be complete.
     Limited, ///< Number of backend servers skipped because of their request limits.
+    Fingerprint, ///< Hash that identifies a request and its repeats by the same customer.
+    RetriesLeft, ///< Retries that this VM may still send to the service, of the budget that all VMs share.
     Count,
     Last
 };
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -99,6 +99,8 @@
     "list_version",
     "list_age_ms",
     "limited",
+    "fingerprint",
+    "retries_left",
     "count"};
 
 } // namespace
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -174,6 +174,16 @@
     return route_->shares.front().service;
 }
 
+// NOTE Without the id, the deadline and other header fields, which differ between repeats.
+suspects::Fingerprint ForwardedRequest::fingerprint()
+{
+    if (!fingerprint_) {
+        const http1::RequestHead &head = exchange_->head();
+        fingerprint_ = suspects::fingerprintOf(customer_ ? customer_->name : std::string(), head.method + " " + head.target, exchange_->body());
+    }
+    return *fingerprint_;
+}
+
 Duration ForwardedRequest::timeLeft() const
 {
     return deadline_ - tools_.loop->now();
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -4,6 +4,7 @@
 #include "forwarding/forwarder.h"
 #include "http1/httpclient.h"
 #include "prefixindex/prefixrules.h"
+#include "suspects/suspecttypes.h"
 
 #include <optional>
 #include <set>
@@ -47,6 +48,7 @@
     void setDeadline();
     const std::string &chooseService() const;
     void dispatch();
+    suspects::Fingerprint fingerprint();
     /// The result of choosing a backend server, with figures for the log.
     struct Choice {
         directory::ServerPtr server; ///< Null if there is none.
@@ -139,6 +141,7 @@
     TimerId connectTimer_ = 0;
     TimerId silenceTimer_ = 0;
     TimePoint silenceDueAt_;
+    std::optional<suspects::Fingerprint> fingerprint_; ///< Computed when first needed: bodies may be large.
     std::optional<Attempt> attempt_;
     std::set<std::string> tried_; ///< Instances not to be chosen again: they failed or refused, or the run leaves them.
     VersionPick pick_ = VersionPick::Usual; ///< For the next send.
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -146,6 +146,7 @@
     if (isAnswered) {
         observeStep("whole");
     }
+    const std::string identity = isAnswered ? std::string() : fmt::format("{:016x}", fingerprint());
     tools_.log->write(isAnswered ? Event::RequestAnswered : Event::AttemptFailed,
         {{Attribute::Request, request_.id},
             {Attribute::Route, route_->name},
@@ -161,7 +162,9 @@
             {Attribute::Events, static_cast<std::int64_t>(splitter_.eventCount())},
             {Attribute::FirstEventMs, headSent_ ? toMilliseconds(firstEventAt_ - exchange_->startedAt()) : std::int64_t(-1)},
             {Attribute::TookMs, millisecondsSince(exchange_->startedAt())},
-            {Attribute::LeftMs, toMilliseconds(timeLeft())}});
+            {Attribute::LeftMs, toMilliseconds(timeLeft())},
+            {Attribute::Fingerprint, identity},
+            {Attribute::RetriesLeft, static_cast<std::int64_t>(forwarder_.budget(service_).credit())}});
 }
 
 void ForwardedRequest::logDispatch(const Choice &choice) const
--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <deque>
 #include <map>
 #include <optional>
@@ -26,6 +27,20 @@
 constexpr Duration LimitWindow = std::chrono::seconds(4);
 constexpr Duration LimitKnownAfter = std::chrono::seconds(3);
 
+/// The process ends when it starts to run a request whose target ends like this.
+constexpr std::string_view CrashingTarget = "/crash";
+/// It ends in the middle of a stream whose target ends like this, after as many events.
+constexpr std::string_view CrashingLateTarget = "/crash-late";
+constexpr int EventsBeforeCrash = 3;
+constexpr int CrashExitCode = 70;
+
+/// A request as it reached the worker, run or refused.
+struct Arrival {
+    std::string id;
+    TimePoint at; ///< By the machine's monotonic clock, which all processes share.
+    std::int64_t leftMs = 0; ///< The time that the request may take; -1: it did not say.
+};
+
 /// A limit on the requests of all callers together, named in each answer, and how it is kept.
 struct NamedLimit {
     std::string perSecond; ///< As it is written in answers; empty: none is named.
@@ -69,6 +84,7 @@
     bool silent = false; ///< Requests are taken and run; nothing is answered until this ends, and then they are broken off.
     std::vector<http1::ExchangePtr> held; ///< While silent.
     std::map<std::string, int> runs; ///< By request id.
+    std::vector<Arrival> arrivals;
     int cancelled = 0;
     int afterLeaving = 0; ///< Requests that came after the worker said that it leaves.
     bool leaving = false;
@@ -105,6 +121,25 @@
         return json;
     }
 
+    void noteArrival(const http1::ExchangePtr &exchange, const std::string &id)
+    {
+        const auto left = http1::parseNumber(exchange->head().fields.get("X-Deadline-Ms"));
+        arrivals.push_back({id, loop->now(), left ? static_cast<std::int64_t>(*left) : -1});
+    }
+
+    Json::Value arrivalReport() const
+    {
+        Json::Value json(Json::arrayValue);
+        for (const Arrival &arrival : arrivals) {
+            Json::Value entry;
+            entry["id"] = arrival.id;
+            entry["atUs"] = Json::Int64(arrival.at.time_since_epoch().count());
+            entry["leftMs"] = Json::Int64(arrival.leftMs);
+            json.append(std::move(entry));
+        }
+        return json;
+    }
+
     void control(const http1::ExchangePtr &exchange)
     {
         const Json::Value body = http::parseJson(exchange->body()).value_or(Json::Value(Json::objectValue));
@@ -142,7 +177,12 @@
             control(exchange);
             return;
         }
+        if (exchange->head().target == "/arrivals") {
+            exchange->answer(http1::ResponseHead{StatusOk, {}, {}}, http::writeJson(arrivalReport()));
+            return;
+        }
         const std::string id(exchange->head().fields.get("X-Attempt-Id"));
+        noteArrival(exchange, id);
         if (exchange->head().fields.get("X-Expect-Instance") != instance) {
             exchange->answer(head(StatusMisdirected, id), "");
             return;
@@ -156,6 +196,9 @@
             return;
         }
         runs[id]++;
+        if (exchange->head().target.ends_with(CrashingTarget)) {
+            std::_Exit(CrashExitCode);
+        }
         if (silent) {
             held.push_back(exchange);
             return;
@@ -199,6 +242,9 @@
             held.push_back(exchange);
             return;
         }
+        if (exchange->head().target.ends_with(CrashingLateTarget) && number > EventsBeforeCrash) {
+            std::_Exit(CrashExitCode);
+        }
         if (number > events) {
             exchange->end();
             return;
--- a/tests/support/routefleet.cpp
+++ b/tests/support/routefleet.cpp
@@ -170,11 +170,18 @@
 void RouteFleet::stopWorker(const std::string &instance)
 {
     lastCounts_[fmt::format("{}, start {}", instance, lastCounts_.size())] = controlWorker(instance);
+    const std::vector<Arrival> arrivals = arrivalsAt(instance);
+    lastArrivals_.insert(lastArrivals_.end(), arrivals.begin(), arrivals.end());
     workers_.at(instance)->signal(SIGKILL);
     workers_.at(instance)->wait();
     workers_.erase(instance);
 }
 
+void RouteFleet::dropEndedWorker(const std::string &instance)
+{
+    workers_.erase(instance);
+}
+
 void RouteFleet::restartWorker(const std::string &instance)
 {
     stopWorker(instance);
@@ -309,6 +316,25 @@
     return runs;
 }
 
+std::vector<Arrival> RouteFleet::arrivalsAt(const std::string &instance)
+{
+    std::vector<Arrival> arrivals;
+    for (const Json::Value &entry : put("GET", fmt::format("http://{}/arrivals", workerAddresses_.at(instance)), "")->json()) {
+        arrivals.push_back({entry["id"].asString(), TimePoint(Duration(entry["atUs"].asInt64())), milliseconds(entry["leftMs"].asInt64())});
+    }
+    return arrivals;
+}
+
+std::vector<Arrival> RouteFleet::allArrivals()
+{
+    std::vector<Arrival> arrivals = lastArrivals_;
+    for (const auto &[instance, process] : workers_) {
+        const std::vector<Arrival> current = arrivalsAt(instance);
+        arrivals.insert(arrivals.end(), current.begin(), current.end());
+    }
+    return arrivals;
+}
+
 void RouteFleet::waitReady()
 {
     for (const auto &[number, process] : entries_) {
--- a/tests/support/routefleet.h
+++ b/tests/support/routefleet.h
@@ -3,6 +3,7 @@
 #include "support/caller.h"
 #include "support/process.h"
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -10,6 +11,15 @@
 
 namespace cardamomlift::test {
 
+using std::chrono::milliseconds;
+
+/// A request as it reached a worker, run or refused.
+struct Arrival {
+    std::string id;
+    TimePoint at; ///< By the machine's monotonic clock, as the caller's loop has it.
+    milliseconds left{-1}; ///< The time that the request may take; -1: it did not say.
+};
+
 /// A small deployment that serves routes, on loopback: the store, workers and daemons, each a process of its own. Every
 /// process has an address of its own in 127.0.0.0/8, drawn from this test's process id, so ports are fixed and free.
 class RouteFleet
@@ -50,6 +60,8 @@
     int runsOf(const std::string &id);
     /// Runs of all requests, by id.
     std::map<std::string, int> allRuns();
+    /// All requests that have reached workers, also those that were replaced, in any order.
+    std::vector<Arrival> allArrivals();
     /// Waits until all entry VMs are ready and take calls.
     void waitReady();
     /// Waits until each entry VM knows of all the others.
@@ -60,6 +72,8 @@
     void setWorkerPathFault(const std::string &instance, const Json::Value &faults);
     /// Ends a worker with SIGKILL and starts another instance in its place.
     void replaceWorker(const std::string &instance, const std::string &successor);
+    /// Forgets a worker whose process has ended by itself; its entry stays in the list.
+    void dropEndedWorker(const std::string &instance);
     /// Ends a worker with SIGKILL and starts it again under its name; its entry says nothing of that yet.
     void restartWorker(const std::string &instance);
     std::vector<std::string> workerNames() const;
@@ -75,6 +89,7 @@
     void startWorker(const std::string &instance);
     void stopWorker(const std::string &instance);
     std::string storeUrl(const std::string &path) const;
+    std::vector<Arrival> arrivalsAt(const std::string &instance);
     TestCallPtr put(const std::string &method, const std::string &url, const std::string &body);
     /// A process with the proxy before it.
     struct Proxied {
@@ -86,6 +101,7 @@
     std::map<int, Proxied> storeProxies_; ///< By entry VM.
     std::map<std::string, Proxied> workerProxies_;
     std::map<std::string, Json::Value> lastCounts_; ///< Of workers that have ended, by name and start.
+    std::vector<Arrival> lastArrivals_; ///< At workers that have ended.
     int workerHosts_ = 0;
     int base_; ///< Of the addresses: 127.(base / 256).(base % 256).host
     std::unique_ptr<Process> store_;
