--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -32,6 +32,10 @@
     ServerTrusted, ///< The server is treated like the others again.
     ServerSilent, ///< A request has waited long, and nothing has been received from its server in the meantime.
     ServerLimited, ///< The server set, changed or removed its limit on requests.
+    ServerCrashSuspected, ///< A connection to the server broke while it ran requests, here or at another VM.
+    ServerCrashConfirmed, ///< The server's entry is gone, and it had not been draining.
+    ServerCrashRetracted, ///< The server has sent something since.
+    RequestBlocked, ///< A request that crashes servers is refused from now on.
     TableRead, ///< A snapshot of a store table was read.
     StoreRestored, ///< The store was restored from an older copy; what was written after that copy is lost.
     StoreLost,
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -9,6 +9,7 @@
 #include "forwarding/serverlimitgate.h"
 #include "forwarding/serverpool.h"
 #include "forwarding/servicedemand.h"
+#include "forwarding/suspectgate.h"
 #include "forwarding/versiongate.h"
 #include "forwarding/wireformat.h"
 #include "http1/httpserver.h"
@@ -38,6 +39,7 @@
     std::shared_ptr<AllowanceGate> allowances; ///< May be null: no allowance is enforced.
     std::shared_ptr<UsageMeter> usage; ///< May be null.
     std::shared_ptr<VersionGate> versions; ///< May be null: all server versions are treated alike.
+    std::shared_ptr<SuspectGate> suspects; ///< May be null: requests that crash servers are not found.
     std::shared_ptr<ServerLimitGate> limits; ///< May be null: rate limits advertised by servers are ignored.
     /// Number of entry VMs that share the retry budget; empty while it is not known.
     std::function<std::optional<std::size_t>()> vmCount;
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -41,7 +41,7 @@
     std::vector<std::string_view> dependencies() const override
     {
         return {
-            "manifest", "directory", "eventlog", "metrics", "platform", "presence", "allowance", "usage", "outliers", "prefixindex", "rollout", "serverlimits"};
+            "manifest", "directory", "eventlog", "metrics", "platform", "presence", "allowance", "usage", "outliers", "prefixindex", "rollout", "serverlimits", "routesuspects"};
     }
 
     Result<void> start(Context &context) override
@@ -60,6 +60,7 @@
         tools.usage = context.find<UsageMeter>();
         tools.versions = context.find<VersionGate>();
         tools.limits = context.find<ServerLimitGate>();
+        tools.suspects = context.find<SuspectGate>();
         tools.demand = std::make_shared<ServiceDemand>();
         context.set(tools.demand);
         context.get<presence::Presence>()->addStatusContributor(
--- a/src/forwarding/forwardingtypes.h
+++ b/src/forwarding/forwardingtypes.h
@@ -25,6 +25,8 @@
     AttemptsUsed, ///< The request may be retried, but has failed as often as the route allows.
     OutcomeUnknown, ///< The request may have run and must not be retried.
     StreamBroken,
+    CrashesServers, ///< The request crashes the servers that run it, and is blocked.
+    CrashCauseUnknown, ///< The request may have crashed servers; until this is decided it does not run.
     Draining,
     Count
 };
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -210,6 +210,9 @@
         onDeadline();
         return;
     }
+    if (!checkCrashes()) {
+        return;
+    }
     const Choice choice = chooseServer();
     if (pick_ == VersionPick::OnTrial && choice.pick != pick_) {
         tools_.versions->cancelTrial(service_, route_->name);
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -48,7 +48,14 @@
     void setDeadline();
     const std::string &chooseService() const;
     void dispatch();
+    /// Ends the request if it must not run because of crashes of servers. Returns false in that case.
+    bool checkCrashes();
     suspects::Fingerprint fingerprint();
+    /// How far the answer is, for the crash of its server.
+    std::uint64_t crashPosition() const;
+    void noteConnectionBroken();
+    void noteServerActive();
+    void noteProgress(std::uint64_t position);
     /// The result of choosing a backend server, with figures for the log.
     struct Choice {
         directory::ServerPtr server; ///< Null if there is none.
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -10,7 +10,7 @@
     attempt_->answer = tools_.wire.readAnswer(head);
     attempt_->head = std::move(head);
     const std::string &instance = attempt_->server->server.instance;
-    tools_.pool->noteActivity(instance);
+    noteServerActive();
     if (attempt_->answer.load) {
         tools_.pool->noteLoadReport(instance, *attempt_->answer.load);
     }
@@ -22,7 +22,7 @@
 void ForwardedRequest::onBody(std::string_view bytes)
 {
     attempt_->lastByteAt = tools_.loop->now();
-    tools_.pool->noteActivity(attempt_->server->server.instance);
+    noteServerActive();
     if (!attempt_->hasFirstByte) {
         attempt_->hasFirstByte = true;
         attempt_->firstByteAt = attempt_->lastByteAt;
@@ -54,6 +54,7 @@
         exchange_->begin(tools_.wire.writeAnswer(attempt_->head));
     }
     exchange_->send(events);
+    noteProgress(splitter_.eventCount());
 }
 
 void ForwardedRequest::onComplete()
@@ -72,6 +73,7 @@
 
 void ForwardedRequest::onStreamEnd()
 {
+    noteProgress(suspects::CompleteAnswer);
     const std::string remainder = splitter_.incompleteEvent();
     if (!headSent_) {
         // An answer that ends without a whole event is forwarded as it is.
@@ -97,6 +99,7 @@
         onBroken("unsigned");
         return;
     }
+    noteProgress(suspects::CompleteAnswer);
     noteOutcome(status >= StatusServerError ? outliers::Ending::ServerError : outliers::Ending::Answered);
     if (status >= StatusServerError) {
         runs_++;
@@ -159,6 +162,7 @@
     }
     noteOutcome(outliers::Ending::NoAnswer);
     if (failure == http1::CallFailure::Broken) {
+        noteConnectionBroken();
         onBroken("broken");
         return;
     }
--- /dev/null
+++ b/src/forwarding/internal/forwardedrequestcrashes.cpp
@@ -0,0 +1,74 @@
+#include "forwarding/internal/forwardedrequest.h"
+#include "forwarding/internal/forwardingconstants.h"
+
+namespace cardamomlift::forwarding {
+
+namespace {
+
+/// The cause of a crash is known when the server's entry is removed, after some seconds of silence; a harmless request may be
+/// cleared much sooner.
+constexpr Duration CauseUnknownRetryAfter = std::chrono::milliseconds(1000);
+/// The position at a crash of a stream that did not start with its first event. Only a complete answer clears it.
+constexpr std::uint64_t UnknownPosition = suspects::CompleteAnswer / 2;
+
+} // namespace
+
+bool ForwardedRequest::checkCrashes()
+{
+    if (!tools_.suspects || !tools_.suspects->hasCrashes()) {
+        return true;
+    }
+    const suspects::SuspectState state = tools_.suspects->stateOf(fingerprint());
+    const bool isBlocked = state == suspects::SuspectState::Blocked;
+    if (!isBlocked && state != suspects::SuspectState::Undecided) {
+        return true;
+    }
+    const FailureReason reason = isBlocked ? FailureReason::CrashesServers : FailureReason::CrashCauseUnknown;
+    if (runs_ > 0) {
+        fail(StatusBadGateway, reason);
+    } else if (isBlocked) {
+        // A status that callers do not repeat: the request would not be answered any other time either.
+        refuse(StatusBadRequest, reason, Duration(0));
+    } else {
+        refuse(StatusUnavailable, reason, CauseUnknownRetryAfter);
+    }
+    return false;
+}
+
+std::uint64_t ForwardedRequest::crashPosition() const
+{
+    return request_.lastEventId.empty() ? splitter_.eventCount() : UnknownPosition;
+}
+
+void ForwardedRequest::noteConnectionBroken()
+{
+    if (tools_.suspects) {
+        tools_.suspects->noteConnectionBroken(attempt_->server->server.instance, {fingerprint(), crashPosition(), tools_.loop->now() - attempt_->sentAt});
+    }
+}
+
+// A 421 comes from another process at the server's address.
+void ForwardedRequest::noteServerActive()
+{
+    if (attempt_->head.status == StatusMisdirected) {
+        return;
+    }
+    tools_.pool->noteActivity(attempt_->server->server.instance);
+    if (tools_.suspects) {
+        tools_.suspects->noteServerActive(attempt_->server->server.instance);
+    }
+}
+
+void ForwardedRequest::noteProgress(std::uint64_t position)
+{
+    if (!tools_.suspects) {
+        return;
+    }
+    const bool isComplete = position == suspects::CompleteAnswer;
+    const bool mayClear = tools_.suspects->hasCrashes() && request_.lastEventId.empty();
+    if (isComplete || mayClear) {
+        tools_.suspects->noteProgress({fingerprint(), position});
+    }
+}
+
+} // namespace cardamomlift::forwarding
--- a/src/forwarding/internal/forwardingconstants.h
+++ b/src/forwarding/internal/forwardingconstants.h
@@ -9,8 +9,10 @@
 
 inline constexpr int StatusOk = 200;
 inline constexpr int StatusSuccessEnd = 300;
+inline constexpr int StatusBadRequest = 400;
 inline constexpr int StatusUnauthorized = 401;
 inline constexpr int StatusNotFound = 404;
+inline constexpr int StatusMisdirected = 421;
 inline constexpr int StatusTooManyRequests = 429;
 inline constexpr int StatusServerError = 500;
 inline constexpr int StatusBadGateway = 502;
--- a/src/forwarding/internal/forwardingtypes.cpp
+++ b/src/forwarding/internal/forwardingtypes.cpp
@@ -19,6 +19,8 @@
     "attempts_used",
     "outcome_unknown",
     "stream_broken",
+    "crashes_servers",
+    "crash_cause_unknown",
     "draining"};
 
 } // namespace
--- /dev/null
+++ b/src/forwarding/tests/forwardercrashes_test.cpp
@@ -0,0 +1,143 @@
+#include "forwarding/tests/forwardertest.h"
+
+namespace cardamomlift::forwarding {
+
+namespace {
+
+using suspects::SuspectState;
+
+/// SuspectGate whose answer is set by the test.
+class FakeSuspectGate : public SuspectGate
+{
+public:
+    bool hasCrashes() const override
+    {
+        return state != SuspectState::Trusted;
+    }
+
+    SuspectState stateOf(suspects::Fingerprint) override
+    {
+        return state;
+    }
+
+    void noteConnectionBroken(const std::string &instance, const suspects::Progress &request) override
+    {
+        broken.emplace_back(instance, request);
+        state = stateAfterCrash;
+    }
+
+    void noteServerActive(const std::string &instance) override
+    {
+        active.push_back(instance);
+    }
+
+    void noteProgress(const suspects::Progress &request) override
+    {
+        progress.push_back(request);
+    }
+
+    SuspectState state = SuspectState::Trusted;
+    SuspectState stateAfterCrash = SuspectState::Trusted;
+    std::vector<std::pair<std::string, suspects::Progress>> broken;
+    std::vector<std::string> active;
+    std::vector<suspects::Progress> progress;
+};
+
+class ForwarderCrashesTest : public ForwarderTest
+{
+protected:
+    ForwarderCrashesTest()
+    {
+        tools_.suspects = gate_;
+        restartForwarder();
+        clock_.advance(ForwardingSettings().retryWindow);
+        manifests_->confirm(loop_->now());
+    }
+
+    std::shared_ptr<FakeSuspectGate> gate_ = std::make_shared<FakeSuspectGate>();
+};
+
+TEST_F(ForwarderCrashesTest, ABlockedRequestGetsAFinalAnswerAndItsAllowanceBack)
+{
+    gate_->state = SuspectState::Blocked;
+    const auto client = call(request("/once/1"));
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "400"); }));
+    EXPECT_EQ(client->received().find("Retry-After"), std::string::npos);
+    EXPECT_EQ(arrivals(), 0);
+    EXPECT_EQ(allowances_->taken, 0);
+}
+
+TEST_F(ForwarderCrashesTest, ARequestWhoseGuiltIsNotDecidedIsToldToComeBack)
+{
+    gate_->state = SuspectState::Undecided;
+    const auto client = call(request("/once/1"));
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "503"); }));
+    EXPECT_NE(client->received().find("Retry-After"), std::string::npos);
+    EXPECT_EQ(arrivals(), 0);
+}
+
+TEST_F(ForwarderCrashesTest, ASuspectStillRuns)
+{
+    gate_->state = SuspectState::Suspect;
+    const auto client = call(request("/once/1"));
+    nextRequest()->answer(signedHead(), "answer");
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "200"); }));
+}
+
+TEST_F(ForwarderCrashesTest, ARequestThatIsBlockedAfterItHasRunIsNotToldAsNotRun)
+{
+    gate_->stateAfterCrash = SuspectState::Blocked;
+    const auto client = call(request("/safe/1"));
+    nextRequest()->abort();
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "502"); }));
+    EXPECT_EQ(arrivals(), 1);
+}
+
+TEST_F(ForwarderCrashesTest, ABrokenConnectionIsReportedWithTheSameFingerprintForEachRepeat)
+{
+    for (const char *id : {"id1", "id2"}) {
+        const auto client = call("POST /once/1 HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: " + std::string(id) + "\r\nX-Deadline-Ms: 900" + id[2]
+            + "\r\nX-Credential: key\r\nContent-Length: 4\r\n\r\nbody");
+        nextRequest()->abort();
+        ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "502"); }));
+    }
+    const auto other = call(request("/once/2"));
+    nextRequest()->abort();
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*other, "502"); }));
+    ASSERT_EQ(gate_->broken.size(), 3U);
+    EXPECT_EQ(gate_->broken[0].second.fingerprint, gate_->broken[1].second.fingerprint);
+    EXPECT_NE(gate_->broken[0].second.fingerprint, gate_->broken[2].second.fingerprint);
+}
+
+TEST_F(ForwarderCrashesTest, ACompleteAnswerIsReportedAndA421IsNoSignOfItsServer)
+{
+    const auto client = call(request("/once/1"));
+    http1::ResponseHead misdirected;
+    misdirected.status = 421;
+    nextRequest()->answer(std::move(misdirected), "");
+    const auto second = nextRequest();
+    EXPECT_TRUE(gate_->active.empty());
+    second->answer(signedHead(), "answer");
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "200"); }));
+    ASSERT_EQ(gate_->progress.size(), 1U);
+    EXPECT_EQ(gate_->progress[0].position, suspects::CompleteAnswer);
+    EXPECT_FALSE(gate_->active.empty());
+    EXPECT_TRUE(gate_->broken.empty());
+}
+
+TEST_F(ForwarderCrashesTest, AStreamsPositionAtACrashIsItsNumberOfEvents)
+{
+    const auto client = call(request("/stream/1"));
+    const auto forwarded = nextRequest();
+    forwarded->begin(signedHead());
+    forwarded->send("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    ASSERT_TRUE(runUntil([&] { return client->received().find("data: b") != std::string::npos; }));
+    forwarded->abort();
+    ASSERT_TRUE(runUntil([&] { return client->hasEnded(); }));
+    ASSERT_EQ(gate_->broken.size(), 1U);
+    EXPECT_EQ(gate_->broken[0].second.position, 2U);
+}
+
+} // namespace
+
+} // namespace cardamomlift::forwarding
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -1,6 +1,7 @@
 #include "presence/statusformat.h"
 
 #include "presence/status.pb.h"
+#include "suspects/crashupdateformat.h"
 
 #include <xxhash.h>
 #include <zlib.h>
@@ -17,6 +18,9 @@
 /// that unpack to more than this are tried again with the maximum size.
 constexpr std::size_t ExpectedRatio = 10;
 
+/// Ages in a status are as of its arrival, so the time of writing is left out of its crash update.
+constexpr WallTime StatusSendTime{};
+
 std::uint32_t toMicros(Duration duration)
 {
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, UINT32_MAX));
@@ -223,8 +227,8 @@
             entry->set_per_second(limit.perSecond);
         }
     }
-    for (const std::uint64_t suspect : status.suspects) {
-        out.add_suspects(suspect);
+    if (!status.crashUpdate.empty()) {
+        out.set_crash_update(suspects::writeCrashUpdate(status.crashUpdate, StatusSendTime));
     }
     for (const RolloutReport &report : status.rollouts) {
         addRollout(out, report);
@@ -292,7 +296,7 @@
     for (const auto &entry : in.limits()) {
         status.limits.push_back({entry.server(), entry.has_per_second(), entry.per_second(), std::chrono::milliseconds(entry.age_ms())});
     }
-    status.suspects.assign(in.suspects().begin(), in.suspects().end());
+    status.crashUpdate = suspects::readCrashUpdate(in.crash_update(), StatusSendTime).value_or(suspects::CrashUpdate());
     for (const auto &entry : in.rollouts()) {
         status.rollouts.push_back(readRollout(entry));
     }
--- a/src/presence/internal/statussummary.cpp
+++ b/src/presence/internal/statussummary.cpp
@@ -18,6 +18,10 @@
 /// Maximum number of prefixes in a summary. A group of 24 VMs with five requests a second each uses about 100 new ones between
 /// two summaries.
 constexpr std::size_t MaxPrefixes = 96;
+/// Bounds on the crashes of servers and suspected requests in a summary; a group seldom sees more within seconds.
+constexpr std::size_t MaxCrashReports = 64;
+constexpr std::size_t MaxBlockedRequests = 32;
+constexpr std::size_t MaxClearedRequests = 128;
 
 /// A member from which nothing was received for longer has probably stopped. Its leader lease and its store state are left out
 /// of the summary, so that other VMs do not wait for it.
@@ -131,6 +135,34 @@
     }
 }
 
+// Members report what they have seen in the last seconds; the same server may have crashed under requests of several VMs.
+void addCrashUpdate(suspects::CrashUpdate &sum, const MemberStatus &member)
+{
+    const suspects::CrashUpdate &update = member.status->crashUpdate;
+    for (suspects::CrashUpdate::CrashReport report : update.crashes) {
+        report.age += member.age;
+        sum.crashes.push_back(std::move(report));
+    }
+    for (suspects::CrashUpdate::AliveServer server : update.alive) {
+        server.age += member.age;
+        sum.alive.push_back(std::move(server));
+    }
+    sum.cleared.insert(sum.cleared.end(), update.cleared.begin(), update.cleared.end());
+    sum.blocked.insert(sum.blocked.end(), update.blocked.begin(), update.blocked.end());
+}
+
+// The members share what they know of blocked requests, so most are blocked at several VMs.
+void limitCrashUpdate(suspects::CrashUpdate &sum)
+{
+    keepLargest(sum.crashes, MaxCrashReports, [](const auto &report) { return -report.age; });
+    keepLargest(sum.blocked, sum.blocked.size(), [](const auto &request) { return std::pair(request.fingerprint, request.remaining); });
+    const auto end = std::unique(sum.blocked.begin(), sum.blocked.end(), [](const auto &a, const auto &b) { return a.fingerprint == b.fingerprint; });
+    sum.blocked.erase(end, sum.blocked.end());
+    keepLargest(sum.blocked, MaxBlockedRequests, [](const auto &request) { return request.remaining; });
+    sum.cleared.resize(std::min(sum.cleared.size(), MaxClearedRequests));
+    keepLargest(sum.alive, MaxCrashReports, [](const auto &server) { return -server.age; });
+}
+
 template<typename Entry>
 void appendValues(std::vector<Entry> &values, const std::map<std::uint64_t, Entry> &entries)
 {
@@ -153,7 +185,6 @@
     std::map<std::uint64_t, ServerWork> serverWork;
     std::map<std::uint64_t, ServerLimit> limits;
     std::set<std::pair<std::uint64_t, std::uint64_t>> prefixes;
-    std::set<std::uint64_t> suspects;
     for (const MemberStatus &member : members) {
         const Status &status = *member.status;
         summary.membersHash ^= nameHash(status.instance + std::to_string(status.incarnation));
@@ -169,7 +200,7 @@
         for (const PrefixUse &use : status.prefixes) {
             prefixes.emplace(use.prefix, use.server);
         }
-        suspects.insert(status.suspects.begin(), status.suspects.end());
+        addCrashUpdate(summary.crashUpdate, member);
     }
     appendValues(summary.demands, demands);
     appendValues(summary.services, loads);
@@ -177,6 +208,7 @@
     keepLargest(summary.serverWork, MaxServers, [](const ServerWork &work) { return work.waitingTokens; });
     appendValues(summary.limits, limits);
     keepLargest(summary.limits, MaxLimits, [](const ServerLimit &limit) { return -limit.age; });
+    limitCrashUpdate(summary.crashUpdate);
     for (const auto &[server, view] : combined) {
         summary.outcomes.push_back(sumOutcomes(view));
     }
@@ -186,7 +218,6 @@
             summary.prefixes.push_back({prefix, server});
         }
     }
-    summary.suspects.assign(suspects.begin(), suspects.end());
     return summary;
 }
 
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -3,6 +3,7 @@
 #include "http1/http1types.h"
 #include "kernel/clock.h"
 #include "rows/rowtypes.h"
+#include "suspects/suspecttypes.h"
 
 #include <cstdint>
 #include <map>
@@ -99,7 +100,7 @@
     std::vector<PrefixUse> prefixes; ///< Used in the last seconds.
     std::vector<ServerWork> serverWork; ///< Only servers with waiting work.
     std::vector<ServerLimit> limits; ///< Only servers that have announced a limit, or the end of one.
-    std::vector<std::uint64_t> suspects; ///< Hashes of requests suspected of crashing servers.
+    suspects::CrashUpdate crashUpdate; ///< Recent crashes of servers, and requests that are blocked as their cause.
     std::vector<RolloutReport> rollouts; ///< Rollouts in progress.
     bool holdsLease = false; ///< It holds the leader lease.
     bool isStoreUnavailable = false; ///< Its calls to the store for the lease fail, so it can't take the lease.
--- a/src/presence/statussummary.h
+++ b/src/presence/statussummary.h
@@ -14,7 +14,7 @@
 };
 
 /// Summarizes the statuses of a group in one status for the VMs of other groups: sums of demands, loads, outcomes and work, the
-/// newest limit of each server, the union of prefixes and suspects. It leaves out the counts of usage and rollouts, which the
+/// newest limit of each server, the union of prefixes, crashes and blocked requests. It leaves out the counts of usage and rollouts, which the
 /// holder of the leader lease gets from each VM, and what belongs to the sending VM: its name, sequence and tables. Sums over
 /// different sets of members are not comparable.
 Status summarize(std::string group, std::span<const MemberStatus> members);
--- a/src/suspects/crashevidence.h
+++ b/src/suspects/crashevidence.h
@@ -14,19 +14,35 @@
 /// Time by which the reports of the other VMs about a crash have arrived. No request is blocked earlier.
 inline constexpr Duration ReportSettleTime = std::chrono::milliseconds(300);
 
-/// Counts the crashes that @p fingerprint may have caused. Crashes with a request in flight for which @p isBlocked returns
-/// true have a known cause and are not counted.
-CrashEvidence evidenceAgainst(std::span<const Crash> crashes, Fingerprint fingerprint, const std::function<bool(Fingerprint)> &isBlocked);
+/// If callers repeat requests, a request is restricted only if it was sent again after this many crashes less one: copies that run
+/// at the same time may all be hit by one failure of several servers.
+inline constexpr std::size_t MinSuccessiveCrashes = 2;
+
+/// If callers repeat requests: this long after a crash, another request that was in flight at fewer crashes is no possible cause
+/// of it any more. Its caller has given it up, so nothing will ever clear it.
+inline constexpr Duration BystanderTime = std::chrono::seconds(10);
+
+/// The known crashes, and how to judge them.
+struct CrashHistory {
+    std::span<const Crash> crashes;
+    std::function<bool(Fingerprint)> isBlocked; ///< Crashes with a blocked request in flight have a known cause.
+    RepeatSource repeats = RepeatSource::System;
+    TimePoint now;
+};
+
+/// Counts the crashes that @p fingerprint may have caused, except those with a known cause. If callers repeat requests, another
+/// request in flight is a possible cause only if it was in flight at another crash too.
+CrashEvidence evidenceAgainst(const CrashHistory &history, Fingerprint fingerprint);
 
 /// Whether @p fingerprint is next to run in isolation although it has reached MaxCrashes: other requests that were in flight
 /// at the same crashes may be the cause, and of all of them it is the least suspected one (fewest crashes, then the furthest
 /// answer). VMs that know the same crashes choose the same request, so the undecided requests run one after the other and
 /// none of them waits forever.
-bool mayProbe(std::span<const Crash> crashes, Fingerprint fingerprint, const std::function<bool(Fingerprint)> &isBlocked);
+bool mayProbe(const CrashHistory &history, Fingerprint fingerprint);
 
 /// Derives the state of a request from the evidence. A request that crashes every server is never cleared. So if there is no
 /// other possible cause of a crash, either this request was the cause, or the server failed for an unrelated reason, which is
 /// unlikely to happen repeatedly to the same request.
-SuspectState suspectState(const CrashEvidence &evidence, TimePoint now);
+SuspectState suspectState(const CrashEvidence &evidence, RepeatSource repeats, TimePoint now);
 
 } // namespace cardamomlift::suspects
--- a/src/suspects/crashstore.h
+++ b/src/suspects/crashstore.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "suspects/crashevidence.h"
 #include "suspects/suspecttypes.h"
 
 #include <optional>
 #include <span>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace cardamomlift::suspects {
@@ -14,9 +16,16 @@
 class CrashStore
 {
 public:
+    explicit CrashStore(RepeatSource repeats = RepeatSource::System);
     /// Records that @p inFlight were in flight on @p instance when it crashed. Reports of one crash are merged. Returns false
     /// if nothing changed.
     bool addCrash(const std::string &instance, TimePoint at, std::span<const Progress> inFlight);
+    /// Like addCrash(), for connections that broke: it counts as a crash for UnconfirmedRetention, or for good if it is confirmed.
+    bool addUnconfirmedCrash(const std::string &instance, TimePoint at, std::span<const Progress> inFlight);
+    /// Confirms the crash of @p instance. Returns false if there is none to confirm.
+    bool confirm(const std::string &instance);
+    /// The servers with an unconfirmed crash, with its time.
+    std::vector<std::pair<std::string, TimePoint>> unconfirmed() const;
     /// Records the progress of a request. It is cleared of each known crash that its answer has clearly passed. Returns false
     /// if nothing changed.
     bool clear(const Progress &progress);
@@ -26,6 +35,13 @@
     bool retract(const std::string &instance);
     /// Blocks a request until @p until. Returns false if it is already blocked.
     bool block(Fingerprint fingerprint, TimePoint until);
+    /// Prolongs the block of a request, by MinExtension or more: the end as another VM gives it is a little later each time that it
+    /// is passed on.
+    void extendBlock(Fingerprint fingerprint, TimePoint until);
+    /// The crashes that @p fingerprint may have caused, not older than @p maxAge, as reports about this request alone.
+    std::vector<CrashUpdate::CrashReport> reportsAbout(Fingerprint fingerprint, Duration maxAge, TimePoint now) const;
+    /// The blocked requests, those that are blocked for longest first.
+    std::vector<std::pair<Fingerprint, TimePoint>> blockedRequests() const;
     /// How @p fingerprint may run. Does not block it by itself.
     SuspectState stateOf(Fingerprint fingerprint, TimePoint now) const;
     /// Time of the latest crash of which @p fingerprint may be the cause; the clock's origin if there is none.
@@ -42,7 +58,10 @@
     std::size_t crashes() const;
 
 private:
-    bool mergeCrash(const std::string &instance, TimePoint at, std::span<const Progress> inFlight);
+    bool mergeCrash(const Crash &added, std::span<const Progress> inFlight);
+    CrashHistory history(TimePoint now) const;
+    void noteFurthest(const Progress &progress);
+    RepeatSource repeats_;
     std::vector<Crash> crashes_; ///< In the order in which they were first reported.
     /// The furthest position of each request. Gossip is not ordered, so progress may be received before the report of the
     /// crash that it clears.
@@ -53,5 +72,9 @@
 
 /// How long a crash is remembered and a request stays blocked.
 inline constexpr Duration CrashRetention = std::chrono::minutes(10);
+/// How long a crash is remembered that was not confirmed: the platform removes the entry of a silent server much sooner.
+inline constexpr Duration UnconfirmedRetention = std::chrono::seconds(20);
+/// Shorter extensions of a block are ignored.
+inline constexpr Duration MinExtension = std::chrono::seconds(1);
 
 } // namespace cardamomlift::suspects
--- a/src/suspects/internal/crashevidence.cpp
+++ b/src/suspects/internal/crashevidence.cpp
@@ -3,7 +3,11 @@
 #include "text/digest.h"
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
+#include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace cardamomlift::suspects {
 
@@ -27,15 +31,47 @@
         crash.inFlight.begin(), crash.inFlight.end(), [&](const InFlightRequest &request) { return request.fingerprint == fingerprint && !request.cleared; });
 }
 
-Rank rankOf(std::span<const Crash> crashes, Fingerprint fingerprint, const std::function<bool(Fingerprint)> &isBlocked)
+Rank rankOf(const CrashHistory &history, Fingerprint fingerprint)
 {
     std::uint64_t furthest = 0;
-    for (const Crash &crash : crashes) {
+    for (const Crash &crash : history.crashes) {
         for (const InFlightRequest &request : crash.inFlight) {
             furthest = request.fingerprint == fingerprint ? std::max(furthest, request.position) : furthest;
         }
     }
-    return {evidenceAgainst(crashes, fingerprint, isBlocked).crashes, CompleteAnswer - furthest, fingerprint};
+    return {evidenceAgainst(history, fingerprint).crashes, CompleteAnswer - furthest, fingerprint};
+}
+
+/// The number of crashes with an uncleared copy of each request in flight.
+std::unordered_map<Fingerprint, std::size_t> countUncleared(std::span<const Crash> crashes)
+{
+    std::unordered_map<Fingerprint, std::size_t> counts;
+    for (const Crash &crash : crashes) {
+        for (const InFlightRequest &request : crash.inFlight) {
+            counts[request.fingerprint] += request.cleared ? 0 : 1;
+        }
+    }
+    return counts;
+}
+
+/// When one request was sent to a server, and when that server crashed.
+struct Run {
+    TimePoint startedAt;
+    TimePoint crashedAt;
+};
+
+std::size_t countSuccessive(std::vector<Run> runs)
+{
+    std::sort(runs.begin(), runs.end(), [](const Run &a, const Run &b) { return a.crashedAt < b.crashedAt; });
+    std::size_t count = 0;
+    std::optional<TimePoint> last;
+    for (const Run &run : runs) {
+        if (!last || run.startedAt >= *last) {
+            last = run.crashedAt;
+            count++;
+        }
+    }
+    return count;
 }
 
 } // namespace
@@ -45,38 +81,54 @@
     return text::stableHash(body, text::stableHash(target, text::stableHash(customer)));
 }
 
-CrashEvidence evidenceAgainst(std::span<const Crash> crashes, Fingerprint fingerprint, const std::function<bool(Fingerprint)> &isBlocked)
+CrashEvidence evidenceAgainst(const CrashHistory &history, Fingerprint fingerprint)
 {
+    const bool onlyRecurring = history.repeats == RepeatSource::Callers;
+    const auto uncleared = onlyRecurring ? countUncleared(history.crashes) : std::unordered_map<Fingerprint, std::size_t>();
+    const auto isPossibleCause = [&](const InFlightRequest &other, const Crash &crash) {
+        if (other.cleared || !onlyRecurring) {
+            return !other.cleared;
+        }
+        const std::size_t crashes = uncleared.at(other.fingerprint);
+        return crashes > 1 && (crashes >= uncleared.at(fingerprint) || history.now - crash.at < BystanderTime);
+    };
     CrashEvidence evidence;
-    for (const Crash &crash : crashes) {
-        bool wasInFlight = false;
+    std::vector<Run> runs;
+    for (const Crash &crash : history.crashes) {
+        if (!isInFlight(crash, fingerprint)) {
+            continue;
+        }
         bool isExplained = false;
         bool hasOtherCauses = false;
+        Duration ranFor{0};
         for (const InFlightRequest &request : crash.inFlight) {
             if (request.fingerprint == fingerprint) {
-                wasInFlight = !request.cleared;
+                ranFor = request.ranFor;
                 continue;
             }
-            isExplained = isExplained || isBlocked(request.fingerprint);
-            hasOtherCauses = hasOtherCauses || !request.cleared;
+            isExplained = isExplained || history.isBlocked(request.fingerprint);
+            hasOtherCauses = hasOtherCauses || isPossibleCause(request, crash);
         }
-        if (!wasInFlight || isExplained) {
+        if (isExplained) {
             continue;
         }
         evidence.crashes++;
-        evidence.soleSuspectCrashes += hasOtherCauses ? 0 : 1;
+        evidence.confirmedCrashes += crash.isConfirmed ? 1 : 0;
+        evidence.soleSuspectCrashes += crash.isConfirmed && !hasOtherCauses ? 1 : 0;
         evidence.latest = std::max(evidence.latest, crash.at);
+        runs.push_back({crash.at - ranFor, crash.at});
     }
+    evidence.successiveCrashes = countSuccessive(std::move(runs));
     return evidence;
 }
 
-bool mayProbe(std::span<const Crash> crashes, Fingerprint fingerprint, const std::function<bool(Fingerprint)> &isBlocked)
+bool mayProbe(const CrashHistory &history, Fingerprint fingerprint)
 {
-    const auto own = rankOf(crashes, fingerprint, isBlocked);
+    const auto own = rankOf(history, fingerprint);
     bool hasOtherSuspects = false;
-    for (const Crash &crash : crashes) {
+    for (const Crash &crash : history.crashes) {
         const bool isExplained =
-            std::any_of(crash.inFlight.begin(), crash.inFlight.end(), [&](const InFlightRequest &one) { return isBlocked(one.fingerprint); });
+            std::any_of(crash.inFlight.begin(), crash.inFlight.end(), [&](const InFlightRequest &one) { return history.isBlocked(one.fingerprint); });
         if (!isInFlight(crash, fingerprint) || isExplained) {
             continue;
         }
@@ -85,7 +137,7 @@
                 continue;
             }
             hasOtherSuspects = true;
-            if (rankOf(crashes, request.fingerprint, isBlocked) < own) {
+            if (rankOf(history, request.fingerprint) < own) {
                 return false;
             }
         }
@@ -93,17 +145,19 @@
     return hasOtherSuspects;
 }
 
-SuspectState suspectState(const CrashEvidence &evidence, TimePoint now)
+SuspectState suspectState(const CrashEvidence &evidence, RepeatSource repeats, TimePoint now)
 {
     if (evidence.crashes == 0) {
         return SuspectState::Trusted;
     }
-    if (evidence.crashes < MaxCrashes) {
+    const bool isSuccessive = repeats == RepeatSource::System || evidence.successiveCrashes >= MinSuccessiveCrashes;
+    if (evidence.crashes < MaxCrashes || !isSuccessive) {
         return SuspectState::Suspect;
     }
     const bool hasSoleSuspectCrashes = evidence.soleSuspectCrashes >= MinSoleSuspectCrashes;
     const bool isSettled = now - evidence.latest >= ReportSettleTime;
-    return hasSoleSuspectCrashes && isSettled ? SuspectState::Blocked : SuspectState::Undecided;
+    const bool isProved = evidence.confirmedCrashes >= MaxCrashes && hasSoleSuspectCrashes;
+    return isProved && isSettled ? SuspectState::Blocked : SuspectState::Undecided;
 }
 
 } // namespace cardamomlift::suspects
--- a/src/suspects/internal/crashstore.cpp
+++ b/src/suspects/internal/crashstore.cpp
@@ -25,7 +25,7 @@
         const bool known =
             std::any_of(crash.inFlight.begin(), crash.inFlight.end(), [&](const InFlightRequest &one) { return one.fingerprint == added.fingerprint; });
         if (!known && crash.inFlight.size() < MaxInFlight) {
-            crash.inFlight.push_back({added.fingerprint, added.position, false});
+            crash.inFlight.push_back({added.fingerprint, added.position, false, added.ranFor});
             isChanged = true;
         }
     }
@@ -34,10 +34,44 @@
 
 } // namespace
 
+CrashStore::CrashStore(RepeatSource repeats)
+    : repeats_(repeats)
+{
+}
+
+bool CrashStore::addUnconfirmedCrash(const std::string &instance, TimePoint at, std::span<const Progress> inFlight)
+{
+    version_++;
+    return mergeCrash({instance, at, {}, false}, inFlight);
+}
+
+bool CrashStore::confirm(const std::string &instance)
+{
+    bool isChanged = false;
+    for (Crash &crash : crashes_) {
+        const bool isAwaited = crash.instance == instance && !crash.isConfirmed;
+        crash.isConfirmed = crash.isConfirmed || isAwaited;
+        isChanged = isChanged || isAwaited;
+    }
+    version_ += isChanged ? 1 : 0;
+    return isChanged;
+}
+
+std::vector<std::pair<std::string, TimePoint>> CrashStore::unconfirmed() const
+{
+    std::vector<std::pair<std::string, TimePoint>> servers;
+    for (const Crash &crash : crashes_) {
+        if (!crash.isConfirmed) {
+            servers.emplace_back(crash.instance, crash.at);
+        }
+    }
+    return servers;
+}
+
 bool CrashStore::addCrash(const std::string &instance, TimePoint at, std::span<const Progress> inFlight)
 {
     version_++;
-    const bool isChanged = mergeCrash(instance, at, inFlight);
+    const bool isChanged = mergeCrash({instance, at, {}, true}, inFlight);
     for (const Progress &progress : inFlight) {
         const auto early = furthestPositions_.find(progress.fingerprint);
         if (early != furthestPositions_.end()) {
@@ -47,29 +81,28 @@
     return isChanged;
 }
 
-bool CrashStore::mergeCrash(const std::string &instance, TimePoint at, std::span<const Progress> inFlight)
+bool CrashStore::mergeCrash(const Crash &added, std::span<const Progress> inFlight)
 {
     for (Crash &crash : crashes_) {
-        const Duration apart = crash.at > at ? crash.at - at : at - crash.at;
-        if (crash.instance == instance && apart < SameCrashWindow) {
+        const Duration apart = crash.at > added.at ? crash.at - added.at : added.at - crash.at;
+        // Where callers repeat requests, each start of a server is an instance of its own, which crashes once.
+        if (crash.instance == added.instance && (apart < SameCrashWindow || repeats_ == RepeatSource::Callers)) {
             return addInFlight(crash, inFlight);
         }
     }
     if (crashes_.size() >= MaxStoredCrashes) {
         crashes_.erase(crashes_.begin());
     }
-    crashes_.push_back({instance, at, {}});
+    crashes_.push_back(added);
     addInFlight(crashes_.back(), inFlight);
     return true;
 }
 
 bool CrashStore::clear(const Progress &progress)
 {
-    if (furthestPositions_.size() >= MaxFurthestPositions) {
-        furthestPositions_.clear();
+    if (repeats_ == RepeatSource::System) {
+        noteFurthest(progress);
     }
-    std::uint64_t &furthest = furthestPositions_[progress.fingerprint];
-    furthest = std::max(furthest, progress.position);
     bool isChanged = false;
     for (Crash &crash : crashes_) {
         for (InFlightRequest &request : crash.inFlight) {
@@ -84,6 +117,15 @@
     return isChanged;
 }
 
+void CrashStore::noteFurthest(const Progress &progress)
+{
+    if (furthestPositions_.size() >= MaxFurthestPositions) {
+        furthestPositions_.clear();
+    }
+    std::uint64_t &furthest = furthestPositions_[progress.fingerprint];
+    furthest = std::max(furthest, progress.position);
+}
+
 std::optional<std::uint64_t> CrashStore::clearingPosition(Fingerprint fingerprint) const
 {
     std::optional<std::uint64_t> from;
@@ -112,17 +154,50 @@
     return blockedUntil_.emplace(fingerprint, until).second;
 }
 
+void CrashStore::extendBlock(Fingerprint fingerprint, TimePoint until)
+{
+    const auto found = blockedUntil_.find(fingerprint);
+    if (found != blockedUntil_.end() && until >= found->second + MinExtension) {
+        found->second = until;
+    }
+}
+
+std::vector<CrashUpdate::CrashReport> CrashStore::reportsAbout(Fingerprint fingerprint, Duration maxAge, TimePoint now) const
+{
+    std::vector<CrashUpdate::CrashReport> reports;
+    for (const Crash &crash : crashes_) {
+        for (const InFlightRequest &request : crash.inFlight) {
+            if (request.fingerprint == fingerprint && !request.cleared && now - crash.at <= maxAge) {
+                reports.push_back({crash.instance, now - crash.at, {{fingerprint, request.position, request.ranFor}}});
+            }
+        }
+    }
+    return reports;
+}
+
+std::vector<std::pair<Fingerprint, TimePoint>> CrashStore::blockedRequests() const
+{
+    std::vector<std::pair<Fingerprint, TimePoint>> blocked(blockedUntil_.begin(), blockedUntil_.end());
+    std::sort(blocked.begin(), blocked.end(), [](const auto &a, const auto &b) { return a.second > b.second; });
+    return blocked;
+}
+
+CrashHistory CrashStore::history(TimePoint now) const
+{
+    return {crashes_, [this](Fingerprint fingerprint) { return isBlocked(fingerprint); }, repeats_, now};
+}
+
 SuspectState CrashStore::stateOf(Fingerprint fingerprint, TimePoint now) const
 {
     if (isBlocked(fingerprint)) {
         return SuspectState::Blocked;
     }
-    const CrashEvidence evidence = evidenceAgainst(crashes_, fingerprint, [this](Fingerprint other) { return isBlocked(other); });
-    const SuspectState state = suspectState(evidence, now);
+    const CrashEvidence evidence = evidenceAgainst(history(now), fingerprint);
+    const SuspectState state = suspectState(evidence, repeats_, now);
+    const bool isConfirmed = evidence.confirmedCrashes == evidence.crashes;
     const bool hasSoleSuspectCrashes = evidence.soleSuspectCrashes >= MinSoleSuspectCrashes;
     const bool isSettled = now - evidence.latest >= ReportSettleTime;
-    if (state == SuspectState::Undecided && !hasSoleSuspectCrashes && isSettled
-        && mayProbe(crashes_, fingerprint, [this](Fingerprint other) { return isBlocked(other); })) {
+    if (state == SuspectState::Undecided && isConfirmed && !hasSoleSuspectCrashes && isSettled && mayProbe(history(now), fingerprint)) {
         return SuspectState::Suspect;
     }
     return state;
@@ -130,7 +205,7 @@
 
 TimePoint CrashStore::latestCrash(Fingerprint fingerprint) const
 {
-    return evidenceAgainst(crashes_, fingerprint, [this](Fingerprint other) { return isBlocked(other); }).latest;
+    return evidenceAgainst(history(TimePoint()), fingerprint).latest;
 }
 
 bool CrashStore::isBlocked(Fingerprint fingerprint) const
@@ -165,7 +240,7 @@
 
 void CrashStore::expire(TimePoint now)
 {
-    std::erase_if(crashes_, [&](const Crash &crash) { return now - crash.at > CrashRetention; });
+    std::erase_if(crashes_, [&](const Crash &crash) { return now - crash.at > (crash.isConfirmed ? CrashRetention : UnconfirmedRetention); });
     std::erase_if(blockedUntil_, [&](const auto &entry) { return entry.second <= now; });
     if (crashes_.empty()) {
         furthestPositions_.clear();
--- a/src/suspects/internal/crashupdateformat.cpp
+++ b/src/suspects/internal/crashupdateformat.cpp
@@ -12,6 +12,7 @@
 {
     out.set_fingerprint(progress.fingerprint);
     out.set_position(progress.position);
+    out.set_ran_us(static_cast<std::uint64_t>(progress.ranFor.count()));
 }
 
 Duration readDuration(std::uint64_t microseconds)
@@ -36,8 +37,9 @@
     for (const Progress &progress : update.cleared) {
         writeProgress(progress, *out.add_cleared());
     }
-    for (const std::string &instance : update.alive) {
-        out.add_alive(instance);
+    for (const CrashUpdate::AliveServer &server : update.alive) {
+        out.add_alive(server.instance);
+        out.add_alive_age_us(static_cast<std::uint64_t>(server.age.count()));
     }
     for (const CrashUpdate::BlockedRequest &request : update.blocked) {
         wire::Conviction &conviction = *out.add_convictions();
@@ -60,14 +62,17 @@
     for (const wire::CrashReport &report : in.crashes()) {
         CrashUpdate::CrashReport crash{report.instance(), readDuration(report.age_us()) + sinceWritten, {}};
         for (const wire::Progress &progress : report.present()) {
-            crash.inFlight.push_back({progress.fingerprint(), progress.position()});
+            crash.inFlight.push_back({progress.fingerprint(), progress.position(), readDuration(progress.ran_us())});
         }
         update.crashes.push_back(std::move(crash));
     }
     for (const wire::Progress &progress : in.cleared()) {
         update.cleared.push_back({progress.fingerprint(), progress.position()});
     }
-    update.alive.assign(in.alive().begin(), in.alive().end());
+    for (int i = 0; i < in.alive_size(); i++) {
+        const std::uint64_t age = i < in.alive_age_us_size() ? in.alive_age_us(i) : 0;
+        update.alive.push_back({in.alive(i), readDuration(age) + sinceWritten});
+    }
     for (const wire::Conviction &conviction : in.convictions()) {
         update.blocked.push_back({conviction.fingerprint(), readDuration(conviction.left_us()) - sinceWritten});
     }
--- /dev/null
+++ b/src/suspects/internal/routesuspecttracker.cpp
@@ -0,0 +1,310 @@
+#include "suspects/routesuspecttracker.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace cardamomlift::suspects {
+
+namespace {
+
+using eventlog::Attribute;
+using eventlog::Event;
+
+/// What a VM has seen is in its statuses for this long, so that others miss it only if all of these are lost.
+constexpr Duration ShareTime = std::chrono::seconds(5);
+/// Bytes received this long after a crash were not in transit when the server crashed: the server is alive.
+constexpr Duration AliveMargin = std::chrono::milliseconds(500);
+/// A request that was answered this short a time before a crash is not its cause.
+constexpr Duration AnswerMemory = std::chrono::seconds(2);
+/// Crashes not older than this are told again, whoever saw them, while a request has to wait because of them: a VM that was
+/// started meanwhile would run it. Less than UnconfirmedRetention, so that VMs do not keep a crash alive by telling each other.
+constexpr Duration MaxRetoldAge = std::chrono::seconds(10);
+constexpr std::size_t MaxRetoldRequests = 16;
+/// Bounds on one status.
+constexpr std::size_t MaxSharedRuns = 256;
+constexpr std::size_t MaxSharedCleared = 64;
+constexpr std::size_t MaxSharedAlive = 16;
+constexpr std::size_t MaxSharedBlocked = 32;
+
+template<class T>
+void keepNewest(std::vector<T> &entries, std::size_t maxCount)
+{
+    if (entries.size() > maxCount) {
+        entries.erase(entries.begin(), entries.end() - static_cast<std::ptrdiff_t>(maxCount));
+    }
+}
+
+std::int64_t toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+RouteSuspectTracker::RouteSuspectTracker(RouteSuspectTools tools)
+    : tools_(std::move(tools))
+{
+}
+
+std::shared_ptr<RouteSuspectTracker> RouteSuspectTracker::create(RouteSuspectTools tools)
+{
+    return std::shared_ptr<RouteSuspectTracker>(new RouteSuspectTracker(std::move(tools)));
+}
+
+const CrashStore &RouteSuspectTracker::store() const
+{
+    return store_;
+}
+
+bool RouteSuspectTracker::hasCrashes() const
+{
+    return !store_.empty();
+}
+
+SuspectState RouteSuspectTracker::stateOf(Fingerprint fingerprint)
+{
+    const TimePoint now = tools_.loop->now();
+    SuspectState state = store_.stateOf(fingerprint, now);
+    if (state == SuspectState::Undecided) {
+        review();
+        state = store_.stateOf(fingerprint, now);
+    }
+    if (state == SuspectState::Blocked) {
+        block(fingerprint);
+    } else if (state == SuspectState::Undecided) {
+        noteHeld(fingerprint, now);
+    }
+    return state;
+}
+
+void RouteSuspectTracker::noteHeld(Fingerprint fingerprint, TimePoint now)
+{
+    if (heldAt_.size() < MaxRetoldRequests || heldAt_.contains(fingerprint)) {
+        heldAt_[fingerprint] = now;
+    }
+}
+
+void RouteSuspectTracker::block(Fingerprint fingerprint)
+{
+    const TimePoint until = tools_.loop->now() + CrashRetention;
+    if (!store_.block(fingerprint, until)) {
+        store_.extendBlock(fingerprint, until);
+        return;
+    }
+    const std::string id = fmt::format("{:016x}", fingerprint);
+    tools_.log->write(Event::RequestBlocked,
+        {{Attribute::Fingerprint, id}, {Attribute::Source, "evidence"}, {Attribute::Count, static_cast<std::int64_t>(store_.crashes())}});
+    tools_.metrics->add("requests_blocked_total");
+}
+
+void RouteSuspectTracker::noteConnectionBroken(const std::string &instance, const Progress &request)
+{
+    const auto known = tools_.directory->find(instance);
+    // A server that leaves ends its connections, and so does one whose entry is gone already.
+    if (!known || known->isLeaving || known->missingSince) {
+        return;
+    }
+    const TimePoint now = tools_.loop->now();
+    const bool isKnown = unconfirmedCrashOf(instance).has_value();
+    store_.addUnconfirmedCrash(instance, now, std::span(&request, 1));
+    brokenRuns_.push_back({now, {instance, request}});
+    keepNewest(brokenRuns_, MaxSharedRuns);
+    clearIfAnswered(std::span(&request, 1), now);
+    if (!isKnown) {
+        logCrash(Event::ServerCrashSuspected, instance, now, "connection");
+    }
+}
+
+void RouteSuspectTracker::noteServerActive(const std::string &instance)
+{
+    activeAt_[instance] = tools_.loop->now();
+}
+
+void RouteSuspectTracker::noteProgress(const Progress &request)
+{
+    if (request.position == CompleteAnswer) {
+        answeredAt_[request.fingerprint] = tools_.loop->now();
+    }
+    if (!store_.empty() && store_.clear(request)) {
+        shareCleared(request);
+    }
+}
+
+void RouteSuspectTracker::shareCleared(const Progress &request)
+{
+    cleared_.push_back({tools_.loop->now(), request});
+    keepNewest(cleared_, MaxSharedCleared);
+}
+
+void RouteSuspectTracker::clearIfAnswered(std::span<const Progress> inFlight, TimePoint crashedAt)
+{
+    for (const Progress &request : inFlight) {
+        const auto answered = answeredAt_.find(request.fingerprint);
+        const Progress complete{request.fingerprint, CompleteAnswer};
+        if (answered != answeredAt_.end() && answered->second >= crashedAt - AnswerMemory && store_.clear(complete)) {
+            shareCleared(complete);
+        }
+    }
+}
+
+CrashUpdate RouteSuspectTracker::updateToShare()
+{
+    forgetOld();
+    const TimePoint now = tools_.loop->now();
+    CrashUpdate update;
+    for (const Shared<BrokenRun> &run : brokenRuns_) {
+        const auto found =
+            std::find_if(update.crashes.begin(), update.crashes.end(), [&](const auto &report) { return report.instance == run.value.instance; });
+        CrashUpdate::CrashReport &report =
+            found != update.crashes.end() ? *found : update.crashes.emplace_back(CrashUpdate::CrashReport{run.value.instance, now - run.at, {}});
+        report.inFlight.push_back(run.value.request);
+    }
+    for (const auto &[fingerprint, heldAt] : heldAt_) {
+        const auto reports = store_.reportsAbout(fingerprint, MaxRetoldAge, now);
+        update.crashes.insert(update.crashes.end(), reports.begin(), reports.end());
+    }
+    for (const Shared<Progress> &progress : cleared_) {
+        update.cleared.push_back(progress.value);
+    }
+    for (const Shared<std::string> &server : alive_) {
+        if (const auto active = activeAt_.find(server.value); active != activeAt_.end()) {
+            update.alive.push_back({server.value, now - active->second});
+        }
+    }
+    for (const auto &[fingerprint, until] : store_.blockedRequests()) {
+        if (update.blocked.size() < MaxSharedBlocked && until > now) {
+            update.blocked.push_back({fingerprint, until - now});
+        }
+    }
+    return update;
+}
+
+void RouteSuspectTracker::applyPeerUpdate(const std::string &source, const CrashUpdate &update)
+{
+    const TimePoint now = tools_.loop->now();
+    for (const CrashUpdate::CrashReport &report : update.crashes) {
+        const TimePoint at = now - report.age;
+        if (isAlive(report.instance, at)) {
+            shareAlive(report.instance);
+            continue;
+        }
+        const bool isKnown = unconfirmedCrashOf(report.instance).has_value();
+        if (store_.addUnconfirmedCrash(report.instance, at, report.inFlight) && !isKnown) {
+            logCrash(Event::ServerCrashSuspected, report.instance, at, source);
+        }
+        clearIfAnswered(report.inFlight, at);
+    }
+    for (const Progress &progress : update.cleared) {
+        store_.clear(progress);
+    }
+    for (const CrashUpdate::AliveServer &server : update.alive) {
+        const auto crashedAt = unconfirmedCrashOf(server.instance);
+        if (crashedAt && now - server.age >= *crashedAt + AliveMargin) {
+            retract(server.instance, *crashedAt, source);
+        }
+    }
+    for (const CrashUpdate::BlockedRequest &request : update.blocked) {
+        const TimePoint until = now + std::min(request.remaining, CrashRetention);
+        if (!store_.block(request.fingerprint, until)) {
+            store_.extendBlock(request.fingerprint, until);
+            continue;
+        }
+        const std::string id = fmt::format("{:016x}", request.fingerprint);
+        tools_.log->write(
+            Event::RequestBlocked, {{Attribute::Fingerprint, id}, {Attribute::Source, source}, {Attribute::LeftMs, toMilliseconds(request.remaining)}});
+    }
+}
+
+void RouteSuspectTracker::tick()
+{
+    review();
+    forgetOld();
+    store_.expire(tools_.loop->now());
+    std::erase_if(activeAt_, [this](const auto &entry) { return !tools_.directory->find(entry.first); });
+}
+
+void RouteSuspectTracker::review()
+{
+    for (const auto &[instance, at] : store_.unconfirmed()) {
+        if (isAlive(instance, at)) {
+            shareAlive(instance);
+            retract(instance, at, "activity");
+        } else if (isDraining(instance)) {
+            retract(instance, at, "list");
+        } else if (isGone(instance, at) && store_.confirm(instance)) {
+            logCrash(Event::ServerCrashConfirmed, instance, at, "list");
+            tools_.metrics->add("server_crashes_total");
+        }
+    }
+}
+
+void RouteSuspectTracker::forgetOld()
+{
+    const TimePoint oldest = tools_.loop->now() - ShareTime;
+    const auto isOld = [oldest](const auto &shared) {
+        return shared.at < oldest;
+    };
+    std::erase_if(brokenRuns_, isOld);
+    std::erase_if(cleared_, isOld);
+    std::erase_if(alive_, isOld);
+    std::erase_if(heldAt_, [oldest](const auto &entry) { return entry.second < oldest; });
+    std::erase_if(answeredAt_, [now = tools_.loop->now()](const auto &entry) { return now - entry.second > AnswerMemory + ShareTime; });
+}
+
+void RouteSuspectTracker::retract(const std::string &instance, TimePoint crashedAt, std::string_view source)
+{
+    store_.retract(instance);
+    std::erase_if(brokenRuns_, [&](const auto &run) { return run.value.instance == instance; });
+    logCrash(Event::ServerCrashRetracted, instance, crashedAt, source);
+}
+
+void RouteSuspectTracker::shareAlive(const std::string &instance)
+{
+    std::erase_if(alive_, [&](const auto &shared) { return shared.value == instance; });
+    alive_.push_back({tools_.loop->now(), instance});
+    keepNewest(alive_, MaxSharedAlive);
+}
+
+std::optional<TimePoint> RouteSuspectTracker::unconfirmedCrashOf(const std::string &instance) const
+{
+    for (const auto &[server, at] : store_.unconfirmed()) {
+        if (server == instance) {
+            return at;
+        }
+    }
+    return std::nullopt;
+}
+
+bool RouteSuspectTracker::isAlive(const std::string &instance, TimePoint crashedAt) const
+{
+    const auto active = activeAt_.find(instance);
+    return active != activeAt_.end() && active->second >= crashedAt + AliveMargin;
+}
+
+bool RouteSuspectTracker::isDraining(const std::string &instance) const
+{
+    const auto known = tools_.directory->find(instance);
+    return known && known->server.state == directory::ServerState::Draining;
+}
+
+// The list must be known as of a time after the crash: a VM that has just started knows no servers yet.
+bool RouteSuspectTracker::isGone(const std::string &instance, TimePoint crashedAt) const
+{
+    const TimePoint now = tools_.loop->now();
+    const auto listAge = tools_.directory->listAge(now);
+    return !tools_.directory->find(instance) && listAge && now - *listAge >= crashedAt;
+}
+
+void RouteSuspectTracker::logCrash(eventlog::Event event, const std::string &instance, TimePoint at, std::string_view source) const
+{
+    const auto listAge = tools_.directory->listAge(tools_.loop->now());
+    tools_.log->write(event,
+        {{Attribute::Server, instance},
+            {Attribute::Source, source},
+            {Attribute::AgeMs, toMilliseconds(tools_.loop->now() - at)},
+            {Attribute::ListVersion, static_cast<std::int64_t>(tools_.directory->listVersion().number)},
+            {Attribute::ListAgeMs, listAge ? toMilliseconds(*listAge) : std::int64_t(-1)}});
+}
+
+} // namespace cardamomlift::suspects
--- a/src/suspects/internal/suspecttracker.cpp
+++ b/src/suspects/internal/suspecttracker.cpp
@@ -141,7 +141,7 @@
         attempt.mayRetractCrash = false;
         store_.retract(attempt.instance);
         CrashUpdate update;
-        update.alive.push_back(attempt.instance);
+        update.alive.push_back({attempt.instance, Duration(0)});
         queueUpdate(std::move(update));
     }
 }
@@ -233,8 +233,8 @@
     for (const Progress &progress : update.cleared) {
         store_.clear(progress);
     }
-    for (const std::string &instance : update.alive) {
-        store_.retract(instance);
+    for (const CrashUpdate::AliveServer &server : update.alive) {
+        store_.retract(server.instance);
     }
     for (const CrashUpdate::BlockedRequest &request : update.blocked) {
         store_.block(request.fingerprint, now + std::min(request.remaining, CrashRetention));
--- /dev/null
+++ b/src/suspects/routesuspecttracker.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "directory/directory.h"
+#include "eventlog/eventlog.h"
+#include "forwarding/suspectgate.h"
+#include "kernel/eventloop.h"
+#include "metrics/metrics.h"
+#include "suspects/crashstore.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace cardamomlift::suspects {
+
+/// Dependencies of a RouteSuspectTracker.
+struct RouteSuspectTools {
+    EventLoop *loop = nullptr;
+    std::shared_ptr<directory::Directory> directory;
+    std::shared_ptr<eventlog::EventLog> log;
+    std::shared_ptr<metrics::Metrics> metrics;
+};
+
+/// Finds the requests of routes that crash servers. A broken connection is only a sign of a crash: it counts for good once the
+/// server's entry is gone from the platform's list without having been draining, and no more once the server sends anything.
+/// VMs share broken connections, answered suspects, servers that are alive, and blocked requests in their statuses.
+class RouteSuspectTracker : public forwarding::SuspectGate
+{
+public:
+    static std::shared_ptr<RouteSuspectTracker> create(RouteSuspectTools tools);
+
+    bool hasCrashes() const override;
+    SuspectState stateOf(Fingerprint fingerprint) override;
+    void noteConnectionBroken(const std::string &instance, const Progress &request) override;
+    void noteServerActive(const std::string &instance) override;
+    void noteProgress(const Progress &request) override;
+
+    /// What this VM has seen in the last seconds, and the blocked requests that it knows of; for its next status.
+    CrashUpdate updateToShare();
+    /// Takes in the update in the status of the VM or group @p source.
+    void applyPeerUpdate(const std::string &source, const CrashUpdate &update);
+    /// Confirms, retracts and forgets crashes. To be called a few times a second.
+    void tick();
+    const CrashStore &store() const;
+
+private:
+    /// Something that this VM has seen and tells the others for a while.
+    template<class T>
+    struct Shared {
+        TimePoint at;
+        T value;
+    };
+    /// A request that was in flight at a crash.
+    struct BrokenRun {
+        std::string instance;
+        Progress request;
+    };
+    explicit RouteSuspectTracker(RouteSuspectTools tools);
+    void review();
+    void forgetOld();
+    void clearIfAnswered(std::span<const Progress> inFlight, TimePoint crashedAt);
+    void shareCleared(const Progress &request);
+    void retract(const std::string &instance, TimePoint crashedAt, std::string_view source);
+    void shareAlive(const std::string &instance);
+    std::optional<TimePoint> unconfirmedCrashOf(const std::string &instance) const;
+    bool isAlive(const std::string &instance, TimePoint crashedAt) const;
+    bool isDraining(const std::string &instance) const;
+    bool isGone(const std::string &instance, TimePoint crashedAt) const;
+    void noteHeld(Fingerprint fingerprint, TimePoint now);
+    void block(Fingerprint fingerprint);
+    void logCrash(eventlog::Event event, const std::string &instance, TimePoint at, std::string_view source) const;
+
+    RouteSuspectTools tools_;
+    CrashStore store_{RepeatSource::Callers};
+    std::unordered_map<Fingerprint, TimePoint> answeredAt_; ///< Recent complete answers.
+    std::unordered_map<Fingerprint, TimePoint> heldAt_; ///< Requests that had to wait, by the last time.
+    std::unordered_map<std::string, TimePoint> activeAt_; ///< By instance: when something was last received from the server.
+    std::vector<Shared<BrokenRun>> brokenRuns_;
+    std::vector<Shared<Progress>> cleared_;
+    std::vector<Shared<std::string>> alive_; ///< Instances.
+};
+
+} // namespace cardamomlift::suspects
--- a/src/suspects/suspecttypes.h
+++ b/src/suspects/suspecttypes.h
@@ -14,11 +14,18 @@
 
 Fingerprint fingerprintOf(std::string_view customer, std::string_view target, std::string_view body);
 
+/// Who sends a request again after a crash.
+enum class RepeatSource {
+    System, ///< The VMs, until it is answered: a harmless request is cleared of each crash sooner or later.
+    Callers, ///< Its callers, if at all, at any VM, and maybe again after an answer: a harmless request may never be cleared.
+};
+
 /// A request that was in flight on a server when it crashed.
 struct InFlightRequest {
     Fingerprint fingerprint = 0;
     std::uint64_t position = 0; ///< Tokens of its answer received by then.
     bool cleared = false; ///< It has progressed on another server since, so it is not the cause.
+    Duration ranFor{0}; ///< Time from the send to the crash; 0 if it is not known.
 };
 
 /// A crash of a server, seen as broken connections of a server that had not been announced as leaving.
@@ -26,12 +33,16 @@
     std::string instance;
     TimePoint at;
     std::vector<InFlightRequest> inFlight; ///< Merged from the reports of all VMs.
+    bool isConfirmed = true; ///< If false, only connections broke: the server may still be alive.
 };
 
 /// Crashes of which one request may be the cause.
 struct CrashEvidence {
     std::size_t crashes = 0; ///< Crashes with the request in flight and not cleared, and without a blocked request.
-    std::size_t soleSuspectCrashes = 0; ///< Those of them for which all other requests in flight are cleared.
+    std::size_t confirmedCrashes = 0; ///< Those of them that are confirmed.
+    std::size_t soleSuspectCrashes = 0; ///< Confirmed ones of which no other request in flight is a possible cause.
+    /// The longest series of these crashes in which the request was sent to each server after the crash before.
+    std::size_t successiveCrashes = 0;
     TimePoint latest; ///< Time of the latest of these crashes.
 };
 
@@ -47,6 +58,7 @@
 struct Progress {
     Fingerprint fingerprint = 0;
     std::uint64_t position = 0;
+    Duration ranFor{0}; ///< In the report of a crash: see InFlightRequest.
 };
 
 /// The position of a complete answer.
@@ -60,6 +72,11 @@
         Duration age{0};
         std::vector<Progress> inFlight; ///< Requests in flight with their positions.
     };
+    /// A server that was reported as crashed and still answers.
+    struct AliveServer {
+        std::string instance;
+        Duration age{0}; ///< Time since something was last received from it.
+    };
     /// A request to be refused (wire::Conviction).
     struct BlockedRequest {
         Fingerprint fingerprint = 0;
@@ -67,7 +84,7 @@
     };
     std::vector<CrashReport> crashes;
     std::vector<Progress> cleared;
-    std::vector<std::string> alive; ///< Servers that were reported as crashed and still answer.
+    std::vector<AliveServer> alive;
     std::vector<BlockedRequest> blocked;
 
     bool empty() const
--- /dev/null
+++ b/src/suspects/tests/routesuspecttracker_test.cpp
@@ -0,0 +1,322 @@
+#include "suspects/routesuspecttracker.h"
+
+#include <gtest/gtest.h>
+
+namespace cardamomlift::suspects {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Fingerprint Poison = 1;
+constexpr Fingerprint Harmless = 2;
+
+/// The tracker of one VM, with the list of servers that it reads.
+class Vm
+{
+public:
+    explicit Vm(EventLoop &loop)
+        : loop_(loop)
+    {
+        RouteSuspectTools tools;
+        tools.loop = &loop;
+        tools.directory = directory;
+        tools.log = eventlog::EventLog::create(loop.clock(), "vm", [](std::string_view) { return true; });
+        tools.metrics = metrics::Metrics::create();
+        tracker = RouteSuspectTracker::create(std::move(tools));
+    }
+
+    void list(const std::string &instance, directory::ServerState state = directory::ServerState::Ready)
+    {
+        directory::BackendServer server;
+        server.name = instance;
+        server.instance = instance;
+        server.service = "service";
+        server.state = state;
+        directory->put(std::move(server));
+    }
+
+    /// Removes the entry of a server from a list that is known to be complete now.
+    void unlist(const std::string &instance)
+    {
+        directory->remove(instance, loop_.now());
+        directory->noteListComplete({0, ++listVersion_}, loop_.now());
+    }
+
+    void breakConnection(const std::string &instance, Fingerprint fingerprint, Duration ranFor = milliseconds(10))
+    {
+        tracker->noteConnectionBroken(instance, {fingerprint, 0, ranFor});
+    }
+
+    SuspectState stateOf(Fingerprint fingerprint)
+    {
+        return tracker->stateOf(fingerprint);
+    }
+
+    std::shared_ptr<directory::Directory> directory = directory::Directory::create();
+    std::shared_ptr<RouteSuspectTracker> tracker;
+
+private:
+    EventLoop &loop_;
+    std::uint64_t listVersion_ = 0;
+};
+
+class RouteSuspectTrackerTest : public testing::Test
+{
+protected:
+    RouteSuspectTrackerTest()
+    {
+        for (int i = 1; i <= 5; i++) {
+            vm_.list("server-" + std::to_string(i));
+            peer_.list("server-" + std::to_string(i));
+        }
+    }
+
+    void advance(Duration time)
+    {
+        clock_.advance(time);
+        vm_.tracker->tick();
+        peer_.tracker->tick();
+    }
+
+    /// The request runs on the server, which crashes; its entry is removed some seconds later.
+    void crash(const std::string &instance, Fingerprint fingerprint)
+    {
+        vm_.breakConnection(instance, fingerprint);
+        advance(seconds(4));
+        vm_.unlist(instance);
+        advance(milliseconds(500));
+    }
+
+    void exchange()
+    {
+        peer_.tracker->applyPeerUpdate("vm", vm_.tracker->updateToShare());
+        vm_.tracker->applyPeerUpdate("peer", peer_.tracker->updateToShare());
+    }
+
+    ManualClock clock_;
+    std::unique_ptr<EventLoop> loop_ = std::move(EventLoop::create(clock_).value());
+    Vm vm_{*loop_};
+    Vm peer_{*loop_};
+};
+
+TEST_F(RouteSuspectTrackerTest, ThreeCrashesInSuccessionBlockARequest)
+{
+    crash("server-1", Poison);
+    crash("server-2", Poison);
+    EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Suspect);
+    crash("server-3", Poison);
+    EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Blocked);
+    EXPECT_EQ(vm_.stateOf(Harmless), SuspectState::Trusted);
+}
+
+TEST_F(RouteSuspectTrackerTest, ARequestDoesNotRunUntilItsThreeCrashesAreConfirmedOrNot)
+{
+    for (const char *server : {"server-1", "server-2", "server-3"}) {
+        vm_.breakConnection(server, Poison);
+        advance(milliseconds(300));
+    }
+    EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Undecided);
+    advance(UnconfirmedRetention);
+    EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Trusted) << "no entry was removed, so no server has crashed";
+}
+
+TEST_F(RouteSuspectTrackerTest, AServerThatSendsSomethingLaterHasNotCrashed)
+{
+    for (const char *server : {"server-1", "server-2", "server-3"}) {
+        vm_.breakConnection(server, Harmless);
+        advance(milliseconds(600));
+        vm_.tracker->noteServerActive(server);
+    }
+    advance(milliseconds(500));
+    EXPECT_EQ(vm_.stateOf(Harmless), SuspectState::Trusted);
+}
+
+TEST_F(RouteSuspectTrackerTest, AnotherVmRetractsTheCrashOfAServerThatAnswersIt)
+{
+    for (const char *server : {"server-1", "server-2", "server-3"}) {
+        vm_.breakConnection(server, Harmless);
+        advance(milliseconds(600));
+        peer_.tracker->noteServerActive(server);
+    }
+    EXPECT_EQ(vm_.stateOf(Harmless), SuspectState::Undecided);
+    exchange();
+    EXPECT_EQ(peer_.stateOf(Harmless), SuspectState::Trusted);
+    EXPECT_EQ(vm_.stateOf(Harmless), SuspectState::Trusted);
+}
+
+TEST_F(RouteSuspectTrackerTest, BytesReceivedBeforeACrashDoNotRetractIt)
+{
+    peer_.tracker->noteServerActive("server-1");
+    advance(milliseconds(100));
+    vm_.breakConnection("server-1", Poison);
+    exchange();
+    EXPECT_EQ(peer_.tracker->store().unconfirmed().size(), 1U);
+    EXPECT_EQ(vm_.tracker->store().unconfirmed().size(), 1U);
+}
+
+TEST_F(RouteSuspectTrackerTest, AServerFoundAliveMayCrashLater)
+{
+    vm_.breakConnection("server-1", Harmless);
+    advance(milliseconds(600));
+    peer_.tracker->noteServerActive("server-1");
+    exchange();
+    advance(milliseconds(600));
+    vm_.breakConnection("server-1", Poison);
+    exchange();
+    EXPECT_EQ(vm_.tracker->store().unconfirmed().size(), 1U);
+}
+
+TEST_F(RouteSuspectTrackerTest, TheEndOfALeavingServerIsNoCrash)
+{
+    vm_.list("server-1", directory::ServerState::Draining);
+    vm_.breakConnection("server-1", Harmless);
+    EXPECT_FALSE(vm_.tracker->hasCrashes());
+    vm_.breakConnection("server-2", Harmless);
+    vm_.list("server-2", directory::ServerState::Draining);
+    advance(milliseconds(500));
+    EXPECT_FALSE(vm_.tracker->hasCrashes()) << "the list was older than the end of the connection";
+    vm_.unlist("server-3");
+    vm_.breakConnection("server-3", Harmless);
+    EXPECT_FALSE(vm_.tracker->hasCrashes());
+}
+
+TEST_F(RouteSuspectTrackerTest, AVmThatDoesNotKnowTheListYetConfirmsNothing)
+{
+    Vm fresh(*loop_);
+    vm_.breakConnection("server-1", Poison);
+    fresh.tracker->applyPeerUpdate("vm", vm_.tracker->updateToShare());
+    fresh.tracker->tick();
+    EXPECT_EQ(fresh.tracker->store().unconfirmed().size(), 1U);
+    advance(seconds(4));
+    fresh.unlist("server-1");
+    fresh.tracker->tick();
+    EXPECT_EQ(fresh.tracker->store().unconfirmed().size(), 0U);
+    EXPECT_EQ(fresh.tracker->store().crashes(), 1U);
+}
+
+TEST_F(RouteSuspectTrackerTest, AnAnswerClearsARequestOfTheCrashesBefore)
+{
+    crash("server-1", Harmless);
+    crash("server-2", Harmless);
+    exchange();
+    peer_.tracker->noteProgress({Harmless, CompleteAnswer});
+    exchange();
+    crash("server-3", Harmless);
+    EXPECT_EQ(vm_.stateOf(Harmless), SuspectState::Suspect);
+}
+
+TEST_F(RouteSuspectTrackerTest, ARequestThatWasAnsweredOnceMayCrashServersLater)
+{
+    crash("server-1", Poison);
+    vm_.tracker->noteProgress({Poison, CompleteAnswer});
+    advance(seconds(3));
+    crash("server-2", Poison);
+    crash("server-3", Poison);
+    crash("server-4", Poison);
+    EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Blocked);
+}
+
+TEST_F(RouteSuspectTrackerTest, AnAnswerClearsARequestOfACrashThatIsReportedLater)
+{
+    for (const char *server : {"server-1", "server-2", "server-3"}) {
+        vm_.breakConnection(server, Harmless);
+        advance(milliseconds(100));
+    }
+    peer_.tracker->noteProgress({Harmless, CompleteAnswer});
+    EXPECT_EQ(vm_.stateOf(Harmless), SuspectState::Undecided);
+    exchange();
+    EXPECT_EQ(vm_.stateOf(Harmless), SuspectState::Trusted);
+}
+
+TEST_F(RouteSuspectTrackerTest, AVmThatIsStartedLaterLearnsOfARequestThatHasToWait)
+{
+    for (const char *server : {"server-1", "server-2", "server-3"}) {
+        peer_.breakConnection(server, Poison);
+        advance(milliseconds(100));
+    }
+    exchange();
+    advance(seconds(6));
+    EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Undecided);
+    Vm fresh(*loop_);
+    fresh.tracker->applyPeerUpdate("vm", vm_.tracker->updateToShare());
+    EXPECT_EQ(fresh.stateOf(Poison), SuspectState::Undecided);
+}
+
+TEST_F(RouteSuspectTrackerTest, CopiesThatAreHitByOneFailureOfManyServersAreNotRestricted)
+{
+    for (const char *server : {"server-1", "server-2", "server-3", "server-4"}) {
+        vm_.breakConnection(server, Harmless, milliseconds(200));
+        advance(milliseconds(10));
+    }
+    EXPECT_EQ(vm_.stateOf(Harmless), SuspectState::Suspect);
+}
+
+TEST_F(RouteSuspectTrackerTest, RequestsBesideOneCrashDoNotKeepTheCauseFromBeingBlocked)
+{
+    Fingerprint other = 100;
+    for (const char *server : {"server-1", "server-2", "server-3"}) {
+        for (int i = 0; i < 10; i++) {
+            vm_.breakConnection(server, other++);
+        }
+        crash(server, Poison);
+    }
+    EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Blocked);
+    EXPECT_EQ(vm_.stateOf(100), SuspectState::Trusted) << "the cause of its crash is known";
+}
+
+TEST_F(RouteSuspectTrackerTest, ARequestBesideAllCrashesWaitsAndIsClearedByAnAnswer)
+{
+    for (const char *server : {"server-1", "server-2", "server-3"}) {
+        vm_.breakConnection(server, Harmless);
+        crash(server, Poison);
+    }
+    EXPECT_NE(vm_.stateOf(Poison), SuspectState::Blocked);
+    EXPECT_NE(vm_.stateOf(Harmless), SuspectState::Blocked);
+    EXPECT_NE(vm_.stateOf(Poison) == SuspectState::Suspect, vm_.stateOf(Harmless) == SuspectState::Suspect) << "one of them may run";
+    vm_.tracker->noteProgress({Harmless, CompleteAnswer});
+    EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Blocked);
+    EXPECT_EQ(vm_.stateOf(Harmless), SuspectState::Trusted);
+}
+
+TEST_F(RouteSuspectTrackerTest, ABlockIsSharedAndEndsTenMinutesAfterTheLastRepeat)
+{
+    for (const char *server : {"server-1", "server-2", "server-3"}) {
+        crash(server, Poison);
+    }
+    EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Blocked);
+    exchange();
+    EXPECT_EQ(peer_.stateOf(Poison), SuspectState::Blocked);
+    advance(minutes(9));
+    EXPECT_EQ(peer_.stateOf(Poison), SuspectState::Blocked);
+    exchange();
+    advance(minutes(9));
+    EXPECT_EQ(vm_.tracker->store().blockedRequests().size(), 1U) << "prolonged by the repeat at the other VM";
+    advance(minutes(2));
+    EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Trusted);
+}
+
+TEST_F(RouteSuspectTrackerTest, VmsDoNotProlongABlockByTellingEachOther)
+{
+    for (const char *server : {"server-1", "server-2", "server-3"}) {
+        crash(server, Poison);
+    }
+    EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Blocked);
+    const auto latency = milliseconds(100);
+    for (Duration passed(0); passed < CrashRetention + seconds(10); passed += milliseconds(350)) {
+        const CrashUpdate there = vm_.tracker->updateToShare();
+        const CrashUpdate back = peer_.tracker->updateToShare();
+        advance(latency);
+        peer_.tracker->applyPeerUpdate("vm", there);
+        vm_.tracker->applyPeerUpdate("peer", back);
+        advance(milliseconds(350) - latency);
+    }
+    EXPECT_TRUE(vm_.tracker->store().blockedRequests().empty());
+    EXPECT_TRUE(peer_.tracker->store().blockedRequests().empty());
+}
+
+} // namespace
+
+} // namespace cardamomlift::suspects
