Grant a restarted VM its retries over a whole window, from none

Cause: each process began with a quarter of its share of the slack, so a restart granted it again: a bound of all VMs that each kept per process. With a full stock before, restarts of all VMs every 1.5 s passed the budget. Change: the share grows from nothing over one retry window. Half of the slack is what may be unspent at the beginning of a window, and what processes are granted within it is at most the other half, however often they start. Ruled out: a repeat that follows a failed connection takes nothing and arrives nowhere, since bytes are written only once the connection is known to be established.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -87,7 +87,7 @@
     };
     /// Most unused retries that the budget of a service may hold.
     double maxSavedRetries() const;
-    /// Fraction of maxSavedRetries() granted by now; grows with the age of the process.
+    /// Fraction of maxSavedRetries() granted by now: grows with the age of the process from 0 to 1 over one retry window.
     double grantedFraction() const;
     TimePoint startedAt_;
     std::map<std::string, ServiceBudget> budgets_; ///< By service.
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -13,9 +13,6 @@
 constexpr Duration AcceptAllPeriod = std::chrono::milliseconds(2500);
 /// Earliest end of a reclaimable server after its drain begins: the platform gives two to three seconds' notice.
 constexpr Duration MinReclaimNotice = std::chrono::milliseconds(2000);
-/// A process starts with this fraction of maxSavedRetries() and is granted the rest over one retry window. A VM that is
-/// restarted again and again within one window then adds less than one more full grant to the retries of all VMs.
-constexpr double InitialGrantFraction = 0.25;
 /// The least value of maxSavedRetries(), also used while the number of VMs that share the bound is unknown.
 constexpr double MinSavedRetries = 1;
 
@@ -86,7 +83,8 @@
     return !drainStartedAt_ || tools_->loop->now() - *drainStartedAt_ < AcceptAllPeriod || deadline < drainEndsAt_;
 }
 
-// Half of an even share of the slack: as many new VMs may start within a window, each with a grant of its own.
+// Half of an even share of the slack is what the VMs may have unspent when a window begins. The other half is what their processes
+// are granted within it, however often they are restarted.
 double Forwarder::maxSavedRetries() const
 {
     const auto count = tools_->vmCount();
@@ -99,7 +97,7 @@
 double Forwarder::grantedFraction() const
 {
     const std::chrono::duration<double> age = tools_->loop->now() - startedAt_;
-    return std::clamp(age / std::chrono::duration<double>(tools_->settings.retryWindow), InitialGrantFraction, 1.0);
+    return std::min(1.0, age / std::chrono::duration<double>(tools_->settings.retryWindow));
 }
 
 void Forwarder::tick()
--- a/src/forwarding/tests/forwarderretries_test.cpp
+++ b/src/forwarding/tests/forwarderretries_test.cpp
@@ -40,6 +40,21 @@
     EXPECT_EQ(countRetriesOfBroken(10), 0) << "the budget of a new process is granted only once";
 }
 
+// Guards against a VM that is granted new retries with each of its restarts.
+TEST_F(ForwarderTest, RestartsWithinAWindowGrantNoMoreRetriesThanTheWindowDoes)
+{
+    const ForwardingSettings settings;
+    constexpr int Restarts = 8;
+    tools_.settings.retryRatio = 0;
+    int retries = 0;
+    for (int i = 0; i < Restarts; i++) {
+        restartForwarder();
+        clock_.advance(settings.retryWindow / Restarts);
+        retries += countRetriesOfBroken(10);
+    }
+    EXPECT_LE(retries, settings.retrySlack / 2);
+}
+
 TEST_F(ForwarderTest, TheRetryBudgetFollowsTheNumberOfVms)
 {
     tools_.settings.retryRatio = 0;
