Test that a request sent after a suspension is given only the time left then

No fault was found: a timer that is due runs before the sockets' events, so a connection that is late is given up and the request is sent with the time left then.

--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -29,6 +29,15 @@
     EXPECT_NE(client->received().find("X-Response-Signature: sig"), std::string::npos);
 }
 
+TEST_F(ForwarderTest, ARequestSentAfterASuspensionIsGivenOnlyTheTimeThatIsLeftThen)
+{
+    const auto client = call(request("/safe/1", "X-Deadline-Ms: 9000\r\n"));
+    ASSERT_TRUE(runUntil([&] { return logLines_.find("request_dispatched") != std::string::npos; }));
+    ASSERT_EQ(arrivals(), 0) << "the connection is not known to be established yet";
+    clock_.advance(milliseconds(3000));
+    EXPECT_LE(std::stoi(std::string(nextRequest()->head().fields.get("X-Deadline-Ms"))), 6000);
+}
+
 TEST_F(ForwarderTest, ARequestRefusedByAllServersGetsA503AndItsAllowanceBack)
 {
     const auto client = call(request("/once/1"));
