--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -32,7 +32,15 @@
 /// It ends in the middle of a stream whose target ends like this, after as many events.
 constexpr std::string_view CrashingLateTarget = "/crash-late";
 constexpr int EventsBeforeCrash = 3;
-constexpr int CrashExitCode = 70;
+/// Exit code of a process that was ended by a request with the id "crashing-0-...". It is one more for "crashing-1-...".
+constexpr int FirstCrashExitCode = 70;
+constexpr std::string_view CrashingIdStart = "crashing-";
+
+[[noreturn]] void crash(std::string_view id)
+{
+    const std::string_view number = id.starts_with(CrashingIdStart) ? id.substr(CrashingIdStart.size()) : std::string_view();
+    std::_Exit(FirstCrashExitCode + static_cast<int>(http1::parseNumber(number.substr(0, number.find('-'))).value_or(0)));
+}
 
 /// A request as it reached the worker, run or refused.
 struct Arrival {
@@ -197,7 +205,7 @@
         }
         runs[id]++;
         if (exchange->head().target.ends_with(CrashingTarget)) {
-            std::_Exit(CrashExitCode);
+            crash(id);
         }
         if (silent) {
             held.push_back(exchange);
@@ -243,7 +251,7 @@
             return;
         }
         if (exchange->head().target.ends_with(CrashingLateTarget) && number > EventsBeforeCrash) {
-            std::_Exit(CrashExitCode);
+            crash(id);
         }
         if (number > events) {
             exchange->end();
--- a/tests/routebudget_test.cpp
+++ b/tests/routebudget_test.cpp
@@ -1,7 +1,7 @@
 // The bounds on repeated sends of one request, on the time handed on to servers, and on the repeats of all VMs together, counted
 // at the servers.
 
-#include "support/routefleet.h"
+#include "support/arrivals.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -9,10 +9,10 @@
 #include <algorithm>
 #include <csignal>
 #include <map>
-#include <set>
 
 using namespace cardamomlift;
 using test::Arrival;
+using test::RepeatBound;
 using test::RouteFleet;
 using test::TestCallPtr;
 
@@ -25,9 +25,7 @@
 /// As in the fleet's manifest.
 const std::map<std::string, int> MaxAttempts{{"safe", 2}, {"once", 1}, {"stream", 3}, {"single", 1}};
 /// As in the fleet's settings.
-constexpr double RetrySlack = 200;
-constexpr double RetryRatio = 0.2;
-constexpr seconds RetryWindow(10);
+const RepeatBound Bound;
 /// What a request may be granted beyond its caller's time.
 constexpr milliseconds TimeMargin(500);
 
@@ -83,51 +81,6 @@
         fleet_.caller.waitEnded(calls, "all requests end");
     }
 
-    /// Arrivals by request, in the order of time.
-    std::map<std::string, std::vector<Arrival>> arrivalsById()
-    {
-        std::map<std::string, std::vector<Arrival>> byId;
-        for (const Arrival &arrival : fleet_.allArrivals()) {
-            byId[arrival.id].push_back(arrival);
-        }
-        for (auto &[id, arrivals] : byId) {
-            std::sort(arrivals.begin(), arrivals.end(), [](const Arrival &a, const Arrival &b) { return a.at < b.at; });
-        }
-        return byId;
-    }
-
-    /// When servers were sent requests that had arrived before, in the order of time.
-    std::vector<TimePoint> repeats()
-    {
-        std::vector<TimePoint> repeats;
-        for (const auto &[id, arrivals] : arrivalsById()) {
-            for (std::size_t i = 1; i < arrivals.size(); i++) {
-                repeats.push_back(arrivals[i].at);
-            }
-        }
-        std::sort(repeats.begin(), repeats.end());
-        return repeats;
-    }
-
-    /// The most repeats beyond the shared budget in any window; negative if it is never passed.
-    double mostBeyondBudget()
-    {
-        std::vector<TimePoint> requests;
-        for (const auto &[id, sent] : sent_) {
-            requests.push_back(sent.at);
-        }
-        const auto countIn = [](const std::vector<TimePoint> &times, TimePoint from) {
-            return std::count_if(times.begin(), times.end(), [&](TimePoint at) { return at >= from && at < from + RetryWindow; });
-        };
-        const std::vector<TimePoint> repeated = repeats();
-        double most = -RetrySlack;
-        for (const TimePoint from : repeated) {
-            const auto earned = std::max({countIn(requests, from), countIn(requests, from - RetryWindow / 2), countIn(requests, from - RetryWindow)});
-            most = std::max(most, static_cast<double>(countIn(repeated, from)) - RetryRatio * static_cast<double>(earned) - RetrySlack);
-        }
-        return most;
-    }
-
     RouteFleet fleet_;
     std::map<std::string, Sent> sent_; ///< By id.
 };
@@ -191,7 +144,7 @@
     }
     waitEnded();
     int repeatedLate = 0;
-    for (const auto &[id, arrivals] : arrivalsById()) {
+    for (const auto &[id, arrivals] : arrivalsById(fleet_.allArrivals())) {
         const Sent &sent = sent_.at(id);
         const TimePoint firstEnd = arrivals.front().at + arrivals.front().left;
         const TimePoint callersEnd = sent.at + sent.timeLimit;
@@ -214,10 +167,10 @@
         fleet_.controlWorker(worker, fault("resets"));
     }
     // By then each VM has been granted all that it may have unspent.
-    waitFor(RetryWindow + milliseconds(500));
+    waitFor(std::chrono::duration_cast<milliseconds>(Bound.window) + milliseconds(500));
     constexpr milliseconds RestartPeriod(1500);
     constexpr milliseconds RequestPeriod(12);
-    const TimePoint end = now() + RetryWindow + RetryWindow / 2;
+    const TimePoint end = now() + Bound.window + Bound.window / 2;
     TimePoint nextRestart = now() + RestartPeriod;
     while (now() < end) {
         send("safe", milliseconds(4000));
@@ -235,9 +188,15 @@
         }
     }
     waitEnded();
-    std::printf("%zu requests, %zu repeats, %.1f beyond the budget at most\n", sent_.size(), repeats().size(), mostBeyondBudget());
-    EXPECT_GT(repeats().size(), RetrySlack / 4) << "they are repeated";
-    EXPECT_LE(mostBeyondBudget(), 0);
+    std::vector<TimePoint> requests;
+    for (const auto &[id, sent] : sent_) {
+        requests.push_back(sent.at);
+    }
+    const std::vector<TimePoint> repeats = repeatTimes(arrivalsById(fleet_.allArrivals()));
+    const double most = mostBeyondBound(requests, repeats, Bound);
+    std::printf("%zu requests, %zu repeats, %.1f beyond the budget at most\n", requests.size(), repeats.size(), most);
+    EXPECT_GT(repeats.size(), Bound.slack / 4) << "they are repeated";
+    EXPECT_LE(most, 0);
 }
 
 } // namespace
--- a/tests/support/routefleet.h
+++ b/tests/support/routefleet.h
@@ -13,6 +13,9 @@
 
 using std::chrono::milliseconds;
 
+/// Exit code of standin-worker when a request with the id "crashing-0-..." has ended it; one more for "crashing-1-...".
+inline constexpr int FirstCrashExitCode = 70;
+
 /// A request as it reached a worker, run or refused.
 struct Arrival {
     std::string id;
