Let a request wait for the list of servers, not for the clock, when its crashes are not confirmed

Callers saw: nothing yet; found by reading. While the platform's store is down no crash can be confirmed, and after 20 s the three that a request waited for were forgotten: it could crash three more servers in each such span. Change: an unconfirmed crash is forgotten once the list is known up to 20 s after it, at the latest with all crashes.

--- a/src/suspects/crashstore.h
+++ b/src/suspects/crashstore.h
@@ -20,10 +20,12 @@
     /// Records that @p inFlight were in flight on @p instance when it crashed. Reports of one crash are merged. Returns false
     /// if nothing changed.
     bool addCrash(const std::string &instance, TimePoint at, std::span<const Progress> inFlight);
-    /// Like addCrash(), for connections that broke: it counts as a crash for UnconfirmedRetention, or for good if it is confirmed.
+    /// Like addCrash(), for connections that broke: it counts as a crash until forgetUnconfirmed(), or for good if it is confirmed.
     bool addUnconfirmedCrash(const std::string &instance, TimePoint at, std::span<const Progress> inFlight);
     /// Confirms the crash of @p instance. Returns false if there is none to confirm.
     bool confirm(const std::string &instance);
+    /// Removes unconfirmed crashes from before @p before.
+    void forgetUnconfirmed(TimePoint before);
     /// The servers with an unconfirmed crash, with its time.
     std::vector<std::pair<std::string, TimePoint>> unconfirmed() const;
     /// Records the progress of a request. It is cleared of each known crash that its answer has clearly passed. Returns false
@@ -72,8 +74,6 @@
 
 /// How long a crash is remembered and a request stays blocked.
 inline constexpr Duration CrashRetention = std::chrono::minutes(10);
-/// How long a crash is remembered that was not confirmed: the platform removes the entry of a silent server much sooner.
-inline constexpr Duration UnconfirmedRetention = std::chrono::seconds(20);
 /// Shorter extensions of a block are ignored.
 inline constexpr Duration MinExtension = std::chrono::seconds(1);
 
--- a/src/suspects/internal/crashstore.cpp
+++ b/src/suspects/internal/crashstore.cpp
@@ -57,6 +57,12 @@
     return isChanged;
 }
 
+void CrashStore::forgetUnconfirmed(TimePoint before)
+{
+    const auto forgotten = std::erase_if(crashes_, [before](const Crash &crash) { return !crash.isConfirmed && crash.at < before; });
+    version_ += forgotten > 0 ? 1 : 0;
+}
+
 std::vector<std::pair<std::string, TimePoint>> CrashStore::unconfirmed() const
 {
     std::vector<std::pair<std::string, TimePoint>> servers;
@@ -240,7 +246,7 @@
 
 void CrashStore::expire(TimePoint now)
 {
-    std::erase_if(crashes_, [&](const Crash &crash) { return now - crash.at > (crash.isConfirmed ? CrashRetention : UnconfirmedRetention); });
+    std::erase_if(crashes_, [&](const Crash &crash) { return now - crash.at > CrashRetention; });
     std::erase_if(blockedUntil_, [&](const auto &entry) { return entry.second <= now; });
     if (crashes_.empty()) {
         furthestPositions_.clear();
--- a/src/suspects/internal/routesuspecttracker.cpp
+++ b/src/suspects/internal/routesuspecttracker.cpp
@@ -221,6 +221,9 @@
     review();
     forgetOld();
     store_.expire(tools_.loop->now());
+    if (const auto listAge = tools_.directory->listAge(tools_.loop->now())) {
+        store_.forgetUnconfirmed(tools_.loop->now() - *listAge - UnconfirmedRetention);
+    }
     std::erase_if(activeAt_, [this](const auto &entry) { return !tools_.directory->find(entry.first); });
 }
 
--- a/src/suspects/routesuspecttracker.h
+++ b/src/suspects/routesuspecttracker.h
@@ -18,6 +18,10 @@
 
 namespace cardamomlift::suspects {
 
+/// A crash that the list of servers, as known up to this long after it, does not confirm was none: the platform removes the entry
+/// of a silent server much sooner.
+inline constexpr Duration UnconfirmedRetention = std::chrono::seconds(20);
+
 /// Dependencies of a RouteSuspectTracker.
 struct RouteSuspectTools {
     EventLoop *loop = nullptr;
--- a/src/suspects/tests/routesuspecttracker_test.cpp
+++ b/src/suspects/tests/routesuspecttracker_test.cpp
@@ -38,11 +38,16 @@
         directory->put(std::move(server));
     }
 
-    /// Removes the entry of a server from a list that is known to be complete now.
+    /// The list is known to be complete now.
+    void confirmList()
+    {
+        directory->noteListComplete({0, ++listVersion_}, loop_.now());
+    }
+
     void unlist(const std::string &instance)
     {
         directory->remove(instance, loop_.now());
-        directory->noteListComplete({0, ++listVersion_}, loop_.now());
+        confirmList();
     }
 
     void breakConnection(const std::string &instance, Fingerprint fingerprint, Duration ranFor = milliseconds(10))
@@ -120,6 +125,9 @@
     }
     EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Undecided);
     advance(UnconfirmedRetention);
+    EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Undecided) << "the list has not been read since";
+    vm_.confirmList();
+    advance(milliseconds(500));
     EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Trusted) << "no entry was removed, so no server has crashed";
 }
 
