End the block of a request that crashes servers after ten minutes, and renew it for twice as long after another crash

Callers would have seen: a request that many callers make all the time stays blocked for good after a fault of the software that is long mended, as each repeat prolonged the block. Ruled out: a plain block of ten minutes, which lets three servers crash in each such span.

--- a/src/forwarding/suspectgate.h
+++ b/src/forwarding/suspectgate.h
@@ -14,7 +14,7 @@
     virtual ~SuspectGate() = default;
     /// False as long as no request can be restricted; then its fingerprint is not needed.
     virtual bool hasCrashes() const = 0;
-    /// How a request may run now. A repeat of a blocked one prolongs its block.
+    /// How a request may run now.
     virtual suspects::SuspectState stateOf(suspects::Fingerprint fingerprint) = 0;
     /// The connection to a server broke while it ran @p request.
     virtual void noteConnectionBroken(const std::string &instance, const suspects::Progress &request) = 0;
--- a/src/suspects/crashevidence.h
+++ b/src/suspects/crashevidence.h
@@ -14,9 +14,19 @@
 /// Time by which the reports of the other VMs about a crash have arrived. No request is blocked earlier.
 inline constexpr Duration ReportSettleTime = std::chrono::milliseconds(300);
 
-/// If callers repeat requests, a request is restricted only if it was sent again after this many crashes less one: copies that run
-/// at the same time may all be hit by one failure of several servers.
-inline constexpr std::size_t MinSuccessiveCrashes = 2;
+/// The evidence on which a request is blocked.
+struct BlockThreshold {
+    std::size_t crashes = MaxCrashes;
+    std::size_t soleSuspectCrashes = MinSoleSuspectCrashes;
+    std::size_t successiveCrashes = 0;
+};
+
+/// For requests that the VMs repeat.
+inline constexpr BlockThreshold SystemThreshold{};
+/// For requests that callers repeat: copies that run at the same time may all be hit by one failure of several servers.
+inline constexpr BlockThreshold CallerThreshold{MaxCrashes, MinSoleSuspectCrashes, 2};
+/// For a request whose block has ended.
+inline constexpr BlockThreshold ThresholdAfterBlock{1, 1, 1};
 
 /// If callers repeat requests: this long after a crash, another request that was in flight at fewer crashes is no possible cause
 /// of it any more. Its caller has given it up, so nothing will ever clear it.
@@ -43,6 +53,6 @@
 /// Derives the state of a request from the evidence. A request that crashes every server is never cleared. So if there is no
 /// other possible cause of a crash, either this request was the cause, or the server failed for an unrelated reason, which is
 /// unlikely to happen repeatedly to the same request.
-SuspectState suspectState(const CrashEvidence &evidence, RepeatSource repeats, TimePoint now);
+SuspectState suspectState(const CrashEvidence &evidence, const BlockThreshold &threshold, TimePoint now);
 
 } // namespace cardamomlift::suspects
--- a/src/suspects/crashstore.h
+++ b/src/suspects/crashstore.h
@@ -37,9 +37,9 @@
     bool retract(const std::string &instance);
     /// Blocks a request until @p until. Returns false if it is already blocked.
     bool block(Fingerprint fingerprint, TimePoint until);
-    /// Prolongs the block of a request, by MinExtension or more: the end as another VM gives it is a little later each time that it
-    /// is passed on.
-    void extendBlock(Fingerprint fingerprint, TimePoint until);
+    /// How long the next block of @p fingerprint lasts: CrashRetention, and twice as long with each time that the request crashed a
+    /// server after the end of a block.
+    Duration nextBlockLength(Fingerprint fingerprint) const;
     /// The crashes that @p fingerprint may have caused, not older than @p maxAge, as reports about this request alone.
     std::vector<CrashUpdate::CrashReport> reportsAbout(Fingerprint fingerprint, Duration maxAge, TimePoint now) const;
     /// The blocked requests, those that are blocked for longest first.
@@ -63,18 +63,26 @@
     bool mergeCrash(const Crash &added, std::span<const Progress> inFlight);
     CrashHistory history(TimePoint now) const;
     void noteFurthest(const Progress &progress);
+    BlockThreshold thresholdFor(Fingerprint fingerprint) const;
+    void expireBlocks(TimePoint now);
     RepeatSource repeats_;
     std::vector<Crash> crashes_; ///< In the order in which they were first reported.
     /// The furthest position of each request. Gossip is not ordered, so progress may be received before the report of the
     /// crash that it clears.
     std::unordered_map<Fingerprint, std::uint64_t> furthestPositions_;
     std::unordered_map<Fingerprint, TimePoint> blockedUntil_;
+    /// A block, also after its end: then one crash blocks the request again, and a complete answer lifts that.
+    struct LastBlock {
+        TimePoint until;
+        Duration length{0};
+    };
+    std::unordered_map<Fingerprint, LastBlock> lastBlocks_; ///< Only if callers repeat requests.
     std::uint64_t version_ = 1;
 };
 
-/// How long a crash is remembered and a request stays blocked.
+/// How long a crash is remembered, and the first block of a request lasts.
 inline constexpr Duration CrashRetention = std::chrono::minutes(10);
-/// Shorter extensions of a block are ignored.
-inline constexpr Duration MinExtension = std::chrono::seconds(1);
+/// The longest block.
+inline constexpr Duration MaxBlockLength = std::chrono::hours(24);
 
 } // namespace cardamomlift::suspects
--- a/src/suspects/internal/crashevidence.cpp
+++ b/src/suspects/internal/crashevidence.cpp
@@ -145,18 +145,16 @@
     return hasOtherSuspects;
 }
 
-SuspectState suspectState(const CrashEvidence &evidence, RepeatSource repeats, TimePoint now)
+SuspectState suspectState(const CrashEvidence &evidence, const BlockThreshold &threshold, TimePoint now)
 {
     if (evidence.crashes == 0) {
         return SuspectState::Trusted;
     }
-    const bool isSuccessive = repeats == RepeatSource::System || evidence.successiveCrashes >= MinSuccessiveCrashes;
-    if (evidence.crashes < MaxCrashes || !isSuccessive) {
+    if (evidence.crashes < threshold.crashes || evidence.successiveCrashes < threshold.successiveCrashes) {
         return SuspectState::Suspect;
     }
-    const bool hasSoleSuspectCrashes = evidence.soleSuspectCrashes >= MinSoleSuspectCrashes;
+    const bool isProved = evidence.confirmedCrashes >= threshold.crashes && evidence.soleSuspectCrashes >= threshold.soleSuspectCrashes;
     const bool isSettled = now - evidence.latest >= ReportSettleTime;
-    const bool isProved = evidence.confirmedCrashes >= MaxCrashes && hasSoleSuspectCrashes;
     return isProved && isSettled ? SuspectState::Blocked : SuspectState::Undecided;
 }
 
--- a/src/suspects/internal/crashstore.cpp
+++ b/src/suspects/internal/crashstore.cpp
@@ -109,7 +109,7 @@
     if (repeats_ == RepeatSource::System) {
         noteFurthest(progress);
     }
-    bool isChanged = false;
+    bool isChanged = progress.position == CompleteAnswer && lastBlocks_.erase(progress.fingerprint) > 0;
     for (Crash &crash : crashes_) {
         for (InFlightRequest &request : crash.inFlight) {
             const bool isBeyond = progress.position >= request.position + ClearMargin;
@@ -157,15 +157,26 @@
         const auto soonest = std::min_element(blockedUntil_.begin(), blockedUntil_.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
         blockedUntil_.erase(soonest);
     }
-    return blockedUntil_.emplace(fingerprint, until).second;
+    const bool isNew = blockedUntil_.emplace(fingerprint, until).second;
+    if (isNew && repeats_ == RepeatSource::Callers) {
+        const Duration length = nextBlockLength(fingerprint);
+        lastBlocks_[fingerprint] = {until, length};
+    }
+    return isNew;
+}
+
+Duration CrashStore::nextBlockLength(Fingerprint fingerprint) const
+{
+    const auto ended = lastBlocks_.find(fingerprint);
+    return ended == lastBlocks_.end() ? CrashRetention : std::min(ended->second.length * 2, MaxBlockLength);
 }
 
-void CrashStore::extendBlock(Fingerprint fingerprint, TimePoint until)
+BlockThreshold CrashStore::thresholdFor(Fingerprint fingerprint) const
 {
-    const auto found = blockedUntil_.find(fingerprint);
-    if (found != blockedUntil_.end() && until >= found->second + MinExtension) {
-        found->second = until;
+    if (repeats_ == RepeatSource::System) {
+        return SystemThreshold;
     }
+    return lastBlocks_.contains(fingerprint) ? ThresholdAfterBlock : CallerThreshold;
 }
 
 std::vector<CrashUpdate::CrashReport> CrashStore::reportsAbout(Fingerprint fingerprint, Duration maxAge, TimePoint now) const
@@ -199,9 +210,10 @@
         return SuspectState::Blocked;
     }
     const CrashEvidence evidence = evidenceAgainst(history(now), fingerprint);
-    const SuspectState state = suspectState(evidence, repeats_, now);
+    const BlockThreshold threshold = thresholdFor(fingerprint);
+    const SuspectState state = suspectState(evidence, threshold, now);
     const bool isConfirmed = evidence.confirmedCrashes == evidence.crashes;
-    const bool hasSoleSuspectCrashes = evidence.soleSuspectCrashes >= MinSoleSuspectCrashes;
+    const bool hasSoleSuspectCrashes = evidence.soleSuspectCrashes >= threshold.soleSuspectCrashes;
     const bool isSettled = now - evidence.latest >= ReportSettleTime;
     if (state == SuspectState::Undecided && isConfirmed && !hasSoleSuspectCrashes && isSettled && mayProbe(history(now), fingerprint)) {
         return SuspectState::Suspect;
@@ -244,10 +256,17 @@
     return version_;
 }
 
+// An ended block is remembered for as long again as it lasted.
+void CrashStore::expireBlocks(TimePoint now)
+{
+    std::erase_if(blockedUntil_, [&](const auto &entry) { return entry.second <= now; });
+    std::erase_if(lastBlocks_, [&](const auto &entry) { return entry.second.until + entry.second.length <= now; });
+}
+
 void CrashStore::expire(TimePoint now)
 {
     std::erase_if(crashes_, [&](const Crash &crash) { return now - crash.at > CrashRetention; });
-    std::erase_if(blockedUntil_, [&](const auto &entry) { return entry.second <= now; });
+    expireBlocks(now);
     if (crashes_.empty()) {
         furthestPositions_.clear();
     }
@@ -255,7 +274,7 @@
 
 bool CrashStore::empty() const
 {
-    return crashes_.empty() && blockedUntil_.empty();
+    return crashes_.empty() && blockedUntil_.empty() && lastBlocks_.empty();
 }
 
 std::size_t CrashStore::crashes() const
--- a/src/suspects/internal/routesuspecttracker.cpp
+++ b/src/suspects/internal/routesuspecttracker.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t MaxSharedCleared = 64;
 constexpr std::size_t MaxSharedAlive = 16;
 constexpr std::size_t MaxSharedBlocked = 32;
+/// A block that ends sooner is not told: VMs whose clocks differ a little would start it anew.
+constexpr Duration MinSharedBlock = std::chrono::seconds(2);
 
 template<class T>
 void keepNewest(std::vector<T> &entries, std::size_t maxCount)
@@ -87,14 +89,16 @@
 
 void RouteSuspectTracker::block(Fingerprint fingerprint)
 {
-    const TimePoint until = tools_.loop->now() + CrashRetention;
-    if (!store_.block(fingerprint, until)) {
-        store_.extendBlock(fingerprint, until);
+    const Duration length = store_.nextBlockLength(fingerprint);
+    if (!store_.block(fingerprint, tools_.loop->now() + length)) {
         return;
     }
     const std::string id = fmt::format("{:016x}", fingerprint);
     tools_.log->write(Event::RequestBlocked,
-        {{Attribute::Fingerprint, id}, {Attribute::Source, "evidence"}, {Attribute::Count, static_cast<std::int64_t>(store_.crashes())}});
+        {{Attribute::Fingerprint, id},
+            {Attribute::Source, "evidence"},
+            {Attribute::LeftMs, toMilliseconds(length)},
+            {Attribute::Count, static_cast<std::int64_t>(store_.crashes())}});
     tools_.metrics->add("requests_blocked_total");
 }
 
@@ -173,7 +177,7 @@
         }
     }
     for (const auto &[fingerprint, until] : store_.blockedRequests()) {
-        if (update.blocked.size() < MaxSharedBlocked && until > now) {
+        if (update.blocked.size() < MaxSharedBlocked && until - now >= MinSharedBlock) {
             update.blocked.push_back({fingerprint, until - now});
         }
     }
@@ -205,9 +209,7 @@
         }
     }
     for (const CrashUpdate::BlockedRequest &request : update.blocked) {
-        const TimePoint until = now + std::min(request.remaining, CrashRetention);
-        if (!store_.block(request.fingerprint, until)) {
-            store_.extendBlock(request.fingerprint, until);
+        if (request.remaining < MinSharedBlock || !store_.block(request.fingerprint, now + std::min(request.remaining, MaxBlockLength))) {
             continue;
         }
         const std::string id = fmt::format("{:016x}", request.fingerprint);
