Name and bound what is shared about waiting requests; say less where the name says it

A crash that is known as confirmed is no longer logged as suspected again; the ends of blocks are bounded like the blocks; words of our own give way to the field's.

--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -40,8 +40,19 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {
-            "manifest", "directory", "eventlog", "metrics", "platform", "presence", "allowance", "usage", "outliers", "prefixindex", "rollout", "serverlimits", "routesuspects"};
+        return {"manifest",
+            "directory",
+            "eventlog",
+            "metrics",
+            "platform",
+            "presence",
+            "allowance",
+            "usage",
+            "outliers",
+            "prefixindex",
+            "rollout",
+            "serverlimits",
+            "routesuspects"};
     }
 
     Result<void> start(Context &context) override
--- a/src/forwarding/internal/forwardedrequestcrashes.cpp
+++ b/src/forwarding/internal/forwardedrequestcrashes.cpp
@@ -27,7 +27,7 @@
     if (runs_ > 0) {
         fail(StatusBadGateway, reason);
     } else if (isBlocked) {
-        // A status that callers do not repeat: the request would not be answered any other time either.
+        // Callers do not repeat a request after this status.
         refuse(StatusBadRequest, reason, Duration(0));
     } else {
         refuse(StatusUnavailable, reason, CauseUnknownRetryAfter);
--- a/src/forwarding/tests/forwardercrashes_test.cpp
+++ b/src/forwarding/tests/forwardercrashes_test.cpp
@@ -67,7 +67,7 @@
     EXPECT_EQ(allowances_->taken, 0);
 }
 
-TEST_F(ForwarderCrashesTest, ARequestWhoseGuiltIsNotDecidedIsToldToComeBack)
+TEST_F(ForwarderCrashesTest, ARequestThatMayHaveCrashedServersIsToldWhenToComeBack)
 {
     gate_->state = SuspectState::Undecided;
     const auto client = call(request("/once/1"));
--- a/src/suspects/crashevidence.h
+++ b/src/suspects/crashevidence.h
@@ -14,7 +14,7 @@
 /// Time by which the reports of the other VMs about a crash have arrived. No request is blocked earlier.
 inline constexpr Duration ReportSettleTime = std::chrono::milliseconds(300);
 
-/// The evidence on which a request is blocked.
+/// The least CrashEvidence on which a request is blocked, or waits while it is not confirmed.
 struct BlockThreshold {
     std::size_t crashes = MaxCrashes;
     std::size_t soleSuspectCrashes = MinSoleSuspectCrashes;
--- a/src/suspects/crashstore.h
+++ b/src/suspects/crashstore.h
@@ -64,6 +64,7 @@
     CrashHistory history(TimePoint now) const;
     void noteFurthest(const Progress &progress);
     BlockThreshold thresholdFor(Fingerprint fingerprint) const;
+    void noteBlock(Fingerprint fingerprint, TimePoint until);
     void expireBlocks(TimePoint now);
     RepeatSource repeats_;
     std::vector<Crash> crashes_; ///< In the order in which they were first reported.
--- a/src/suspects/internal/crashstore.cpp
+++ b/src/suspects/internal/crashstore.cpp
@@ -159,12 +159,20 @@
     }
     const bool isNew = blockedUntil_.emplace(fingerprint, until).second;
     if (isNew && repeats_ == RepeatSource::Callers) {
-        const Duration length = nextBlockLength(fingerprint);
-        lastBlocks_[fingerprint] = {until, length};
+        noteBlock(fingerprint, until);
     }
     return isNew;
 }
 
+void CrashStore::noteBlock(Fingerprint fingerprint, TimePoint until)
+{
+    const Duration length = nextBlockLength(fingerprint);
+    if (lastBlocks_.size() >= MaxBlocked) {
+        lastBlocks_.erase(lastBlocks_.begin());
+    }
+    lastBlocks_[fingerprint] = {until, length};
+}
+
 Duration CrashStore::nextBlockLength(Fingerprint fingerprint) const
 {
     const auto ended = lastBlocks_.find(fingerprint);
--- a/src/suspects/internal/routesuspecttracker.cpp
+++ b/src/suspects/internal/routesuspecttracker.cpp
@@ -17,16 +17,16 @@
 constexpr Duration AliveMargin = std::chrono::milliseconds(500);
 /// A request that was answered this short a time before a crash is not its cause.
 constexpr Duration AnswerMemory = std::chrono::seconds(2);
-/// Crashes not older than this are told again, whoever saw them, while a request has to wait because of them: a VM that was
-/// started meanwhile would run it. Less than UnconfirmedRetention, so that VMs do not keep a crash alive by telling each other.
-constexpr Duration MaxRetoldAge = std::chrono::seconds(10);
-constexpr std::size_t MaxRetoldRequests = 16;
+/// Crashes not older than this are shared again, whichever VM saw them, while a request has to wait because of them: a VM that was
+/// started meanwhile would run it. Less than UnconfirmedRetention, so that VMs do not keep a crash alive by sharing it.
+constexpr Duration MaxResharedAge = std::chrono::seconds(10);
+constexpr std::size_t MaxWaitingRequests = 16;
 /// Bounds on one status.
 constexpr std::size_t MaxSharedRuns = 256;
 constexpr std::size_t MaxSharedCleared = 64;
 constexpr std::size_t MaxSharedAlive = 16;
 constexpr std::size_t MaxSharedBlocked = 32;
-/// A block that ends sooner is not told: VMs whose clocks differ a little would start it anew.
+/// A block that ends sooner is not shared: it ends a little sooner at some VMs than at others, which would start it anew there.
 constexpr Duration MinSharedBlock = std::chrono::seconds(2);
 
 template<class T>
@@ -77,7 +77,7 @@
 
 void RouteSuspectTracker::noteHeld(Fingerprint fingerprint, TimePoint now)
 {
-    if (heldAt_.size() < MaxRetoldRequests || heldAt_.contains(fingerprint)) {
+    if (heldAt_.size() < MaxWaitingRequests || heldAt_.contains(fingerprint)) {
         heldAt_[fingerprint] = now;
     }
 }
@@ -105,7 +105,7 @@
         return;
     }
     const TimePoint now = tools_.loop->now();
-    const bool isKnown = unconfirmedCrashOf(instance).has_value();
+    const bool isKnown = store_.crashedAt(instance).has_value();
     store_.addUnconfirmedCrash(instance, now, std::span(&request, 1));
     brokenRuns_.push_back({now, {instance, request}});
     keepNewest(brokenRuns_, MaxSharedRuns);
@@ -160,7 +160,7 @@
         report.inFlight.push_back(run.value.request);
     }
     for (const auto &[fingerprint, heldAt] : heldAt_) {
-        const auto reports = store_.reportsAbout(fingerprint, MaxRetoldAge, now);
+        const auto reports = store_.reportsAbout(fingerprint, MaxResharedAge, now);
         update.crashes.insert(update.crashes.end(), reports.begin(), reports.end());
     }
     for (const Shared<Progress> &progress : cleared_) {
@@ -188,7 +188,7 @@
             shareAlive(report.instance);
             continue;
         }
-        const bool isKnown = unconfirmedCrashOf(report.instance).has_value();
+        const bool isKnown = store_.crashedAt(report.instance).has_value();
         if (store_.addUnconfirmedCrash(report.instance, at, report.inFlight) && !isKnown) {
             logCrash(Event::ServerCrashSuspected, report.instance, at, source);
         }
--- a/tests/crashingrequests_test.cpp
+++ b/tests/crashingrequests_test.cpp
@@ -1,6 +1,4 @@
-// Seen: repeats beyond the budget on three deployments of unlike load, four cases each, on real machines.
-// How: a request that crashed each server that ran it was sent to the next one whenever its caller repeated it, by any VM.
-// Cause: no VM of the route gateway knew which requests were in flight at a crash, and nothing was shared between VMs.
+// Requests of routes that crash each server that runs them, repeated by their callers at one VM after another.
 
 #include "support/crashingrun.h"
 
