Keep the crashes in a status within a datagram when very many servers fail at once

Callers would have seen: after a failure of very many servers the statuses of VMs are too large to send, so that loads, limits and the lease of duties are not known any more. Cause: the crashes that a waiting request was at were all shared again, and a summary bounded its reports, not the requests in them.

--- a/src/presence/internal/statussummary.cpp
+++ b/src/presence/internal/statussummary.cpp
@@ -18,8 +18,10 @@
 /// Maximum number of prefixes in a summary. A group of 24 VMs with five requests a second each uses about 100 new ones between
 /// two summaries.
 constexpr std::size_t MaxPrefixes = 96;
-/// Bounds on the crashes of servers and suspected requests in a summary; a group seldom sees more within seconds.
+/// Bounds on the crashes of servers and suspected requests in a summary, the newest ones. They keep it within a datagram when very
+/// many servers fail at once.
 constexpr std::size_t MaxCrashReports = 64;
+constexpr std::size_t MaxInFlightRequests = 512;
 constexpr std::size_t MaxBlockedRequests = 32;
 constexpr std::size_t MaxClearedRequests = 128;
 
@@ -151,10 +153,20 @@
     sum.blocked.insert(sum.blocked.end(), update.blocked.begin(), update.blocked.end());
 }
 
+void limitInFlight(std::vector<suspects::CrashUpdate::CrashReport> &newestFirst)
+{
+    std::size_t left = MaxInFlightRequests;
+    for (suspects::CrashUpdate::CrashReport &report : newestFirst) {
+        report.inFlight.resize(std::min(report.inFlight.size(), left));
+        left -= report.inFlight.size();
+    }
+}
+
 // The members share what they know of blocked requests, so most are blocked at several VMs.
 void limitCrashUpdate(suspects::CrashUpdate &sum)
 {
     keepLargest(sum.crashes, MaxCrashReports, [](const auto &report) { return -report.age; });
+    limitInFlight(sum.crashes);
     keepLargest(sum.blocked, sum.blocked.size(), [](const auto &request) { return std::pair(request.fingerprint, request.remaining); });
     const auto end = std::unique(sum.blocked.begin(), sum.blocked.end(), [](const auto &a, const auto &b) { return a.fingerprint == b.fingerprint; });
     sum.blocked.erase(end, sum.blocked.end());
--- a/src/suspects/crashstore.h
+++ b/src/suspects/crashstore.h
@@ -40,8 +40,10 @@
     /// How long the next block of @p fingerprint lasts: CrashRetention, and twice as long with each time that the request crashed a
     /// server after the end of a block.
     Duration nextBlockLength(Fingerprint fingerprint) const;
-    /// The crashes that @p fingerprint may have caused, not older than @p maxAge, as reports about this request alone.
+    /// The last crashes that @p fingerprint may have caused, not older than @p maxAge and MaxReports at most, as reports about this
+    /// request alone.
     std::vector<CrashUpdate::CrashReport> reportsAbout(Fingerprint fingerprint, Duration maxAge, TimePoint now) const;
+    static constexpr std::size_t MaxReports = 2 * MaxCrashes;
     /// The blocked requests, those that are blocked for longest first.
     std::vector<std::pair<Fingerprint, TimePoint>> blockedRequests() const;
     /// How @p fingerprint may run. Does not block it by itself.
--- a/src/suspects/internal/crashstore.cpp
+++ b/src/suspects/internal/crashstore.cpp
@@ -190,10 +190,10 @@
 std::vector<CrashUpdate::CrashReport> CrashStore::reportsAbout(Fingerprint fingerprint, Duration maxAge, TimePoint now) const
 {
     std::vector<CrashUpdate::CrashReport> reports;
-    for (const Crash &crash : crashes_) {
-        for (const InFlightRequest &request : crash.inFlight) {
-            if (request.fingerprint == fingerprint && !request.cleared && now - crash.at <= maxAge) {
-                reports.push_back({crash.instance, now - crash.at, {{fingerprint, request.position, request.ranFor}}});
+    for (auto crash = crashes_.rbegin(); crash != crashes_.rend() && reports.size() < MaxReports; ++crash) {
+        for (const InFlightRequest &request : crash->inFlight) {
+            if (request.fingerprint == fingerprint && !request.cleared && now - crash->at <= maxAge) {
+                reports.push_back({crash->instance, now - crash->at, {{fingerprint, request.position, request.ranFor}}});
             }
         }
     }
--- a/src/suspects/tests/routesuspecttracker_test.cpp
+++ b/src/suspects/tests/routesuspecttracker_test.cpp
@@ -1,3 +1,5 @@
+#include "presence/statusformat.h"
+#include "presence/statussummary.h"
 #include "suspects/routesuspecttracker.h"
 
 #include <gtest/gtest.h>
@@ -353,6 +355,34 @@
     EXPECT_TRUE(peer_.tracker->store().blockedRequests().empty());
 }
 
+// Guards against a status that is too large for a datagram, and so lost, when very many servers fail at once.
+TEST_F(RouteSuspectTrackerTest, AFailureOfVeryManyServersFitsIntoADatagram)
+{
+    constexpr std::size_t MaxDatagram = 65507;
+    constexpr int Servers = 300;
+    const auto nameOf = [](int i) {
+        return "a-server-with-a-rather-long-name-" + std::to_string(i);
+    };
+    for (int i = 0; i < Servers; i++) {
+        vm_.list(nameOf(i));
+    }
+    for (int i = 0; i < Servers; i++) {
+        for (Fingerprint request = 1; request <= 40; request++) {
+            vm_.breakConnection(nameOf(i), 1'000'000'000'000 * request, milliseconds(5));
+        }
+        advance(milliseconds(10));
+    }
+    for (Fingerprint request = 1; request <= 40; request++) {
+        EXPECT_EQ(vm_.stateOf(1'000'000'000'000 * request), SuspectState::Undecided);
+    }
+    presence::Status status;
+    status.instance = "vm";
+    status.crashUpdate = vm_.tracker->updateToShare();
+    EXPECT_LT(presence::encodeStatus(status, 0, {}).size(), MaxDatagram / 2);
+    const std::vector<presence::MemberStatus> members(24, presence::MemberStatus{&status, milliseconds(100)});
+    EXPECT_LT(presence::encodeStatus(presence::summarize("group", members), 0, {}).size(), MaxDatagram / 2);
+}
+
 } // namespace
 
 } // namespace cardamomlift::suspects
