--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -3,8 +3,8 @@
 //
 //   soak --gtest_filter=Soak.* with SOAK_SEEDS="7 8 9" and SOAK_SECONDS=20 in the environment, or the defaults.
 
+#include "soak/crashingsoak.h"
 #include "support/arrivals.h"
-#include "support/crashingrun.h"
 #include "support/routefleet.h"
 
 #include <fmt/format.h>
@@ -51,8 +51,6 @@
 /// The time that callers wait, as in the fleet's requests, and what a server may be granted beyond it.
 constexpr milliseconds CallerTime(15000);
 constexpr milliseconds TimeMargin(500);
-/// Servers that a request may crash once all VMs know of three crashes.
-constexpr std::size_t MaxLateCrashes = 3;
 
 /// One request of a caller and what it may expect.
 struct Sent {
@@ -542,100 +540,6 @@
     std::vector<Sent> sent_;
 };
 
-/// Requests that crash their servers are repeated, while VMs are paused, killed and restarted in series.
-class CrashingSoak
-{
-public:
-    CrashingSoak(unsigned seed, milliseconds length)
-        : random_(seed)
-        , length_(length)
-    {
-    }
-
-    void run()
-    {
-        CrashingRun::Options options;
-        options.targets = {Targets[random_() % std::size(Targets)], Targets[random_() % std::size(Targets)]};
-        options.otherPaths = {"/once/other", "/single/other", "/safe/other", "/stream/other"};
-        options.isProxied = true;
-        options.onStep = [this](RouteFleet &fleet) {
-            heal(fleet);
-            injectFault(fleet);
-        };
-        CrashingRun run(std::move(options));
-        run.run(length_, 4 * length_);
-        resumeAll(run.fleet());
-        std::printf("%zu crashes, %zu late, %zu of %zu other requests answered\n", run.crashes(), run.lateCrashes(), run.othersAnswered(), run.others());
-        EXPECT_LE(run.lateCrashes(), MaxLateCrashes);
-        EXPECT_TRUE(run.fleet().caller.waitUntil([&] { return run.othersAreServed(); }, "other requests are served"));
-    }
-
-private:
-    using CrashingRun = test::CrashingRun;
-    static constexpr const char *Targets[] = {"/safe/crash", "/once/crash", "/stream/crash", "/single/crash", "/stream/crash-late", "/single/crash-late"};
-
-    void injectFault(RouteFleet &fleet)
-    {
-        const TimePoint now = fleet.caller.loop().now();
-        if (now < nextFault_) {
-            return;
-        }
-        nextFault_ = now + milliseconds(300 + random_() % 700);
-        const int entry = static_cast<int>(random_() % Entries) + 1;
-        if (paused_.contains(entry)) {
-            return;
-        }
-        switch (random_() % 4) {
-        case 0:
-            fleet.entry(entry).signal(SIGSTOP);
-            paused_[entry] = now + milliseconds(100 + random_() % 1500);
-            break;
-        case 1:
-            fleet.entry(entry).signal(SIGKILL);
-            fleet.entry(entry).wait();
-            fleet.addEntry(entry);
-            break;
-        case 2:
-            fleet.entry(entry).signal(SIGHUP);
-            break;
-        default:
-            fleet.setStorePathFault(entry, fault("cutToClient"));
-            cut_[entry] = now + milliseconds(300 + random_() % 1500);
-            break;
-        }
-    }
-
-    void heal(RouteFleet &fleet)
-    {
-        const TimePoint now = fleet.caller.loop().now();
-        std::erase_if(paused_, [&](const auto &entry) { return entry.second <= now && (fleet.entry(entry.first).signal(SIGCONT), true); });
-        std::erase_if(cut_, [&](const auto &entry) { return entry.second <= now && (healPath(fleet, entry.first), true); });
-    }
-
-    static void healPath(RouteFleet &fleet, int entry)
-    {
-        Json::Value off = fault("cutToClient", false);
-        off["closeAll"] = true;
-        fleet.setStorePathFault(entry, off);
-    }
-
-    void resumeAll(RouteFleet &fleet)
-    {
-        for (const auto &[entry, until] : paused_) {
-            fleet.entry(entry).signal(SIGCONT);
-        }
-        for (const auto &[entry, until] : cut_) {
-            healPath(fleet, entry);
-        }
-    }
-
-    std::mt19937 random_;
-    milliseconds length_;
-    TimePoint nextFault_;
-    std::map<int, TimePoint> paused_; ///< Entry VMs, and until when.
-    std::map<int, TimePoint> cut_; ///< Entry VMs that can't reach the store, and until when.
-};
-
 std::vector<unsigned> chosenSeeds()
 {
     const char *text = std::getenv("SOAK_SEEDS");
@@ -686,7 +590,7 @@
 
 TEST_P(Soak, RequestsThatCrashServersEnd)
 {
-    CrashingSoak(GetParam(), chosenLength()).run();
+    soak::CrashingSoak(GetParam(), chosenLength()).run();
 }
 
 TEST_P(Soak, AKeyThatIsTakenAwayStopsWhileManyVmsLackTheStore)
