--- a/tests/routebudget_test.cpp
+++ b/tests/routebudget_test.cpp
@@ -19,9 +19,9 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 constexpr int Entries = 4;
+constexpr int Workers = 6;
 /// As in the fleet's manifest.
 const std::map<std::string, int> MaxAttempts{{"safe", 2}, {"once", 1}, {"stream", 3}, {"single", 1}};
 /// As in the fleet's settings.
@@ -46,8 +46,8 @@
 class RouteBudget : public testing::Test
 {
 protected:
-    explicit RouteBudget(int workers = 6)
-        : fleet_(Entries, workers)
+    RouteBudget()
+        : fleet_(Entries, Workers)
     {
         fleet_.waitReady();
         fleet_.waitKnown();
@@ -90,7 +90,7 @@
 {
     const std::vector<Json::Value> faults{fault("resets"), fault("fails"), fault("full"), fault("silent"), fault("breakAfter", 2), fault("eventGapMs", 20)};
     for (int round = 0; round < 6; round++) {
-        for (int worker = 0; worker < 6; worker++) {
+        for (int worker = 0; worker < Workers; worker++) {
             Json::Value off = fault("breakAfter", -1);
             for (const char *name : {"resets", "fails", "full", "silent"}) {
                 off[name] = false;
@@ -106,10 +106,10 @@
         }
         // The processes run late, and a server that does not take connections at first does so later.
         fleet_.entry(round % Entries + 1).signal(SIGSTOP);
-        fleet_.worker(fmt::format("worker-{}", round % 6 + 1)).signal(SIGSTOP);
+        fleet_.worker(fmt::format("worker-{}", round % Workers + 1)).signal(SIGSTOP);
         waitFor(milliseconds(600));
         fleet_.entry(round % Entries + 1).signal(SIGCONT);
-        fleet_.worker(fmt::format("worker-{}", round % 6 + 1)).signal(SIGCONT);
+        fleet_.worker(fmt::format("worker-{}", round % Workers + 1)).signal(SIGCONT);
     }
     waitEnded();
     int most = 0;
