Read and log what servers announce in answers: leaving, and a backoff

Without it no log tells a VM that was never told from one that forgot. Server-Leaving and the Retry-After of a 503 become typed fields of an answer; server_leaving has reason=answer, server_backoff wait_ms.

--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -31,6 +31,7 @@
     ServerAvoided, ///< Too many of the server's requests failed: other servers are preferred while there are any.
     ServerTrusted, ///< The server is treated like the others again.
     ServerSilent, ///< A request has waited long, and nothing has been received from its server in the meantime.
+    ServerBackoff, ///< The server turned a request away and accepts none from this VM for some time.
     ServerLimited, ///< The server set, changed or removed its limit on requests.
     ServerCrashSuspected, ///< A connection to the server broke while it ran requests, here or at another VM.
     ServerCrashConfirmed, ///< The server's entry is gone, and it had not been draining.
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -28,6 +28,7 @@
     "server_avoided",
     "server_trusted",
     "server_silent",
+    "server_backoff",
     "server_limited",
     "server_crash_suspected",
     "server_crash_confirmed",
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -91,6 +91,7 @@
     void send(const Choice &choice);
     DispatchFields dispatchFields(const Choice &choice) const;
     void onHead(http1::ResponseHead head);
+    void logAnnouncements(const std::string &instance, const BackendAnswer &answer) const;
     void onBody(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
     void onComplete();
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -3,6 +3,13 @@
 
 namespace cardamomlift::forwarding {
 
+namespace {
+
+using eventlog::Attribute;
+using eventlog::Event;
+
+} // namespace
+
 void ForwardedRequest::onHead(http1::ResponseHead head)
 {
     attempt_->hasHead = true;
@@ -17,6 +24,18 @@
     if (tools_.limits) {
         tools_.limits->noteAnswer(instance, attempt_->answer.limit, attempt_->sentAt);
     }
+    logAnnouncements(instance, attempt_->answer);
+}
+
+void ForwardedRequest::logAnnouncements(const std::string &instance, const BackendAnswer &answer) const
+{
+    if (answer.isLeaving) {
+        tools_.log->write(Event::ServerLeaving, {{Attribute::Server, instance}, {Attribute::Reason, "answer"}, {Attribute::Request, request_.id}});
+    }
+    if (answer.backoff) {
+        tools_.log->write(
+            Event::ServerBackoff, {{Attribute::Server, instance}, {Attribute::WaitMs, toMilliseconds(*answer.backoff)}, {Attribute::Request, request_.id}});
+    }
 }
 
 void ForwardedRequest::onBody(std::string_view bytes)
--- a/src/forwarding/wireformat.h
+++ b/src/forwarding/wireformat.h
@@ -65,6 +65,8 @@
     bool isSigned = false; ///< The answer carries the server's signature of the body.
     std::optional<LoadReport> load;
     AdvertisedLimit limit;
+    bool isLeaving = false; ///< The instance that answers announces that it is leaving.
+    std::optional<Duration> backoff; ///< The server turned the request away and accepts none from this VM for this long.
 };
 
 /// Tells a backend server to copy a run's KV cache to another server and to stop the run.
