--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -48,6 +48,9 @@
     TimePoint at; ///< By the machine's monotonic clock, which all processes share.
     std::int64_t leftMs = 0; ///< The time that the request may take; -1: it did not say.
     Duration lag{0}; ///< It may have waited this long for the process to run.
+    std::optional<TimePoint> answeredAt; ///< When the head of the answer was sent.
+    bool isToldLeaving = false; ///< The answer says that the worker leaves.
+    std::string backoff; ///< Retry-After of the answer; empty if it has none.
 };
 
 /// How late the process runs, by a timer that is due often.
@@ -117,6 +120,8 @@
     int cancelled = 0;
     int afterLeaving = 0; ///< Requests that came after the worker said that it leaves.
     bool leaving = false;
+    bool announcesLeaving = false; ///< All answers say that the worker leaves.
+    std::string retryAfter; ///< Sent with each refusal while full, as it is; empty: none.
     NamedLimit limit;
 
     http1::ResponseHead head(int status, const std::string &id)
@@ -125,9 +130,25 @@
         head.status = status;
         head.fields.add("X-Attempt-Id", id);
         limit.addTo(head, loop->now());
+        if (announcesLeaving) {
+            head.fields.add("Server-Leaving", "1");
+        }
+        noteAnswered(id, head);
         return head;
     }
 
+    /// Adds what an answer says of the worker to the last arrival of its request.
+    void noteAnswered(const std::string &id, const http1::ResponseHead &head)
+    {
+        const auto arrival = std::find_if(arrivals.rbegin(), arrivals.rend(), [&id](const Arrival &entry) { return entry.id == id; });
+        if (arrival == arrivals.rend()) {
+            return;
+        }
+        arrival->answeredAt = loop->now();
+        arrival->isToldLeaving = head.fields.has("Server-Leaving");
+        arrival->backoff = head.fields.get("Retry-After");
+    }
+
     http1::ResponseHead signedHead(const std::string &id)
     {
         http1::ResponseHead answer = head(StatusOk, id);
@@ -165,6 +186,9 @@
             entry["atUs"] = Json::Int64(arrival.at.time_since_epoch().count());
             entry["leftMs"] = Json::Int64(arrival.leftMs);
             entry["lagUs"] = Json::Int64(arrival.lag.count());
+            entry["answeredAtUs"] = arrival.answeredAt ? Json::Int64(arrival.answeredAt->time_since_epoch().count()) : -1;
+            entry["isToldLeaving"] = arrival.isToldLeaving;
+            entry["backoff"] = arrival.backoff;
             json.append(std::move(entry));
         }
         return json;
@@ -189,6 +213,8 @@
             breakHeld();
         }
         leaving = body.get("leaving", leaving).asBool();
+        announcesLeaving = body.get("announcesLeaving", announcesLeaving).asBool();
+        retryAfter = body.get("retryAfter", retryAfter).asString();
         limit.perSecond = body.get("limit", limit.perSecond).asString();
         exchange->answer(http1::ResponseHead{StatusOk, {}, {}}, http::writeJson(report()));
     }
@@ -222,6 +248,10 @@
         if (full) {
             http1::ResponseHead refusal = head(StatusUnavailable, id);
             refusal.fields.add("X-Not-Executed", "1");
+            if (!retryAfter.empty()) {
+                refusal.fields.add("Retry-After", retryAfter);
+                noteAnswered(id, refusal);
+            }
             exchange->answer(std::move(refusal), "");
             return;
         }
--- a/tests/support/routefleet.cpp
+++ b/tests/support/routefleet.cpp
@@ -143,6 +143,7 @@
 {
     const std::string own = proxied_ ? "127.0.0.1" : address(FirstWorkerHost + workerHosts_++);
     workers_[instance] = Process::start("standin-worker", {"--instance", instance, "--address", own, "--port", std::to_string(proxied_ ? 0 : WorkerPort)});
+    workerStarts_[instance]++;
     workerAddresses_[instance] = fmt::format("{}:{}", own, workers_[instance]->port());
     if (proxied_) {
         workerProxies_[instance] = addProxy(workers_[instance]->port());
@@ -320,10 +321,18 @@
 {
     std::vector<Arrival> arrivals;
     for (const Json::Value &entry : put("GET", fmt::format("http://{}/arrivals", workerAddresses_.at(instance)), "")->json()) {
-        arrivals.push_back({entry["id"].asString(),
-            TimePoint(Duration(entry["atUs"].asInt64())),
-            milliseconds(entry["leftMs"].asInt64()),
-            Duration(entry["lagUs"].asInt64())});
+        Arrival arrival;
+        arrival.id = entry["id"].asString();
+        arrival.server = fmt::format("{}, start {}", instance, workerStarts_.at(instance));
+        arrival.at = TimePoint(Duration(entry["atUs"].asInt64()));
+        arrival.left = milliseconds(entry["leftMs"].asInt64());
+        arrival.lag = Duration(entry["lagUs"].asInt64());
+        if (const std::int64_t answeredAt = entry["answeredAtUs"].asInt64(); answeredAt >= 0) {
+            arrival.answeredAt = TimePoint(Duration(answeredAt));
+        }
+        arrival.isToldLeaving = entry["isToldLeaving"].asBool();
+        arrival.backoff = entry["backoff"].asString();
+        arrivals.push_back(std::move(arrival));
     }
     return arrivals;
 }
--- a/tests/support/routefleet.h
+++ b/tests/support/routefleet.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,9 +20,13 @@
 /// A request as it reached a worker, run or refused.
 struct Arrival {
     std::string id;
+    std::string server; ///< The worker's process: its name and the number of its start.
     TimePoint at; ///< By the machine's monotonic clock, as the caller's loop has it.
     milliseconds left{-1}; ///< The time that the request may take; -1: it did not say.
     Duration lag{0}; ///< It may have waited this long for the worker's process to run.
+    std::optional<TimePoint> answeredAt; ///< When the head of the answer was sent.
+    bool isToldLeaving = false; ///< The answer says that the worker leaves.
+    std::string backoff; ///< Retry-After of the answer; empty if it has none.
 };
 
 /// A small deployment that serves routes, on loopback: the store, workers and daemons, each a process of its own. Every
@@ -112,6 +117,7 @@
     std::string storeEndpoint_;
     std::map<int, std::unique_ptr<Process>> entries_;
     std::map<std::string, std::unique_ptr<Process>> workers_;
+    std::map<std::string, int> workerStarts_;
     std::map<std::string, std::string> workerAddresses_;
     std::map<std::string, std::string> workerVersions_; ///< Of those that tell one.
 };
