Take a server for leaving when its answer says so

Callers saw nothing; a VM went on sending requests to servers that had told it that they leave, for 11.5 s while the store was away. Cause: leaving was learnt from the list alone, and no path read the word in answers. Now any answer of the instance, to whatever request on the channel and to a call that moves a run, sets the directory's mark, which everything else asks: new work, retries, resumes, moves, orders, crashes. The mark lasts for the instance's life: entries, lists read anew, eras and the grace of an outage are tested against it. The entry of a marked server is still reported, as only it says when a reclaimed server ends; until then its runs are moved as for an entry without a time.

Ruled out by the record: a mark that was undone (none was made), late writes (2 to 11 s).

--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -22,7 +22,7 @@
 struct KnownServer {
     BackendServer server;
     std::uint64_t hash = 0; ///< presence::nameHash() of the instance, which identifies the server in messages between VMs.
-    bool isLeaving = false; ///< It announced that it is leaving, or its entry was removed. Never reset while the instance is known.
+    bool isLeaving = false; ///< It announced, in its entry or in an answer, that it is leaving, or its entry was removed. Never reset.
     std::optional<TimePoint> missingSince; ///< Its entry disappeared during or just after a store outage, so it may still run.
 };
 
@@ -38,6 +38,9 @@
     /// than the known one is ignored, and so is an entry from an older copy of the store if its server has been removed since.
     /// An entry without a start time removes the server if its known instance has one.
     void put(BackendServer server);
+    /// The instance announced in an answer that it is leaving. No entry, list or outage makes it usable again, even if it is not
+    /// known yet. Returns true if the announcement is new.
+    bool markLeaving(const std::string &instance);
     /// The entry of the server @p name was removed. During or just after a store outage the server stays usable until
     /// RelistGracePeriod after the recovery of the store.
     void remove(std::string_view name, TimePoint now);
@@ -69,7 +72,8 @@
     std::size_t size() const;
     /// All known servers by instance, including leaving ones.
     const std::map<std::string, ServerPtr, std::less<>> &all() const;
-    /// Calls @p handler with each server that starts to leave or is removed.
+    /// Calls @p handler with each server that starts to leave or is removed. Called again when the entry of a server that has
+    /// announced its leaving in an answer says so too: only the entry may say when the server ends.
     void onLeaving(std::function<void(const ServerPtr &server)> handler);
 
 private:
--- a/src/directory/internal/directory.cpp
+++ b/src/directory/internal/directory.cpp
@@ -56,6 +56,23 @@
     store(std::move(known));
 }
 
+bool Directory::markLeaving(const std::string &instance)
+{
+    const auto known = find(instance);
+    if (!known) {
+        const bool isNew = !departed_.contains(instance);
+        rememberDeparted(instance);
+        return isNew;
+    }
+    if (known->isLeaving) {
+        return false;
+    }
+    KnownServer leaving = *known;
+    leaving.isLeaving = true;
+    store(std::move(leaving));
+    return true;
+}
+
 void Directory::removeInvalid(std::string_view name)
 {
     if (const auto known = findByName(name)) {
@@ -149,6 +166,7 @@
 void Directory::store(KnownServer known)
 {
     const auto before = find(known.server.instance);
+    const bool startsToDrain = known.server.state == ServerState::Draining && before && before->server.state != ServerState::Draining;
     const bool startsToLeave = known.isLeaving && (!before || !before->isLeaving);
     known.hash = presence::nameHash(known.server.instance);
     const auto entry = std::make_shared<const KnownServer>(std::move(known));
@@ -161,7 +179,7 @@
     } else {
         missing_.erase(entry->server.instance);
     }
-    if (!startsToLeave) {
+    if (!startsToLeave && !startsToDrain) {
         return;
     }
     for (const auto &handler : leavingHandlers_) {
--- a/src/directory/tests/directory_test.cpp
+++ b/src/directory/tests/directory_test.cpp
@@ -45,6 +45,73 @@
     EXPECT_EQ(left.front(), "a");
 }
 
+// Guards against an announcement in an answer that later knowledge of the list undoes.
+TEST(Directory, AServerThatAnnouncedItsLeavingInAnAnswerStaysUnusable)
+{
+    const auto directory = Directory::create();
+    directory->put(server("a"));
+    EXPECT_TRUE(directory->markLeaving("a"));
+    EXPECT_FALSE(directory->markLeaving("a")) << "known already";
+    EXPECT_EQ(usableCount(*directory), 0U);
+    directory->put(server("a"));
+    EXPECT_EQ(usableCount(*directory), 0U) << "its entry is written again";
+    const std::vector<BackendServer> list{server("a")};
+    directory->replaceAll(list, Start);
+    EXPECT_EQ(usableCount(*directory), 0U) << "the list is read anew";
+    BackendServer laterEra = server("a");
+    laterEra.entryVersion = {1, 7};
+    directory->put(laterEra);
+    EXPECT_EQ(usableCount(*directory), 0U) << "an entry of a restored store";
+    directory->noteStoreReachable(false, Start);
+    directory->remove("a", Start);
+    directory->put(server("a"));
+    EXPECT_EQ(usableCount(*directory), 0U) << "its entry expired in an outage, and is back";
+    directory->noteStoreReachable(true, Start);
+    directory->remove("a", Start + std::chrono::minutes(1));
+    directory->put(server("a"));
+    EXPECT_EQ(usableCount(*directory), 0U) << "its entry was removed, and is back";
+}
+
+TEST(Directory, AnAnnouncementOfAnUnknownInstanceIsRemembered)
+{
+    const auto directory = Directory::create();
+    EXPECT_TRUE(directory->markLeaving("a"));
+    EXPECT_FALSE(directory->markLeaving("a"));
+    directory->put(server("a"));
+    EXPECT_EQ(usableCount(*directory), 0U);
+}
+
+TEST(Directory, AnAnnouncementHoldsForTheInstanceOnly)
+{
+    const auto directory = Directory::create();
+    BackendServer first = server("a");
+    first.startedAt = 1;
+    first.instance = instanceId("a", 1);
+    directory->put(first);
+    directory->markLeaving(first.instance);
+    BackendServer second = server("a");
+    second.startedAt = 2;
+    second.instance = instanceId("a", 2);
+    directory->put(second);
+    EXPECT_EQ(usableCount(*directory), 1U);
+    directory->markLeaving(first.instance);
+    EXPECT_EQ(usableCount(*directory), 1U) << "a late answer of the earlier instance";
+}
+
+TEST(Directory, TheEntryOfAServerThatAnnouncedItsLeavingIsReportedToo)
+{
+    const auto directory = Directory::create();
+    std::vector<std::optional<TimePoint>> ends;
+    directory->onLeaving([&ends](const ServerPtr &known) { ends.push_back(known->server.endsAt); });
+    directory->put(server("a"));
+    directory->markLeaving("a");
+    BackendServer draining = server("a", ServerState::Draining);
+    draining.endsAt = Start;
+    directory->put(draining);
+    directory->put(draining);
+    EXPECT_EQ(ends, (std::vector<std::optional<TimePoint>>{std::nullopt, Start}));
+}
+
 /// Checks that usable() and findByHash() agree with all().
 void expectListsMatch(const Directory &directory)
 {
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -283,8 +283,9 @@
     const std::string head = http1::encodeHead(tools_.wire.writeRequest(exchange_->head(), dispatchFields(choice)), exchange_->body().size());
     http1::CallHandlers handlers;
     handlers.accepts = [this](const http1::ResponseHead &answer) {
-        const std::string id = tools_.wire.readAnswer(answer).requestId;
-        return id.empty() || id == request_.id;
+        const BackendAnswer read = tools_.wire.readAnswer(answer);
+        noteAnnouncements(attempt_->server->server.instance, read);
+        return read.requestId.empty() || read.requestId == request_.id;
     };
     handlers.onHead = [self = shared_from_this()](http1::ResponseHead answer) {
         self->onHead(std::move(answer));
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -91,7 +91,8 @@
     void send(const Choice &choice);
     DispatchFields dispatchFields(const Choice &choice) const;
     void onHead(http1::ResponseHead head);
-    void logAnnouncements(const std::string &instance, const BackendAnswer &answer) const;
+    /// Takes in what the server says of itself in any answer, also one to another request.
+    void noteAnnouncements(const std::string &instance, const BackendAnswer &answer) const;
     void onBody(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
     void onComplete();
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -24,12 +24,12 @@
     if (tools_.limits) {
         tools_.limits->noteAnswer(instance, attempt_->answer.limit, attempt_->sentAt);
     }
-    logAnnouncements(instance, attempt_->answer);
 }
 
-void ForwardedRequest::logAnnouncements(const std::string &instance, const BackendAnswer &answer) const
+void ForwardedRequest::noteAnnouncements(const std::string &instance, const BackendAnswer &answer) const
 {
-    if (answer.isLeaving) {
+    if (answer.isLeaving && tools_.directory->markLeaving(instance)) {
+        tools_.metrics->add("servers_leaving_by_answer_total");
         tools_.log->write(Event::ServerLeaving, {{Attribute::Server, instance}, {Attribute::Reason, "answer"}, {Attribute::Request, request_.id}});
     }
     if (answer.backoff) {
--- a/src/forwarding/internal/forwardedrequestmove.cpp
+++ b/src/forwarding/internal/forwardedrequestmove.cpp
@@ -67,6 +67,9 @@
     move_->client->call(std::move(head), std::move(body), MoveTimeout, [weak = weak_from_this()](const http1::CallResult &result) {
         const auto self = weak.lock();
         if (self && !self->finished_ && self->move_) {
+            if (result.isAnswered) {
+                self->noteAnnouncements(self->move_->from->server.instance, self->tools_.wire.readAnswer(result.response.head));
+            }
             self->onMoved(result.isAnswered ? self->tools_.wire.readKvMove(result.response) : std::nullopt);
         }
     });
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -38,10 +38,12 @@
 void Forwarder::onServerLeaving(const directory::ServerPtr &server)
 {
     const directory::BackendServer &leaving = server->server;
-    if (!leaving.isReclaimable || leaving.state != directory::ServerState::Draining) {
+    // A server that is neither draining nor listed any more has ended.
+    const bool isRunning = leaving.state == directory::ServerState::Draining || tools_->directory->find(leaving.instance);
+    if (!leaving.isReclaimable || !isRunning) {
         return;
     }
-    // The server list does not always give the time.
+    // The server list does not always give the time, and an answer never does.
     const TimePoint endsAt = leaving.endsAt.value_or(tools_->loop->now() + MinReclaimNotice);
     for (const auto &[key, request] : open_) {
         request->onServerReclaim(leaving.instance, endsAt);
