Hear what engines and services announce in answers of chats and calls

Callers of chats and of services with contracts: calls went on at a service that had said it leaves (21 runs of 20 calls, for ever); chats went to an engine whose running stream had said so from its head on, until that stream ended; when all engines asked for 30 s each chat was still sent to both (10 arrivals each, 2 allowed) and its caller was told 5 s. Cause: X-Leaving was read at the end of a stream only, never in answers of services; Retry-After nowhere. Now one object takes in the head of every answer of a server (ServerAnnouncements: streams, resumed ones, cancels, KV transfers, load polls, service calls), the router excludes a server that backs off, also as a last resort, and refusals name the first end. An accepted answer waits up to 5 s for it. A server that backs off is not polled. Retry-After is parsed in one place for both paths.

--- /dev/null
+++ b/src/backoff/retryafter.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "kernel/clock.h"
+
+#include <optional>
+#include <string_view>
+
+namespace cardamomlift::backoff {
+
+/// Longer times are taken for an error of the server, and ignored.
+inline constexpr Duration MaxBackoff = std::chrono::hours(24);
+
+/// Parses the Retry-After of a server that turns a request away: seconds, with fractions. Empty if @p text is anything else, not
+/// positive, or longer than MaxBackoff.
+std::optional<Duration> parseRetryAfter(std::string_view text);
+
+} // namespace cardamomlift::backoff
--- a/src/engine/engineclient.h
+++ b/src/engine/engineclient.h
@@ -2,7 +2,7 @@
 
 #include "engine/enginetypes.h"
 #include "http/client.h"
-#include "membership/membershiptypes.h"
+#include "membership/serverannouncements.h"
 
 #include <functional>
 #include <memory>
@@ -17,8 +17,8 @@
 {
 public:
     virtual ~EngineClient() = default;
-    /// Creates a client that reaches the engines over HTTP.
-    static std::shared_ptr<EngineClient> create(std::shared_ptr<http::Client> client);
+    /// Creates a client that reaches the engines over HTTP. @p announcements receives the head of every answer; may be null.
+    static std::shared_ptr<EngineClient> create(std::shared_ptr<http::Client> client, std::shared_ptr<membership::ServerAnnouncements> announcements);
 
     /// Starts an attempt at @p server. hooks.onEnd is called exactly once, never from inside start().
     virtual http::CallId start(const membership::Vm &server, const EngineRequest &request, EngineHooks hooks) = 0;
--- a/src/engine/enginemodule.cpp
+++ b/src/engine/enginemodule.cpp
@@ -16,12 +16,12 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"http"};
+        return {"http", "membership"};
     }
 
     Result<void> start(Context &context) override
     {
-        context.set(EngineClient::create(context.get<http::Client>()));
+        context.set(EngineClient::create(context.get<http::Client>(), context.get<membership::ServerAnnouncements>()));
         return success();
     }
 };
--- a/src/engine/enginetypes.h
+++ b/src/engine/enginetypes.h
@@ -52,7 +52,6 @@
     std::int64_t promptTokens = 0;
     std::int64_t cachedTokens = 0; ///< Prompt tokens found in the engine's prefix cache.
     bool wasConnected = false;
-    bool isLeaving = false; ///< The engine refused the request because its VM is leaving.
     bool timedOut = false; ///< A time limit ended it, such as the one for silence; the connection itself did not break.
     int status = 0;
     std::string error;
--- a/src/engine/internal/engineclient.cpp
+++ b/src/engine/internal/engineclient.cpp
@@ -120,8 +120,9 @@
 class HttpEngineClient : public EngineClient
 {
 public:
-    explicit HttpEngineClient(std::shared_ptr<http::Client> client)
+    HttpEngineClient(std::shared_ptr<http::Client> client, std::shared_ptr<membership::ServerAnnouncements> announcements)
         : client_(std::move(client))
+        , announcements_(std::move(announcements))
     {
     }
 
@@ -139,9 +140,21 @@
 
 private:
     http::CallId open(const membership::Vm &server, http::ClientRequest request, const std::string &requestId, EngineHooks hooks);
+    /// The onHeaders of calls of @p server.
+    std::function<void(int status, const http::Headers &headers)> announcementsOf(const membership::Vm &server) const;
     std::shared_ptr<http::Client> client_;
+    std::shared_ptr<membership::ServerAnnouncements> announcements_;
 };
 
+std::function<void(int status, const http::Headers &headers)> HttpEngineClient::announcementsOf(const membership::Vm &server) const
+{
+    return [announcements = announcements_, instance = server.instance](int status, const http::Headers &headers) {
+        if (announcements) {
+            announcements->note(instance, status, headers);
+        }
+    };
+}
+
 http::CallId HttpEngineClient::open(const membership::Vm &server, http::ClientRequest request, const std::string &requestId, EngineHooks hooks)
 {
     request.connectTimeout = ConnectTimeout;
@@ -152,7 +165,8 @@
     reader->requestId = requestId;
     reader->result.server = server.instance;
     http::ClientHooks clientHooks;
-    clientHooks.onHeaders = [reader](int status, const http::Headers &headers) {
+    clientHooks.onHeaders = [reader, note = announcementsOf(server)](int status, const http::Headers &headers) {
+        note(status, headers);
         const std::string_view streamId = http::headerValue(headers, StreamIdHeader);
         reader->isForOtherRequest = !streamId.empty() && streamId != reader->requestId;
         reader->status = status;
@@ -167,7 +181,6 @@
     clientHooks.onDone = [reader](http::ClientResult result) {
         reader->result.end = streamEndOf(result, reader->isComplete);
         reader->result.wasConnected = result.transport != http::Transport::NotSent;
-        reader->result.isLeaving = !http::headerValue(result.headers, "X-Leaving").empty();
         reader->result.timedOut = result.timedOut;
         reader->result.status = result.status;
         reader->result.error = result.error;
@@ -209,7 +222,9 @@
     http.url = baseUrl(server) + "/v1/streams/" + requestId;
     http.headers["X-Instance"] = server.instance;
     http.timeout = CancelTimeout;
-    client_->start(std::move(http), {});
+    http::ClientHooks hooks;
+    hooks.onHeaders = announcementsOf(server);
+    client_->start(std::move(http), std::move(hooks));
 }
 
 void HttpEngineClient::disconnect(http::CallId call)
@@ -227,6 +242,7 @@
     http.timeout = timeout;
     auto cache = std::make_shared<std::string>();
     http::ClientHooks hooks;
+    hooks.onHeaders = announcementsOf(server);
     hooks.onData = [cache, maxBytes](std::string_view bytes) {
         cache->append(bytes);
         return cache->size() <= maxBytes;
@@ -250,6 +266,7 @@
     http.timeout = timeout;
     http.body = std::move(cache);
     http::ClientHooks hooks;
+    hooks.onHeaders = announcementsOf(server);
     hooks.onDone = [done = std::move(done)](const http::ClientResult &result) {
         done(result.transport == http::Transport::Completed && result.status == 200);
     };
@@ -258,9 +275,9 @@
 
 } // namespace
 
-std::shared_ptr<EngineClient> EngineClient::create(std::shared_ptr<http::Client> client)
+std::shared_ptr<EngineClient> EngineClient::create(std::shared_ptr<http::Client> client, std::shared_ptr<membership::ServerAnnouncements> announcements)
 {
-    return std::make_shared<HttpEngineClient>(std::move(client));
+    return std::make_shared<HttpEngineClient>(std::move(client), std::move(announcements));
 }
 
 } // namespace cardamomlift::engine
--- a/src/gateway/gatewaymodule.cpp
+++ b/src/gateway/gatewaymodule.cpp
@@ -42,6 +42,7 @@
         tools.metrics = context.get<metrics::Metrics>();
         tools.lifecycle = lifecycle;
         tools.members = context.get<membership::Members>();
+        tools.announcements = context.get<membership::ServerAnnouncements>();
         tools.streamRegistry = context.get<streams::StreamRegistry>();
         tools.memory = MemoryGuard::create(*tools.loop, settings->limits.memoryMegabytes * BytesPerMegabyte);
         tools.metrics->gauge("resident_memory_bytes", [guard = tools.memory] { return static_cast<double>(guard->residentBytes()); });
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -34,6 +34,7 @@
     std::shared_ptr<fleet::DemandMeter> demand;
     std::shared_ptr<lifecycle::Lifecycle> lifecycle;
     std::shared_ptr<membership::Members> members;
+    std::shared_ptr<membership::ServerAnnouncements> announcements;
     std::shared_ptr<streams::StreamRegistry> streamRegistry;
     std::shared_ptr<MemoryGuard> memory;
 };
--- a/src/gateway/internal/servicehandler.cpp
+++ b/src/gateway/internal/servicehandler.cpp
@@ -261,6 +261,9 @@
             return tools_.claims->mayDispatch(call->claim);
         };
     }
+    hooks.onHeaders = [this, instance = server->instance](int status, const http::Headers &headers) {
+        tools_.announcements->note(instance, status, headers);
+    };
     hooks.onDone = [this, call, server = *server](http::ClientResult result) {
         onResponse(call, server, std::move(result));
     };
--- a/src/membership/internal/loadpoller.cpp
+++ b/src/membership/internal/loadpoller.cpp
@@ -66,21 +66,17 @@
     return {all.begin(), all.end()};
 }
 
-std::shared_ptr<LoadPoller> LoadPoller::create(
-    EventLoop &loop, std::shared_ptr<http::Client> client, std::shared_ptr<Members> members, std::shared_ptr<LoadReports> reports)
+std::shared_ptr<LoadPoller> LoadPoller::create(LoadPollerTools tools)
 {
     std::shared_ptr<LoadPoller> poller(new LoadPoller);
-    poller->loop_ = &loop;
-    poller->client_ = std::move(client);
-    poller->members_ = std::move(members);
-    poller->reports_ = std::move(reports);
-    poller->members_->onChange([raw = poller.get()] { raw->targetsOutdated_ = true; });
+    poller->tools_ = std::move(tools);
+    poller->tools_.members->onChange([raw = poller.get()] { raw->targetsOutdated_ = true; });
     return poller;
 }
 
 void LoadPoller::start()
 {
-    loop_->every(TickPeriod, [this] { tick(); });
+    tools_.loop->every(TickPeriod, [this] { tick(); });
 }
 
 const std::vector<std::string> &LoadPoller::targets() const
@@ -92,15 +88,16 @@
 {
     if (targetsOutdated_) {
         targetsOutdated_ = false;
-        targets_ = polledServers(*members_);
-        reports_->keepOnly([this](const std::string &instance) { return members_->find(instance) != nullptr; });
+        targets_ = polledServers(*tools_.members);
+        tools_.reports->keepOnly([this](const std::string &instance) { return tools_.members->find(instance) != nullptr; });
     }
     std::size_t polls = 0;
     for (std::size_t i = 0; i < targets_.size() && polls < MaxPollsPerTick; i++) {
         const std::string &instance = targets_[nextTarget_++ % targets_.size()];
-        const auto last = reports_->load(instance);
-        const Vm *server = members_->find(instance);
-        if (server && server->state == VmState::Live && !inFlight_.contains(instance) && (!last || last->age >= MaxReportAge)) {
+        const auto last = tools_.reports->load(instance);
+        const Vm *server = tools_.members->find(instance);
+        const bool mayPoll = server && server->state == VmState::Live && !inFlight_.contains(instance) && !tools_.backoffs->endsAt(instance);
+        if (mayPoll && (!last || last->age >= MaxReportAge)) {
             polls++;
             poll(*server);
         }
@@ -115,6 +112,9 @@
     request.headers["X-Instance"] = server.instance;
     request.timeout = PollTimeout;
     http::ClientHooks hooks;
+    hooks.onHeaders = [this, instance = server.instance](int status, const http::Headers &headers) {
+        tools_.announcements->note(instance, status, headers);
+    };
     hooks.onDone = [this, instance = server.instance](const http::ClientResult &result) {
         inFlight_.erase(instance);
         const auto json = result.status == 200 ? http::parseJson(result.body) : std::nullopt;
@@ -122,12 +122,12 @@
         if (!report) {
             return;
         }
-        reports_->report(instance, *report);
+        tools_.reports->report(instance, *report);
         if (report->leaving) {
-            members_->markLeaving(instance, LeavingSource::LoadReport);
+            tools_.members->markLeaving(instance, LeavingSource::LoadReport);
         }
     };
-    client_->start(std::move(request), std::move(hooks));
+    tools_.client->start(std::move(request), std::move(hooks));
 }
 
 } // namespace cardamomlift::membership
--- a/src/membership/membershipmodule.cpp
+++ b/src/membership/membershipmodule.cpp
@@ -48,7 +48,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"http", "metrics", "peers"};
+        return {"backoff", "http", "metrics", "peers"};
     }
 
     Result<void> start(Context &context) override
@@ -62,7 +62,9 @@
         auto membershipGossip = MembershipGossip::create(loop, members, gossip);
         auto heartbeat = Heartbeat::create(loop, transport, members, gossip, describeSelf(*settings, *transport));
         auto reports = LoadReports::create(loop);
-        auto poller = LoadPoller::create(loop, client, members, reports);
+        const auto backoffs = context.get<backoff::BackoffTracker>();
+        auto announcements = ServerAnnouncements::create(members, backoffs);
+        auto poller = LoadPoller::create({&loop, client, members, reports, announcements, backoffs});
         gossip->start();
         heartbeat->start();
         poller->start();
@@ -70,6 +72,7 @@
         addGauges(*context.get<metrics::Metrics>(), members, gossip, heartbeat);
         context.get<metrics::Metrics>()->gauge("load_reports", [reports] { return static_cast<double>(reports->size()); });
         context.set(members);
+        context.set(announcements);
         context.set(gossip);
         context.set(membershipGossip);
         context.set(heartbeat);
--- a/src/recovery/internal/recoveringstream.cpp
+++ b/src/recovery/internal/recoveringstream.cpp
@@ -174,9 +174,6 @@
     if (!machine_.ended && id != machine_.current) {
         removeAttempt(id, result.end);
     }
-    if (result.isLeaving) {
-        tools_.members->markLeaving(instance, membership::LeavingSource::Answer);
-    }
 }
 
 void RecoveringStream::handleStall(AttemptId id)
--- a/src/retry/attemptplanner.h
+++ b/src/retry/attemptplanner.h
@@ -85,8 +85,13 @@
     std::optional<membership::Vm> chooseServer(const RequestRecord &record, bool isSuspect) const;
     AttemptPlan planUndecided(RequestRecord &record);
     AttemptPlan startAttempt(RequestRecord &record, bool isSuspect);
-    /// Number of live servers without an attempt of this request; at least 1 for an accepted answer while another server is live.
+    /// Number of servers without an attempt of this request that accept one now; at least 1 for an accepted answer that another server
+    /// can continue, now or after its backoff.
     std::size_t untriedServers(const RequestRecord &record) const;
+    /// The time until a server other than the last accepts an attempt, if all others back off.
+    std::optional<Duration> backoffOfOthers(const RequestRecord &record) const;
+    /// When a caller may retry whose request no server accepts now.
+    Duration noServerRetryAfter(const RequestRecord &record) const;
     void recordStart(RequestRecord &record, const membership::Vm &server);
     void recordEnd(RequestRecord &record, const std::string &instance, routing::AttemptEnd end, suspects::AttemptOutcome outcome);
     PlannerTools tools_;
--- a/src/retry/internal/attemptplanner.cpp
+++ b/src/retry/internal/attemptplanner.cpp
@@ -12,6 +12,10 @@
 constexpr Duration UndecidedRetryAfter = std::chrono::seconds(30);
 constexpr Duration ShortRetryAfter = std::chrono::seconds(1);
 constexpr Duration NewServerRetryAfter = std::chrono::seconds(5);
+/// Callers that no server accepts before the end of a backoff are told to return within this time after it.
+constexpr Duration MaxReturnSpread = std::chrono::seconds(1);
+/// An accepted answer that no server can continue now waits this long at most for the end of a backoff.
+constexpr Duration MaxBackoffWait = std::chrono::seconds(5);
 
 AttemptPlan giveUp(metrics::RefusalReason reason, std::string message, Duration retryAfter)
 {
@@ -107,8 +111,15 @@
     AttemptPlan plan;
     record.undecidedSince.reset();
     plan.server = chooseServer(record, isSuspect);
+    if (!plan.server && record.accepted) {
+        if (const auto wait = backoffOfOthers(record); wait && *wait <= MaxBackoffWait) {
+            plan.kind = PlanKind::Wait;
+            plan.wait = *wait;
+            return plan;
+        }
+    }
     if (!plan.server) {
-        return giveUp(metrics::RefusalReason::NoBackend, "No server is available for this request.", NewServerRetryAfter);
+        return giveUp(metrics::RefusalReason::NoBackend, "No server is available for this request.", noServerRetryAfter(record));
     }
     plan.kind = PlanKind::Try;
     if (record.tried.empty()) {
@@ -118,6 +129,23 @@
     return plan;
 }
 
+std::optional<Duration> AttemptPlanner::backoffOfOthers(const RequestRecord &record) const
+{
+    const std::span<const std::string> last = std::span(record.tried).last(record.tried.empty() ? 0 : 1);
+    return tools_.router->backoffLeft(record.route.role, record.route.name, last);
+}
+
+// Callers that were given the same time would return together, and the server would turn most of them away again.
+Duration AttemptPlanner::noServerRetryAfter(const RequestRecord &record) const
+{
+    const auto left = tools_.router->backoffLeft(record.route.role, record.route.name, {});
+    if (!left) {
+        return NewServerRetryAfter;
+    }
+    const auto spread = static_cast<std::uint64_t>(std::min(*left / 2, MaxReturnSpread).count());
+    return *left + Duration(static_cast<std::int64_t>(record.fingerprint % (spread + 1)));
+}
+
 void AttemptPlanner::recordStart(RequestRecord &record, const membership::Vm &server)
 {
     record.tried.push_back(server.instance);
@@ -189,14 +217,13 @@
 
 std::size_t AttemptPlanner::untriedServers(const RequestRecord &record) const
 {
-    const std::size_t live = tools_.router->liveServers(record.route.role, record.route.name);
-    std::size_t used = 0;
-    for (const std::string &instance : record.tried) {
-        const membership::Vm *vm = tools_.members->find(instance);
-        used += vm && vm->state == membership::VmState::Live ? 1 : 0;
+    const std::size_t left = tools_.router->availableServers(record.route.role, record.route.name, record.tried);
+    if (left > 0 || !record.accepted) {
+        return left;
     }
-    const std::size_t left = live - std::min(live, used);
-    return left == 0 && record.accepted && live > 1 ? 1 : left;
+    // An accepted answer may return to any server but the last, and wait for one that backs off.
+    const std::size_t others = tools_.router->availableServers(record.route.role, record.route.name, std::span(record.tried).last(1));
+    return others > 0 || backoffOfOthers(record) ? 1 : 0;
 }
 
 AttemptPlan AttemptPlanner::attemptFailed(RequestRecord &record, const std::string &instance, FailureKind failure)
@@ -235,7 +262,8 @@
         tools_.metrics->retried(retryReason(failure));
     }
     if (decision.action == RetryAction::GiveUp) {
-        return giveUp(decision.refusalReason, refusalMessage(decision.refusalReason), decision.retryAfter);
+        const bool lacksServer = decision.refusalReason == metrics::RefusalReason::NoBackend;
+        return giveUp(decision.refusalReason, refusalMessage(decision.refusalReason), lacksServer ? noServerRetryAfter(record) : decision.retryAfter);
     }
     AttemptPlan plan;
     plan.kind = PlanKind::Wait;
--- a/src/retry/tests/attemptplanner_test.cpp
+++ b/src/retry/tests/attemptplanner_test.cpp
@@ -31,7 +31,7 @@
         members_->onUnreachableReport([this](const std::string &instance) { unreachableReports_.push_back(instance); });
         PlannerTools tools;
         tools.clock = &clock_;
-        tools.router = routing::Router::create(clock_, members_);
+        tools.router = routing::Router::create(clock_, members_, backoffs_);
         tools.suspects = suspects::SuspectTracker::create({loop_.get(), members_, membership::Gossip::create(*loop_, transport), metrics_});
         tools.members = members_;
         tools.metrics = metrics_;
@@ -58,6 +58,7 @@
     std::unique_ptr<EventLoop> loop_;
     std::shared_ptr<membership::Members> members_ = membership::Members::create("entry-1", &clock_);
     std::shared_ptr<metrics::Metrics> metrics_ = metrics::Metrics::create();
+    std::shared_ptr<backoff::BackoffTracker> backoffs_ = backoff::BackoffTracker::create(clock_);
     std::shared_ptr<AttemptPlanner> planner_;
     std::vector<std::string> unreachableReports_;
     RequestRecord record_;
@@ -105,3 +106,46 @@
     EXPECT_EQ(planner_->attemptFailed(record_, first, FailureKind::NotSent).kind, PlanKind::Wait);
     EXPECT_NE(attempt(), first);
 }
+
+// Guards against callers who are told to return while no server accepts their requests.
+TEST_F(AttemptPlannerTest, WhenAllServersBackOffTheCallerIsToldTheFirstEnd)
+{
+    for (const char *engine : {"engine-1", "engine-2", "engine-3"}) {
+        backoffs_->begin(engine, std::chrono::seconds(20));
+    }
+    backoffs_->begin("engine-2", std::chrono::seconds(40));
+    const AttemptPlan plan = planner_->planAttempt(record_);
+    EXPECT_EQ(plan.kind, PlanKind::GiveUp);
+    EXPECT_GE(plan.retryAfter, std::chrono::seconds(20));
+    EXPECT_LE(plan.retryAfter, std::chrono::seconds(21));
+}
+
+TEST_F(AttemptPlannerTest, TheLastServerToRefuseTellsWhenToReturn)
+{
+    const std::string first = attempt();
+    for (const char *engine : {"engine-1", "engine-2", "engine-3"}) {
+        backoffs_->begin(engine, std::chrono::seconds(20));
+    }
+    const AttemptPlan plan = planner_->attemptFailed(record_, first, FailureKind::Refused);
+    EXPECT_EQ(plan.kind, PlanKind::GiveUp);
+    EXPECT_EQ(plan.reason, RefusalReason::NoBackend);
+    EXPECT_GE(plan.retryAfter, std::chrono::seconds(20));
+}
+
+// Guards against an accepted answer that is broken off although a server will accept it in a moment.
+TEST_F(AttemptPlannerTest, AnAcceptedRequestWaitsForTheEndOfABackoff)
+{
+    const std::string first = attempt();
+    planner_->progressed(record_, 1);
+    for (const char *engine : {"engine-1", "engine-2", "engine-3"}) {
+        if (engine != first) {
+            backoffs_->begin(engine, std::chrono::seconds(2));
+        }
+    }
+    EXPECT_EQ(planner_->attemptFailed(record_, first, FailureKind::ConnectionBroken).kind, PlanKind::Wait);
+    const AttemptPlan waiting = planner_->planAttempt(record_);
+    EXPECT_EQ(waiting.kind, PlanKind::Wait);
+    EXPECT_EQ(waiting.wait, std::chrono::seconds(2));
+    clock_.advance(waiting.wait);
+    EXPECT_NE(attempt(), first);
+}
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -42,11 +42,12 @@
 
 } // namespace
 
-std::shared_ptr<Router> Router::create(const Clock &clock, std::shared_ptr<membership::Members> members)
+std::shared_ptr<Router> Router::create(const Clock &clock, std::shared_ptr<membership::Members> members, std::shared_ptr<backoff::BackoffTracker> backoffs)
 {
     std::shared_ptr<Router> router(new Router);
     router->clock_ = &clock;
     router->members_ = std::move(members);
+    router->backoffs_ = std::move(backoffs);
     // The seed differs between VMs: with the same samples all would choose the same server.
     router->random_.seed(static_cast<std::uint32_t>(text::stableHash(router->members_->self())));
     router->refresh();
@@ -64,6 +65,17 @@
     fleetStartsPerLocalStart_ = fleetStartsPerLocalStart(members_->peers().size() + 1);
 }
 
+bool Router::isBackingOff(const std::string &instance) const
+{
+    return backoffs_ && backoffs_->endsAt(instance);
+}
+
+bool Router::isAtRecoveryLimit(const std::string &instance, const ServerState &state) const
+{
+    const auto limit = backoffs_ ? backoffs_->openLimit(instance) : std::nullopt;
+    return limit && state.inFlight >= static_cast<std::uint32_t>(*limit);
+}
+
 Candidate Router::candidate(const ServerGroup &group, std::size_t server, const RouteCriteria &criteria) const
 {
     const membership::Vm &vm = group.vms[server];
@@ -80,14 +92,14 @@
     if (state.report && now - state.reportAt < MaxReportAge) {
         result.report = decayed(*state.report, now - state.reportAt);
     }
-    result.excluded = contains(criteria.exclude, vm.instance);
+    result.excluded = contains(criteria.exclude, vm.instance) || isBackingOff(vm.instance);
     result.hostsSuspect = contains(criteria.serversWithSuspects, vm.instance);
     // After a failure, one first attempt per second probes whether the server has recovered; retries go to healthy servers.
     // NOTE A dead server looks idle compared with the load that others report, and would attract all first attempts at once.
     const bool isRetry = !criteria.exclude.empty();
     const bool wasProbed = state.recentStartsAt >= state.avoidUntil && now - state.recentStartsAt < InitialBackoff;
     const bool isPresumedDown = state.consecutiveFailures > 0 && (isRetry || wasProbed);
-    result.failedRecently = now < state.avoidUntil || isPresumedDown || members_->isUnreachable(vm.instance);
+    result.failedRecently = now < state.avoidUntil || isPresumedDown || members_->isUnreachable(vm.instance) || isAtRecoveryLimit(vm.instance, state);
     return result;
 }
 
@@ -161,7 +173,10 @@
     if (end == AttemptEnd::Answered) {
         state.consecutiveFailures = 0;
         state.avoidUntil = TimePoint();
-    } else if (end == AttemptEnd::Failed || end == AttemptEnd::Refused) {
+        if (backoffs_) {
+            backoffs_->noteAnswered(instance, clock_->now());
+        }
+    } else if (end == AttemptEnd::Failed || (end == AttemptEnd::Refused && !isBackingOff(instance))) {
         avoid(instance);
     }
 }
@@ -193,10 +208,35 @@
     hints_.note(instance, prefixHash, share, at);
 }
 
-std::size_t Router::liveServers(membership::VmRole role, std::string_view name) const
+std::size_t Router::availableServers(membership::VmRole role, std::string_view name, std::span<const std::string> exclude) const
+{
+    const ServerGroup *group = index_.find(role, name);
+    if (!group) {
+        return 0;
+    }
+    const auto count = std::count_if(
+        group->vms.begin(), group->vms.end(), [&](const membership::Vm &vm) { return !contains(exclude, vm.instance) && !isBackingOff(vm.instance); });
+    return static_cast<std::size_t>(count);
+}
+
+std::optional<Duration> Router::backoffLeft(membership::VmRole role, std::string_view name, std::span<const std::string> exclude) const
 {
     const ServerGroup *group = index_.find(role, name);
-    return group ? group->vms.size() : 0;
+    if (!group || !backoffs_) {
+        return std::nullopt;
+    }
+    std::optional<TimePoint> first;
+    for (const membership::Vm &vm : group->vms) {
+        if (contains(exclude, vm.instance)) {
+            continue;
+        }
+        const auto end = backoffs_->endsAt(vm.instance);
+        if (!end) {
+            return std::nullopt;
+        }
+        first = std::min(first.value_or(*end), *end);
+    }
+    return first ? std::optional(*first - clock_->now()) : std::nullopt;
 }
 
 } // namespace cardamomlift::routing
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backoff/backofftracker.h"
 #include "kernel/clock.h"
 #include "membership/members.h"
 #include "routing/prefixhints.h"
@@ -16,7 +17,9 @@
 class Router : public std::enable_shared_from_this<Router>
 {
 public:
-    static std::shared_ptr<Router> create(const Clock &clock, std::shared_ptr<membership::Members> members);
+    /// @p backoffs may be null: no server asks for a backoff then.
+    static std::shared_ptr<Router> create(
+        const Clock &clock, std::shared_ptr<membership::Members> members, std::shared_ptr<backoff::BackoffTracker> backoffs = nullptr);
 
     /// Returns a live server, or none. Considers a bounded sample of the servers. The attempt counts from started() on.
     std::optional<membership::Vm> choose(const RouteCriteria &criteria);
@@ -30,11 +33,16 @@
     void noteLoad(const std::string &instance, const LoadReport &report, TimePoint at);
     /// Records that @p share of a prompt was in the cache of @p instance at @p at, from an answer or a cache event.
     void notePrefix(std::string_view instance, std::uint64_t prefixHash, double share, TimePoint at);
-    /// Returns the number of live servers of a model or service.
-    std::size_t liveServers(membership::VmRole role, std::string_view name) const;
+    /// Returns the number of live servers of a model or service that accept requests of this VM now, other than @p exclude.
+    std::size_t availableServers(membership::VmRole role, std::string_view name, std::span<const std::string> exclude) const;
+    /// Returns the time until the first of the live servers of a model or service, other than @p exclude, accepts requests of this VM
+    /// again; empty if there is none, or if one of them accepts requests now.
+    std::optional<Duration> backoffLeft(membership::VmRole role, std::string_view name, std::span<const std::string> exclude) const;
 
 private:
     Router() = default;
+    bool isBackingOff(const std::string &instance) const;
+    bool isAtRecoveryLimit(const std::string &instance, const ServerState &state) const;
     Candidate candidate(const ServerGroup &group, std::size_t server, const RouteCriteria &criteria) const;
     std::optional<std::size_t> chooseAmong(
         const ServerGroup &group, std::span<const std::size_t> servers, std::size_t prefixServerCount, const RouteCriteria &criteria, bool onlyHealthy);
@@ -42,6 +50,7 @@
     const Clock *clock_ = nullptr;
     double fleetStartsPerLocalStart_ = 1;
     std::shared_ptr<membership::Members> members_;
+    std::shared_ptr<backoff::BackoffTracker> backoffs_;
     ServerIndex index_;
     PrefixHints hints_;
     Random random_;
--- a/src/routing/routingmodule.cpp
+++ b/src/routing/routingmodule.cpp
@@ -24,13 +24,13 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"membership"};
+        return {"backoff", "membership"};
     }
 
     Result<void> start(Context &context) override
     {
         const Clock &clock = context.get<Runtime>()->loop->clock();
-        auto router = Router::create(clock, context.get<membership::Members>());
+        auto router = Router::create(clock, context.get<membership::Members>(), context.get<backoff::BackoffTracker>());
         feedLoad(*context.get<membership::LoadReports>(), router, clock);
         context.set(router);
         return success();
--- a/src/routing/tests/router_test.cpp
+++ b/src/routing/tests/router_test.cpp
@@ -30,7 +30,7 @@
         }
         members = membership::Members::create(self);
         members->applyList(list);
-        router = Router::create(clock, members);
+        router = Router::create(clock, members, backoffs);
         criteria.name = "model";
         criteria.customer = "customer";
         criteria.promptTokens = 2000;
@@ -39,6 +39,7 @@
     ManualClock clock;
     std::vector<membership::Vm> list;
     std::shared_ptr<membership::Members> members;
+    std::shared_ptr<backoff::BackoffTracker> backoffs = backoff::BackoffTracker::create(clock);
     std::shared_ptr<Router> router;
     RouteCriteria criteria;
 };
@@ -200,3 +201,49 @@
         EXPECT_EQ(probes, 1);
     }
 }
+
+// Guards against a server that backs off as the last resort of any rule.
+TEST(Router, AServerThatBacksOffIsNotChosen)
+{
+    RouterHarness harness(2);
+    harness.backoffs->begin("engine-0", std::chrono::seconds(3));
+    harness.router->started("engine-1", "customer");
+    harness.router->finished("engine-1", AttemptEnd::Failed, "customer");
+    EXPECT_EQ(harness.router->choose(harness.criteria)->instance, "engine-1") << "it failed, but accepts requests";
+    EXPECT_EQ(harness.router->availableServers(membership::VmRole::Model, "model", {}), 1U);
+    EXPECT_FALSE(harness.router->backoffLeft(membership::VmRole::Model, "model", {}));
+    harness.backoffs->begin("engine-1", std::chrono::seconds(2));
+    EXPECT_FALSE(harness.router->choose(harness.criteria));
+    EXPECT_EQ(harness.router->backoffLeft(membership::VmRole::Model, "model", {}), std::chrono::seconds(2));
+    const std::vector<std::string> last{"engine-1"};
+    EXPECT_EQ(harness.router->backoffLeft(membership::VmRole::Model, "model", last), std::chrono::seconds(3));
+    harness.clock.advance(std::chrono::seconds(2));
+    EXPECT_EQ(harness.router->choose(harness.criteria)->instance, "engine-1");
+}
+
+TEST(Router, ABackoffIsNoFailureAndItsServerIsUsedRightAfterIt)
+{
+    RouterHarness harness(1);
+    harness.router->started("engine-0", "customer");
+    harness.backoffs->begin("engine-0", std::chrono::milliseconds(100));
+    harness.router->finished("engine-0", AttemptEnd::Refused, "customer");
+    harness.clock.advance(std::chrono::milliseconds(100));
+    harness.criteria.exclude = {"engine-1"};
+    EXPECT_EQ(harness.router->choose(harness.criteria)->instance, "engine-0");
+}
+
+TEST(Router, AServerGetsOneRequestFirstAfterItsBackoff)
+{
+    RouterHarness harness(2);
+    harness.backoffs->begin("engine-0", std::chrono::seconds(1));
+    harness.clock.advance(std::chrono::seconds(1));
+    std::map<std::string, int> starts;
+    for (int i = 0; i < 6; i++) {
+        const auto vm = harness.router->choose(harness.criteria);
+        ASSERT_TRUE(vm);
+        harness.router->started(vm->instance, "customer");
+        starts[vm->instance]++;
+    }
+    EXPECT_EQ(starts["engine-0"], 1);
+    EXPECT_EQ(starts["engine-1"], 5);
+}
--- a/src/standins/engine/engine.cpp
+++ b/src/standins/engine/engine.cpp
@@ -113,6 +113,13 @@
         responder->respond(refusal(400, "not JSON"));
         return;
     }
+    if (!retryAfter_.empty()) {
+        totals_.refusedBackoff++;
+        http::Response response = notRun("overloaded", announcesLeaving_);
+        response.headers["Retry-After"] = retryAfter_;
+        responder->respond(std::move(response));
+        return;
+    }
     if (leaving_) {
         totals_.refusedLeaving++;
         responder->respond(notRun("leaving", true));
@@ -142,7 +149,11 @@
 void Engine::setReader(const StreamPtr &stream, const ResponderPtr &responder)
 {
     stream->reader = responder;
-    responder->startStream(200, {{"Content-Type", "text/event-stream"}, {"X-Stream-Id", stream->id}});
+    http::Headers headers{{"Content-Type", "text/event-stream"}, {"X-Stream-Id", stream->id}};
+    if (announcesLeaving_) {
+        headers["X-Leaving"] = "true";
+    }
+    responder->startStream(200, std::move(headers));
     responder->onClosed([stream, raw = responder.get()] {
         // NOTE A reader that comes back may be here before the end of its old connection is seen.
         if (stream->reader.get() == raw) {
@@ -221,6 +232,8 @@
         leaving_ = true;
         scheduler_.setLeaving();
     }
+    announcesLeaving_ = json.get("announcesLeaving", announcesLeaving_).asBool();
+    retryAfter_ = json.get("retryAfter", retryAfter_).asString();
     options_.tokenMs = json.get("tokenMs", static_cast<Json::Int64>(options_.tokenMs)).asInt64();
 }
 
@@ -247,6 +260,7 @@
     json["recomputedTokens"] = static_cast<Json::UInt64>(totals_.recomputedTokens);
     json["exportedBytes"] = static_cast<Json::UInt64>(totals_.exportedBytes);
     json["importedBytes"] = static_cast<Json::UInt64>(totals_.importedBytes);
+    json["refusedBackoff"] = static_cast<Json::UInt64>(totals_.refusedBackoff);
     json["loadPolls"] = static_cast<Json::UInt64>(totals_.loadPolls);
     json["refusedLeaving"] = static_cast<Json::UInt64>(totals_.refusedLeaving);
     json["open"] = static_cast<Json::UInt64>(streams_.size());
--- a/src/standins/engine/engine.h
+++ b/src/standins/engine/engine.h
@@ -18,7 +18,8 @@
 /// One model engine: streams chat completions whose tokens are known beforehand (standinkit::outputToken).
 ///
 /// POST /v1/chat/completions; GET and DELETE /v1/streams/{id}; GET and PUT /v1/kv/{id}; POST /v1/orders; GET /load;
-/// GET /cache-events?after=n; and for tests POST /control {"leaving":true,"tokenMs":n}, GET /totals.
+/// GET /cache-events?after=n; and for tests POST /control {"leaving":true,"tokenMs":n,
+/// "announcesLeaving":true,"retryAfter":"s"}, GET /totals.
 class Engine
 {
 public:
@@ -47,6 +48,8 @@
     Orders orders_;
     Scheduler scheduler_;
     bool leaving_ = false;
+    bool announcesLeaving_ = false; ///< The heads of streams say that the engine leaves; it still accepts requests.
+    std::string retryAfter_; ///< Requests are refused with this Retry-After; empty: they are accepted.
     std::map<std::string, StreamPtr> streams_;
 };
 
--- a/src/standins/engine/enginetypes.h
+++ b/src/standins/engine/enginetypes.h
@@ -39,6 +39,7 @@
     std::uint64_t exportedBytes = 0;
     std::uint64_t importedBytes = 0;
     std::uint64_t refusedLeaving = 0;
+    std::uint64_t refusedBackoff = 0;
     std::uint64_t loadPolls = 0;
 };
 
--- a/src/standins/service/main.cpp
+++ b/src/standins/service/main.cpp
@@ -14,6 +14,9 @@
     EventLoop *loop = nullptr;
     std::string instance;
     Duration delay{0};
+    bool announcesLeaving = false; ///< All answers say that the service leaves.
+    std::string retryAfter; ///< Calls are refused with this Retry-After; empty: they are run.
+    std::uint64_t refusedBackoff = 0;
     std::uint64_t runs = 0;
     std::map<std::string, std::uint64_t> runsByKey;
     std::unique_ptr<http::Server> server;
@@ -22,6 +25,7 @@
     {
         Json::Value json;
         json["runs"] = static_cast<Json::UInt64>(runs);
+        json["refusedBackoff"] = static_cast<Json::UInt64>(refusedBackoff);
         json["byKey"] = Json::Value(Json::objectValue);
         for (const auto &[key, count] : runsByKey) {
             json["byKey"][key] = static_cast<Json::UInt64>(count);
@@ -38,6 +42,8 @@
         if (request.path == "/control") {
             const Json::Value body = http::parseJson(request.body).value_or(Json::Value(Json::objectValue));
             delay = std::chrono::milliseconds(body.get("delayMs", 0).asInt64());
+            announcesLeaving = body.get("announcesLeaving", announcesLeaving).asBool();
+            retryAfter = body.get("retryAfter", retryAfter).asString();
             responder->respond({200, {}, "ok\n"});
             return;
         }
@@ -46,17 +52,26 @@
             responder->respond({503, {{"X-Not-Run", "true"}}, "another instance\n"});
             return;
         }
+        if (!retryAfter.empty()) {
+            refusedBackoff++;
+            responder->respond({503, {{"X-Not-Run", "true"}, {"Retry-After", retryAfter}}, "overloaded\n"});
+            return;
+        }
         runs++;
         runsByKey[std::string(http::headerValue(request.headers, "Idempotency-Key"))]++;
         Json::Value answer;
         answer["run"] = static_cast<Json::UInt64>(runs);
         answer["path"] = request.path;
         answer["echo"] = request.body;
+        http::Response response = http::jsonResponse(200, answer);
+        if (announcesLeaving) {
+            response.headers["X-Leaving"] = "true";
+        }
         if (delay.count() == 0) {
-            responder->respond(http::jsonResponse(200, answer));
+            responder->respond(std::move(response));
             return;
         }
-        loop->after(delay, [responder, answer] { responder->respond(http::jsonResponse(200, answer)); });
+        loop->after(delay, [responder, response] { responder->respond(response); });
     }
 };
 
--- a/src/streams/tests/streamregistry_test.cpp
+++ b/src/streams/tests/streamregistry_test.cpp
@@ -114,7 +114,7 @@
         node.members = membership::Members::create(instance);
         node.members->applyList(vms_);
         StreamRegistryTools tools;
-        tools.session = {loop_.get(), engine::EngineClient::create(client_), makePlanner(node), node.metrics, node.members};
+        tools.session = {loop_.get(), engine::EngineClient::create(client_, nullptr), makePlanner(node), node.metrics, node.members};
         tools.transport = node.transport;
         tools.zone = zone;
         node.registry = StreamRegistry::create(std::move(tools));
