Ask again before a request that waited for its connection is written

A request was chosen for a server, waited up to 0.4 s for a connection, and was written though its server had announced meanwhile that it leaves or backs off. Cause: the check stood at the choice only. The channel now holds the request until the connection is established and asks then; a withdrawn request is sent elsewhere and takes nothing from the retry budget, as nothing arrived. A moved run is written in any case. Red before: ForwarderBackoffTest.ARequestThatWaitsForItsConnection* (two).

--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -296,6 +296,9 @@
     }
     const std::string head = http1::encodeHead(tools_.wire.writeRequest(exchange_->head(), dispatchFields(choice)), exchange_->body().size());
     http1::CallHandlers handlers;
+    handlers.mayStillSend = [this] {
+        return mayStillSend();
+    };
     handlers.accepts = [this](const http1::ResponseHead &answer) {
         const BackendAnswer read = tools_.wire.readAnswer(answer);
         noteAnnouncements(attempt_->server->server.instance, read);
@@ -327,6 +330,14 @@
     watchSilence();
 }
 
+// A moved run is sent in any case: its state is at this server only.
+bool ForwardedRequest::mayStillSend() const
+{
+    const std::string &instance = attempt_->server->server.instance;
+    const auto known = tools_.directory->find(instance);
+    return !kvSource_.empty() || (known && !known->isLeaving && !tools_.backoffs->endsAt(instance));
+}
+
 void ForwardedRequest::onConnectTimeout()
 {
     if (attempt_ && !attempt_->channel->isConnected()) {
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -111,6 +111,8 @@
     void onNotRun(std::string_view why);
     void onFailure(http1::CallFailure failure);
     void onBroken(std::string_view why);
+    /// Whether the server may still get the request that has waited for a connection to it.
+    bool mayStillSend() const;
     void onConnectTimeout();
     Duration silenceLimit() const;
     void watchSilence();
@@ -124,6 +126,7 @@
     bool isIdempotent() const;
     bool mayRunAgain() const;
     bool takeRetry();
+    void retryUnsent(metrics::RetryReason reason);
     void retry();
     void endAttempt(bool keepChannel);
     void onDeadline();
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -188,6 +188,12 @@
         continueAtTarget();
         return;
     }
+    if (failure == http1::CallFailure::Withdrawn) {
+        logAttempt("withdrawn");
+        endAttempt(false);
+        retryUnsent(metrics::RetryReason::ServerRefused);
+        return;
+    }
     noteOutcome(outliers::Ending::NoAnswer);
     if (failure == http1::CallFailure::Broken) {
         noteConnectionBroken();
@@ -197,8 +203,14 @@
     logAttempt("not_connected");
     tried_.insert(instance);
     endAttempt(false);
+    retryUnsent(metrics::RetryReason::ConnectFailed);
+}
+
+// Does not take from the retry budget, as nothing has reached a server.
+void ForwardedRequest::retryUnsent(metrics::RetryReason reason)
+{
     if (sends_ < MaxSends) {
-        tools_.metrics->retried(metrics::RetryReason::ConnectFailed);
+        tools_.metrics->retried(reason);
         retry();
         return;
     }
--- a/src/forwarding/tests/forwarderbackoff_test.cpp
+++ b/src/forwarding/tests/forwarderbackoff_test.cpp
@@ -65,6 +65,30 @@
     EXPECT_NE(logLines_.find(R"("backing_off":1)"), std::string::npos) << "the log line of a send counts the skipped servers";
 }
 
+// Guards against a request that is written to a server that asked for a backoff while the connection was being established.
+TEST_F(ForwarderBackoffTest, ARequestThatWaitsForItsConnectionIsNotWrittenToAServerThatBacksOff)
+{
+    const auto client = call(request("/once/1"));
+    ASSERT_TRUE(runUntil([&] { return logLines_.find("request_dispatched") != std::string::npos; }));
+    const std::string chosen = logLines_.find(R"("server":"one")") != std::string::npos ? "one" : "two";
+    backoffs_->begin(chosen, seconds(3));
+    nextRequest()->answer(signedHead(), "answer");
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "200"); })) << client->received();
+    EXPECT_EQ(backends_[chosen].arrivals, 0);
+    EXPECT_FALSE(tools_.outliers->isOutlier(directory_->find(chosen)->hash, "service"));
+}
+
+TEST_F(ForwarderBackoffTest, ARequestThatWaitsForItsConnectionIsNotWrittenToAServerThatLeaves)
+{
+    const auto client = call(request("/once/1"));
+    ASSERT_TRUE(runUntil([&] { return logLines_.find("request_dispatched") != std::string::npos; }));
+    const std::string chosen = logLines_.find(R"("server":"one")") != std::string::npos ? "one" : "two";
+    directory_->markLeaving(chosen);
+    nextRequest()->answer(signedHead(), "answer");
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "200"); })) << client->received();
+    EXPECT_EQ(backends_[chosen].arrivals, 0);
+}
+
 TEST_F(ForwarderBackoffTest, WhenAllServersBackOffARequestIsRefusedAtOnceUntilTheFirstEnd)
 {
     backoffs_->begin("one", seconds(4));
--- a/src/http1/backendchannel.h
+++ b/src/http1/backendchannel.h
@@ -12,12 +12,15 @@
 /// Why a call on a channel did not get a complete response.
 enum class CallFailure {
     NotConnected, ///< The connection could not be established; nothing was sent.
+    Withdrawn, ///< CallHandlers::mayStillSend returned false; nothing was sent.
     NotSent, ///< The connection ended before any byte of the request was sent.
     Broken, ///< The connection ended, or its bytes are not a valid response, after a byte of the request may have been sent.
 };
 
 /// Callbacks of one call. They may close the channel.
 struct CallHandlers {
+    /// Asked before the first byte is written if the call had to wait for the connection. False withdraws the call. May be unset.
+    std::function<bool()> mayStillSend;
     /// True if the response belongs to this call. Any other is read to its end and discarded, and the next one is awaited.
     std::function<bool(const ResponseHead &head)> accepts;
     std::function<void(ResponseHead head)> onHead;
@@ -49,6 +52,7 @@
 
 private:
     BackendChannel(EventLoop &loop, const ReadLimits &limits);
+    void onConnected();
     void onData(std::string_view bytes);
     void onSocketEnd(SocketEnd end);
     void readResponse(std::string_view bytes);
@@ -69,6 +73,7 @@
     bool closed_ = false;
     std::unique_ptr<ResponseReader> reader_;
     CallHandlers handlers_;
+    std::string waitingRequest_; ///< Written once the connection is established.
     TimePoint reusableUntil_ = TimePoint::max();
     std::function<void()> onIdleClosed_;
 };
--- a/src/http1/internal/backendchannel.cpp
+++ b/src/http1/internal/backendchannel.cpp
@@ -25,7 +25,7 @@
     BackendChannel *raw = channel.get();
     SocketHandlers handlers;
     handlers.onConnected = [raw] {
-        raw->connected_ = true;
+        raw->onConnected();
     };
     handlers.onData = [raw](std::string_view bytes) {
         raw->onData(bytes);
@@ -50,7 +50,25 @@
     discarding_ = false;
     handlers_ = std::move(handlers);
     reader_ = ResponseReader::create(limits_, isHead);
-    socket_->write(request);
+    if (connected_) {
+        socket_->write(request);
+    } else {
+        waitingRequest_ = request;
+    }
+}
+
+void BackendChannel::onConnected()
+{
+    const auto self = shared_from_this();
+    connected_ = true;
+    if (!calling_) {
+        return;
+    }
+    if (handlers_.mayStillSend && !handlers_.mayStillSend()) {
+        fail(CallFailure::Withdrawn);
+        return;
+    }
+    socket_->write(std::exchange(waitingRequest_, {}));
 }
 
 bool BackendChannel::isReusable() const
