--- a/src/suspects/internal/routesuspecttracker.cpp
+++ b/src/suspects/internal/routesuspecttracker.cpp
@@ -230,8 +230,8 @@
         if (isAlive(instance, at)) {
             shareAlive(instance);
             retract(instance, at, "activity");
-        } else if (isDraining(instance)) {
-            retract(instance, at, "list");
+        } else if (isLeaving(instance)) {
+            retract(instance, at, "leaving");
         } else if (isGone(instance, at) && store_.confirm(instance)) {
             logCrash(Event::ServerCrashConfirmed, instance, at, "list");
             tools_.metrics->add("server_crashes_total");
@@ -282,10 +282,10 @@
     return active != activeAt_.end() && active->second >= crashedAt + AliveMargin;
 }
 
-bool RouteSuspectTracker::isDraining(const std::string &instance) const
+bool RouteSuspectTracker::isLeaving(const std::string &instance) const
 {
     const auto known = tools_.directory->find(instance);
-    return known && known->server.state == directory::ServerState::Draining;
+    return known && known->isLeaving;
 }
 
 // The list must be known as of a time after the crash: a VM that has just started knows no servers yet.
--- a/src/suspects/routesuspecttracker.h
+++ b/src/suspects/routesuspecttracker.h
@@ -73,7 +73,7 @@
     void shareAlive(const std::string &instance);
     std::optional<TimePoint> unconfirmedCrashOf(const std::string &instance) const;
     bool isAlive(const std::string &instance, TimePoint crashedAt) const;
-    bool isDraining(const std::string &instance) const;
+    bool isLeaving(const std::string &instance) const;
     bool isGone(const std::string &instance, TimePoint crashedAt) const;
     void noteHeld(Fingerprint fingerprint, TimePoint now);
     void block(Fingerprint fingerprint);
--- a/src/suspects/tests/routesuspecttracker_test.cpp
+++ b/src/suspects/tests/routesuspecttracker_test.cpp
@@ -193,6 +193,18 @@
     EXPECT_FALSE(vm_.tracker->hasCrashes());
 }
 
+// Guards against a request that is taken for the cause of a crash when its server has announced its end in answers only.
+TEST_F(RouteSuspectTrackerTest, TheEndOfAServerThatAnnouncedItsLeavingInAnAnswerIsNoCrash)
+{
+    vm_.directory->markLeaving("server-1");
+    vm_.breakConnection("server-1", Harmless);
+    EXPECT_FALSE(vm_.tracker->hasCrashes());
+    vm_.breakConnection("server-2", Harmless);
+    vm_.directory->markLeaving("server-2");
+    advance(milliseconds(500));
+    EXPECT_FALSE(vm_.tracker->hasCrashes()) << "the announcement was in an answer that ended later";
+}
+
 TEST_F(RouteSuspectTrackerTest, AVmThatDoesNotKnowTheListYetConfirmsNothing)
 {
     Vm fresh(*loop_);
