Count in the soak what servers get after they have announced leaving or a backoff

Two faults more: a server that refuses with Retry-After, and one that says it leaves for up to five seconds while the list has it ready.

--- a/tests/announcements_test.cpp
+++ b/tests/announcements_test.cpp
@@ -76,8 +76,8 @@
     void send(int entry)
     {
         const std::string id = fmt::format("id-{}", sent_.size());
-        sent_[id] = {entry, now()};
         calls_.push_back(fleet_.caller.start(fleet_.request(entry, fmt::format("/{}/1", GetParam()), id)));
+        sent_[id] = {entry, now(), calls_.back()};
     }
 
     /// Sends requests at all VMs, and calls @p onRound beside them.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,6 +4,7 @@
 //   soak --gtest_filter=Soak.* with SOAK_SEEDS="7 8 9" and SOAK_SECONDS=20 in the environment, or the defaults.
 
 #include "soak/crashingsoak.h"
+#include "support/announcements.h"
 #include "support/arrivals.h"
 #include "support/routefleet.h"
 
@@ -32,16 +33,18 @@
 /// Requests open at a time.
 constexpr std::size_t OpenRequests = 24;
 constexpr milliseconds FaultGap(150);
-const std::vector<int> FaultKinds{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10};
+const std::vector<int> FaultKinds{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 14, 15};
 /// And servers that start again under their name, and entries of another writer in their list.
-const std::vector<int> FaultKindsWithRestarts{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12};
+const std::vector<int> FaultKindsWithRestarts{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 14, 15};
 /// And a store that goes back to an older copy.
-const std::vector<int> FaultKindsWithRestores{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 13, 13, 13};
+const std::vector<int> FaultKindsWithRestores{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 13, 13, 13, 14, 15};
 /// Those that leave the VMs what they know: one that starts knows of no limit until it is told.
 const std::vector<int> FaultKindsWithoutRestarts{0, 3, 4, 10};
 /// Requests a second that a server in need takes, and the most that it bears in four seconds.
 constexpr int ServerLimit = 2;
 constexpr int MostInLimitWindow = ServerLimit * 4 * 3 / 2 + 5;
+/// Answers that were on their way this long before or after a cut may be lost.
+constexpr milliseconds CutMargin(200);
 /// From SIGTERM to the end: the grace time of the fleet's settings and a margin for a busy machine.
 constexpr seconds ExitBound(20);
 constexpr int StatusOk = 200;
@@ -56,6 +59,7 @@
 struct Sent {
     std::string id;
     std::string route;
+    int entry = 0;
     TimePoint at;
     TestCallPtr call;
 };
@@ -153,7 +157,8 @@
             Sent sent;
             sent.id = fmt::format("r{}", sent_.size());
             sent.route = Routes[pick(4)];
-            http::ClientRequest request = fleet_.request(pick(Entries) + 1, fmt::format("/{}/1", sent.route), sent.id);
+            sent.entry = pick(Entries) + 1;
+            http::ClientRequest request = fleet_.request(sent.entry, fmt::format("/{}/1", sent.route), sent.id);
             request.freshConnection = pick(2) == 0;
             sent.at = now();
             sent.call = fleet_.caller.start(request);
@@ -191,6 +196,7 @@
             break;
         case 5:
             fleet_.setWorkerPathFault(worker, pick(2) == 0 ? fault("delayMs", 80) : fault("closeAll"));
+            noteCut(worker);
             workerPathHeals_.push_back({now() + milliseconds(300 + pick(1500)), worker});
             break;
         case 6:
@@ -218,6 +224,12 @@
         case 13:
             restoreStore();
             break;
+        case 14:
+            backOff(worker);
+            break;
+        case 15:
+            announceLeaving(worker);
+            break;
         default:
             fleet_.setStoreFault(pick(2) == 0 ? "down" : "loseAnswers");
             storeHealsAt_ = now() + milliseconds(300 + pick(1500));
@@ -233,12 +245,48 @@
         }
         fleet_.entry(entry).signal(SIGSTOP);
         busy_.insert(entry);
-        later(milliseconds(100 + pick(2500)), [this, entry] {
+        later(milliseconds(100 + pick(2500)), [this, entry, from = now()] {
             fleet_.entry(entry).signal(SIGCONT);
             busy_.erase(entry);
+            disturbances_.push_back({entry, {}, from, now()});
         });
     }
 
+    // An answer that was on its way may be lost.
+    void noteCut(const std::string &worker)
+    {
+        disturbances_.push_back({0, worker, now() - CutMargin, now() + CutMargin});
+    }
+
+    void backOff(const std::string &worker)
+    {
+        Json::Value refusals = fault("full");
+        refusals["retryAfter"] = fmt::format("{:.1f}", 0.5 + 0.1 * pick(25));
+        fleet_.controlWorker(worker, refusals);
+        workerHeals_.push_back({now() + milliseconds(200 + pick(800)), worker});
+    }
+
+    // The list goes on saying that it is ready; it ends and starts again some seconds later.
+    void announceLeaving(const std::string &worker)
+    {
+        if (!leavingWorkers_.empty()) {
+            return;
+        }
+        leavingWorkers_.insert(worker);
+        fleet_.controlWorker(worker, fault("announcesLeaving"));
+        later(milliseconds(500 + pick(4500)), [this, worker] { restartLeaving(worker); });
+    }
+
+    void restartLeaving(const std::string &worker)
+    {
+        if (pausedWorkers_.contains(worker)) {
+            later(milliseconds(100), [this, worker] { restartLeaving(worker); });
+            return;
+        }
+        restartWorker(worker);
+        leavingWorkers_.erase(worker);
+    }
+
     void pauseWorker(const std::string &worker)
     {
         if (!pausedWorkers_.insert(worker).second) {
@@ -284,6 +332,7 @@
         if (pausedWorkers_.contains(worker)) {
             return;
         }
+        noteCut(worker);
         fleet_.restartWorker(worker);
         Json::Value pace = fault("eventGapMs", 25);
         pace["events"] = Events;
@@ -299,21 +348,22 @@
         }
         fleet_.entry(entry).signal(signal);
         busy_.insert(entry);
-        awaitExit(entry, signal, now() + ExitBound);
+        awaitExit(entry, signal, now());
     }
 
-    void awaitExit(int entry, int signal, TimePoint bound)
+    void awaitExit(int entry, int signal, TimePoint from)
     {
-        later(milliseconds(20), [this, entry, signal, bound] {
+        later(milliseconds(20), [this, entry, signal, from] {
             if (fleet_.entry(entry).isRunning()) {
-                EXPECT_LT(now(), bound) << "entry " << entry << " does not end";
-                awaitExit(entry, signal, bound);
+                EXPECT_LT(now(), from + ExitBound) << "entry " << entry << " does not end";
+                awaitExit(entry, signal, from);
                 return;
             }
             const int code = fleet_.entry(entry).wait();
             EXPECT_EQ(code, signal == SIGTERM ? 0 : 128 + signal) << "entry " << entry;
             fleet_.addEntry(entry);
             busy_.erase(entry);
+            disturbances_.push_back({entry, {}, from, now()});
         });
     }
 
@@ -347,12 +397,13 @@
         off["resets"] = false;
         off["full"] = false;
         off["silent"] = false;
+        off["retryAfter"] = "";
         fleet_.controlWorker(worker, off);
     }
 
     void healAll()
     {
-        fleet_.caller.waitUntil([&] { return busy_.empty() && pausedWorkers_.empty() && !isRestoring_; }, "all processes run");
+        fleet_.caller.waitUntil([&] { return busy_.empty() && pausedWorkers_.empty() && leavingWorkers_.empty() && !isRestoring_; }, "all processes run");
         for (int entry = 1; entry <= Entries; entry++) {
             healStorePath(entry);
         }
@@ -411,6 +462,18 @@
         for (const Sent &sent : sent_) {
             requests.push_back(sent.at);
         }
+        std::map<std::string, test::SentRequest> sentById;
+        for (const Sent &sent : sent_) {
+            sentById[sent.id] = {sent.entry, sent.at, sent.call};
+        }
+        const test::AnnouncementReport announcements = test::checkAnnouncements(arrivals, sentById, disturbances_);
+        std::printf("%zu backoffs, %zu arrivals in one at most; %zu leavings, %zu arrivals after them\n",
+            announcements.backoffs,
+            announcements.mostInBackoff,
+            announcements.leavings,
+            announcements.lateAtLeaving);
+        EXPECT_LE(announcements.mostInBackoff, test::AnnouncementBounds().arrivalsInBackoff) << "requests to a server that wants none";
+        EXPECT_EQ(announcements.lateAtLeaving, 0U) << "requests to a server that has said it leaves";
         EXPECT_LE(test::mostBeyondBound(requests, test::repeatTimes(test::arrivalsById(arrivals)), test::RepeatBound()), 0) << "repeats beyond the budget";
     }
 
@@ -433,6 +496,8 @@
     bool isRestoring_ = false;
     int probes_ = 0;
     std::set<std::string> pausedWorkers_;
+    std::set<std::string> leavingWorkers_;
+    std::vector<test::Disturbance> disturbances_;
     std::map<std::string, std::int64_t> workerStart_; ///< As its entry says it; 0: it says nothing.
     std::int64_t lastStart_ = 1'700'000'000'000;
     std::set<int> busy_; ///< Entry VMs that are paused or being restarted.
--- a/tests/support/announcements.cpp
+++ b/tests/support/announcements.cpp
@@ -11,6 +11,7 @@
 
 /// All that one server got from one entry VM.
 struct Exchange {
+    std::string server;
     int entry = 0;
     std::vector<Arrival> arrivals; ///< In the order of time.
 };
@@ -26,18 +27,26 @@
     std::vector<Exchange> exchanges;
     for (auto &[pair, ofPair] : byPair) {
         std::sort(ofPair.begin(), ofPair.end(), [](const Arrival &a, const Arrival &b) { return a.at < b.at; });
-        exchanges.push_back({pair.second, std::move(ofPair)});
+        exchanges.push_back({pair.first, pair.second, std::move(ofPair)});
     }
     return exchanges;
 }
 
-bool isDisturbed(std::span<const Disturbance> disturbances, int entry, TimePoint from, TimePoint until)
+bool isDisturbed(std::span<const Disturbance> disturbances, const Exchange &exchange, TimePoint from, TimePoint until)
 {
     return std::any_of(disturbances.begin(), disturbances.end(), [&](const Disturbance &disturbance) {
-        return disturbance.entry == entry && disturbance.from <= until && disturbance.until >= from;
+        const bool isOfEntry = disturbance.entry == 0 || disturbance.entry == exchange.entry;
+        const bool isOfWorker = disturbance.worker.empty() || exchange.server.starts_with(disturbance.worker + ",");
+        return isOfEntry && isOfWorker && disturbance.from <= until && disturbance.until >= from;
     });
 }
 
+/// Whether the caller got the announcement, so that the entry VM knows it.
+bool isPassedOn(const SentRequest &request)
+{
+    return !http::headerValue(request.call->headers, "Server-Leaving").empty();
+}
+
 std::optional<Duration> backoffOf(const Arrival &arrival)
 {
     const double seconds = std::strtod(arrival.backoff.c_str(), nullptr);
@@ -52,7 +61,7 @@
     std::optional<std::size_t> most;
     for (const Arrival &refused : exchange.arrivals) {
         const auto backoff = backoffOf(refused);
-        if (!backoff || isDisturbed(disturbances, exchange.entry, *refused.answeredAt, *refused.answeredAt + *backoff)) {
+        if (!backoff || isDisturbed(disturbances, exchange, *refused.answeredAt, *refused.answeredAt + *backoff)) {
             continue;
         }
         const TimePoint from = *refused.answeredAt + bounds.backoffKnownAfter;
@@ -69,12 +78,12 @@
 {
     std::optional<std::size_t> late;
     for (const Arrival &told : exchange.arrivals) {
-        if (!told.isToldLeaving) {
+        if (!told.isToldLeaving || !isPassedOn(sent.at(told.id))) {
             continue;
         }
         const TimePoint knownAt = *told.answeredAt + bounds.leavingKnownAfter;
         const auto count = std::count_if(exchange.arrivals.begin(), exchange.arrivals.end(), [&](const Arrival &arrival) {
-            return sent.at(arrival.id).at > knownAt && !isDisturbed(disturbances, exchange.entry, *told.answeredAt, arrival.at);
+            return sent.at(arrival.id).at > knownAt && !isDisturbed(disturbances, exchange, *told.answeredAt, arrival.at);
         });
         late = std::max(late.value_or(0), static_cast<std::size_t>(count));
     }
--- a/tests/support/announcements.h
+++ b/tests/support/announcements.h
@@ -9,15 +9,18 @@
 
 namespace cardamomlift::test {
 
-/// Which entry VM a caller sent a request to, and when.
+/// A caller's request: which entry VM it was sent to, when, and its call.
 struct SentRequest {
     int entry = 0;
     TimePoint at;
+    TestCallPtr call;
 };
 
-/// A time in which an entry VM was restarted or suspended. What a server told it before counts no more.
+/// A time in which an entry VM was restarted or suspended, or connections to a worker were cut. What servers told before it, or in it,
+/// may not be known.
 struct Disturbance {
-    int entry = 0;
+    int entry = 0; ///< 0: all.
+    std::string worker; ///< Empty: all.
     TimePoint from;
     TimePoint until;
 };
