--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -274,7 +274,7 @@
         }
         leavingWorkers_.insert(worker);
         fleet_.controlWorker(worker, fault("announcesLeaving"));
-        later(milliseconds(500 + pick(4500)), [this, worker] { restartLeaving(worker); });
+        later(milliseconds(2500 + pick(3500)), [this, worker] { restartLeaving(worker); });
     }
 
     void restartLeaving(const std::string &worker)
