Prefer other servers to one that turns requests away in succession

Callers saw refusals (servers_full) while other servers had room: with no Retry-After named, a server that refuses within a millisecond has no open requests and looks the least loaded, so it got the next request, too. After two refusals in succession it is the last resort for 250 ms, doubled up to a second; an answer ends it. It is still asked where there is no other.

Red before: ForwarderBackoffTest.AServerThatTurnsRequestsAwayInSuccessionGetsNoneWhileOthersHaveRoom (19 arrivals).

--- a/src/backoff/internal/backofftracker.cpp
+++ b/src/backoff/internal/backofftracker.cpp
@@ -4,6 +4,15 @@
 
 namespace cardamomlift::backoff {
 
+namespace {
+
+/// Enough to reach MaxOverload from MinOverload.
+constexpr int MaxOverloadDoublings = 8;
+/// Refusals that are further apart are not in succession.
+constexpr Duration RefusalRetention = std::chrono::seconds(10);
+
+} // namespace
+
 BackoffTracker::BackoffTracker(const Clock &clock)
     : clock_(clock)
 {
@@ -57,8 +66,27 @@
     return true;
 }
 
+void BackoffTracker::noteRefused(const std::string &instance)
+{
+    Refusals &refusals = refusals_[instance];
+    refusals.inSuccession++;
+    refusals.lastAt = clock_.now();
+    if (refusals.inSuccession < RefusalsToOverload) {
+        return;
+    }
+    const int doublings = std::min(refusals.inSuccession - RefusalsToOverload, MaxOverloadDoublings);
+    refusals.overloadedUntil = clock_.now() + std::min(MinOverload * (1 << doublings), MaxOverload);
+}
+
+bool BackoffTracker::isOverloaded(const std::string &instance) const
+{
+    const auto found = refusals_.find(instance);
+    return found != refusals_.end() && clock_.now() < found->second.overloadedUntil;
+}
+
 void BackoffTracker::noteAnswered(const std::string &instance, TimePoint sentAt)
 {
+    refusals_.erase(instance);
     const auto found = backoffs_.find(instance);
     // An answer to a request sent earlier does not tell that the server accepts requests again.
     if (found != backoffs_.end() && sentAt >= found->second.until) {
@@ -89,6 +117,8 @@
 void BackoffTracker::tick()
 {
     std::erase_if(backoffs_, [this](const auto &entry) { return hasRecovered(entry.second); });
+    const TimePoint now = clock_.now();
+    std::erase_if(refusals_, [now](const auto &entry) { return now >= entry.second.lastAt + RefusalRetention; });
 }
 
 } // namespace cardamomlift::backoff
--- a/src/backoff/tests/backofftracker_test.cpp
+++ b/src/backoff/tests/backofftracker_test.cpp
@@ -96,6 +96,25 @@
     EXPECT_TRUE(tracker_->takeException("a"));
 }
 
+TEST_F(BackoffTrackerTest, AServerThatRefusesInSuccessionIsOverloadedForLongerEachTime)
+{
+    tracker_->noteRefused("a");
+    EXPECT_FALSE(tracker_->isOverloaded("a")) << "the request may be the reason";
+    Duration length = MinOverload;
+    for (int i = 0; i < 20; i++) {
+        tracker_->noteRefused("a");
+        clock_.advance(length - milliseconds(1));
+        EXPECT_TRUE(tracker_->isOverloaded("a"));
+        clock_.advance(milliseconds(1));
+        EXPECT_FALSE(tracker_->isOverloaded("a"));
+        length = std::min(2 * length, MaxOverload);
+    }
+    EXPECT_FALSE(tracker_->endsAt("a")) << "it has not asked for a backoff";
+    tracker_->noteAnswered("a", clock_.now());
+    tracker_->noteRefused("a");
+    EXPECT_FALSE(tracker_->isOverloaded("a")) << "it has answered in between";
+}
+
 TEST_F(BackoffTrackerTest, ServersThatHaveRecoveredAreForgotten)
 {
     tracker_->begin("a", seconds(1));
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -26,6 +26,8 @@
     }
     if (!attempt_->answer.isNotRun && !attempt_->answer.backoff) {
         tools_.backoffs->noteAnswered(instance, attempt_->sentAt);
+    } else if (attempt_->head.status == StatusUnavailable && !attempt_->answer.backoff) {
+        tools_.backoffs->noteRefused(instance);
     }
 }
 
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -60,7 +60,7 @@
 {
     std::vector<const directory::KnownServer *> preferred;
     std::vector<const directory::KnownServer *> fallback;
-    std::vector<const directory::KnownServer *> recovering;
+    std::vector<const directory::KnownServer *> lastResort;
     preferred.reserve(usable.size());
     for (const auto &server : usable) {
         const std::string &instance = server->server.instance;
@@ -75,8 +75,8 @@
         if (skipIfLimited(instance, choice)) {
             continue;
         }
-        if (isAtRecoveryLimit(instance)) {
-            recovering.push_back(server.get());
+        if (isAtRecoveryLimit(instance) || tools_.backoffs->isOverloaded(instance)) {
+            lastResort.push_back(server.get());
         } else if (eligibility == Eligibility::Preferred) {
             preferred.push_back(server.get());
         } else {
@@ -86,7 +86,7 @@
     if (!preferred.empty()) {
         return preferred;
     }
-    return fallback.empty() ? recovering : fallback;
+    return fallback.empty() ? lastResort : fallback;
 }
 
 ForwardedRequest::Choice ForwardedRequest::chooseServer() const
--- a/src/forwarding/tests/forwarderbackoff_test.cpp
+++ b/src/forwarding/tests/forwarderbackoff_test.cpp
@@ -142,6 +142,7 @@
     backoffs_->begin("one", seconds(1));
     advance(seconds(1));
     std::vector<std::unique_ptr<http1::RawClient>> clients;
+    clients.reserve(6);
     for (int i = 0; i < 6; i++) {
         clients.push_back(call(request("/once/1")));
     }
@@ -157,6 +158,7 @@
     backoffs_->begin("two", seconds(1));
     advance(seconds(1));
     std::vector<std::unique_ptr<http1::RawClient>> clients;
+    clients.reserve(6);
     for (int i = 0; i < 6; i++) {
         clients.push_back(call(request("/once/1")));
     }
@@ -229,6 +231,37 @@
     EXPECT_TRUE(runUntil([&] { return backends_["two"].arrivals == backoff::ExceptionsPerBackoff; }));
 }
 
+// Guards against a server that refuses at once, so looks the least loaded, and gets the next request each time.
+TEST_F(ForwarderBackoffTest, AServerThatTurnsRequestsAwayInSuccessionGetsNoneWhileOthersHaveRoom)
+{
+    tools_.settings.retrySlack = 100;
+    restartForwarder();
+    advance(ForwardingSettings().retryWindow);
+    std::vector<std::unique_ptr<http1::RawClient>> waiting;
+    waiting.reserve(20);
+    for (int i = 0; i < 20; i++) {
+        waiting.push_back(call(request("/once/1")));
+        const auto exchange = nextRequest();
+        if (exchange->head().fields.get("X-Expect-Instance") == "one") {
+            exchange->answer(notRunHead(), "");
+            ASSERT_TRUE(nextRequest());
+        }
+    }
+    EXPECT_EQ(backends_["two"].arrivals, 20) << "its requests stay open";
+    EXPECT_EQ(backends_["one"].arrivals, backoff::RefusalsToOverload);
+}
+
+TEST_F(ForwarderBackoffTest, AnOverloadedServerIsStillAskedWhenThereIsNoOther)
+{
+    directory_->markLeaving("two");
+    for (int i = 0; i < 4; i++) {
+        const auto client = call(request("/once/1"));
+        nextRequest()->answer(notRunHead(), "");
+        ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "503"); })) << client->received();
+    }
+    EXPECT_EQ(backends_["one"].arrivals, 4);
+}
+
 // A version whose servers back off must not be taken for a bad one, and the other version serves meanwhile.
 TEST_F(ForwarderBackoffTest, ABackoffIsNoFailureOfItsServer)
 {
