Tell callers when to return after a backoff in one place for both gateways

The two gateways spread these times each by a rule of its own. Now both use half of what is left of the backoff, a second at most: callers that are refused shortly before its end no longer wait up to a second for nothing.

--- a/src/backoff/backofftracker.h
+++ b/src/backoff/backofftracker.h
@@ -35,8 +35,6 @@
     bool begin(const std::string &instance, Duration length);
     /// When the server accepts requests again; empty if it does so now.
     std::optional<TimePoint> endsAt(const std::string &instance) const;
-    /// Length of the server's latest backoff; 0 if it has not asked for one lately.
-    Duration length(const std::string &instance) const;
     /// Whether a request may be sent that cannot run anywhere else: true if there is no backoff, and for the first few in one.
     bool takeException(const std::string &instance);
 
@@ -53,13 +51,14 @@
 
     /// Number of servers with a backoff in progress.
     std::size_t count() const;
+    /// Number of servers of which something is kept.
+    std::size_t size() const;
     /// Forgets servers that have recovered. To be called every few seconds.
     void tick();
 
 private:
     struct Backoff {
         TimePoint until;
-        Duration length{0};
         int exceptions = 0;
         int answered = 0; ///< Since its end.
     };
--- a/src/backoff/internal/backofftracker.cpp
+++ b/src/backoff/internal/backofftracker.cpp
@@ -31,10 +31,7 @@
     if (isNew) {
         backoff = {};
     }
-    if (now + length > backoff.until) {
-        backoff.until = now + length;
-        backoff.length = length;
-    }
+    backoff.until = std::max(backoff.until, now + length);
     return isNew;
 }
 
@@ -47,12 +44,6 @@
     return found->second.until;
 }
 
-Duration BackoffTracker::length(const std::string &instance) const
-{
-    const auto found = backoffs_.find(instance);
-    return found == backoffs_.end() ? Duration(0) : found->second.length;
-}
-
 bool BackoffTracker::takeException(const std::string &instance)
 {
     if (!endsAt(instance)) {
@@ -114,6 +105,14 @@
     return static_cast<std::size_t>(std::count_if(backoffs_.begin(), backoffs_.end(), [now](const auto &entry) { return entry.second.until > now; }));
 }
 
+std::size_t BackoffTracker::size() const
+{
+    const auto isRefusalOnly = [this](const auto &entry) {
+        return !backoffs_.contains(entry.first);
+    };
+    return backoffs_.size() + static_cast<std::size_t>(std::count_if(refusals_.begin(), refusals_.end(), isRefusalOnly));
+}
+
 void BackoffTracker::tick()
 {
     std::erase_if(backoffs_, [this](const auto &entry) { return hasRecovered(entry.second); });
--- a/src/backoff/internal/retryafter.cpp
+++ b/src/backoff/internal/retryafter.cpp
@@ -1,9 +1,16 @@
 #include "backoff/retryafter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace cardamomlift::backoff {
 
+namespace {
+
+constexpr Duration MaxReturnSpread = std::chrono::seconds(1);
+
+} // namespace
+
 std::optional<Duration> parseRetryAfter(std::string_view text)
 {
     double seconds = 0;
@@ -16,4 +23,10 @@
     return std::chrono::ceil<Duration>(std::chrono::duration<double>(seconds));
 }
 
+Duration retryAfterBackoff(Duration left, std::uint64_t salt)
+{
+    const auto spread = static_cast<std::uint64_t>(std::min(left / 2, MaxReturnSpread).count());
+    return left + Duration(static_cast<std::int64_t>(salt % (spread + 1)));
+}
+
 } // namespace cardamomlift::backoff
--- a/src/backoff/retryafter.h
+++ b/src/backoff/retryafter.h
@@ -2,6 +2,7 @@
 
 #include "kernel/clock.h"
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -14,4 +15,8 @@
 /// positive, or longer than MaxBackoff.
 std::optional<Duration> parseRetryAfter(std::string_view text);
 
+/// Retry-After for a caller whose request no server accepts for another @p left: up to a second later than that, as callers that were
+/// given the same time would return together. @p salt: differs between requests.
+Duration retryAfterBackoff(Duration left, std::uint64_t salt);
+
 } // namespace cardamomlift::backoff
--- a/src/backoff/tests/backofftracker_test.cpp
+++ b/src/backoff/tests/backofftracker_test.cpp
@@ -1,4 +1,5 @@
 #include "backoff/backofftracker.h"
+#include "backoff/retryafter.h"
 
 #include <gtest/gtest.h>
 
@@ -38,7 +39,6 @@
     clock_.advance(milliseconds(100));
     EXPECT_FALSE(tracker_->begin("a", milliseconds(500)));
     EXPECT_EQ(tracker_->endsAt("a"), end);
-    EXPECT_EQ(tracker_->length("a"), seconds(3));
     EXPECT_FALSE(tracker_->begin("a", seconds(4)));
     EXPECT_EQ(tracker_->endsAt("a"), clock_.now() + seconds(4));
     tracker_->noteAnswered("a", clock_.now());
@@ -119,10 +119,25 @@
 {
     tracker_->begin("a", seconds(1));
     tracker_->begin("b", seconds(60));
+    tracker_->noteRefused("b");
+    tracker_->noteRefused("c");
+    EXPECT_EQ(tracker_->size(), 3U);
     clock_.advance(seconds(1) + RecoveryTimeout);
     tracker_->tick();
-    EXPECT_EQ(tracker_->length("a"), Duration(0));
-    EXPECT_EQ(tracker_->length("b"), seconds(60));
+    EXPECT_EQ(tracker_->size(), 1U);
+    EXPECT_TRUE(tracker_->endsAt("b"));
+}
+
+TEST(RetryAfter, CallersReturnAfterTheBackoffAndSpreadOverHalfOfItOrASecond)
+{
+    for (std::uint64_t salt = 0; salt < 10'000; salt++) {
+        const Duration soon = retryAfterBackoff(milliseconds(1), salt);
+        EXPECT_TRUE(soon >= milliseconds(1) && soon <= std::chrono::microseconds(1500));
+        const Duration late = retryAfterBackoff(seconds(60), salt * 1'000'003);
+        EXPECT_TRUE(late >= seconds(60) && late <= seconds(61));
+    }
+    EXPECT_NE(retryAfterBackoff(seconds(3), 1), retryAfterBackoff(seconds(3), 2));
+    EXPECT_EQ(retryAfterBackoff(Duration(0), 7), Duration(0));
 }
 
 } // namespace
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/internal/forwardedrequest.h"
 
+#include "backoff/retryafter.h"
 #include "forwarding/internal/forwardingconstants.h"
 
 #include <xxhash.h>
@@ -18,8 +19,6 @@
 constexpr Duration StaleRetryAfter = std::chrono::milliseconds(200);
 /// For a VM that is shutting down: any other VM accepts the request at once.
 constexpr Duration DrainingRetryAfter = std::chrono::milliseconds(50);
-/// Callers that no server accepts before the end of a backoff are told to return within this time after it.
-constexpr Duration MaxReturnSpread = std::chrono::seconds(1);
 /// A request with less time left than this is not sent: no server answers that fast.
 constexpr Duration MinTimeForSend = std::chrono::milliseconds(20);
 
@@ -241,20 +240,13 @@
         return;
     }
     if (choice.backingOff > 0 && choice.tried == 0) {
-        refuse(StatusUnavailable, FailureReason::ServersBackingOff, backoffRetryAfter(choice));
+        const Duration left = choice.backoffEndsAt - tools_.loop->now();
+        refuse(StatusUnavailable, FailureReason::ServersBackingOff, backoff::retryAfterBackoff(left, salt()));
         return;
     }
     refuse(StatusUnavailable, sends_ == 0 ? FailureReason::NoServer : FailureReason::ServersFull, ServersFullRetryAfter);
 }
 
-// Callers that were given the same time would return together, and the server would turn most of them away again.
-Duration ForwardedRequest::backoffRetryAfter(const Choice &choice) const
-{
-    const Duration spread = std::min(choice.backoffLength / 2, MaxReturnSpread);
-    const auto place = static_cast<std::int64_t>(salt() % static_cast<std::uint64_t>(spread.count() + 1));
-    return choice.backoffEndsAt - tools_.loop->now() + Duration(place);
-}
-
 // Called when the server is chosen; a moved run is sent there a little later.
 void ForwardedRequest::countSend(const std::string &instance)
 {
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -65,7 +65,6 @@
         std::size_t tried = 0; ///< Servers skipped because this request has failed or was refused there.
         std::size_t backingOff = 0; ///< Servers skipped because they accept no requests of this VM for some time.
         TimePoint backoffEndsAt = TimePoint::max(); ///< The earliest end of their backoffs.
-        Duration backoffLength{0}; ///< Of the backoff that ends first.
         std::size_t limited = 0; ///< Servers skipped because their rate limits leave no room now.
         double limitedPerSecond = 0; ///< Requests per second that this VM may send to the skipped servers.
         std::int64_t cachedTokens = 0; ///< Prompt tokens believed to be in the server's cache.
@@ -85,8 +84,6 @@
     void endWithoutServer(const Choice &choice);
     /// The servers of @p usable that may get the request now. Counts in @p choice those that are skipped, by cause.
     std::vector<const directory::KnownServer *> eligibleServers(std::span<const directory::ServerPtr> usable, VersionPick pick, Choice &choice) const;
-    /// When a caller may retry that no server accepts before the end of a backoff.
-    Duration backoffRetryAfter(const Choice &choice) const;
     void noteVersionOutcome(std::optional<Duration> timeToFirstByte);
     /// The longest prefix of the prompt that a server of the service is believed to have cached.
     struct BestCache {
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -136,10 +136,7 @@
         return false;
     }
     choice.backingOff++;
-    if (*end < choice.backoffEndsAt) {
-        choice.backoffEndsAt = *end;
-        choice.backoffLength = tools_.backoffs->length(instance);
-    }
+    choice.backoffEndsAt = std::min(choice.backoffEndsAt, *end);
     return true;
 }
 
--- a/src/forwarding/tests/forwarderannouncements_test.cpp
+++ b/src/forwarding/tests/forwarderannouncements_test.cpp
@@ -124,13 +124,7 @@
 TEST_F(ForwarderAnnouncementsTest, ABrokenStreamIsNotResumedAtALeavingServer)
 {
     directory_->markLeaving("two");
-    const auto client = call(request("/resumed/1"));
-    const auto exchange = nextRequest();
-    exchange->begin(signedHead());
-    exchange->send("id: 1\ndata: a\n\n");
-    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "200"); }));
-    exchange->abort();
-    ASSERT_TRUE(runUntil([&] { return logLines_.find("request_failed") != std::string::npos; }));
+    breakStartedStream();
     EXPECT_EQ(backends_["two"].arrivals, 0);
 }
 
--- a/src/forwarding/tests/forwarderbackoff_test.cpp
+++ b/src/forwarding/tests/forwarderbackoff_test.cpp
@@ -177,13 +177,7 @@
 TEST_F(ForwarderBackoffTest, ABrokenStreamIsNotResumedAtAServerThatBacksOff)
 {
     backoffs_->begin("two", seconds(3));
-    const auto client = call(request("/resumed/1"));
-    const auto exchange = nextRequest();
-    exchange->begin(signedHead());
-    exchange->send("id: 1\ndata: a\n\n");
-    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "200"); }));
-    exchange->abort();
-    ASSERT_TRUE(runUntil([&] { return logLines_.find("request_failed") != std::string::npos; }));
+    breakStartedStream();
     EXPECT_EQ(backends_["two"].arrivals, 0);
 }
 
--- a/src/forwarding/tests/forwardertest.h
+++ b/src/forwarding/tests/forwardertest.h
@@ -227,6 +227,18 @@
         return exchange;
     }
 
+    /// Sends a request for a stream that may be resumed, breaks its connection to the server after the first event, and waits for its end.
+    void breakStartedStream()
+    {
+        const auto client = call(request("/resumed/1"));
+        const auto exchange = nextRequest();
+        exchange->begin(signedHead());
+        exchange->send("id: 1\ndata: a\n\n");
+        EXPECT_TRUE(runUntil([&] { return hasStatus(*client, "200"); }));
+        exchange->abort();
+        EXPECT_TRUE(runUntil([&] { return logLines_.find("request_failed") != std::string::npos; }));
+    }
+
     static http1::ResponseHead signedHead(int status = 200, const std::string &id = "id1")
     {
         http1::ResponseHead head;
--- a/src/retry/internal/attemptplanner.cpp
+++ b/src/retry/internal/attemptplanner.cpp
@@ -1,5 +1,7 @@
 #include "retry/attemptplanner.h"
 
+#include "backoff/retryafter.h"
+
 #include <algorithm>
 
 namespace cardamomlift::retry {
@@ -12,8 +14,6 @@
 constexpr Duration UndecidedRetryAfter = std::chrono::seconds(30);
 constexpr Duration ShortRetryAfter = std::chrono::seconds(1);
 constexpr Duration NewServerRetryAfter = std::chrono::seconds(5);
-/// Callers that no server accepts before the end of a backoff are told to return within this time after it.
-constexpr Duration MaxReturnSpread = std::chrono::seconds(1);
 /// An accepted answer that no server can continue now waits this long at most for the end of a backoff.
 constexpr Duration MaxBackoffWait = std::chrono::seconds(5);
 
@@ -135,15 +135,10 @@
     return tools_.router->backoffLeft(record.route.role, record.route.name, last);
 }
 
-// Callers that were given the same time would return together, and the server would turn most of them away again.
 Duration AttemptPlanner::noServerRetryAfter(const RequestRecord &record) const
 {
     const auto left = tools_.router->backoffLeft(record.route.role, record.route.name, {});
-    if (!left) {
-        return NewServerRetryAfter;
-    }
-    const auto spread = static_cast<std::uint64_t>(std::min(*left / 2, MaxReturnSpread).count());
-    return *left + Duration(static_cast<std::int64_t>(record.fingerprint % (spread + 1)));
+    return left ? backoff::retryAfterBackoff(*left, record.fingerprint) : NewServerRetryAfter;
 }
 
 void AttemptPlanner::recordStart(RequestRecord &record, const membership::Vm &server)
