Log how many servers a request was not sent to for being a last resort

No decision changes. Without it a line of request_dispatched did not say why an idle server was passed over. Terms: a server that refuses, not one that rests.

--- a/src/backoff/backofftracker.h
+++ b/src/backoff/backofftracker.h
@@ -22,8 +22,8 @@
 /// Requests that this VM may send to a server during one backoff: each continues a run whose state is at that server only.
 inline constexpr int ExceptionsPerBackoff = 1;
 
-/// The backend servers that have turned a request of this VM away and accept none for some time. All that is known of a server is
-/// kept per instance. Each VM follows what servers told it; it is not shared.
+/// The backend servers that have turned requests of this VM away: those that asked for a backoff, and accept none until its end; and those
+/// that did so in succession without asking, which are taken for overloaded. Kept per instance, and not shared between VMs.
 class BackoffTracker
 {
 public:
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -104,6 +104,7 @@
     "list_version",
     "list_age_ms",
     "backing_off",
+    "deferred",
     "limited",
     "fingerprint",
     "retries_left",
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -83,6 +83,7 @@
             fallback.push_back(server.get());
         }
     }
+    choice.deferred = lastResort.size();
     if (!preferred.empty()) {
         return preferred;
     }
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -187,6 +187,7 @@
             {Attribute::Candidates, static_cast<std::int64_t>(choice.candidates)},
             {Attribute::Outliers, static_cast<std::int64_t>(choice.outliers)},
             {Attribute::BackingOff, static_cast<std::int64_t>(choice.backingOff)},
+            {Attribute::Deferred, static_cast<std::int64_t>(choice.deferred)},
             {Attribute::Limit, limit},
             {Attribute::Limited, static_cast<std::int64_t>(choice.limited)},
             {Attribute::Open, std::int64_t(load.localOpenRequests)},
--- a/src/forwarding/tests/forwarderbackoff_test.cpp
+++ b/src/forwarding/tests/forwarderbackoff_test.cpp
@@ -54,13 +54,13 @@
 {
     const auto client = call(request("/once/1"));
     nextRequest()->answer(backoffHead("3"), "");
-    const std::string resting = backends_["one"].arrivals > 0 ? "one" : "two";
+    const std::string refusing = backends_["one"].arrivals > 0 ? "one" : "two";
     nextRequest()->answer(signedHead(), "answer");
     ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "200"); })) << client->received();
     for (int i = 0; i < 20; i++) {
         serve();
     }
-    EXPECT_EQ(backends_[resting].arrivals, 1);
+    EXPECT_EQ(backends_[refusing].arrivals, 1);
     EXPECT_NE(logLines_.find(R"("event":"server_backoff")"), std::string::npos);
     EXPECT_NE(logLines_.find(R"("backing_off":1)"), std::string::npos) << "the log line of a send counts the skipped servers";
 }
@@ -243,6 +243,7 @@
     }
     EXPECT_EQ(backends_["two"].arrivals, 20) << "its requests stay open";
     EXPECT_EQ(backends_["one"].arrivals, backoff::RefusalsToOverload);
+    EXPECT_NE(logLines_.find(R"("deferred":1)"), std::string::npos) << "the log line of a send counts the servers that are a last resort";
 }
 
 TEST_F(ForwarderBackoffTest, AnOverloadedServerIsStillAskedWhenThereIsNoOther)
