Find out and log whether a VM itself is cut off from the backend servers

Without it no log tells a VM that is cut off from servers that have failed: each failed attempt names one server only. A VM that gets no connection at three servers in succession (all probes of a round ended; services and failure domains alternate) writes servers_unreachable with its evidence and how many other VMs hear from servers, probes one server four times a second, and writes servers_reachable when it has reached three in succession. Statuses say both.

--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -32,6 +32,8 @@
     ServerTrusted, ///< The server is treated like the others again.
     ServerSilent, ///< A request has waited long, and nothing has been received from its server in the meantime.
     ServerBackoff, ///< The server turned a request away and accepts none from this VM for some time.
+    ServersUnreachable, ///< This VM reaches no backend server; the line has the evidence.
+    ServersReachable, ///< This VM reaches a backend server again.
     ServerLimited, ///< The server set, changed or removed its limit on requests.
     ServerCrashSuspected, ///< A connection to the server broke while it ran requests, here or at another VM.
     ServerCrashConfirmed, ///< The server's entry is gone, and it had not been draining.
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -29,6 +29,8 @@
     "server_trusted",
     "server_silent",
     "server_backoff",
+    "servers_unreachable",
+    "servers_reachable",
     "server_limited",
     "server_crash_suspected",
     "server_crash_confirmed",
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -19,6 +19,7 @@
 #include "metrics/metrics.h"
 #include "outliers/outlierdetector.h"
 #include "prefixindex/prefixindex.h"
+#include "reachability/reachabilitytracker.h"
 #include "retry/retrybudget.h"
 
 #include <functional>
@@ -47,6 +48,7 @@
     std::function<std::optional<std::size_t>()> vmCount;
     std::shared_ptr<ServiceDemand> demand;
     std::shared_ptr<outliers::OutlierDetector> outliers;
+    std::shared_ptr<reachability::ReachabilityTracker> reachability;
     std::shared_ptr<prefixindex::PrefixIndex> prefixes;
     std::shared_ptr<PeerBacklog> peerBacklog;
     WireFormat wire;
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -50,6 +50,7 @@
             "allowance",
             "usage",
             "outliers",
+            "reachability",
             "prefixindex",
             "rollout",
             "serverlimits",
@@ -89,6 +90,7 @@
             return presence->vmCount();
         };
         tools.outliers = context.get<outliers::OutlierDetector>();
+        tools.reachability = context.get<reachability::ReachabilityTracker>();
         tools.prefixes = context.get<prefixindex::PrefixIndex>();
         tools.wire = *context.get<WireFormat>();
         tools.settings = forwardingSettings(*settings->routes, settings->zone);
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -289,6 +289,7 @@
     const std::string head = http1::encodeHead(tools_.wire.writeRequest(exchange_->head(), dispatchFields(choice)), exchange_->body().size());
     http1::CallHandlers handlers;
     handlers.mayStillSend = [this] {
+        tools_.reachability->noteConnected(attempt_->server->server.instance);
         return mayStillSend();
     };
     handlers.accepts = [this](const http1::ResponseHead &answer) {
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -199,9 +199,13 @@
     noteOutcome(outliers::Ending::NoAnswer);
     if (failure == http1::CallFailure::Broken) {
         noteConnectionBroken();
+        tools_.reachability->noteSilent();
         onBroken("broken");
         return;
     }
+    if (failure == http1::CallFailure::NotConnected) {
+        tools_.reachability->noteConnectFailed(instance);
+    }
     logAttempt("not_connected");
     tried_.insert(instance);
     endAttempt(false);
--- a/src/forwarding/internal/forwardedrequestcrashes.cpp
+++ b/src/forwarding/internal/forwardedrequestcrashes.cpp
@@ -54,6 +54,7 @@
         return;
     }
     tools_.pool->noteActivity(attempt_->server->server.instance);
+    tools_.reachability->noteActivity();
     if (tools_.suspects) {
         tools_.suspects->noteServerActive(attempt_->server->server.instance);
     }
--- a/src/forwarding/internal/forwardedrequestsilence.cpp
+++ b/src/forwarding/internal/forwardedrequestsilence.cpp
@@ -76,6 +76,7 @@
             {Attribute::Events, static_cast<std::int64_t>(splitter_.eventCount())},
             {Attribute::Attempt, std::int64_t(sends_)}});
     tools_.metrics->add("server_silences_total");
+    tools_.reachability->noteSilent();
     noteOutcome(outliers::Ending::NoAnswer);
     runs_++;
     const bool shouldRetry = mayRunAgain() && timeLeft() >= silenceLimit() && takeRetry();
--- a/src/forwarding/tests/forwardertest.h
+++ b/src/forwarding/tests/forwardertest.h
@@ -68,6 +68,7 @@
         tools.metrics = metrics::Metrics::create();
         tools.demand = std::make_shared<ServiceDemand>();
         tools.outliers = outliers::OutlierDetector::create(*loop_, log_);
+        tools.reachability = reachability::ReachabilityTracker::create({loop_.get(), directory_, log_, tools.metrics, {}});
         tools.peerBacklog = std::make_shared<PeerBacklog>();
         tools.prefixes = prefixindex::PrefixIndex::create(*loop_);
         tools.allowances = allowances_;
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -50,6 +50,8 @@
     partial.holdsLease = status.holdsLease;
     partial.isStoreUnavailable = status.isStoreUnavailable;
     partial.isDraining = status.isDraining;
+    partial.reachesNoServer = status.reachesNoServer;
+    partial.sinceServerContact = status.sinceServerContact;
     partial.isPartial = true;
     return partial;
 }
@@ -390,6 +392,8 @@
     peer.status->holdsLease = status.holdsLease;
     peer.status->isStoreUnavailable = status.isStoreUnavailable;
     peer.status->isDraining = status.isDraining;
+    peer.status->reachesNoServer = status.reachesNoServer;
+    peer.status->sinceServerContact = status.sinceServerContact;
 }
 
 void Presence::setStoreReaderCheck(std::function<bool()> isStoreReader)
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -236,6 +236,10 @@
     out.set_holds_lease(status.holdsLease);
     out.set_lacks_store(status.isStoreUnavailable);
     out.set_draining(status.isDraining);
+    out.set_reaches_no_server(status.reachesNoServer);
+    if (status.sinceServerContact) {
+        out.set_since_server_contact_ms(toMillis(*status.sinceServerContact));
+    }
     out.set_partial(status.isPartial);
     out.set_fast(status.isStoreReader);
     out.set_asks_summary(status.requestsSummary);
@@ -303,6 +307,10 @@
     status.holdsLease = in.holds_lease();
     status.isStoreUnavailable = in.lacks_store();
     status.isDraining = in.draining();
+    status.reachesNoServer = in.reaches_no_server();
+    if (in.has_since_server_contact_ms()) {
+        status.sinceServerContact = std::chrono::milliseconds(in.since_server_contact_ms());
+    }
     status.isPartial = in.partial();
     status.isStoreReader = in.fast();
     status.requestsSummary = in.asks_summary();
--- a/src/presence/internal/statussummary.cpp
+++ b/src/presence/internal/statussummary.cpp
@@ -118,6 +118,19 @@
     }
 }
 
+// A group can take requests of a VM that reaches no server if one of its members has heard from a server.
+void addServerContact(Status &summary, const MemberStatus &member)
+{
+    if (member.age > MemberAliveWithin) {
+        return;
+    }
+    const Status &status = *member.status;
+    summary.reachesNoServer = summary.reachesNoServer && status.reachesNoServer;
+    if (status.sinceServerContact && !status.reachesNoServer) {
+        summary.sinceServerContact = shorter(summary.sinceServerContact, *status.sinceServerContact + member.age);
+    }
+}
+
 // Adds the state by which the leader lease and the store readers are chosen.
 void addLeaseAndStoreState(Status &summary, const MemberStatus &member)
 {
@@ -191,6 +204,7 @@
     summary.summaryOf = std::move(group);
     summary.isStoreUnavailable = true;
     summary.isDraining = true;
+    summary.reachesNoServer = true;
     std::map<std::uint64_t, CustomerDemand> demands;
     std::map<std::uint64_t, ServiceLoad> loads;
     std::map<std::uint64_t, CombinedOutcomes> combined;
@@ -201,6 +215,7 @@
         const Status &status = *member.status;
         summary.membersHash ^= nameHash(status.instance + std::to_string(status.incarnation));
         addLeaseAndStoreState(summary, member);
+        addServerContact(summary, member);
         addDemands(demands, status);
         addLoads(loads, status);
         addOutcomes(combined, member);
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -106,6 +106,8 @@
     bool isStoreUnavailable = false; ///< Its calls to the store for the lease fail, so it can't take the lease.
     bool isStoreReader = false; ///< It polls the store on behalf of other VMs, and sends them its table versions in each round.
     bool isDraining = false;
+    bool reachesNoServer = false; ///< It is cut off from the backend servers. In a summary: all VMs of the group are.
+    std::optional<Duration> sinceServerContact; ///< Time since it last heard from a backend server. In a summary: the shortest.
     bool isPartial = false; ///< Only the frequently sent fields are set; the others are unchanged since the last full status.
     bool requestsSummary = false; ///< The receiver shall answer with the summary of its group.
     std::string summaryOf; ///< The group that this summarizes; empty: the status of a single VM.
