--- a/src/forwarding/tests/forwardertest.h
+++ b/src/forwarding/tests/forwardertest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/forwarder.h"
+#include "forwarding/tests/testmanifest.h"
 #include "http1/tests/looptest.h"
 #include "requestformat.h"
 
@@ -12,10 +13,6 @@
 
 namespace cardamomlift::forwarding {
 
-using std::chrono::milliseconds;
-
-/// Latency goal and event gap goal of all routes.
-inline constexpr Duration LatencyGoal = milliseconds(1000);
 /// Time after which a server that sends nothing counts as silent.
 inline constexpr Duration Silence = 2 * LatencyGoal + milliseconds(1);
 
@@ -141,42 +138,9 @@
         directory_->put(std::move(server));
     }
 
-    static manifest::Route route(const std::string &prefix, manifest::RouteKind kind, int attempts)
-    {
-        manifest::Route route;
-        route.name = prefix;
-        route.host = "a";
-        route.prefix = prefix;
-        route.kind = kind;
-        route.maxAttempts = attempts;
-        route.timeout = std::chrono::seconds(20);
-        route.shares = {{"service", 1}};
-        return route;
-    }
-
     void installManifest(std::uint64_t version)
     {
-        manifest::Manifest manifest;
-        manifest.version = version;
-        manifest.routes = {route("/safe/", manifest::RouteKind::Idempotent, 2),
-            route("/once/", manifest::RouteKind::NonIdempotent, 2),
-            route("/stream/", manifest::RouteKind::Stream, 1),
-            route("/resumed/", manifest::RouteKind::Stream, 2)};
-        manifest.routes[3].isResumable = true;
-        manifest.routes.push_back(route("/short/", manifest::RouteKind::NonIdempotent, 1));
-        manifest.routes.back().timeout = milliseconds(150);
-        for (manifest::Route &route : manifest.routes) {
-            route.latencyGoal = LatencyGoal;
-            route.eventGapGoal = LatencyGoal;
-        }
-        manifest.services.resize(1);
-        manifest.services[0].name = "service";
-        manifest.services[0].engine = manifest::EngineProfile{8, 100'000, true, false};
-        manifest.customers.resize(1);
-        manifest.customers[0].name = "customer";
-        manifest.customers[0].keys = {"key"};
-        manifest.customers[0].allowance.perSecond = 100;
-        manifests_->update(std::move(manifest));
+        manifests_->update(testManifest(version));
         manifests_->confirm(loop_->now());
     }
 
--- /dev/null
+++ b/src/forwarding/tests/vmfleettest.h
@@ -0,0 +1,318 @@
+#pragma once
+
+#include "forwarding/forwarder.h"
+#include "forwarding/tests/testmanifest.h"
+#include "http1/tests/testlink.h"
+#include "requestformat.h"
+
+#include <fmt/format.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cardamomlift::forwarding {
+
+/// A backend server that answers by itself: plain requests after a delay, streams with a few events.
+class AnsweringBackend
+{
+public:
+    AnsweringBackend(EventLoop &loop, std::string instance)
+        : loop_(loop)
+        , instance_(std::move(instance))
+    {
+        http1::ServerHandlers handlers;
+        handlers.onRequest = [this](const http1::ExchangePtr &exchange) {
+            handle(exchange);
+        };
+        handlers.onRejected = [](int) {
+        };
+        server_ = http1::HttpServer::listen(loop_, {"127.0.0.1", 0}, {}, std::move(handlers)).value();
+    }
+
+    std::uint16_t port() const
+    {
+        return server_->port();
+    }
+
+    std::map<std::string, int> runs; ///< By request id.
+    std::vector<http1::RequestHead> heads; ///< Of all requests, in the order of their arrival.
+    Duration delay{0};
+    int events = 3;
+    Duration eventGap{0};
+    int refusals = 0; ///< So many requests are turned away, not run.
+
+private:
+    void handle(const http1::ExchangePtr &exchange)
+    {
+        const std::string id(exchange->head().fields.get("X-Attempt-Id"));
+        heads.push_back(exchange->head());
+        if (refusals > 0) {
+            refusals--;
+            http1::ResponseHead head;
+            head.status = 503;
+            head.fields.add("X-Attempt-Id", id);
+            head.fields.add("X-Not-Executed", "1");
+            exchange->answer(std::move(head), {});
+            return;
+        }
+        runs[id]++;
+        http1::ResponseHead head;
+        head.status = 200;
+        head.fields.add("X-Attempt-Id", id);
+        head.fields.add("X-Response-Signature", instance_);
+        const std::string &target = exchange->head().target;
+        if (target.starts_with("/stream/") || target.starts_with("/resumed/")) {
+            const auto isGone = std::make_shared<bool>(false);
+            exchange->onDisconnected([isGone] { *isGone = true; });
+            exchange->begin(std::move(head));
+            const auto last = http1::parseNumber(exchange->head().fields.get("Last-Event-Id"));
+            sendEvent(exchange, isGone, static_cast<int>(last.value_or(0)) + 1);
+            return;
+        }
+        loop_.after(delay, [exchange, head, body = exchange->body()] { exchange->answer(head, "answer to " + body); });
+    }
+
+    void sendEvent(const http1::ExchangePtr &exchange, const std::shared_ptr<bool> &isGone, int number)
+    {
+        if (*isGone) {
+            return;
+        }
+        if (number > events) {
+            exchange->end();
+            return;
+        }
+        exchange->send(fmt::format("id: {}\ndata: {}\n\n", number, number));
+        loop_.after(eventGap, [this, exchange, isGone, number] { sendEvent(exchange, isGone, number + 1); });
+    }
+
+    EventLoop &loop_;
+    std::string instance_;
+    std::shared_ptr<http1::HttpServer> server_;
+};
+
+/// One entry VM in this process. It reaches each backend server through a link of its own.
+struct TestVm {
+    std::string name;
+    std::shared_ptr<manifest::ManifestCache> manifests = manifest::ManifestCache::create();
+    std::shared_ptr<directory::Directory> directory = directory::Directory::create();
+    std::map<std::string, std::unique_ptr<http1::TestLink>> links; ///< By backend server.
+    std::shared_ptr<eventlog::EventLog> log;
+    std::string logLines;
+    ForwarderTools tools;
+    std::shared_ptr<Forwarder> forwarder;
+    std::shared_ptr<http1::HttpServer> callers;
+};
+
+/// A caller's request.
+struct TestRequest {
+    std::string id;
+    std::size_t vm = 0;
+    TimePoint sentAt;
+    bool isStream = false;
+    std::unique_ptr<http1::RawClient> client;
+
+    /// Answered with success, and whole.
+    bool isServed() const
+    {
+        const std::string &received = client->received();
+        const bool isWhole = isStream ? received.ends_with("0\r\n\r\n") : client->hasEnded();
+        return received.starts_with("HTTP/1.1 200") && isWhole;
+    }
+
+    bool hasEnded() const
+    {
+        return client->hasEnded();
+    }
+};
+
+/// Several entry VMs and the backend servers that all of them use, in this process.
+class VmFleetTest : public http1::LoopTest
+{
+protected:
+    static constexpr std::size_t Vms = 5;
+    static constexpr std::size_t Backends = 6;
+    /// Rules that depend on the links between VMs and servers hold from this time after a cut on.
+    static constexpr Duration CutKnownAfter = std::chrono::seconds(3);
+
+    VmFleetTest()
+    {
+        for (std::size_t i = 0; i < Backends; i++) {
+            const std::string instance = fmt::format("server-{}", i);
+            backends_[instance] = std::make_unique<AnsweringBackend>(*loop_, instance);
+        }
+        for (std::size_t i = 0; i < Vms; i++) {
+            addVm(fmt::format("vm-{}", i));
+        }
+    }
+
+    void addVm(const std::string &name)
+    {
+        vms_.push_back(std::make_unique<TestVm>());
+        TestVm &vm = *vms_.back();
+        vm.name = name;
+        vm.manifests->update(testManifest(1));
+        vm.log = eventlog::EventLog::create(clock_, name, [&vm](std::string_view line) {
+            vm.logLines += line;
+            return true;
+        });
+        for (const auto &[instance, backend] : backends_) {
+            addLink(vm, instance, backend->port());
+        }
+        ForwarderTools &tools = vm.tools;
+        tools.loop = loop_.get();
+        tools.manifests = vm.manifests;
+        tools.directory = vm.directory;
+        tools.pool = ServerPool::create(*loop_, vm.directory);
+        tools.backoffs = backoff::BackoffTracker::create(clock_);
+        tools.log = vm.log;
+        tools.metrics = metrics::Metrics::create();
+        tools.demand = std::make_shared<ServiceDemand>();
+        tools.outliers = outliers::OutlierDetector::create(*loop_, vm.log);
+        tools.reachability = reachability::ReachabilityTracker::create({loop_.get(), vm.directory, vm.log, tools.metrics, {}});
+        tools.peerBacklog = std::make_shared<PeerBacklog>();
+        tools.prefixes = prefixindex::PrefixIndex::create(*loop_);
+        tools.wire = platform::requestFormat();
+        tools.settings.zone = "zone-0";
+        tools.settings.retrySlack = 200;
+        tools.vmCount = [] {
+            return std::optional<std::size_t>(Vms);
+        };
+        start(vm);
+    }
+
+    /// Starts the process of a VM, or starts it again.
+    void start(TestVm &vm)
+    {
+        vm.forwarder = Forwarder::create(vm.tools);
+        vm.callers = listen([raw = vm.forwarder.get()](http1::ExchangePtr exchange) { raw->handle(std::move(exchange)); });
+    }
+
+    std::shared_ptr<http1::HttpServer> listen(std::function<void(http1::ExchangePtr)> onRequest)
+    {
+        http1::ServerHandlers handlers;
+        handlers.onRequest = std::move(onRequest);
+        handlers.onRejected = [](int) {
+        };
+        return http1::HttpServer::listen(*loop_, {"127.0.0.1", 0}, {}, std::move(handlers)).value();
+    }
+
+    void addLink(TestVm &vm, const std::string &instance, std::uint16_t port)
+    {
+        vm.links[instance] = std::make_unique<http1::TestLink>(*loop_, port);
+        directory::BackendServer server;
+        server.name = instance;
+        server.instance = instance;
+        server.service = "service";
+        server.endpoint = {"127.0.0.1", vm.links[instance]->port()};
+        server.zone = fmt::format("zone-{}", vm.links.size() % 3);
+        server.slots = 64;
+        vm.directory->put(std::move(server));
+    }
+
+    TestRequest &send(std::size_t vm, const std::string &path, const std::string &more = {})
+    {
+        TestRequest request;
+        request.id = fmt::format("id-{}", requests_.size());
+        request.vm = vm;
+        request.sentAt = loop_->now();
+        request.isStream = path.starts_with("/stream/") || path.starts_with("/resumed/");
+        request.client = std::make_unique<http1::RawClient>(vms_[vm]->callers->port());
+        request.client->send(fmt::format("POST {} HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Attempt-Id: {}\r\nX-Credential: key\r\nX-Deadline-Ms: "
+                                         "4000\r\n{}Content-Length: 4\r\n\r\nbody",
+            path,
+            request.id,
+            more));
+        requests_.push_back(std::move(request));
+        return requests_.back();
+    }
+
+    /// Lets @p by pass as the event loop would, with a clock that moves in small steps; calls @p onStep at each.
+    void pass(
+        Duration by, const std::function<void()> &onStep = [] {})
+    {
+        constexpr Duration Step = milliseconds(50);
+        constexpr int Rounds = 8;
+        clock_.pause();
+        const TimePoint end = loop_->now() + by;
+        while (loop_->now() < end) {
+            onStep();
+            for (int i = 0; i < Rounds; i++) {
+                loop_->runDue();
+                std::this_thread::sleep_for(std::chrono::microseconds(500));
+            }
+            clock_.advance(Step);
+            tick();
+        }
+    }
+
+    void tick()
+    {
+        const bool isDue = loop_->now() - tickedAt_ >= reachability::ReachabilityTracker::TickPeriod;
+        for (const auto &vm : vms_) {
+            vm->manifests->confirm(loop_->now());
+            if (isDue) {
+                vm->tools.reachability->tick();
+                vm->tools.pool->tick();
+                vm->forwarder->tick();
+            }
+        }
+        tickedAt_ = isDue ? loop_->now() : tickedAt_;
+    }
+
+    /// Sends a request at each VM every 50 ms for @p time, and lets all of them end.
+    void load(Duration time, const std::string &path)
+    {
+        pass(time, [&] {
+            for (std::size_t vm = 0; vm < Vms; vm++) {
+                send(vm, path);
+            }
+        });
+    }
+
+    /// Of the requests sent at the VMs @p first to @p last, from @p from on.
+    struct Served {
+        int sent = 0;
+        int served = 0;
+    };
+
+    Served countServed(std::size_t first, std::size_t last, TimePoint from = {}, TimePoint until = TimePoint::max())
+    {
+        Served counts;
+        for (const TestRequest &request : requests_) {
+            if (request.vm < first || request.vm > last || request.sentAt < from || request.sentAt >= until) {
+                continue;
+            }
+            counts.sent++;
+            counts.served += request.isServed() ? 1 : 0;
+        }
+        return counts;
+    }
+
+    int runsOf(const std::string &id) const
+    {
+        int sum = 0;
+        for (const auto &[instance, backend] : backends_) {
+            const auto found = backend->runs.find(id);
+            sum += found == backend->runs.end() ? 0 : found->second;
+        }
+        return sum;
+    }
+
+    int mostRuns() const
+    {
+        int most = 0;
+        for (const TestRequest &request : requests_) {
+            most = std::max(most, runsOf(request.id));
+        }
+        return most;
+    }
+
+    std::map<std::string, std::unique_ptr<AnsweringBackend>> backends_;
+    std::vector<std::unique_ptr<TestVm>> vms_;
+    std::vector<TestRequest> requests_;
+    TimePoint tickedAt_;
+};
+
+} // namespace cardamomlift::forwarding
