--- a/src/forwarding/internal/serverpool.cpp
+++ b/src/forwarding/internal/serverpool.cpp
@@ -13,12 +13,14 @@
 constexpr Duration KeepAliveIdle = std::chrono::seconds(1);
 /// Limits on the size of a server's answer; an answer that is not a stream is buffered whole.
 constexpr http1::ReadLimits AnswerLimits{65536, 16u << 20};
+constexpr http1::SocketOptions ChannelOptions{UnackedTimeout, KeepAliveIdle};
 
 } // namespace
 
 ServerPool::ServerPool(EventLoop &loop, std::shared_ptr<directory::Directory> directory)
     : loop_(loop)
     , directory_(std::move(directory))
+    , channels_(http1::ChannelPool::create(loop, ChannelOptions, AnswerLimits))
 {
 }
 
@@ -29,54 +31,17 @@
 
 std::shared_ptr<http1::BackendChannel> ServerPool::acquire(const directory::BackendServer &server)
 {
-    ServerEntry &entry = entries_[server.instance];
-    while (!entry.idle.empty()) {
-        auto channel = std::move(entry.idle.back());
-        entry.idle.pop_back();
-        if (channel->isReusable()) {
-            channel->onIdleClosed(nullptr);
-            return channel;
-        }
-        entry.openChannels--;
-        loop_.post([channel] {});
-    }
-    entry.openChannels++;
-    http1::SocketOptions options;
-    options.unackedTimeout = UnackedTimeout;
-    options.keepAlive = KeepAliveIdle;
-    return http1::BackendChannel::connect(loop_, server.endpoint, options, AnswerLimits);
+    return channels_->acquire(server.instance, server.endpoint);
 }
 
 void ServerPool::release(const std::string &instance, std::shared_ptr<http1::BackendChannel> channel)
 {
-    const auto found = entries_.find(instance);
-    if (found == entries_.end() || !channel->isReusable()) {
-        discard(instance, std::move(channel));
-        return;
-    }
-    http1::BackendChannel *raw = channel.get();
-    channel->onIdleClosed([this, instance, raw] {
-        ServerEntry &entry = entries_[instance];
-        const auto position = std::find_if(entry.idle.begin(), entry.idle.end(), [raw](const auto &idle) { return idle.get() == raw; });
-        if (position == entry.idle.end()) {
-            return;
-        }
-        // The channel is freed by the event loop, because it is itself the caller of this handler.
-        loop_.post([released = std::move(*position)] {});
-        entry.idle.erase(position);
-        entry.openChannels--;
-    });
-    found->second.idle.push_back(std::move(channel));
+    channels_->release(instance, std::move(channel));
 }
 
 void ServerPool::discard(const std::string &instance, std::shared_ptr<http1::BackendChannel> channel)
 {
-    channel->close();
-    const auto found = entries_.find(instance);
-    if (found != entries_.end() && found->second.openChannels > 0) {
-        found->second.openChannels--;
-    }
-    loop_.post([released = std::move(channel)] {});
+    channels_->discard(instance, std::move(channel));
 }
 
 balancing::ServerLoad &ServerPool::load(const std::string &instance)
@@ -132,11 +97,7 @@
 
 std::size_t ServerPool::openChannels() const
 {
-    std::size_t sum = 0;
-    for (const auto &[instance, entry] : entries_) {
-        sum += entry.openChannels;
-    }
-    return sum;
+    return channels_->openChannels();
 }
 
 std::vector<presence::ServerWork> ServerPool::waitingTokens() const
@@ -152,16 +113,12 @@
 
 void ServerPool::tick()
 {
+    channels_->removeUnusable();
     for (auto entry = entries_.begin(); entry != entries_.end();) {
-        std::erase_if(entry->second.idle, [&](const auto &channel) {
-            if (channel->isReusable()) {
-                return false;
-            }
-            entry->second.openChannels--;
-            channel->close();
-            return true;
-        });
         const bool isForgotten = !directory_->find(entry->first) && entry->second.load.localOpenRequests == 0;
+        if (isForgotten) {
+            channels_->forget(entry->first);
+        }
         entry = isForgotten ? entries_.erase(entry) : std::next(entry);
     }
 }
--- a/src/forwarding/serverpool.h
+++ b/src/forwarding/serverpool.h
@@ -3,7 +3,7 @@
 #include "balancing/balancingtypes.h"
 #include "directory/directory.h"
 #include "forwarding/wireformat.h"
-#include "http1/backendchannel.h"
+#include "http1/channelpool.h"
 #include "presence/presencetypes.h"
 
 #include <memory>
@@ -14,11 +14,9 @@
 
 namespace cardamomlift::forwarding {
 
-/// Connections to one backend server, and its load.
+/// The load of one backend server, as this VM knows it.
 struct ServerEntry {
     balancing::ServerLoad load;
-    std::vector<std::shared_ptr<http1::BackendChannel>> idle;
-    std::size_t openChannels = 0; ///< Number of open channels, idle or in use.
     std::optional<TimePoint> lastActivityAt; ///< When bytes of an answer were last received, on any channel.
 };
 
@@ -57,6 +55,7 @@
     ServerPool(EventLoop &loop, std::shared_ptr<directory::Directory> directory);
     EventLoop &loop_;
     std::shared_ptr<directory::Directory> directory_;
+    std::shared_ptr<http1::ChannelPool> channels_;
     std::unordered_map<std::string, ServerEntry> entries_; ///< By instance.
 };
 
