Hand requests over to VMs that reach servers while this one reaches none

A request that this VM can't send goes, whole, to another VM over HTTP on the VMs' own port: that VM chooses the server, counts allowance, usage and retries, and repeats. It is handed over at once while this VM knows that it is cut off, and after two servers that could not be reached otherwise. Of the others, one that has heard from servers, does not drain, and has the manifest in force here, by open requests, near ones first. One hop by construction: what comes in on that port is never handed on. The VM that took it over may answer that it can't serve it (cut off, draining, older manifest, no server); then the next is asked, three at most. A hop that ends after the request was written is repeated only if the request may run again, within the retry budget and the route's attempts, which both VMs count together.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -20,6 +20,7 @@
 #include "outliers/outlierdetector.h"
 #include "prefixindex/prefixindex.h"
 #include "reachability/reachabilitytracker.h"
+#include "relay/relaypool.h"
 #include "retry/retrybudget.h"
 
 #include <functional>
@@ -49,12 +50,19 @@
     std::shared_ptr<ServiceDemand> demand;
     std::shared_ptr<outliers::OutlierDetector> outliers;
     std::shared_ptr<reachability::ReachabilityTracker> reachability;
+    std::shared_ptr<relay::RelayPool> relays; ///< May be null: no request is handed over to other entry VMs.
     std::shared_ptr<prefixindex::PrefixIndex> prefixes;
     std::shared_ptr<PeerBacklog> peerBacklog;
     WireFormat wire;
     ForwardingSettings settings;
 };
 
+/// Who has sent a request.
+enum class RequestSource {
+    Caller,
+    Peer, ///< Another entry VM, which reaches no backend server itself.
+};
+
 class ForwardedRequest;
 
 /// Forwards callers' requests to backend servers by the routes of the manifest.
@@ -64,6 +72,8 @@
     static std::shared_ptr<Forwarder> create(ForwarderTools tools);
 
     void handle(http1::ExchangePtr exchange);
+    /// Handles a request that another entry VM hands over. It is never handed on.
+    void handleRelayed(http1::ExchangePtr exchange);
     std::size_t openRequests() const;
     /// Adapts the retry budgets to the number of VMs and to the age of this process. Called a few times a second.
     void tick();
@@ -76,6 +86,8 @@
 
 private:
     friend class ForwardedRequest;
+    void open(http1::ExchangePtr exchange, RequestSource source);
+    void onCutOff();
     void onServerLeaving(const directory::ServerPtr &server);
     explicit Forwarder(ForwarderTools tools);
     retry::RetryBudget &budget(const std::string &service);
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -51,6 +51,7 @@
             "usage",
             "outliers",
             "reachability",
+            "relay",
             "prefixindex",
             "rollout",
             "serverlimits",
@@ -91,12 +92,14 @@
         };
         tools.outliers = context.get<outliers::OutlierDetector>();
         tools.reachability = context.get<reachability::ReachabilityTracker>();
+        tools.relays = context.get<relay::RelayPool>();
         tools.prefixes = context.get<prefixindex::PrefixIndex>();
         tools.wire = *context.get<WireFormat>();
-        tools.settings = forwardingSettings(*settings->routes, settings->zone);
+        tools.settings = forwardingSettings(*settings->routes, settings->instance, settings->zone);
         RouteGatewayTools gatewayTools;
         gatewayTools.loop = tools.loop;
         gatewayTools.settings = *settings->routes;
+        gatewayTools.instance = settings->instance;
         gatewayTools.zone = settings->zone;
         gatewayTools.manifests = tools.manifests;
         gatewayTools.directory = tools.directory;
--- a/src/forwarding/forwardingtypes.h
+++ b/src/forwarding/forwardingtypes.h
@@ -29,6 +29,8 @@
     CrashesServers, ///< The request crashes the servers that run it, and is blocked.
     CrashCauseUnknown, ///< The request may have crashed servers; until this is decided it does not run.
     Draining,
+    CutOff, ///< This VM reaches no backend server, and the request has been handed over to it by another VM.
+    ManifestBehind, ///< The VM that has handed the request over has a newer manifest.
     Count
 };
 
@@ -36,6 +38,7 @@
 
 /// Settings of the forwarder: freshness of keys, and limits on retries.
 struct ForwardingSettings {
+    std::string instance; ///< This VM.
     std::string zone; ///< This VM's failure domain.
     Duration maxKeyAge = std::chrono::milliseconds(4500); ///< Greatest age of a manifest that keys are checked against.
     bool strictKeys = true; ///< If false, known keys are also accepted while the manifest is older than maxKeyAge.
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -2,6 +2,7 @@
 
 #include "backoff/retryafter.h"
 #include "forwarding/internal/forwardingconstants.h"
+#include "relay/relayformat.h"
 
 #include <xxhash.h>
 
@@ -11,8 +12,6 @@
 
 namespace {
 
-/// A server that accepts no connection within this time is skipped: many times the round trip between failure domains.
-constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 /// 404 and 401 are returned only if the manifest was confirmed within this time; an older one may lack a new route or key.
 constexpr Duration MaxManifestAgeForDenial = std::chrono::seconds(3);
 /// For a VM that has lost its connection to the store: the caller's next attempt reaches another VM.
@@ -24,17 +23,18 @@
 
 } // namespace
 
-ForwardedRequest::ForwardedRequest(Forwarder &forwarder, http1::ExchangePtr exchange)
+ForwardedRequest::ForwardedRequest(Forwarder &forwarder, http1::ExchangePtr exchange, RequestSource source)
     : forwarder_(forwarder)
     , toolsOwner_(forwarder.tools_)
     , tools_(*toolsOwner_)
     , exchange_(std::move(exchange))
+    , source_(source)
 {
 }
 
-std::shared_ptr<ForwardedRequest> ForwardedRequest::create(Forwarder &forwarder, http1::ExchangePtr exchange)
+std::shared_ptr<ForwardedRequest> ForwardedRequest::create(Forwarder &forwarder, http1::ExchangePtr exchange, RequestSource source)
 {
-    return std::shared_ptr<ForwardedRequest>(new ForwardedRequest(forwarder, std::move(exchange)));
+    return std::shared_ptr<ForwardedRequest>(new ForwardedRequest(forwarder, std::move(exchange), source));
 }
 
 ForwardedRequest::~ForwardedRequest()
@@ -43,6 +43,7 @@
     tools_.loop->cancel(connectTimer_);
     tools_.loop->cancel(silenceTimer_);
     tools_.loop->cancel(moveTimer_);
+    tools_.loop->cancel(relayTimer_);
 }
 
 void ForwardedRequest::start()
@@ -61,12 +62,6 @@
         return;
     }
     service_ = chooseService();
-    forwarder_.budget(service_).addRequest(service_);
-    tools_.demand->noteRequest(service_, request_.promptTokens, tools_.loop->now());
-    demandNoted_ = true;
-    if (tools_.versions) {
-        pick_ = tools_.versions->pick(service_, route_->name);
-    }
     dispatch();
 }
 
@@ -79,7 +74,7 @@
         refuse(StatusUnavailable, FailureReason::NoManifest, StaleRetryAfter);
         return false;
     }
-    return findRoute() && checkKey() && checkAllowance();
+    return checkRelay() && findRoute() && checkKey();
 }
 
 bool ForwardedRequest::findRoute()
@@ -144,6 +139,24 @@
     return true;
 }
 
+bool ForwardedRequest::admit()
+{
+    if (isAdmitted_) {
+        return true;
+    }
+    if (!checkAllowance()) {
+        return false;
+    }
+    isAdmitted_ = true;
+    forwarder_.budget(service_).addRequest(service_);
+    tools_.demand->noteRequest(service_, request_.promptTokens, tools_.loop->now());
+    demandNoted_ = true;
+    if (tools_.versions) {
+        pick_ = tools_.versions->pick(service_, route_->name);
+    }
+    return true;
+}
+
 void ForwardedRequest::setDeadline()
 {
     Duration left = route_->timeout.count() > 0 ? route_->timeout : std::chrono::seconds(60);
@@ -211,7 +224,7 @@
         onDeadline();
         return;
     }
-    if (!checkCrashes()) {
+    if (!checkCrashes() || (shouldRelay() && startRelay()) || !admit()) {
         return;
     }
     const Choice choice = chooseServer();
@@ -230,6 +243,9 @@
 
 void ForwardedRequest::endWithoutServer(const Choice &choice)
 {
+    if (connectFailures_ > 0 && mayRelay() && startRelay()) {
+        return;
+    }
     if (runs_ > 0) {
         fail(StatusBadGateway, FailureReason::OutcomeUnknown);
         return;
@@ -286,7 +302,8 @@
     if (tools_.versions) {
         tools_.versions->noteSent(server->server);
     }
-    const std::string head = http1::encodeHead(tools_.wire.writeRequest(exchange_->head(), dispatchFields(choice)), exchange_->body().size());
+    http1::RequestHead head = tools_.wire.writeRequest(exchange_->head(), dispatchFields(choice));
+    relay::removeRelayFields(head);
     http1::CallHandlers handlers;
     handlers.mayStillSend = [this] {
         tools_.reachability->noteConnected(attempt_->server->server.instance);
@@ -309,7 +326,7 @@
     handlers.onFailure = [self = shared_from_this()](http1::CallFailure failure) {
         self->onFailure(failure);
     };
-    attempt_->channel->call(head + exchange_->body(), exchange_->head().method == "HEAD", std::move(handlers));
+    attempt_->channel->call(http1::encodeHead(head, exchange_->body().size()) + exchange_->body(), exchange_->head().method == "HEAD", std::move(handlers));
     if (sends_ == 1) {
         observeStep("send");
     }
@@ -331,6 +348,11 @@
     return !kvSource_.empty() || (known && !known->isLeaving && !tools_.backoffs->endsAt(instance));
 }
 
+void ForwardedRequest::onCutOff()
+{
+    onConnectTimeout();
+}
+
 void ForwardedRequest::onConnectTimeout()
 {
     if (attempt_ && !attempt_->channel->isConnected()) {
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -4,6 +4,7 @@
 #include "forwarding/forwarder.h"
 #include "http1/httpclient.h"
 #include "prefixindex/prefixrules.h"
+#include "relay/relaytypes.h"
 #include "suspects/suspecttypes.h"
 
 #include <optional>
@@ -17,11 +18,13 @@
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
 {
 public:
-    static std::shared_ptr<ForwardedRequest> create(Forwarder &forwarder, http1::ExchangePtr exchange);
+    static std::shared_ptr<ForwardedRequest> create(Forwarder &forwarder, http1::ExchangePtr exchange, RequestSource source);
     ~ForwardedRequest();
     void start();
     /// The backend server @p instance stops at @p endsAt: if the request runs there, its run is moved before that.
     void onServerReclaim(const std::string &instance, TimePoint endsAt);
+    /// This VM reaches no server any more: a request that waits for a connection waits no longer.
+    void onCutOff();
 
 private:
     /// One send to one backend server.
@@ -40,7 +43,11 @@
         TimePoint lastByteAt; ///< The time of the send until a byte is received.
     };
 
-    ForwardedRequest(Forwarder &forwarder, http1::ExchangePtr exchange);
+    ForwardedRequest(Forwarder &forwarder, http1::ExchangePtr exchange, RequestSource source);
+    /// Takes in what the VM says that has handed the request over. Ends the request if this VM can't serve it.
+    bool checkRelay();
+    /// Counts the request for its customer and service, once. Ends it if the customer's allowance is used up.
+    bool admit();
     bool checkRequest();
     bool findRoute();
     bool checkKey();
@@ -112,7 +119,7 @@
     /// Whether the server may still get the request that has waited for a connection to it.
     bool mayStillSend() const;
     void onConnectTimeout();
-    Duration silenceLimit() const;
+    Duration silenceLimit(bool waitsForFirstByte) const;
     void watchSilence();
     void onSilenceTimeout();
     bool isServerSilent() const;
@@ -130,6 +137,36 @@
     void onDeadline();
     void onCallerGone();
     void forwardAnswer();
+
+    /// A send to another entry VM, which takes the request over.
+    struct Relay {
+        relay::RelayPeer peer;
+        std::shared_ptr<http1::BackendChannel> channel;
+        http1::ResponseHead head;
+        bool isEventStream = false;
+        std::string body;
+        TimePoint lastByteAt; ///< The time of the send until a byte is received.
+    };
+    /// Whether another entry VM may be asked to take the request over.
+    bool mayRelay() const;
+    bool shouldRelay() const;
+    /// Hands the request over to another entry VM. Returns false if there is none.
+    bool startRelay();
+    void sendToPeer(const relay::RelayPeer &peer);
+    relay::RelayFields relayFields() const;
+    void onRelayHead(http1::ResponseHead head);
+    void onRelayBody(std::string_view bytes);
+    void onRelayComplete();
+    void onRelayFailure(http1::CallFailure failure);
+    void onRelayUnavailable(std::string_view why, bool keepChannel);
+    void onRelayBroken(std::string_view why);
+    void forwardRelayedAnswer();
+    void endAnsweredRelay();
+    void beginStream(const http1::ResponseHead &head);
+    void watchRelay();
+    void onRelayTimeout();
+    void endRelay(bool keepChannel);
+    void logRelay(std::string_view outcome) const;
     void refuse(int status, FailureReason reason, Duration retryAfter);
     void fail(int status, FailureReason reason);
     void finish();
@@ -165,6 +202,12 @@
     std::optional<Attempt> attempt_;
     std::set<std::string> tried_; ///< Instances not to be chosen again: they failed or refused, or the run leaves them.
     VersionPick pick_ = VersionPick::Usual; ///< For the next send.
+    std::optional<relay::RelayFields> relayedFields_; ///< If another entry VM has handed the request over.
+    std::optional<Relay> relay_;
+    std::set<std::string> triedPeers_; ///< Entry VMs that could not serve the request.
+    TimerId relayTimer_ = 0;
+    int relays_ = 0;
+    int connectFailures_ = 0; ///< Servers that could not be reached.
     int sends_ = 0;
     int runs_ = 0; ///< Sends after which the request may have run.
     /// A run that is being moved to another server.
@@ -179,6 +222,8 @@
     std::optional<Move> move_;
     std::string kvSource_; ///< For the next send.
     TimerId moveTimer_ = 0;
+    const RequestSource source_;
+    bool isAdmitted_ = false;
     bool allowanceTaken_ = false;
     bool headSent_ = false; ///< The head of a stream's answer has been sent to the caller.
     bool usageNoted_ = false;
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -69,19 +69,24 @@
         return;
     }
     if (!headSent_) {
-        headSent_ = true;
-        firstEventAt_ = tools_.loop->now();
         noteOutcome(outliers::Ending::Answered);
         if (tools_.usage && customer_ && !usageNoted_) {
             usageNoted_ = true;
             tools_.usage->noteStarted(customer_->name);
         }
-        exchange_->begin(tools_.wire.writeAnswer(attempt_->head));
+        beginStream(attempt_->head);
     }
     exchange_->send(events);
     noteProgress(splitter_.eventCount());
 }
 
+void ForwardedRequest::beginStream(const http1::ResponseHead &head)
+{
+    headSent_ = true;
+    firstEventAt_ = tools_.loop->now();
+    exchange_->begin(tools_.wire.writeAnswer(head));
+}
+
 void ForwardedRequest::onComplete()
 {
     const bool isEventStream = isStream() && attempt_->head.status == StatusOk && attempt_->answer.isSigned;
@@ -203,12 +208,13 @@
         onBroken("broken");
         return;
     }
-    if (failure == http1::CallFailure::NotConnected) {
-        tools_.reachability->noteConnectFailed(instance);
-    }
     logAttempt("not_connected");
     tried_.insert(instance);
     endAttempt(false);
+    if (failure == http1::CallFailure::NotConnected) {
+        connectFailures_++;
+        tools_.reachability->noteConnectFailed(instance);
+    }
     retryUnsent(metrics::RetryReason::ConnectFailed);
 }
 
@@ -220,6 +226,9 @@
         retry();
         return;
     }
+    if (mayRelay() && startRelay()) {
+        return;
+    }
     if (hasStreamStarted() || runs_ > 0) {
         fail(StatusBadGateway, FailureReason::OutcomeUnknown);
         return;
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/internal/forwardedrequest.h"
 #include "forwarding/internal/forwardingconstants.h"
+#include "relay/relayformat.h"
 
 #include <fmt/format.h>
 
@@ -25,6 +26,22 @@
     return "unknown";
 }
 
+/// Whether the reason lies in this VM alone, so that the VM that has handed the request over may ask another one.
+bool mayBeServedElsewhere(FailureReason reason)
+{
+    switch (reason) {
+    case FailureReason::NoManifest:
+    case FailureReason::StaleKeys:
+    case FailureReason::NoServer:
+    case FailureReason::Draining:
+    case FailureReason::CutOff:
+    case FailureReason::ManifestBehind:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
 void ForwardedRequest::onDeadline()
@@ -41,6 +58,11 @@
         logAttempt("deadline");
         endAttempt(false);
     }
+    if (relay_) {
+        runs_ += relay_->channel->isConnected() ? 1 : 0;
+        logRelay("deadline");
+        endRelay(false);
+    }
     if (runs_ > 0) {
         fail(StatusGatewayTimeout, FailureReason::OutOfTime);
         return;
@@ -55,6 +77,7 @@
     }
     const std::string server = attempt_ ? attempt_->server->server.instance : std::string();
     endAttempt(false);
+    endRelay(false);
     tools_.metrics->add("requests_gone_total");
     tools_.log->write(Event::RequestGone,
         {{Attribute::Request, request_.id},
@@ -74,6 +97,9 @@
     if (retryAfter.count() > 0) {
         head.fields.add("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(retryAfter).count()));
     }
+    if (source_ == RequestSource::Peer && mayBeServedElsewhere(reason)) {
+        relay::markUnavailable(head);
+    }
     const auto age = tools_.manifests->age(tools_.loop->now());
     tools_.metrics->add(fmt::format("forwarding_refusals_total{{reason=\"{}\"}}", reasonName(reason)));
     tools_.log->write(Event::RequestRefused,
@@ -102,9 +128,8 @@
             {Attribute::Attempt, std::int64_t(sends_)},
             {Attribute::Events, static_cast<std::int64_t>(splitter_.eventCount())},
             {Attribute::TookMs, millisecondsSince(exchange_->startedAt())}});
-    if (attempt_) {
-        endAttempt(false);
-    }
+    endAttempt(false);
+    endRelay(false);
     if (hasStreamStarted()) {
         exchange_->abort();
         finish();
@@ -129,6 +154,7 @@
     tools_.loop->cancel(connectTimer_);
     tools_.loop->cancel(silenceTimer_);
     tools_.loop->cancel(moveTimer_);
+    tools_.loop->cancel(relayTimer_);
     forwarder_.forget(this);
 }
 
--- /dev/null
+++ b/src/forwarding/internal/forwardedrequestrelay.cpp
@@ -0,0 +1,288 @@
+#include "forwarding/internal/forwardedrequest.h"
+#include "forwarding/internal/forwardingconstants.h"
+#include "relay/relayformat.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cardamomlift::forwarding {
+
+namespace {
+
+using eventlog::Attribute;
+using eventlog::Event;
+
+/// Entry VMs that are asked to take over one request.
+constexpr int MaxRelays = 3;
+/// A request that could not connect to this many servers is handed over, even if it is not known that this VM is cut off.
+constexpr int MaxConnectFailures = 2;
+/// Another entry VM may try a second server before the first byte arrives.
+constexpr int RelaySilenceFactor = 2;
+constexpr Duration MinRelayCheck = std::chrono::milliseconds(50);
+
+/// Statuses that say that the request has not run and will not.
+constexpr std::array NotRunStatuses{StatusTimeout, StatusMisdirected, StatusTooManyRequests, StatusUnavailable};
+
+bool saysNotRun(int status)
+{
+    return std::find(NotRunStatuses.begin(), NotRunStatuses.end(), status) != NotRunStatuses.end();
+}
+
+} // namespace
+
+bool ForwardedRequest::checkRelay()
+{
+    if (source_ == RequestSource::Caller) {
+        return true;
+    }
+    relayedFields_ = relay::readRelayFields(exchange_->head()).value_or(relay::RelayFields());
+    runs_ = relayedFields_->runs;
+    isAdmitted_ = relayedFields_->isAdmitted;
+    usageNoted_ = relayedFields_->isUsageNoted;
+    tools_.log->write(Event::RequestTakenOver,
+        {{Attribute::Request, request_.id},
+            {Attribute::Peer, relayedFields_->from},
+            {Attribute::Attempt, std::int64_t(runs_)},
+            {Attribute::Version, static_cast<std::int64_t>(relayedFields_->manifestVersion)}});
+    if (tools_.reachability->state() == reachability::State::Unreachable) {
+        refuse(StatusUnavailable, FailureReason::CutOff, ServersFullRetryAfter);
+        return false;
+    }
+    if (manifest_->manifest().version < relayedFields_->manifestVersion) {
+        refuse(StatusUnavailable, FailureReason::ManifestBehind, ServersFullRetryAfter);
+        return false;
+    }
+    return true;
+}
+
+bool ForwardedRequest::mayRelay() const
+{
+    return source_ == RequestSource::Caller && tools_.relays && relays_ < MaxRelays;
+}
+
+bool ForwardedRequest::shouldRelay() const
+{
+    return mayRelay() && (connectFailures_ >= MaxConnectFailures || !tools_.reachability->isDirect(salt()));
+}
+
+bool ForwardedRequest::startRelay()
+{
+    const auto peer = tools_.relays->choose(manifest_->manifest().version, triedPeers_, salt());
+    if (!peer) {
+        return false;
+    }
+    sendToPeer(*peer);
+    return true;
+}
+
+relay::RelayFields ForwardedRequest::relayFields() const
+{
+    relay::RelayFields fields;
+    fields.from = tools_.settings.instance;
+    fields.manifestVersion = manifest_->manifest().version;
+    fields.runs = runs_;
+    fields.isAdmitted = isAdmitted_;
+    fields.isUsageNoted = usageNoted_;
+    return fields;
+}
+
+void ForwardedRequest::sendToPeer(const relay::RelayPeer &peer)
+{
+    relays_++;
+    tools_.metrics->add("requests_relayed_total");
+    tools_.log->write(Event::RequestRelayed,
+        {{Attribute::Request, request_.id},
+            {Attribute::Route, route_->name},
+            {Attribute::Peer, peer.instance},
+            {Attribute::Zone, peer.zone},
+            {Attribute::Reason, tools_.reachability->isDirect(salt()) ? "not_connected" : "cut_off"},
+            {Attribute::Attempt, std::int64_t(relays_)},
+            {Attribute::Events, static_cast<std::int64_t>(splitter_.eventCount())},
+            {Attribute::TookMs, millisecondsSince(exchange_->startedAt())},
+            {Attribute::LeftMs, toMilliseconds(timeLeft())}});
+    relay_ = Relay();
+    relay_->peer = peer;
+    relay_->channel = tools_.relays->acquire(peer);
+    relay_->lastByteAt = tools_.loop->now();
+    http1::RequestHead head = tools_.wire.writeRelay(exchange_->head(), timeLeft(), splitter_.lastId());
+    relay::writeRelayFields(relayFields(), head);
+    http1::CallHandlers handlers;
+    handlers.accepts = [this](const http1::ResponseHead &answer) {
+        const std::string id = tools_.wire.readAnswer(answer).requestId;
+        return id.empty() || id == request_.id;
+    };
+    handlers.onHead = [self = shared_from_this()](http1::ResponseHead answer) {
+        self->onRelayHead(std::move(answer));
+    };
+    handlers.onBody = [self = shared_from_this()](std::string_view part) {
+        self->onRelayBody(part);
+    };
+    handlers.onComplete = [self = shared_from_this()] {
+        self->onRelayComplete();
+    };
+    handlers.onFailure = [self = shared_from_this()](http1::CallFailure failure) {
+        self->onRelayFailure(failure);
+    };
+    relay_->channel->call(http1::encodeHead(head, exchange_->body().size()) + exchange_->body(), head.method == "HEAD", std::move(handlers));
+    watchRelay();
+}
+
+void ForwardedRequest::onRelayHead(http1::ResponseHead head)
+{
+    relay_->lastByteAt = tools_.loop->now();
+    relay_->isEventStream = isStream() && head.status == StatusOk && tools_.wire.readAnswer(head).isSigned;
+    relay_->head = std::move(head);
+}
+
+void ForwardedRequest::onRelayBody(std::string_view bytes)
+{
+    relay_->lastByteAt = tools_.loop->now();
+    if (!relay_->isEventStream) {
+        relay_->body += bytes;
+        return;
+    }
+    const std::string events = splitter_.feed(bytes);
+    if (events.empty()) {
+        return;
+    }
+    if (!headSent_) {
+        beginStream(relay_->head);
+    }
+    exchange_->send(events);
+}
+
+void ForwardedRequest::onRelayComplete()
+{
+    if (relay::isUnavailable(relay_->head)) {
+        onRelayUnavailable("unavailable", true);
+        return;
+    }
+    if (!relay_->isEventStream) {
+        forwardRelayedAnswer();
+        return;
+    }
+    const std::string remainder = splitter_.incompleteEvent();
+    if (!headSent_) {
+        exchange_->answer(tools_.wire.writeAnswer(relay_->head), remainder);
+    } else {
+        exchange_->send(remainder);
+        exchange_->end();
+    }
+    endAnsweredRelay();
+}
+
+// The answer is a server's, or the other VM's own. What that VM says of the request holds for its own sends only.
+void ForwardedRequest::forwardRelayedAnswer()
+{
+    const bool isNotRun = saysNotRun(relay_->head.status) && !tools_.wire.readAnswer(relay_->head).isSigned;
+    if (hasStreamStarted() || (isNotRun && runs_ > 0)) {
+        fail(StatusBadGateway, hasStreamStarted() ? FailureReason::StreamBroken : FailureReason::OutcomeUnknown);
+        return;
+    }
+    if (isNotRun && allowanceTaken_) {
+        tools_.allowances->refund(*customer_, cost());
+    }
+    exchange_->answer(tools_.wire.writeAnswer(relay_->head), relay_->body);
+    endAnsweredRelay();
+}
+
+void ForwardedRequest::endAnsweredRelay()
+{
+    logRelay("answered");
+    endRelay(true);
+    finish();
+}
+
+void ForwardedRequest::onRelayFailure(http1::CallFailure failure)
+{
+    if (failure == http1::CallFailure::Broken) {
+        onRelayBroken("broken");
+        return;
+    }
+    onRelayUnavailable("not_connected", false);
+}
+
+void ForwardedRequest::onRelayUnavailable(std::string_view why, bool keepChannel)
+{
+    logRelay(why);
+    triedPeers_.insert(relay_->peer.instance);
+    tools_.relays->noteFailed(relay_->peer.instance);
+    endRelay(keepChannel);
+    retry();
+}
+
+// The other VM may have sent the request to a server.
+void ForwardedRequest::onRelayBroken(std::string_view why)
+{
+    runs_++;
+    logRelay(why);
+    triedPeers_.insert(relay_->peer.instance);
+    tools_.relays->noteFailed(relay_->peer.instance);
+    endRelay(false);
+    splitter_.dropIncompleteEvent();
+    if (mayRunAgain() && takeRetry()) {
+        tools_.metrics->retried(hasStreamStarted() ? metrics::RetryReason::StreamBroken : metrics::RetryReason::ServerFailed);
+        retry();
+        return;
+    }
+    fail(StatusBadGateway, hasStreamStarted() ? FailureReason::StreamBroken : noRetryReason());
+}
+
+void ForwardedRequest::watchRelay()
+{
+    const bool isConnected = relay_->channel->isConnected();
+    const Duration limit = silenceLimit(!headSent_) * RelaySilenceFactor;
+    const Duration wait = isConnected ? std::max(MinRelayCheck, relay_->lastByteAt + limit - tools_.loop->now()) : ConnectTimeout;
+    tools_.loop->cancel(relayTimer_);
+    relayTimer_ = tools_.loop->after(wait, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->relay_) {
+            self->onRelayTimeout();
+        }
+    });
+}
+
+// As with servers: only a request that may run again is sent elsewhere, any other keeps waiting.
+void ForwardedRequest::onRelayTimeout()
+{
+    if (!relay_->channel->isConnected()) {
+        onRelayFailure(http1::CallFailure::NotConnected);
+        return;
+    }
+    const bool isSilent = tools_.loop->now() - relay_->lastByteAt >= silenceLimit(!headSent_) * RelaySilenceFactor;
+    if (isSilent && isIdempotent() && runs_ + 1 < route_->maxAttempts) {
+        onRelayBroken("silent");
+        return;
+    }
+    watchRelay();
+}
+
+void ForwardedRequest::endRelay(bool keepChannel)
+{
+    tools_.loop->cancel(relayTimer_);
+    if (!relay_) {
+        return;
+    }
+    Relay relay = std::move(*relay_);
+    relay_.reset();
+    tools_.relays->release(relay.peer.instance, std::move(relay.channel), keepChannel);
+}
+
+void ForwardedRequest::logRelay(std::string_view outcome) const
+{
+    const bool isAnswered = outcome == "answered";
+    tools_.log->write(isAnswered ? Event::RequestAnswered : Event::AttemptFailed,
+        {{Attribute::Request, request_.id},
+            {Attribute::Route, route_->name},
+            {Attribute::Customer, customer_ ? std::string_view(customer_->name) : std::string_view()},
+            {Attribute::Peer, relay_->peer.instance},
+            {Attribute::Zone, relay_->peer.zone},
+            {Attribute::Outcome, outcome},
+            {Attribute::Status, std::int64_t(relay_->head.status)},
+            {Attribute::Attempt, std::int64_t(relays_)},
+            {Attribute::Events, static_cast<std::int64_t>(splitter_.eventCount())},
+            {Attribute::TookMs, millisecondsSince(exchange_->startedAt())},
+            {Attribute::LeftMs, toMilliseconds(timeLeft())}});
+}
+
+} // namespace cardamomlift::forwarding
--- a/src/forwarding/internal/forwardedrequestsilence.cpp
+++ b/src/forwarding/internal/forwardedrequestsilence.cpp
@@ -24,9 +24,8 @@
 
 } // namespace
 
-Duration ForwardedRequest::silenceLimit() const
+Duration ForwardedRequest::silenceLimit(bool waitsForFirstByte) const
 {
-    const bool waitsForFirstByte = !attempt_->hasFirstByte;
     const Duration limit = waitsForFirstByte ? route_->latencyGoal * LatencyGoalFactor : route_->eventGapGoal * EventGapGoalFactor;
     return limit.count() <= 0 ? DefaultSilence : std::clamp(limit, MinSilence, MaxSilence);
 }
@@ -35,9 +34,10 @@
 {
     tools_.loop->cancel(silenceTimer_);
     const TimePoint now = tools_.loop->now();
-    const Duration left = attempt_->lastByteAt + silenceLimit() - now;
+    const Duration limit = silenceLimit(!attempt_->hasFirstByte);
+    const Duration left = attempt_->lastByteAt + limit - now;
     // If the limit has passed already, but the server is sending other answers, check again after another full limit.
-    silenceDueAt_ = now + (left > Duration(0) ? left : silenceLimit());
+    silenceDueAt_ = now + (left > Duration(0) ? left : limit);
     silenceTimer_ = tools_.loop->after(silenceDueAt_ - now, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->onSilenceTimeout();
@@ -50,7 +50,7 @@
 bool ForwardedRequest::isServerSilent() const
 {
     const auto lastActivityAt = tools_.pool->lastActivityAt(attempt_->server->server.instance);
-    return !lastActivityAt || tools_.loop->now() - *lastActivityAt >= silenceLimit();
+    return !lastActivityAt || tools_.loop->now() - *lastActivityAt >= silenceLimit(!attempt_->hasFirstByte);
 }
 
 // A request that may run again is retried at another server. Any other keeps waiting until its deadline: silence does not
@@ -64,7 +64,7 @@
         // NOTE This process was suspended: bytes that arrived meanwhile have not been read yet.
         attempt_->lastByteAt = tools_.loop->now();
     }
-    const bool isDue = tools_.loop->now() - attempt_->lastByteAt >= silenceLimit();
+    const bool isDue = tools_.loop->now() - attempt_->lastByteAt >= silenceLimit(!attempt_->hasFirstByte);
     if (!isDue || !isServerSilent()) {
         watchSilence();
         return;
@@ -79,7 +79,7 @@
     tools_.reachability->noteSilent();
     noteOutcome(outliers::Ending::NoAnswer);
     runs_++;
-    const bool shouldRetry = mayRunAgain() && timeLeft() >= silenceLimit() && takeRetry();
+    const bool shouldRetry = mayRunAgain() && timeLeft() >= silenceLimit(!attempt_->hasFirstByte) && takeRetry();
     if (!shouldRetry) {
         runs_--;
         return;
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -32,6 +32,12 @@
             self->onServerLeaving(server);
         }
     });
+    forwarder->tools_->reachability->onChange([weak = std::weak_ptr<Forwarder>(forwarder)](bool isCutOff) {
+        const auto self = weak.lock();
+        if (self && isCutOff) {
+            self->onCutOff();
+        }
+    });
     return forwarder;
 }
 
@@ -50,6 +56,18 @@
     }
 }
 
+void Forwarder::onCutOff()
+{
+    std::vector<std::shared_ptr<ForwardedRequest>> requests;
+    requests.reserve(open_.size());
+    for (const auto &[key, request] : open_) {
+        requests.push_back(request);
+    }
+    for (const auto &request : requests) {
+        request->onCutOff();
+    }
+}
+
 void Forwarder::moveRunsOffOtherVersions(const std::string &service, const std::string &version, TimePoint stopAt)
 {
     for (const auto &[instance, known] : tools_->directory->all()) {
@@ -64,7 +82,17 @@
 
 void Forwarder::handle(http1::ExchangePtr exchange)
 {
-    auto request = ForwardedRequest::create(*this, std::move(exchange));
+    open(std::move(exchange), RequestSource::Caller);
+}
+
+void Forwarder::handleRelayed(http1::ExchangePtr exchange)
+{
+    open(std::move(exchange), RequestSource::Peer);
+}
+
+void Forwarder::open(http1::ExchangePtr exchange, RequestSource source)
+{
+    auto request = ForwardedRequest::create(*this, std::move(exchange), source);
     open_.emplace(request.get(), request);
     request->start();
 }
--- a/src/forwarding/internal/forwardingconstants.h
+++ b/src/forwarding/internal/forwardingconstants.h
@@ -11,6 +11,7 @@
 inline constexpr int StatusBadRequest = 400;
 inline constexpr int StatusUnauthorized = 401;
 inline constexpr int StatusNotFound = 404;
+inline constexpr int StatusTimeout = 408;
 inline constexpr int StatusMisdirected = 421;
 inline constexpr int StatusTooManyRequests = 429;
 inline constexpr int StatusServerError = 500;
@@ -18,6 +19,8 @@
 inline constexpr int StatusUnavailable = 503;
 inline constexpr int StatusGatewayTimeout = 504;
 
+/// A server or entry VM that accepts no connection within this time is skipped: many times the round trip between failure domains.
+inline constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 /// Retry-After when all servers are full or none is known: about the time in which a burst of requests is processed.
 inline constexpr Duration ServersFullRetryAfter = std::chrono::milliseconds(500);
 /// A request that servers refuse, or that can't be delivered, is sent this many times at most.
--- a/src/forwarding/internal/forwardingtypes.cpp
+++ b/src/forwarding/internal/forwardingtypes.cpp
@@ -22,7 +22,9 @@
     "stream_broken",
     "crashes_servers",
     "crash_cause_unknown",
-    "draining"};
+    "draining",
+    "cut_off",
+    "manifest_behind"};
 
 } // namespace
 
--- a/src/forwarding/internal/routegateway.cpp
+++ b/src/forwarding/internal/routegateway.cpp
@@ -35,9 +35,10 @@
 
 } // namespace
 
-ForwardingSettings forwardingSettings(const settings::RouteGatewaySettings &settings, std::string_view zone)
+ForwardingSettings forwardingSettings(const settings::RouteGatewaySettings &settings, std::string_view instance, std::string_view zone)
 {
     ForwardingSettings result;
+    result.instance = instance;
     result.zone = zone;
     result.strictKeys = settings.strictKeys;
     result.maxKeyAge = settings.keyRevocationTime - KeyMargin;
@@ -76,6 +77,13 @@
     const http1::ServerLimits limits;
     BOOST_OUTCOME_TRY(callers, http1::HttpServer::listen(*tools_.loop, tools_.settings.callers, limits, handlers));
     callers_ = callers;
+    if (tools_.settings.firstPeerPort != 0) {
+        handlers.onRequest = [forwarder = tools_.forwarder](http1::ExchangePtr exchange) {
+            forwarder->handleRelayed(std::move(exchange));
+        };
+        BOOST_OUTCOME_TRY(peers, http1::HttpServer::listen(*tools_.loop, {tools_.settings.address, tools_.settings.firstPeerPort}, limits, handlers));
+        peers_ = peers;
+    }
     applyLimits();
     tools_.manifests->onChange([this](const manifest::ManifestPtr &) { applyLimits(); });
     handlers.onRejected = [](int) {
@@ -96,6 +104,20 @@
     return success();
 }
 
+std::vector<std::shared_ptr<http1::HttpServer>> RouteGateway::requestServers() const
+{
+    std::vector<std::shared_ptr<http1::HttpServer>> servers{callers_};
+    if (peers_) {
+        servers.push_back(peers_);
+    }
+    return servers;
+}
+
+std::size_t RouteGateway::openExchanges() const
+{
+    return callers_->openExchanges() + (peers_ ? peers_->openExchanges() : 0);
+}
+
 void RouteGateway::applyLimits()
 {
     http1::ServerLimits limits;
@@ -108,7 +130,9 @@
         limits.headerTimeout = declared.headerTimeout;
         limits.idleTimeout = declared.idleTimeout;
     }
-    callers_->setLimits(limits);
+    for (const auto &server : requestServers()) {
+        server->setLimits(limits);
+    }
 }
 
 bool RouteGateway::isReady() const
@@ -120,7 +144,7 @@
 {
     tools_.settings.shutdownGrace = settings.shutdownGrace;
     tools_.settings.memoryMegabytes = settings.memoryMegabytes;
-    tools_.forwarder->setSettings(forwardingSettings(settings, tools_.zone));
+    tools_.forwarder->setSettings(forwardingSettings(settings, tools_.instance, tools_.zone));
     applyLimits();
 }
 
@@ -148,23 +172,27 @@
     draining_ = true;
     onDrained_ = std::move(done);
     drainStartedAt_ = tools_.loop->now();
-    callers_->disableKeepAlive();
+    for (const auto &server : requestServers()) {
+        server->disableKeepAlive();
+    }
     tools_.forwarder->beginDrain(drainStartedAt_ + tools_.settings.shutdownGrace - GraceMargin);
-    tools_.log->write(Event::Stopping, {{Attribute::Open, static_cast<std::int64_t>(callers_->openExchanges())}});
+    tools_.log->write(Event::Stopping, {{Attribute::Open, static_cast<std::int64_t>(openExchanges())}});
     drainTimer_ = tools_.loop->every(DrainCheckPeriod, [this] { checkDrained(); });
 }
 
 void RouteGateway::checkDrained()
 {
     const Duration elapsed = tools_.loop->now() - drainStartedAt_;
-    const bool isIdle = callers_->openExchanges() == 0 && elapsed >= BalancerRemovalTime;
+    const bool isIdle = openExchanges() == 0 && elapsed >= BalancerRemovalTime;
     if (!isIdle && elapsed < tools_.settings.shutdownGrace - GraceMargin) {
         return;
     }
     tools_.loop->cancel(drainTimer_);
     // NOTE The loop runs for another iteration or two: a request read now would be forwarded and then cut off.
-    callers_->stopReading();
-    tools_.log->write(Event::Stopped, {{Attribute::Open, static_cast<std::int64_t>(callers_->openExchanges())}});
+    for (const auto &server : requestServers()) {
+        server->stopReading();
+    }
+    tools_.log->write(Event::Stopped, {{Attribute::Open, static_cast<std::int64_t>(openExchanges())}});
     onDrained_();
 }
 
--- a/src/forwarding/routegateway.h
+++ b/src/forwarding/routegateway.h
@@ -9,16 +9,18 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace cardamomlift::forwarding {
 
 /// The forwarder's settings out of those of the gateway.
-ForwardingSettings forwardingSettings(const settings::RouteGatewaySettings &settings, std::string_view zone);
+ForwardingSettings forwardingSettings(const settings::RouteGatewaySettings &settings, std::string_view instance, std::string_view zone);
 
 /// Dependencies of a RouteGateway.
 struct RouteGatewayTools {
     EventLoop *loop = nullptr;
     settings::RouteGatewaySettings settings;
+    std::string instance;
     std::string zone;
     std::shared_ptr<Forwarder> forwarder;
     std::shared_ptr<manifest::ManifestCache> manifests;
@@ -47,9 +49,14 @@
     void answerReadiness(const http1::ExchangePtr &exchange) const;
     void answerMetrics(const http1::ExchangePtr &exchange) const;
     void applyLimits();
+    /// The listeners that take requests.
+    std::vector<std::shared_ptr<http1::HttpServer>> requestServers() const;
+    /// Requests that are being read or answered, also those of other VMs.
+    std::size_t openExchanges() const;
     void checkDrained();
     RouteGatewayTools tools_;
     std::shared_ptr<http1::HttpServer> callers_;
+    std::shared_ptr<http1::HttpServer> peers_; ///< For requests that other entry VMs hand over; null: none.
     std::shared_ptr<http1::HttpServer> readiness_;
     std::shared_ptr<http1::HttpServer> metrics_;
     bool draining_ = false;
--- a/src/forwarding/tests/vmfleettest.h
+++ b/src/forwarding/tests/vmfleettest.h
@@ -103,6 +103,18 @@
     ForwarderTools tools;
     std::shared_ptr<Forwarder> forwarder;
     std::shared_ptr<http1::HttpServer> callers;
+    std::shared_ptr<http1::HttpServer> peers;
+    /// What the other VMs know of this one, as of its last status.
+    struct Status {
+        TimePoint at;
+        bool reachesNoServer = false;
+        std::optional<Duration> sinceServerContact;
+        double openRequests = 0;
+        std::uint64_t manifestVersion = 0;
+    };
+    Status status;
+    std::string zone = "zone-0";
+    bool isDraining = false;
 };
 
 /// A caller's request.
@@ -133,6 +145,7 @@
 protected:
     static constexpr std::size_t Vms = 5;
     static constexpr std::size_t Backends = 6;
+    static constexpr Duration StatusPeriod = milliseconds(350);
     /// Rules that depend on the links between VMs and servers hold from this time after a cut on.
     static constexpr Duration CutKnownAfter = std::chrono::seconds(3);
 
@@ -174,7 +187,9 @@
         tools.peerBacklog = std::make_shared<PeerBacklog>();
         tools.prefixes = prefixindex::PrefixIndex::create(*loop_);
         tools.wire = platform::requestFormat();
-        tools.settings.zone = "zone-0";
+        tools.relays = relay::RelayPool::create(*loop_, vm.zone, [this, &vm](std::uint64_t version) { return relayCandidates(vm, version); });
+        tools.settings.instance = name;
+        tools.settings.zone = vm.zone;
         tools.settings.retrySlack = 200;
         tools.vmCount = [] {
             return std::optional<std::size_t>(Vms);
@@ -187,6 +202,34 @@
     {
         vm.forwarder = Forwarder::create(vm.tools);
         vm.callers = listen([raw = vm.forwarder.get()](http1::ExchangePtr exchange) { raw->handle(std::move(exchange)); });
+        vm.peers = listen([raw = vm.forwarder.get()](http1::ExchangePtr exchange) { raw->handleRelayed(std::move(exchange)); });
+        shareStatus(vm);
+    }
+
+    void shareStatus(TestVm &vm)
+    {
+        vm.status = {loop_->now(),
+            vm.tools.reachability->state() == reachability::State::Unreachable,
+            vm.tools.reachability->sinceContact(),
+            static_cast<double>(vm.forwarder->openRequests()),
+            vm.manifests->current()->manifest().version};
+    }
+
+    std::vector<relay::RelayCandidate> relayCandidates(const TestVm &self, std::uint64_t version) const
+    {
+        std::vector<relay::RelayCandidate> candidates;
+        for (const auto &vm : vms_) {
+            const TestVm::Status &status = vm->status;
+            if (vm.get() == &self || vm->isDraining || status.reachesNoServer || status.manifestVersion < version) {
+                continue;
+            }
+            const auto since = status.sinceServerContact;
+            candidates.push_back({{vm->name, vm->zone, {"127.0.0.1", vm->peers->port()}},
+                status.openRequests,
+                0,
+                since ? std::optional(*since + (loop_->now() - status.at)) : std::nullopt});
+        }
+        return candidates;
     }
 
     std::shared_ptr<http1::HttpServer> listen(std::function<void(http1::ExchangePtr)> onRequest)
@@ -205,7 +248,7 @@
         server.name = instance;
         server.instance = instance;
         server.service = "service";
-        server.endpoint = {"127.0.0.1", vm.links[instance]->port()};
+        server.endpoint = vm.links[instance]->endpoint();
         server.zone = fmt::format("zone-{}", vm.links.size() % 3);
         server.slots = 64;
         vm.directory->put(std::move(server));
@@ -252,9 +295,13 @@
         const bool isDue = loop_->now() - tickedAt_ >= reachability::ReachabilityTracker::TickPeriod;
         for (const auto &vm : vms_) {
             vm->manifests->confirm(loop_->now());
+            if (loop_->now() - vm->status.at >= StatusPeriod) {
+                shareStatus(*vm);
+            }
             if (isDue) {
                 vm->tools.reachability->tick();
                 vm->tools.pool->tick();
+                vm->tools.relays->tick();
                 vm->forwarder->tick();
             }
         }
--- a/src/forwarding/wireformat.h
+++ b/src/forwarding/wireformat.h
@@ -81,6 +81,9 @@
     /// The head for a backend server: the caller's, without hop-by-hop fields, and with the fields that an entry VM sets
     /// taken from @p fields only.
     http1::RequestHead (*writeRequest)(const http1::RequestHead &head, const DispatchFields &fields) = nullptr;
+    /// The head for another entry VM that takes the request over: the caller's, without hop-by-hop fields, with the time left and the
+    /// last event that the caller has received; empty: none.
+    http1::RequestHead (*writeRelay)(const http1::RequestHead &head, Duration timeLeft, const std::string &lastEventId) = nullptr;
     BackendAnswer (*readAnswer)(const http1::ResponseHead &head) = nullptr;
     /// The head for the caller: the server's, without hop-by-hop fields.
     http1::ResponseHead (*writeAnswer)(const http1::ResponseHead &head) = nullptr;
--- a/src/http1/tests/testlink.h
+++ b/src/http1/tests/testlink.h
@@ -13,7 +13,8 @@
 
 namespace cardamomlift::http1 {
 
-/// A TCP port that passes connections on to another port of this machine, and can be cut in several ways.
+/// A TCP port that passes connections on to a port of 127.0.0.1, and can be cut in several ways. It listens at an address that no other
+/// process uses, so that a port that is closed for a time is not taken by another test.
 class TestLink
 {
 public:
@@ -33,9 +34,9 @@
     TestLink(const TestLink &) = delete;
     TestLink &operator=(const TestLink &) = delete;
 
-    std::uint16_t port() const
+    Endpoint endpoint() const
     {
-        return port_;
+        return {ownAddress(), port_};
     }
 
     /// New connections are refused; open ones live on.
@@ -61,7 +62,7 @@
         // A queue of connections that is full: further ones are dropped without an answer.
         listener_ = listenOn(0);
         for (int i = 0; i < Fillers; i++) {
-            fillers_.push_back(connectTo(port_));
+            fillers_.push_back(connectTo(endpoint()));
         }
     }
 
@@ -158,19 +159,28 @@
         std::array<ev_io, 2> watchers_{};
     };
 
-    static sockaddr_in loopback(std::uint16_t port)
+    static std::string ownAddress()
+    {
+        constexpr int FirstNetwork = 210; // 127.0.x.x to 127.209.x.x are used by process tests.
+        constexpr int Networks = 40;
+        const int process = static_cast<int>(getpid());
+        return "127." + std::to_string(FirstNetwork + process / 65536 % Networks) + "." + std::to_string(process / 256 % 256) + "."
+            + std::to_string(process % 256);
+    }
+
+    static sockaddr_in addressOf(const Endpoint &endpoint)
     {
         sockaddr_in address{};
         address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(endpoint.port);
+        inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
         return address;
     }
 
-    static int connectTo(std::uint16_t port)
+    static int connectTo(const Endpoint &endpoint)
     {
         const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-        const sockaddr_in address = loopback(port);
+        const sockaddr_in address = addressOf(endpoint);
         ::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address);
         return descriptor;
     }
@@ -180,7 +190,7 @@
         const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
         const int on = 1;
         setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        sockaddr_in address = loopback(port_);
+        sockaddr_in address = addressOf(endpoint());
         EXPECT_EQ(::bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
         EXPECT_EQ(::listen(descriptor, backlog), 0);
         socklen_t size = sizeof address;
@@ -214,7 +224,7 @@
             return;
         }
         accepted_++;
-        pipes_.push_back(std::make_unique<Pipe>(loop_, client, connectTo(target_)));
+        pipes_.push_back(std::make_unique<Pipe>(loop_, client, connectTo({"127.0.0.1", target_})));
     }
 
     EventLoop &loop_;
--- a/src/reachability/tests/reachabilitytracker_test.cpp
+++ b/src/reachability/tests/reachabilitytracker_test.cpp
@@ -1,3 +1,4 @@
+#include "http1/httpserver.h"
 #include "http1/tests/testlink.h"
 #include "reachability/reachabilityrules.h"
 #include "reachability/reachabilitytracker.h"
@@ -27,7 +28,12 @@
             logLines_ += line;
             return true;
         });
-        target_ = std::make_unique<TestLink>(*loop_, 9);
+        http1::ServerHandlers handlers;
+        handlers.onRequest = [](const http1::ExchangePtr &) {
+        };
+        handlers.onRejected = [](int) {
+        };
+        target_ = http1::HttpServer::listen(*loop_, {"127.0.0.1", 0}, {}, std::move(handlers)).value();
         for (int i = 0; i < 6; i++) {
             addServer(fmt::format("server-{}", i), i < 4 ? "models" : "desk", fmt::format("domain-{}", i % Domains));
         }
@@ -45,7 +51,7 @@
         server.instance = instance;
         server.service = service;
         server.zone = zone;
-        server.endpoint = {"127.0.0.1", links_[instance]->port()};
+        server.endpoint = links_[instance]->endpoint();
         directory_->put(std::move(server));
     }
 
@@ -83,7 +89,7 @@
 
     std::shared_ptr<directory::Directory> directory_ = directory::Directory::create();
     std::shared_ptr<eventlog::EventLog> log_;
-    std::unique_ptr<TestLink> target_;
+    std::shared_ptr<http1::HttpServer> target_;
     std::map<std::string, std::unique_ptr<TestLink>> links_;
     std::shared_ptr<ReachabilityTracker> tracker_;
     std::vector<bool> changes_;
--- /dev/null
+++ b/src/relay/internal/relaypool.cpp
@@ -0,0 +1,90 @@
+#include "relay/relaypool.h"
+
+#include "relay/relayrules.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomlift::relay {
+
+namespace {
+
+/// A connection to another VM ends if sent bytes are not acknowledged within this time.
+constexpr Duration UnackedTimeout = std::chrono::milliseconds(1000);
+constexpr Duration KeepAliveIdle = std::chrono::seconds(1);
+constexpr http1::SocketOptions ChannelOptions{UnackedTimeout, KeepAliveIdle};
+constexpr http1::ReadLimits AnswerLimits{65536, 16u << 20};
+/// A VM that failed is asked again after this time: its next statuses say whether it reaches servers.
+constexpr Duration FailurePause = std::chrono::seconds(1);
+
+} // namespace
+
+RelayPool::RelayPool(EventLoop &loop, std::string zone, CandidateSource candidates)
+    : loop_(loop)
+    , zone_(std::move(zone))
+    , candidates_(std::move(candidates))
+    , channels_(http1::ChannelPool::create(loop, ChannelOptions, AnswerLimits))
+{
+}
+
+std::shared_ptr<RelayPool> RelayPool::create(EventLoop &loop, std::string zone, CandidateSource candidates)
+{
+    return std::shared_ptr<RelayPool>(new RelayPool(loop, std::move(zone), std::move(candidates)));
+}
+
+bool RelayPool::isAvoided(const std::string &instance) const
+{
+    const auto found = entries_.find(instance);
+    return found != entries_.end() && loop_.now() < found->second.avoidUntil;
+}
+
+std::optional<RelayPeer> RelayPool::choose(std::uint64_t manifestVersion, const std::set<std::string> &except, std::uint64_t salt) const
+{
+    std::vector<RelayCandidate> candidates = candidates_(manifestVersion);
+    std::erase_if(candidates, [&](const RelayCandidate &candidate) { return except.contains(candidate.peer.instance) || isAvoided(candidate.peer.instance); });
+    for (RelayCandidate &candidate : candidates) {
+        const auto found = entries_.find(candidate.peer.instance);
+        candidate.openRelays = found == entries_.end() ? 0 : found->second.open;
+    }
+    const auto chosen = chooseRelay(candidates, zone_, salt);
+    return chosen ? std::optional(candidates[*chosen].peer) : std::nullopt;
+}
+
+std::shared_ptr<http1::BackendChannel> RelayPool::acquire(const RelayPeer &peer)
+{
+    entries_[peer.instance].open++;
+    return channels_->acquire(peer.instance, peer.endpoint);
+}
+
+void RelayPool::release(const std::string &instance, std::shared_ptr<http1::BackendChannel> channel, bool isReusable)
+{
+    Entry &entry = entries_[instance];
+    entry.open = std::max(0, entry.open - 1);
+    if (isReusable) {
+        channels_->release(instance, std::move(channel));
+    } else {
+        channels_->discard(instance, std::move(channel));
+    }
+}
+
+void RelayPool::noteFailed(const std::string &instance)
+{
+    entries_[instance].avoidUntil = loop_.now() + FailurePause;
+}
+
+int RelayPool::openRelays() const
+{
+    int sum = 0;
+    for (const auto &[instance, entry] : entries_) {
+        sum += entry.open;
+    }
+    return sum;
+}
+
+void RelayPool::tick()
+{
+    channels_->removeUnusable();
+    std::erase_if(entries_, [this](const auto &entry) { return entry.second.open == 0 && loop_.now() >= entry.second.avoidUntil; });
+}
+
+} // namespace cardamomlift::relay
--- /dev/null
+++ b/src/relay/internal/relayrules.cpp
@@ -0,0 +1,37 @@
+#include "relay/relayrules.h"
+
+#include <xxhash.h>
+
+#include <tuple>
+
+namespace cardamomlift::relay {
+
+namespace {
+
+/// Older contact with a server is no sign that the VM still reaches one.
+constexpr Duration MaxContactAge = std::chrono::seconds(3);
+/// Open requests by which a VM in another failure domain counts as busier: its traffic is billed.
+constexpr double CrossZoneCost = 2;
+
+auto rankOf(const RelayCandidate &candidate, std::string_view zone, std::uint64_t salt)
+{
+    const bool isDoubtful = !candidate.sinceServerContact || *candidate.sinceServerContact > MaxContactAge;
+    const double load = candidate.openRequests + candidate.openRelays + (candidate.peer.zone == zone ? 0 : CrossZoneCost);
+    const std::string &instance = candidate.peer.instance;
+    return std::tuple(isDoubtful, load, XXH3_64bits_withSeed(instance.data(), instance.size(), salt));
+}
+
+} // namespace
+
+std::optional<std::size_t> chooseRelay(std::span<const RelayCandidate> candidates, std::string_view zone, std::uint64_t salt)
+{
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < candidates.size(); i++) {
+        if (!best || rankOf(candidates[i], zone, salt) < rankOf(candidates[*best], zone, salt)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+} // namespace cardamomlift::relay
