--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -163,6 +163,7 @@
     void forwardRelayedAnswer();
     void endAnsweredRelay();
     void beginStream(const http1::ResponseHead &head);
+    Duration relaySilenceLimit() const;
     void watchRelay();
     void onRelayTimeout();
     void endRelay(bool keepChannel);
--- a/src/forwarding/internal/forwardedrequestrelay.cpp
+++ b/src/forwarding/internal/forwardedrequestrelay.cpp
@@ -12,12 +12,10 @@
 using eventlog::Attribute;
 using eventlog::Event;
 
-/// Entry VMs that are asked to take over one request.
-constexpr int MaxRelays = 3;
+/// Entry VMs that are asked to take over one request. Several may have been cut off together, before their statuses say so.
+constexpr int MaxRelays = 5;
 /// A request that could not connect to this many servers is handed over, even if it is not known that this VM is cut off.
 constexpr int MaxConnectFailures = 2;
-/// Another entry VM may try a second server before the first byte arrives.
-constexpr int RelaySilenceFactor = 2;
 constexpr Duration MinRelayCheck = std::chrono::milliseconds(50);
 
 /// Statuses that say that the request has not run and will not.
@@ -146,6 +144,8 @@
         return;
     }
     if (!headSent_) {
+        // The VM that has taken it over counts its run.
+        usageNoted_ = true;
         beginStream(relay_->head);
     }
     exchange_->send(events);
@@ -228,11 +228,16 @@
     fail(StatusBadGateway, hasStreamStarted() ? FailureReason::StreamBroken : noRetryReason());
 }
 
+// The other VM may first try a server that accepts no connection.
+Duration ForwardedRequest::relaySilenceLimit() const
+{
+    return silenceLimit(!headSent_) + ConnectTimeout;
+}
+
 void ForwardedRequest::watchRelay()
 {
     const bool isConnected = relay_->channel->isConnected();
-    const Duration limit = silenceLimit(!headSent_) * RelaySilenceFactor;
-    const Duration wait = isConnected ? std::max(MinRelayCheck, relay_->lastByteAt + limit - tools_.loop->now()) : ConnectTimeout;
+    const Duration wait = isConnected ? std::max(MinRelayCheck, relay_->lastByteAt + relaySilenceLimit() - tools_.loop->now()) : ConnectTimeout;
     tools_.loop->cancel(relayTimer_);
     relayTimer_ = tools_.loop->after(wait, [weak = weak_from_this()] {
         const auto self = weak.lock();
@@ -249,7 +254,7 @@
         onRelayFailure(http1::CallFailure::NotConnected);
         return;
     }
-    const bool isSilent = tools_.loop->now() - relay_->lastByteAt >= silenceLimit(!headSent_) * RelaySilenceFactor;
+    const bool isSilent = tools_.loop->now() - relay_->lastByteAt >= relaySilenceLimit();
     if (isSilent && isIdempotent() && runs_ + 1 < route_->maxAttempts) {
         onRelayBroken("silent");
         return;
--- a/src/forwarding/tests/forwarderrelay_test.cpp
+++ b/src/forwarding/tests/forwarderrelay_test.cpp
@@ -10,41 +10,13 @@
 
 namespace {
 
-enum class Cut {
-    Hang, ///< Nothing comes back, neither on open nor on new connections.
-    Reset, ///< Open connections are reset and new ones refused.
-    RefuseNew, ///< Open connections live on, and new ones are refused.
-};
-
 constexpr std::size_t LastCutVm = 2;
 constexpr std::size_t LastVm = 4;
 
-void cut(TestVm &vm, Cut how)
-{
-    for (const auto &[instance, link] : vm.links) {
-        switch (how) {
-        case Cut::Hang:
-            link->hang();
-            break;
-        case Cut::Reset:
-            link->reset();
-            break;
-        case Cut::RefuseNew:
-            link->refuseNew();
-            break;
-        }
-    }
-}
-
-void heal(TestVm &vm)
-{
-    for (const auto &[instance, link] : vm.links) {
-        link->open();
-    }
-}
+using Cut = VmFleetTest::Cut;
 
 /// The parameters are the kind of cut and the path, one of each kind of route.
-class CutOffVms : public VmFleetTest, public testing::WithParamInterface<std::tuple<Cut, std::string>>
+class CutOffVms : public VmFleetTest, public testing::WithParamInterface<std::tuple<VmFleetTest::Cut, std::string>>
 {
 protected:
     void cutThree()
--- a/src/forwarding/tests/forwardertest.h
+++ b/src/forwarding/tests/forwardertest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/forwarder.h"
+#include "forwarding/tests/fakeallowancegate.h"
 #include "forwarding/tests/testmanifest.h"
 #include "http1/tests/looptest.h"
 #include "requestformat.h"
@@ -23,25 +24,6 @@
     int arrivals = 0;
 };
 
-/// AllowanceGate whose decision is set by the test.
-class FakeAllowanceGate : public AllowanceGate
-{
-public:
-    AllowanceDecision take(const manifest::Customer &, std::int64_t amount) override
-    {
-        taken += amount;
-        return decision;
-    }
-
-    void refund(const manifest::Customer &, std::int64_t amount) override
-    {
-        taken -= amount;
-    }
-
-    AllowanceDecision decision;
-    std::int64_t taken = 0;
-};
-
 /// A forwarder with two backend servers of one service, all in this process.
 class ForwarderTest : public http1::LoopTest
 {
--- a/src/forwarding/tests/vmfleettest.h
+++ b/src/forwarding/tests/vmfleettest.h
@@ -7,6 +7,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -41,6 +42,7 @@
     Duration delay{0};
     int events = 3;
     Duration eventGap{0};
+    int cancelled = 0; ///< Requests whose connection was closed before their answer was complete.
     int refusals = 0; ///< So many requests are turned away, not run.
 
 private:
@@ -65,12 +67,16 @@
         const std::string &target = exchange->head().target;
         if (target.starts_with("/stream/") || target.starts_with("/resumed/")) {
             const auto isGone = std::make_shared<bool>(false);
-            exchange->onDisconnected([isGone] { *isGone = true; });
+            exchange->onDisconnected([this, isGone] {
+                *isGone = true;
+                cancelled++;
+            });
             exchange->begin(std::move(head));
             const auto last = http1::parseNumber(exchange->head().fields.get("Last-Event-Id"));
             sendEvent(exchange, isGone, static_cast<int>(last.value_or(0)) + 1);
             return;
         }
+        exchange->onDisconnected([this] { cancelled++; });
         loop_.after(delay, [exchange, head, body = exchange->body()] { exchange->answer(head, "answer to " + body); });
     }
 
@@ -104,6 +110,7 @@
     std::shared_ptr<Forwarder> forwarder;
     std::shared_ptr<http1::HttpServer> callers;
     std::shared_ptr<http1::HttpServer> peers;
+    std::unique_ptr<http1::TestLink> peerLink; ///< The way of the other VMs to it.
     /// What the other VMs know of this one, as of its last status.
     struct Status {
         TimePoint at;
@@ -142,6 +149,14 @@
 /// Several entry VMs and the backend servers that all of them use, in this process.
 class VmFleetTest : public http1::LoopTest
 {
+public:
+    /// How a VM is cut off from all servers.
+    enum class Cut {
+        Hang, ///< Nothing comes back, neither on open nor on new connections.
+        Reset, ///< Open connections are reset and new ones refused.
+        RefuseNew, ///< Open connections live on, and new ones are refused.
+    };
+
 protected:
     static constexpr std::size_t Vms = 5;
     static constexpr std::size_t Backends = 6;
@@ -197,12 +212,55 @@
         start(vm);
     }
 
+    static void cut(TestVm &vm, Cut how)
+    {
+        for (const auto &[instance, link] : vm.links) {
+            switch (how) {
+            case Cut::Hang:
+                link->hang();
+                break;
+            case Cut::Reset:
+                link->reset();
+                break;
+            case Cut::RefuseNew:
+                link->refuseNew();
+                break;
+            }
+        }
+    }
+
+    static void heal(TestVm &vm)
+    {
+        for (const auto &[instance, link] : vm.links) {
+            link->open();
+        }
+    }
+
+    /// Cuts the VMs @p first to @p last off and waits until they know.
+    void cutOff(std::size_t first, std::size_t last)
+    {
+        for (std::size_t i = first; i <= last; i++) {
+            cut(*vms_[i], Cut::Reset);
+            vms_[i]->tools.reachability->noteConnectFailed("server-0");
+        }
+        const auto know = [&] {
+            return std::all_of(vms_.begin() + static_cast<std::ptrdiff_t>(first), vms_.begin() + static_cast<std::ptrdiff_t>(last) + 1, [](const auto &vm) {
+                return vm->tools.reachability->state() == reachability::State::Unreachable;
+            });
+        };
+        EXPECT_TRUE(runUntil(know));
+        for (std::size_t i = first; i <= last; i++) {
+            shareStatus(*vms_[i]);
+        }
+    }
+
     /// Starts the process of a VM, or starts it again.
     void start(TestVm &vm)
     {
         vm.forwarder = Forwarder::create(vm.tools);
         vm.callers = listen([raw = vm.forwarder.get()](http1::ExchangePtr exchange) { raw->handle(std::move(exchange)); });
         vm.peers = listen([raw = vm.forwarder.get()](http1::ExchangePtr exchange) { raw->handleRelayed(std::move(exchange)); });
+        vm.peerLink = std::make_unique<http1::TestLink>(*loop_, vm.peers->port());
         shareStatus(vm);
     }
 
@@ -224,7 +282,7 @@
                 continue;
             }
             const auto since = status.sinceServerContact;
-            candidates.push_back({{vm->name, vm->zone, {"127.0.0.1", vm->peers->port()}},
+            candidates.push_back({{vm->name, vm->zone, vm->peerLink->endpoint()},
                 status.openRequests,
                 0,
                 since ? std::optional(*since + (loop_->now() - status.at)) : std::nullopt});
