Do not hold failures of a VM that is cut off against servers

The cause: outcomes are noted whoever's fault they are, and the check in outcomesToShare() (over half of the servers used in three seconds are silent) holds only after most have failed.

A VM shares no outcomes while it is cut off or probes whether it is; a failure since whose send it was cut off is noted neither for the server, nor for the version of its software, nor as a sign of a crash; failures seen until then are forgotten.

--- a/src/forwarding/internal/forwardedrequestcrashes.cpp
+++ b/src/forwarding/internal/forwardedrequestcrashes.cpp
@@ -42,7 +42,7 @@
 
 void ForwardedRequest::noteConnectionBroken()
 {
-    if (tools_.suspects) {
+    if (tools_.suspects && !tools_.reachability->wasCutOffSince(attempt_->sentAt)) {
         tools_.suspects->noteConnectionBroken(attempt_->server->server.instance, {fingerprint(), crashPosition(), tools_.loop->now() - attempt_->sentAt});
     }
 }
--- a/src/forwarding/internal/forwardedrequestsilence.cpp
+++ b/src/forwarding/internal/forwardedrequestsilence.cpp
@@ -99,6 +99,9 @@
         return;
     }
     attempt_->failureNoted = attempt_->failureNoted || isFailure;
+    if (isFailure && tools_.reachability->wasCutOffSince(attempt_->sentAt)) {
+        return;
+    }
     tools_.outliers->note(attempt_->server->server.instance, service_, ending);
     // An answer may have no body; then its head counts as the first byte.
     const TimePoint startedAt = attempt_->hasFirstByte ? attempt_->firstByteAt : attempt_->lastByteAt;
--- a/src/forwarding/tests/forwarderrelay_test.cpp
+++ b/src/forwarding/tests/forwarderrelay_test.cpp
@@ -89,6 +89,22 @@
     }
 }
 
+// Guards against sound servers that are shunned, here or at other VMs, because a VM that is cut off has failed to reach them.
+TEST_P(CutOffVms, TheirFailuresAreNotHeldAgainstServers)
+{
+    load(milliseconds(1000), path());
+    cutThree();
+    load(milliseconds(2500), path());
+    for (std::size_t vm = LastCutVm + 1; vm <= LastVm; vm++) {
+        EXPECT_EQ(vms_[vm]->logLines.find("server_avoided"), std::string::npos) << vms_[vm]->name;
+    }
+    healAll();
+    pass(milliseconds(750));
+    for (const auto &[instance, backend] : backends_) {
+        EXPECT_FALSE(vms_[0]->tools.outliers->isOutlier(presence::nameHash(instance), "service")) << instance;
+    }
+}
+
 // Guards against VMs that go on without the servers that they reach again.
 TEST_P(CutOffVms, AfterTheCutTheySendToServersThemselves)
 {
--- a/src/forwarding/tests/vmfleettest.h
+++ b/src/forwarding/tests/vmfleettest.h
@@ -199,6 +199,8 @@
         tools.demand = std::make_shared<ServiceDemand>();
         tools.outliers = outliers::OutlierDetector::create(*loop_, vm.log);
         tools.reachability = reachability::ReachabilityTracker::create({loop_.get(), vm.directory, vm.log, tools.metrics, {}});
+        tools.reachability->onChange([outliers = tools.outliers](bool) { outliers->forgetFailures(); });
+        tools.outliers->setCutOffCheck([reachability = tools.reachability] { return reachability->mayBeCutOff(); });
         tools.peerBacklog = std::make_shared<PeerBacklog>();
         tools.prefixes = prefixindex::PrefixIndex::create(*loop_);
         tools.wire = platform::requestFormat();
@@ -271,6 +273,12 @@
             vm.tools.reachability->sinceContact(),
             static_cast<double>(vm.forwarder->openRequests()),
             vm.manifests->current()->manifest().version};
+        const auto outcomes = vm.tools.outliers->outcomesToShare();
+        for (const auto &other : vms_) {
+            if (other.get() != &vm) {
+                other->tools.outliers->applyPeerOutcomes(vm.name, outcomes);
+            }
+        }
     }
 
     std::vector<relay::RelayCandidate> relayCandidates(const TestVm &self, std::uint64_t version) const
@@ -360,6 +368,7 @@
                 vm->tools.reachability->tick();
                 vm->tools.pool->tick();
                 vm->tools.relays->tick();
+                vm->tools.outliers->tick();
                 vm->forwarder->tick();
             }
         }
--- a/src/outliers/internal/outlierdetector.cpp
+++ b/src/outliers/internal/outlierdetector.cpp
@@ -49,6 +49,21 @@
     outliers::note(services_[service], ending, loop_.now());
 }
 
+void OutlierDetector::forgetFailures()
+{
+    for (auto &[server, entry] : servers_) {
+        outliers::forgetFailures(entry.outcomes);
+    }
+    for (auto &[service, outcomes] : services_) {
+        outliers::forgetFailures(outcomes);
+    }
+}
+
+void OutlierDetector::setCutOffCheck(std::function<bool()> mayBeCutOff)
+{
+    mayBeCutOff_ = std::move(mayBeCutOff);
+}
+
 std::optional<OutcomeCounts> OutlierDetector::combinedOutcomes(std::uint64_t server) const
 {
     const auto own = servers_.find(server);
@@ -81,6 +96,9 @@
 
 std::vector<presence::ServerOutcomes> OutlierDetector::outcomesToShare() const
 {
+    if (mayBeCutOff_ && mayBeCutOff_()) {
+        return {};
+    }
     const TimePoint now = loop_.now();
     std::vector<presence::ServerOutcomes> shared;
     int used = 0;
--- a/src/outliers/internal/outlierrules.cpp
+++ b/src/outliers/internal/outlierrules.cpp
@@ -54,6 +54,13 @@
     (ending == Ending::Answered ? outcomes.answered : outcomes.failed) += 1;
 }
 
+void forgetFailures(OutcomeCounts &outcomes)
+{
+    outcomes.failed = 0;
+    outcomes.consecutiveFailures = 0;
+    outcomes.lastFailedAt.reset();
+}
+
 OutcomeCounts combine(const OutcomeCounts &own, std::span<const OutcomeCounts> others, TimePoint now)
 {
     OutcomeCounts sum = decayedTo(own, now);
--- a/src/outliers/outlierdetector.h
+++ b/src/outliers/outlierdetector.h
@@ -5,6 +5,7 @@
 #include "outliers/outlierstypes.h"
 #include "presence/presencetypes.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,6 +25,10 @@
     void note(const std::string &instance, const std::string &service, Ending ending);
     /// @p server: presence::nameHash() of the instance.
     bool isOutlier(std::uint64_t server, const std::string &service) const;
+    /// Forgets the failures that this VM has seen: it was cut off from the servers, so they are not the servers' fault.
+    void forgetFailures();
+    /// Sets the check whether this VM itself may be cut off from the servers. Then its outcomes are not shared.
+    void setCutOffCheck(std::function<bool()> mayBeCutOff);
     /// Returns the outcomes of the servers with the most failures, for this VM's next status. Returns nothing while most of the
     /// servers that this VM used recently gave no answer, since the fault is then probably its own.
     std::vector<presence::ServerOutcomes> outcomesToShare() const;
@@ -46,6 +51,7 @@
     void logChange(std::uint64_t server, const Entry &entry, bool isOutlierNow);
     EventLoop &loop_;
     std::shared_ptr<eventlog::EventLog> log_;
+    std::function<bool()> mayBeCutOff_;
     std::unordered_map<std::uint64_t, Entry> servers_; ///< This VM's outcomes, keyed by the hash of the instance.
     std::map<std::string, OutcomeCounts> services_; ///< This VM's outcomes of all servers of a service, keyed by service.
     /// Outcomes reported by other VMs, keyed by the hash of the instance, then by VM. Mostly empty, as servers without failures
--- a/src/outliers/outlierrules.h
+++ b/src/outliers/outlierrules.h
@@ -8,6 +8,8 @@
 
 /// Adds the outcome of one request.
 void note(OutcomeCounts &outcomes, Ending ending, TimePoint now);
+/// Removes all failures from @p outcomes.
+void forgetFailures(OutcomeCounts &outcomes);
 /// Returns the counts decayed up to @p now.
 OutcomeCounts decayedTo(OutcomeCounts outcomes, TimePoint now);
 /// Adds up the outcomes of this VM and @p others. Consecutive failures at other VMs count only if no VM has had an answer since:
--- a/src/outliers/outliersmodule.cpp
+++ b/src/outliers/outliersmodule.cpp
@@ -2,6 +2,7 @@
 #include "kernel/runtime.h"
 #include "outliers/outlierdetector.h"
 #include "presence/presence.h"
+#include "reachability/reachabilitytracker.h"
 
 namespace cardamomlift::outliers {
 
@@ -25,7 +26,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"presence", "eventlog"};
+        return {"presence", "eventlog", "reachability"};
     }
 
     Result<void> start(Context &context) override
@@ -39,6 +40,9 @@
                 detector->applyPeerOutcomes(status.instance, status.outcomes);
             }
         });
+        const auto reachability = context.get<reachability::ReachabilityTracker>();
+        detector->setCutOffCheck([reachability] { return reachability->mayBeCutOff(); });
+        reachability->onChange([detector](bool) { detector->forgetFailures(); });
         loop->every(TickPeriod, [detector] { detector->tick(); });
         context.set(detector);
         return success();
--- a/src/outliers/tests/outlierdetector_test.cpp
+++ b/src/outliers/tests/outlierdetector_test.cpp
@@ -293,6 +293,22 @@
     EXPECT_TRUE(isolated.outcomesToShare().empty());
 }
 
+// Guards against other VMs that shun sound servers, because this one can't reach them.
+TEST(OutlierDetector, AVmThatMayBeCutOffSharesNothing)
+{
+    ManualClock clock;
+    const auto loop = std::move(EventLoop::create(clock).value());
+    const auto detector = OutlierDetector::create(*loop, eventlog::EventLog::create(clock, "vm", [](std::string_view) { return true; }));
+    bool mayBeCutOff = true;
+    detector->setCutOffCheck([&mayBeCutOff] { return mayBeCutOff; });
+    detector->note("one", "service", Ending::NoAnswer);
+    EXPECT_TRUE(detector->outcomesToShare().empty());
+    mayBeCutOff = false;
+    EXPECT_EQ(detector->outcomesToShare().size(), 1U);
+    detector->forgetFailures();
+    EXPECT_TRUE(detector->outcomesToShare().empty());
+}
+
 } // namespace
 
 } // namespace cardamomlift::outliers
--- a/src/reachability/internal/reachabilitytracker.cpp
+++ b/src/reachability/internal/reachabilitytracker.cpp
@@ -84,6 +84,16 @@
     return state_;
 }
 
+bool ReachabilityTracker::mayBeCutOff() const
+{
+    return state_ == State::Unreachable || !probes_.empty();
+}
+
+bool ReachabilityTracker::wasCutOffSince(TimePoint time) const
+{
+    return state_ == State::Unreachable || (unreachableSince_ != TimePoint() && time < recoveringSince_);
+}
+
 bool ReachabilityTracker::isDirect(std::uint64_t salt) const
 {
     if (state_ == State::Recovering) {
--- a/src/reachability/reachabilitytracker.h
+++ b/src/reachability/reachabilitytracker.h
@@ -44,6 +44,10 @@
     void noteActivity();
 
     State state() const;
+    /// True while no server can be reached, and while probes are to show whether any can.
+    bool mayBeCutOff() const;
+    /// True if no server could be reached at some time since @p time. What has failed since then may not be a server's fault.
+    bool wasCutOffSince(TimePoint time) const;
     /// Whether a request may be sent to a server directly. @p salt: differs between requests.
     bool isDirect(std::uint64_t salt) const;
     /// Time since something was last received from any server, or a connection established; empty if never.
