Close idle connections to servers when a cut has ended

A connection that ended on the other side during a cut is noticed when it is used: the request on it breaks with an unknown outcome, and one that may run once is lost to its caller. The price is new connections after a cut.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -36,6 +36,8 @@
         const auto self = weak.lock();
         if (self && isCutOff) {
             self->onCutOff();
+        } else if (self) {
+            self->tools_->pool->closeIdle();
         }
     });
     return forwarder;
--- a/src/forwarding/internal/serverpool.cpp
+++ b/src/forwarding/internal/serverpool.cpp
@@ -100,6 +100,11 @@
     return channels_->openChannels();
 }
 
+void ServerPool::closeIdle()
+{
+    channels_->closeIdle();
+}
+
 std::vector<presence::ServerWork> ServerPool::waitingTokens() const
 {
     std::vector<presence::ServerWork> waiting;
--- a/src/forwarding/serverpool.h
+++ b/src/forwarding/serverpool.h
@@ -45,6 +45,8 @@
     /// When noteActivity() was last called; empty if it never was.
     std::optional<TimePoint> lastActivityAt(const std::string &instance) const;
     std::size_t openChannels() const;
+    /// Closes the idle channels to all servers: they may have ended unnoticed while this VM was cut off.
+    void closeIdle();
     /// Prompt tokens of this VM's requests that wait for prefill, by server; reported to the other VMs.
     std::vector<presence::ServerWork> waitingTokens() const;
     /// Removes servers that are no longer listed, and idle channels that can't be reused, such as those that the server will
--- a/src/forwarding/tests/forwarderrelayfaults_test.cpp
+++ b/src/forwarding/tests/forwarderrelayfaults_test.cpp
@@ -384,6 +384,29 @@
     EXPECT_EQ(after.served, after.sent);
 }
 
+// Guards against requests that are written to connections that ended during the cut, unnoticed: their outcome is unknown.
+TEST_F(RelayFaults, AfterACutConnectionsFromBeforeItAreNotUsed)
+{
+    setDelay(milliseconds(100));
+    pass(milliseconds(1000), [&] {
+        for (int i = 0; i < 4; i++) {
+            send(0, "/once/");
+        }
+    });
+    pass(milliseconds(300));
+    cut(*vms_[0], Cut::Hang);
+    vms_[0]->tools.reachability->noteSilent();
+    pass(milliseconds(1500));
+    for (const auto &[instance, link] : vms_[0]->links) {
+        link->openWithDeadConnections();
+    }
+    const TimePoint back = loop_->now();
+    load(milliseconds(4000), "/once/");
+    pass(milliseconds(1000));
+    const Served after = countServed(0, 0, back);
+    EXPECT_EQ(after.served, after.sent);
+}
+
 // Guards against requests that are sent into a cut each time it comes back.
 TEST_F(RelayFaults, CutsThatComeAndGoEachSecondDoNotKeepCallersFromBeingServed)
 {
--- a/src/http1/channelpool.h
+++ b/src/http1/channelpool.h
@@ -23,6 +23,8 @@
     void discard(const std::string &peer, std::shared_ptr<BackendChannel> channel);
     /// Closes the idle channels of a peer. Those in use are closed when they are released.
     void forget(const std::string &peer);
+    /// Closes all idle channels.
+    void closeIdle();
     /// Closes idle channels that can't be reused, such as those that the peer will close soon.
     void removeUnusable();
     /// Number of open channels, idle or in use.
--- a/src/http1/internal/channelpool.cpp
+++ b/src/http1/internal/channelpool.cpp
@@ -80,6 +80,14 @@
     entries_.erase(peer);
 }
 
+void ChannelPool::closeIdle()
+{
+    for (auto &[peer, entry] : entries_) {
+        entry.open -= entry.idle.size();
+        entry.idle.clear();
+    }
+}
+
 void ChannelPool::removeUnusable()
 {
     for (auto &[peer, entry] : entries_) {
--- a/src/http1/tests/testlink.h
+++ b/src/http1/tests/testlink.h
@@ -80,6 +80,15 @@
         }
     }
 
+    /// Ends a cut in which the other ends of all open connections have been closed: they are reset when they are used.
+    void openWithDeadConnections()
+    {
+        open();
+        for (const auto &pipe : pipes_) {
+            pipe->resetWhenUsed();
+        }
+    }
+
     /// Connections that have been accepted so far.
     int accepted() const
     {
@@ -122,6 +131,11 @@
         Pipe(const Pipe &) = delete;
         Pipe &operator=(const Pipe &) = delete;
 
+        void resetWhenUsed()
+        {
+            isDead_ = true;
+        }
+
         void pause()
         {
             for (ev_io &watcher : watchers_) {
@@ -142,6 +156,14 @@
             const std::size_t side = from == descriptors_[0] ? 0 : 1;
             std::array<char, 65536> buffer;
             const ssize_t count = ::recv(from, buffer.data(), buffer.size(), MSG_DONTWAIT);
+            if (isDead_) {
+                pause();
+                const linger immediately{1, 0};
+                setsockopt(descriptors_[0], SOL_SOCKET, SO_LINGER, &immediately, sizeof immediately);
+                ::close(descriptors_[0]);
+                descriptors_[0] = -1;
+                return;
+            }
             if (count > 0) {
                 ::send(descriptors_[1 - side], buffer.data(), static_cast<std::size_t>(count), MSG_NOSIGNAL);
                 return;
@@ -157,6 +179,7 @@
         EventLoop &loop_;
         std::array<int, 2> descriptors_;
         std::array<ev_io, 2> watchers_{};
+        bool isDead_ = false;
     };
 
     static std::string ownAddress()
