Keep connections to a server that is silent for a second

A sound server may send and acknowledge nothing for a second or so. Unacknowledged bytes ended a connection after 1 s, and since that time-out also ends keep-alive probes, whatever their count, an idle one ended a second after the last byte; requests that may run once got 502. Now 2.5 s, for the connections between VMs as well.

--- a/src/forwarding/internal/serverpool.cpp
+++ b/src/forwarding/internal/serverpool.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-/// A channel is closed if the server does not acknowledge sent bytes within this time: a few round trips of a loaded link,
-/// and less than the shortest route's time limit.
-constexpr Duration UnackedTimeout = std::chrono::milliseconds(1000);
-/// Idle time before the first TCP keep-alive probe; with two probes a dead server is detected within three seconds.
+/// A channel is closed if the server does not acknowledge sent bytes within this time. A sound server may be silent for a second or so.
+/// NOTE Also ends the probing of an idle channel, counted from the last byte received.
+constexpr Duration UnackedTimeout = std::chrono::milliseconds(2500);
+/// Idle time before the first TCP keep-alive probe; a dead server is detected within three seconds.
 constexpr Duration KeepAliveIdle = std::chrono::seconds(1);
 /// Limits on the size of a server's answer; an answer that is not a stream is buffered whole.
 constexpr http1::ReadLimits AnswerLimits{65536, 16u << 20};
--- a/src/relay/internal/relaypool.cpp
+++ b/src/relay/internal/relaypool.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// A connection to another VM ends if sent bytes are not acknowledged within this time.
-constexpr Duration UnackedTimeout = std::chrono::milliseconds(1000);
+/// A connection to another VM ends if sent bytes are not acknowledged within this time; idle ones are probed. As for servers.
+constexpr Duration UnackedTimeout = std::chrono::milliseconds(2500);
 constexpr Duration KeepAliveIdle = std::chrono::seconds(1);
 constexpr http1::SocketOptions ChannelOptions{UnackedTimeout, KeepAliveIdle};
 constexpr http1::ReadLimits AnswerLimits{65536, 16u << 20};
