Take the servers to probe from any list

No change of behaviour: the tracker of reachability took them from the route gateway's directory; the chat gateway has another list.

--- a/src/forwarding/tests/forwardertest.h
+++ b/src/forwarding/tests/forwardertest.h
@@ -4,6 +4,7 @@
 #include "forwarding/tests/fakeallowancegate.h"
 #include "forwarding/tests/testmanifest.h"
 #include "http1/tests/looptest.h"
+#include "reachability/probetargets.h"
 #include "requestformat.h"
 
 #include <deque>
@@ -47,7 +48,8 @@
         tools.metrics = metrics::Metrics::create();
         tools.demand = std::make_shared<ServiceDemand>();
         tools.outliers = outliers::OutlierDetector::create(*loop_, log_);
-        tools.reachability = reachability::ReachabilityTracker::create({loop_.get(), directory_, log_, tools.metrics, {}});
+        tools.reachability = reachability::ReachabilityTracker::create(
+            {loop_.get(), [directory = directory_] { return reachability::probeTargets(*directory); }, log_, tools.metrics, {}});
         tools.peerBacklog = std::make_shared<PeerBacklog>();
         tools.prefixes = prefixindex::PrefixIndex::create(*loop_);
         tools.allowances = allowances_;
--- a/src/forwarding/tests/vmfleettest.h
+++ b/src/forwarding/tests/vmfleettest.h
@@ -3,6 +3,7 @@
 #include "forwarding/forwarder.h"
 #include "forwarding/tests/testmanifest.h"
 #include "http1/tests/testlink.h"
+#include "reachability/probetargets.h"
 #include "requestformat.h"
 
 #include <fmt/format.h>
@@ -198,7 +199,8 @@
         tools.metrics = metrics::Metrics::create();
         tools.demand = std::make_shared<ServiceDemand>();
         tools.outliers = outliers::OutlierDetector::create(*loop_, vm.log);
-        tools.reachability = reachability::ReachabilityTracker::create({loop_.get(), vm.directory, vm.log, tools.metrics, {}});
+        tools.reachability = reachability::ReachabilityTracker::create(
+            {loop_.get(), [directory = vm.directory] { return reachability::probeTargets(*directory); }, vm.log, tools.metrics, {}});
         tools.reachability->onChange([outliers = tools.outliers](bool) { outliers->forgetFailures(); });
         tools.outliers->setCutOffCheck([reachability = tools.reachability] { return reachability->mayBeCutOff(); });
         tools.peerBacklog = std::make_shared<PeerBacklog>();
--- a/src/reachability/internal/reachabilitytracker.cpp
+++ b/src/reachability/internal/reachabilitytracker.cpp
@@ -125,9 +125,7 @@
 {
     Evidence evidence;
     evidence.failedServers = failed_.size();
-    const auto &servers = tools_.directory->all();
-    evidence.listedServers =
-        static_cast<std::size_t>(std::count_if(servers.begin(), servers.end(), [](const auto &entry) { return !entry.second->isLeaving; }));
+    evidence.listedServers = tools_.servers().size();
     evidence.isProbing = !probes_.empty();
     return evidence;
 }
@@ -147,15 +145,22 @@
     state_ = State::Unreachable;
     reached_.clear();
     unreachableSince_ = tools_.loop->now();
-    const auto quiet = sinceContact();
     tools_.metrics->add("servers_unreachable_total");
+    if (tools_.log) {
+        logUnreachable(evidence);
+    }
+    notify(true);
+}
+
+void ReachabilityTracker::logUnreachable(const Evidence &evidence) const
+{
+    const auto quiet = sinceContact();
     tools_.log->write(Event::ServersUnreachable,
         {{Attribute::Failed, static_cast<std::int64_t>(evidence.failedServers)},
             {Attribute::Present, static_cast<std::int64_t>(evidence.listedServers)},
             {Attribute::AgeMs, toMilliseconds(unreachableSince_ - doubtfulSince_)},
             {Attribute::WaitMs, quiet ? toMilliseconds(*quiet) : std::int64_t(-1)},
             {Attribute::Count, static_cast<std::int64_t>(tools_.peersInContact ? tools_.peersInContact(PeerContactAge) : 0)}});
-    notify(true);
 }
 
 // One server may be reached alone, such as one in the same failure domain.
@@ -176,7 +181,9 @@
     state_ = State::Recovering;
     recoveringSince_ = tools_.loop->now();
     doubtfulSince_ = recoveringSince_;
-    tools_.log->write(Event::ServersReachable, {{Attribute::Server, instance}, {Attribute::TookMs, toMilliseconds(recoveringSince_ - unreachableSince_)}});
+    if (tools_.log) {
+        tools_.log->write(Event::ServersReachable, {{Attribute::Server, instance}, {Attribute::TookMs, toMilliseconds(recoveringSince_ - unreachableSince_)}});
+    }
     notify(false);
 }
 
@@ -201,42 +208,41 @@
 void ReachabilityTracker::probe(std::size_t count)
 {
     probedAt_ = tools_.loop->now();
-    const std::vector<directory::ServerPtr> servers = serversToProbe();
+    const std::vector<ProbeTarget> servers = serversToProbe();
     for (std::size_t i = 0; i < std::min(count, servers.size()); i++) {
-        startProbe(servers[i]->server);
+        startProbe(servers[i]);
     }
 }
 
 // Alternates between the services and the failure domains, as one of them may be down alone.
-std::vector<directory::ServerPtr> ReachabilityTracker::serversToProbe() const
+std::vector<ProbeTarget> ReachabilityTracker::serversToProbe() const
 {
     using Rank = std::tuple<std::size_t, std::size_t, TimePoint, std::string>;
-    std::map<std::string_view, std::size_t> ofService;
-    std::map<std::string_view, std::size_t> ofZone;
-    std::vector<std::pair<Rank, directory::ServerPtr>> ranked;
-    for (const auto &[instance, known] : tools_.directory->all()) {
-        if (known->isLeaving || probes_.contains(instance) || (state_ != State::Unreachable && failed_.contains(instance))) {
+    const bool isUnreachable = state_ == State::Unreachable;
+    std::map<std::string, std::size_t> ofService;
+    std::map<std::string, std::size_t> ofZone;
+    std::map<Rank, ProbeTarget> ranked;
+    for (ProbeTarget &server : tools_.servers()) {
+        const bool isSettled = isUnreachable ? reached_.contains(server.instance) : failed_.contains(server.instance);
+        if (isSettled || probes_.contains(server.instance)) {
             continue;
         }
-        const auto probed = probedAtByServer_.find(instance);
+        const auto probed = probedAtByServer_.find(server.instance);
         const TimePoint probedAt = probed == probedAtByServer_.end() ? TimePoint() : probed->second;
-        ranked.push_back({{ofService[known->server.service]++, ofZone[known->server.zone]++, probedAt, instance}, known});
+        // While no server is reached, all are probed in turn.
+        const Rank rank =
+            isUnreachable ? Rank(0, 0, probedAt, server.instance) : Rank(ofService[server.service]++, ofZone[server.zone]++, probedAt, server.instance);
+        ranked.emplace(rank, std::move(server));
     }
-    if (state_ == State::Unreachable) {
-        std::erase_if(ranked, [this](const auto &entry) { return reached_.contains(entry.second->server.instance); });
-        std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) { return std::get<TimePoint>(a.first) < std::get<TimePoint>(b.first); });
-    } else {
-        std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
-    }
-    std::vector<directory::ServerPtr> servers;
+    std::vector<ProbeTarget> servers;
     servers.reserve(ranked.size());
-    for (auto &[rank, known] : ranked) {
-        servers.push_back(std::move(known));
+    for (auto &[rank, server] : ranked) {
+        servers.push_back(std::move(server));
     }
     return servers;
 }
 
-void ReachabilityTracker::startProbe(const directory::BackendServer &server)
+void ReachabilityTracker::startProbe(const ProbeTarget &server)
 {
     const std::string instance = server.instance;
     probedAtByServer_[instance] = tools_.loop->now();
@@ -286,11 +292,23 @@
     reached_.clear();
 }
 
+void ReachabilityTracker::forgetUnlisted()
+{
+    if (probedAtByServer_.empty() && failed_.empty()) {
+        return;
+    }
+    std::set<std::string> listed;
+    for (const ProbeTarget &server : tools_.servers()) {
+        listed.insert(server.instance);
+    }
+    std::erase_if(probedAtByServer_, [&listed](const auto &entry) { return !listed.contains(entry.first); });
+    std::erase_if(failed_, [&listed](const std::string &instance) { return !listed.contains(instance); });
+}
+
 void ReachabilityTracker::tick()
 {
     const TimePoint now = tools_.loop->now();
-    std::erase_if(probedAtByServer_, [this](const auto &entry) { return !tools_.directory->find(entry.first); });
-    std::erase_if(failed_, [this](const std::string &instance) { return !tools_.directory->find(instance); });
+    forgetUnlisted();
     if (state_ == State::Unreachable) {
         probe(1);
         return;
--- a/src/reachability/reachabilitymodule.cpp
+++ b/src/reachability/reachabilitymodule.cpp
@@ -1,6 +1,7 @@
 #include "kernel/module.h"
 #include "kernel/runtime.h"
 #include "presence/presence.h"
+#include "reachability/probetargets.h"
 #include "reachability/reachabilitytracker.h"
 
 #include <algorithm>
@@ -42,7 +43,9 @@
         const auto presence = context.get<presence::Presence>();
         TrackerTools tools;
         tools.loop = context.get<Runtime>()->loop;
-        tools.directory = context.get<directory::Directory>();
+        tools.servers = [directory = context.get<directory::Directory>()] {
+            return probeTargets(*directory);
+        };
         tools.log = context.get<eventlog::EventLog>();
         tools.metrics = context.get<metrics::Metrics>();
         tools.peersInContact = [presence, loop = tools.loop](Duration age) {
--- a/src/reachability/reachabilitytracker.h
+++ b/src/reachability/reachabilitytracker.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "directory/directory.h"
 #include "eventlog/eventlog.h"
 #include "http1/socket.h"
 #include "kernel/eventloop.h"
@@ -21,8 +20,8 @@
 /// Dependencies of a ReachabilityTracker.
 struct TrackerTools {
     EventLoop *loop = nullptr;
-    std::shared_ptr<directory::Directory> directory;
-    std::shared_ptr<eventlog::EventLog> log;
+    std::function<std::vector<ProbeTarget>()> servers; ///< The backend servers that accept new requests.
+    std::shared_ptr<eventlog::EventLog> log; ///< May be null.
     std::shared_ptr<metrics::Metrics> metrics;
     /// The number of other VMs that have heard from a backend server within @p age; for the log.
     std::function<std::size_t(Duration age)> peersInContact;
@@ -73,10 +72,13 @@
     void enterRecovering(const std::string &instance);
     void probeIfInDoubt();
     void probe(std::size_t count);
-    std::vector<directory::ServerPtr> serversToProbe() const;
-    void startProbe(const directory::BackendServer &server);
+    std::vector<ProbeTarget> serversToProbe() const;
+    void startProbe(const ProbeTarget &server);
     void onProbeEnd(const std::string &instance, bool isConnected);
     Evidence evidence() const;
+    void logUnreachable(const Evidence &evidence) const;
+    /// Forgets what is known of servers that are no longer listed.
+    void forgetUnlisted();
     void notify(bool isCutOff) const;
 
     TrackerTools tools_;
--- a/src/reachability/tests/reachabilitytracker_test.cpp
+++ b/src/reachability/tests/reachabilitytracker_test.cpp
@@ -1,5 +1,6 @@
 #include "http1/httpserver.h"
 #include "http1/tests/testlink.h"
+#include "reachability/probetargets.h"
 #include "reachability/reachabilityrules.h"
 #include "reachability/reachabilitytracker.h"
 
@@ -37,9 +38,13 @@
         for (int i = 0; i < 6; i++) {
             addServer(fmt::format("server-{}", i), i < 4 ? "models" : "desk", fmt::format("domain-{}", i % Domains));
         }
-        tracker_ = ReachabilityTracker::create({loop_.get(), directory_, log_, metrics::Metrics::create(), [](Duration) {
-                                                    return std::size_t(4);
-                                                }});
+        tracker_ = ReachabilityTracker::create({loop_.get(),
+            [directory = directory_] { return reachability::probeTargets(*directory); },
+            log_,
+            metrics::Metrics::create(),
+            [](Duration) {
+                return std::size_t(4);
+            }});
         tracker_->onChange([this](bool isCutOff) { changes_.push_back(isCutOff); });
     }
 
