--- a/src/standins/proxy/proxy.cpp
+++ b/src/standins/proxy/proxy.cpp
@@ -47,6 +47,9 @@
     std::uint64_t bytesToServer = 0;
     std::uint64_t bytesToClient = 0;
 
+    bool startListening();
+    void stopListening();
+    void setClosed(bool closed);
     void accept();
     void closeAll();
     void rearm();
@@ -273,6 +276,50 @@
     }
 }
 
+bool Proxy::Impl::startListening()
+{
+    listenFd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int one = 1;
+    setsockopt(listenFd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    sockaddr_in address = loopback(port);
+    socklen_t size = sizeof(address);
+    const bool bound = bind(listenFd, reinterpret_cast<sockaddr *>(&address), size) == 0 && listen(listenFd, Backlog) == 0
+        && getsockname(listenFd, reinterpret_cast<sockaddr *>(&address), &size) == 0;
+    if (!bound) {
+        return false;
+    }
+    port = ntohs(address.sin_port);
+    watcher.data = this;
+    ev_io_init(
+        &watcher, [](struct ev_loop *, ev_io *io, int) { static_cast<Impl *>(io->data)->accept(); }, listenFd, EV_READ);
+    ev_io_start(loop->raw(), &watcher);
+    return true;
+}
+
+void Proxy::Impl::stopListening()
+{
+    if (listenFd < 0) {
+        return;
+    }
+    ev_io_stop(loop->raw(), &watcher);
+    close(listenFd);
+    listenFd = -1;
+}
+
+void Proxy::Impl::setClosed(bool closed)
+{
+    if (closed == faults.closed) {
+        return;
+    }
+    faults.closed = closed;
+    if (closed) {
+        stopListening();
+        closeAll();
+    } else {
+        startListening();
+    }
+}
+
 void Proxy::Impl::rearm()
 {
     for (const auto &connection : connections) {
@@ -287,27 +334,16 @@
     Impl *impl = proxy->impl_.get();
     impl->loop = &loop;
     impl->targetPort = targetPort;
-    impl->listenFd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    sockaddr_in address = loopback(0);
-    socklen_t size = sizeof(address);
-    const bool bound = bind(impl->listenFd, reinterpret_cast<sockaddr *>(&address), size) == 0 && listen(impl->listenFd, Backlog) == 0
-        && getsockname(impl->listenFd, reinterpret_cast<sockaddr *>(&address), &size) == 0;
-    if (!bound) {
+    if (!impl->startListening()) {
         return failure(ErrorKind::Unavailable, "the proxy can't listen");
     }
-    impl->port = ntohs(address.sin_port);
-    impl->watcher.data = impl;
-    ev_io_init(
-        &impl->watcher, [](struct ev_loop *, ev_io *io, int) { static_cast<Impl *>(io->data)->accept(); }, impl->listenFd, EV_READ);
-    ev_io_start(loop.raw(), &impl->watcher);
     return proxy;
 }
 
 Proxy::~Proxy()
 {
-    if (impl_ && impl_->listenFd >= 0) {
-        ev_io_stop(impl_->loop->raw(), &impl_->watcher);
-        close(impl_->listenFd);
+    if (impl_) {
+        impl_->stopListening();
     }
 }
 
@@ -325,6 +361,7 @@
     faults.freeze = json.get("freeze", faults.freeze).asBool();
     faults.delayMs = json.get("delayMs", static_cast<Json::Int64>(faults.delayMs)).asInt64();
     faults.resetAfterRequest = json.get("resetAfterRequest", faults.resetAfterRequest).asBool();
+    impl_->setClosed(json.get("closed", faults.closed).asBool());
     if (json.get("closeAll", false).asBool()) {
         impl_->closeAll();
     }
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -104,6 +104,11 @@
 }
 
 void Fleet::announce(const std::string &instance, const std::string &role, const std::string &zone, int port, int peerPort)
+{
+    announceAt(*platform, instance, role, zone, port, peerPort);
+}
+
+void Fleet::announceAt(Process &list, const std::string &instance, const std::string &role, const std::string &zone, int port, int peerPort)
 {
     Json::Value vm;
     vm["instance"] = instance;
@@ -123,7 +128,7 @@
     }
     http::ClientRequest request;
     request.method = "PUT";
-    request.url = platformUrl() + "/control/vms/" + instance;
+    request.url = urlOf(list, "port", "/control/vms/" + instance);
     request.body = http::writeJson(vm);
     EXPECT_EQ(caller.call(request)->status, 200);
 }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -33,6 +33,8 @@
     Process &addProxy(int target, int &port);
     /// Announces a VM (or a changed one) in the platform's list.
     void announce(const std::string &instance, const std::string &role, const std::string &zone, int port, int peerPort = 0);
+    /// Announces it in the list of another platform's stand-in, which some daemons may read instead.
+    void announceAt(Process &list, const std::string &instance, const std::string &role, const std::string &zone, int port, int peerPort = 0);
     void forget(const std::string &instance);
     /// Sends a reclaim notice for a VM, which the list also shows after its lag.
     void reclaim(const std::string &instance, int secondsLeft);
