Hand chats and calls over to another VM while this one reaches no server

Its callers' requests, authenticated, now go whole to another VM's port for callers, with the VMs' shared secret as mark; that VM admits, claims and counts them, and never hands them on. The next VM is asked after a refused connection, or when a VM answers that it can't (cut off, draining, not ready); a call of a service whose connection ends after it was sent is told as unknown, and its key finds out. Not where the callers' port speaks TLS: other VMs can't check a certificate issued for the callers' name.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "gateway/chathandler.h"
 #include "gateway/gatewaytypes.h"
+#include "gateway/peerrelay.h"
 #include "gateway/resumehandler.h"
 #include "gateway/servicehandler.h"
 
@@ -24,11 +25,12 @@
 private:
     Gateway() = default;
     void onRequest(http::Request request, std::shared_ptr<http::Responder> responder);
-    void refuse(const std::shared_ptr<http::Responder> &responder, CallerError error);
+    void refuse(const std::shared_ptr<http::Responder> &responder, const CallerError &error, bool isRelayed = false);
     GatewayTools tools_;
     std::unique_ptr<ChatHandler> chat_;
     std::unique_ptr<ResumeHandler> resume_;
     std::unique_ptr<ServiceHandler> services_;
+    std::unique_ptr<PeerRelay> relay_;
     std::unique_ptr<http::Server> server_; ///< Last, so that it is destroyed first: it calls the handlers above.
 };
 
--- a/src/gateway/gatewaymodule.cpp
+++ b/src/gateway/gatewaymodule.cpp
@@ -21,7 +21,19 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"admission", "claims", "contract", "engine", "fleet", "http", "lifecycle", "membership", "metrics", "recovery", "retry", "streams"};
+        return {"admission",
+            "chatreachability",
+            "claims",
+            "contract",
+            "engine",
+            "fleet",
+            "http",
+            "lifecycle",
+            "membership",
+            "metrics",
+            "recovery",
+            "retry",
+            "streams"};
     }
 
     Result<void> start(Context &context) override
@@ -44,6 +56,10 @@
         tools.members = context.get<membership::Members>();
         tools.announcements = context.get<membership::ServerAnnouncements>();
         tools.streamRegistry = context.get<streams::StreamRegistry>();
+        tools.reachability = context.get<reachability::ReachabilityTracker>();
+        tools.zone = settings->zone;
+        // Other VMs can't check a certificate that is issued for the callers' name.
+        tools.peerToken = settings->callers.certificateFile.empty() ? settings->peerToken : std::string();
         tools.memory = MemoryGuard::create(*tools.loop, settings->limits.memoryMegabytes * BytesPerMegabyte);
         tools.metrics->gauge("resident_memory_bytes", [guard = tools.memory] { return static_cast<double>(guard->residentBytes()); });
         BOOST_OUTCOME_TRY(options, settings::serverOptions(settings->callers));
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -11,6 +11,7 @@
 #include "kernel/eventloop.h"
 #include "lifecycle/lifecycle.h"
 #include "metrics/metrics.h"
+#include "reachability/reachabilitytracker.h"
 #include "retry/attemptplanner.h"
 #include "streams/streamregistry.h"
 
@@ -37,6 +38,9 @@
     std::shared_ptr<membership::ServerAnnouncements> announcements;
     std::shared_ptr<streams::StreamRegistry> streamRegistry;
     std::shared_ptr<MemoryGuard> memory;
+    std::shared_ptr<reachability::ReachabilityTracker> reachability;
+    std::string zone; ///< This VM's failure domain.
+    std::string peerToken; ///< Secret shared by the entry VMs; empty: no requests are handed over between them.
 };
 
 /// An authenticated request of a caller.
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -48,6 +48,7 @@
     gateway->chat_ = ChatHandler::create(tools);
     gateway->resume_ = ResumeHandler::create(tools);
     gateway->services_ = ServiceHandler::create(tools);
+    gateway->relay_ = PeerRelay::create(tools);
     auto server = http::Server::create(*tools.loop,
         std::move(options),
         [raw = gateway.get()](http::Request request, std::shared_ptr<http::Responder> responder) { raw->onRequest(std::move(request), std::move(responder)); });
@@ -80,11 +81,12 @@
     return server_->openRequests() + chat_->openSessions() + services_->openCalls();
 }
 
-void Gateway::refuse(const std::shared_ptr<http::Responder> &responder, CallerError error)
+// A request that another VM has handed over may be served by a third one.
+void Gateway::refuse(const std::shared_ptr<http::Responder> &responder, const CallerError &error, bool isRelayed)
 {
     tools_.metrics->refused(error.reason);
     partLogger("gateway")->debug("Refused. reason={}", metrics::reasonName(error.reason));
-    responder->respond(errorResponse(error));
+    responder->respond(isRelayed ? PeerRelay::unavailableResponse(error) : errorResponse(error));
 }
 
 void Gateway::onRequest(http::Request request, std::shared_ptr<http::Responder> responder)
@@ -95,12 +97,17 @@
         responder->respond({ready ? 200 : 503, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "not ready\n"});
         return;
     }
+    const bool isRelayed = relay_->takeMark(request);
     if (!tools_.lifecycle->acceptsWork()) {
-        refuse(responder, notServingError(phase));
+        refuse(responder, notServingError(phase), isRelayed);
         return;
     }
     if (tools_.memory->isOverLimit()) {
-        refuse(responder, {metrics::RefusalReason::Overloaded, "This VM is low on memory.", RetryAfterShort});
+        refuse(responder, {metrics::RefusalReason::Overloaded, "This VM is low on memory.", RetryAfterShort}, isRelayed);
+        return;
+    }
+    if (isRelayed && tools_.reachability->state() == reachability::State::Unreachable) {
+        refuse(responder, {metrics::RefusalReason::NoBackend, "This VM reaches no server.", RetryAfterShort}, isRelayed);
         return;
     }
     const std::string_view authorization = http::headerValue(request.headers, "Authorization");
@@ -113,6 +120,9 @@
         refuse(responder, {metrics::RefusalReason::UnknownCredential, "This API key is not known."});
         return;
     }
+    if (!isRelayed && relay_->shouldRelay() && relay_->start(request, responder)) {
+        return;
+    }
     CallerRequest caller{std::move(contract), std::move(request), std::move(responder)};
     if (caller.http.path == "/v1/chat/completions" && caller.http.method == "POST") {
         chat_->handle(std::move(caller));
--- a/src/membership/internal/serverannouncements.cpp
+++ b/src/membership/internal/serverannouncements.cpp
@@ -22,8 +22,16 @@
     return announcements;
 }
 
+void ServerAnnouncements::onAnswer(std::function<void()> handler)
+{
+    handlers_.push_back(std::move(handler));
+}
+
 void ServerAnnouncements::note(const std::string &instance, int status, const http::Headers &headers)
 {
+    for (const auto &handler : handlers_) {
+        handler();
+    }
     if (!http::headerValue(headers, LeavingHeader).empty() && members_->markLeaving(instance, LeavingSource::Answer)) {
         partLogger("membership")->info("A server says in an answer that it leaves. server={} status={}", instance, status);
     }
--- a/src/retry/attemptplanner.h
+++ b/src/retry/attemptplanner.h
@@ -2,6 +2,7 @@
 
 #include "membership/members.h"
 #include "metrics/metrics.h"
+#include "reachability/reachabilitytracker.h"
 #include "retry/retrydecision.h"
 #include "routing/router.h"
 #include "suspects/suspecttracker.h"
@@ -52,6 +53,7 @@
     std::shared_ptr<suspects::SuspectTracker> suspects;
     std::shared_ptr<membership::Members> members;
     std::shared_ptr<metrics::Metrics> metrics;
+    std::shared_ptr<reachability::ReachabilityTracker> reachability; ///< May be null.
 };
 
 /// Plans the attempts of requests: which server is next, whether to retry, when to give up. Reports the start and the end of
@@ -92,6 +94,8 @@
     std::optional<Duration> backoffOfOthers(const RequestRecord &record) const;
     /// When a caller may retry whose request no server accepts now.
     Duration noServerRetryAfter(const RequestRecord &record) const;
+    /// Takes in what a failed attempt says of the server, and of whether this VM reaches any.
+    void noteFailure(const std::string &server, FailureKind failure);
     void recordStart(RequestRecord &record, const membership::Vm &server);
     void recordEnd(RequestRecord &record, const std::string &instance, routing::AttemptEnd end, suspects::AttemptOutcome outcome);
     PlannerTools tools_;
--- a/src/retry/internal/attemptplanner.cpp
+++ b/src/retry/internal/attemptplanner.cpp
@@ -221,6 +221,20 @@
     return others > 0 || backoffOfOthers(record) ? 1 : 0;
 }
 
+// Other VMs are not told of servers that only this VM can't reach.
+void AttemptPlanner::noteFailure(const std::string &server, FailureKind failure)
+{
+    if (tools_.reachability && failure == FailureKind::NotSent) {
+        tools_.reachability->noteConnectFailed(server);
+    } else if (tools_.reachability && mayHaveRun(failure)) {
+        tools_.reachability->noteSilent();
+    }
+    const bool mayBeCutOff = tools_.reachability && tools_.reachability->mayBeCutOff();
+    if (failure == FailureKind::NotSent && !mayBeCutOff) {
+        tools_.members->reportUnreachable(server);
+    }
+}
+
 AttemptPlan AttemptPlanner::attemptFailed(RequestRecord &record, const std::string &instance, FailureKind failure)
 {
     const std::string server = instance.empty() ? record.tried.back() : instance;
@@ -234,9 +248,7 @@
     if (const membership::Vm *vm = tools_.members->find(server); vm && failure != FailureKind::Refused) {
         record.route.avoidZones.push_back(vm->zone);
     }
-    if (failure == FailureKind::NotSent) {
-        tools_.members->reportUnreachable(server);
-    }
+    noteFailure(server, failure);
     RetryContext context;
     context.attempts = record.tried.size() - record.moves;
     if (tools_.suspects->stateOf(record.fingerprint) != suspects::SuspectState::Trusted) {
--- a/src/retry/retrymodule.cpp
+++ b/src/retry/retrymodule.cpp
@@ -16,7 +16,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"membership", "metrics", "routing", "suspects"};
+        return {"chatreachability", "membership", "metrics", "routing", "suspects"};
     }
 
     Result<void> start(Context &context) override
@@ -27,6 +27,7 @@
         tools.suspects = context.get<suspects::SuspectTracker>();
         tools.members = context.get<membership::Members>();
         tools.metrics = context.get<metrics::Metrics>();
+        tools.reachability = context.get<reachability::ReachabilityTracker>();
         context.set(AttemptPlanner::create(std::move(tools)));
         return success();
     }
--- a/tests/chatcutoff_test.cpp
+++ b/tests/chatcutoff_test.cpp
@@ -123,6 +123,9 @@
     countFailures(CutVm, CutKnownAfter);
     EXPECT_EQ(countFailures(CutVm, milliseconds(2000)), 0U);
     EXPECT_EQ(countFailures(OtherVm, milliseconds(500)), 0U);
+    http::ClientRequest marked = request(CutVm);
+    marked.headers["Cardamomlift-Relay"] = "a guess";
+    EXPECT_EQ(fleet_.caller.call(marked)->status, StatusOk) << "a caller can't pass for an entry VM";
     setCut(false);
     EXPECT_EQ(countFailures(CutVm, milliseconds(2000)), 0U) << "after the cut";
 }
