--- a/src/forwarding/wireformat.h
+++ b/src/forwarding/wireformat.h
@@ -66,6 +66,7 @@
     std::optional<LoadReport> load;
     AdvertisedLimit limit;
     bool isLeaving = false; ///< The instance that answers announces that it is leaving.
+    std::optional<int> refusalsPerSecond; ///< The server crashes when it must turn away more requests than this within a second.
     std::optional<Duration> backoff; ///< The server turned the request away and accepts none from this VM for this long.
 };
 
--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -101,6 +101,61 @@
     }
 };
 
+/// A worker with little room that falls over when it has to turn away too many requests within a second.
+struct Brittleness {
+    int refusalsPerSecond = -1; ///< As it is told in all answers; -1: it is not brittle.
+    std::size_t room = 0; ///< Requests that run at once from LimitKnownAfter after the first such answer.
+    Duration downTime = std::chrono::seconds(3);
+    std::optional<TimePoint> firstToldAt;
+    std::deque<TimePoint> refusals; ///< Of the last second.
+    std::vector<http1::ExchangePtr> running;
+    std::optional<TimePoint> downUntil;
+    int falls = 0;
+
+    bool isActive(TimePoint now) const
+    {
+        return refusalsPerSecond >= 0 && firstToldAt && now - *firstToldAt >= LimitKnownAfter;
+    }
+
+    bool isDown(TimePoint now) const
+    {
+        return downUntil && now < *downUntil;
+    }
+
+    bool hasRoom(TimePoint now) const
+    {
+        return !isActive(now) || running.size() < room;
+    }
+
+    void addTo(http1::ResponseHead &head, TimePoint now)
+    {
+        if (refusalsPerSecond >= 0) {
+            firstToldAt = firstToldAt.value_or(now);
+            head.fields.add("Server-Brittle", std::to_string(refusalsPerSecond));
+        }
+    }
+
+    /// Counts a request that is turned away. Returns true if the worker falls over by it.
+    bool noteRefusal(TimePoint now)
+    {
+        refusals.push_back(now);
+        while (now - refusals.front() > std::chrono::seconds(1)) {
+            refusals.pop_front();
+        }
+        if (refusals.size() <= static_cast<std::size_t>(std::max(0, refusalsPerSecond))) {
+            return false;
+        }
+        falls++;
+        refusals.clear();
+        downUntil = now + downTime;
+        for (const http1::ExchangePtr &exchange : running) {
+            exchange->abort();
+        }
+        running.clear();
+        return true;
+    }
+};
+
 struct Worker {
     EventLoop *loop = nullptr;
     std::shared_ptr<http1::HttpServer> server;
@@ -123,6 +178,7 @@
     bool announcesLeaving = false; ///< All answers say that the worker leaves.
     std::string retryAfter; ///< Sent with each refusal while full, as it is; empty: none.
     NamedLimit limit;
+    Brittleness brittleness;
 
     http1::ResponseHead head(int status, const std::string &id)
     {
@@ -130,6 +186,7 @@
         head.status = status;
         head.fields.add("X-Attempt-Id", id);
         limit.addTo(head, loop->now());
+        brittleness.addTo(head, loop->now());
         if (announcesLeaving) {
             head.fields.add("Server-Leaving", "1");
         }
@@ -165,6 +222,7 @@
         }
         json["cancelled"] = cancelled;
         json["afterLeaving"] = afterLeaving;
+        json["falls"] = brittleness.falls;
         json["mostInLimitWindow"] = Json::Int64(limit.mostInWindow);
         json["limitNamedMs"] =
             limit.firstNamedAt ? Json::Int64(std::chrono::duration_cast<std::chrono::milliseconds>(loop->now() - *limit.firstNamedAt).count()) : -1;
@@ -216,6 +274,8 @@
         announcesLeaving = body.get("announcesLeaving", announcesLeaving).asBool();
         retryAfter = body.get("retryAfter", retryAfter).asString();
         limit.perSecond = body.get("limit", limit.perSecond).asString();
+        brittleness.refusalsPerSecond = static_cast<int>(number("brittle", brittleness.refusalsPerSecond));
+        brittleness.room = static_cast<std::size_t>(number("room", static_cast<std::int64_t>(brittleness.room)));
         exchange->answer(http1::ResponseHead{StatusOk, {}, {}}, http::writeJson(report()));
     }
 
@@ -245,6 +305,14 @@
         }
         afterLeaving += leaving ? 1 : 0;
         limit.noteArrival(loop->now());
+        if (brittleness.isDown(loop->now())) {
+            exchange->abort();
+            return;
+        }
+        if (!brittleness.hasRoom(loop->now())) {
+            refuseForWantOfRoom(exchange, id);
+            return;
+        }
         if (full) {
             http1::ResponseHead refusal = head(StatusUnavailable, id);
             refusal.fields.add("X-Not-Executed", "1");
@@ -278,7 +346,19 @@
             startStream(exchange, id);
             return;
         }
-        loop->after(delay, [this, exchange, id] { exchange->answer(signedHead(id), fmt::format("{} {}", id, exchange->body())); });
+        brittleness.running.push_back(exchange);
+        loop->after(delay, [this, exchange, id] {
+            std::erase(brittleness.running, exchange);
+            exchange->answer(signedHead(id), fmt::format("{} {}", id, exchange->body()));
+        });
+    }
+
+    void refuseForWantOfRoom(const http1::ExchangePtr &exchange, const std::string &id)
+    {
+        http1::ResponseHead refusal = head(StatusUnavailable, id);
+        refusal.fields.add("X-Not-Executed", "1");
+        exchange->answer(std::move(refusal), "");
+        brittleness.noteRefusal(loop->now());
     }
 
     void startStream(const http1::ExchangePtr &exchange, const std::string &id)
