Share the slots of servers that crash when they refuse too many, in turns

Each slot of such a server now belongs to one VM for a turn of at least eight requests, by the store's clock and the list of VMs, which all VMs know; a VM has no more requests open there than slots, and starts none that would outlast its turn. The slots believed usable shrink with each refusal and grow back, the pause after one stays.

--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -237,7 +237,7 @@
         endWithoutServer(choice);
         return;
     }
-    countSend(choice.server->server);
+    countSend(choice.server->server.instance);
     send(choice);
 }
 
@@ -269,13 +269,10 @@
 }
 
 // Called when the server is chosen; a moved run is sent there a little later.
-void ForwardedRequest::countSend(const directory::BackendServer &server)
+void ForwardedRequest::countSend(const std::string &instance)
 {
     if (tools_.limits) {
-        tools_.limits->noteSent(server.instance);
-    }
-    if (tools_.overload) {
-        tools_.overload->noteSent({server.instance, server.service, server.slots});
+        tools_.limits->noteSent(instance);
     }
 }
 
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -92,7 +92,7 @@
     overload::ServerKey serverKey() const;
     /// True if the server recovers from a backoff and has as many open requests of this VM as it should have.
     bool isAtRecoveryLimit(const std::string &instance) const;
-    void countSend(const directory::BackendServer &server);
+    void countSend(const std::string &instance);
     void endWithoutServer(const Choice &choice);
     /// @p requestsPerSecond: what this VM may send to the servers that have no room now.
     void refuseForWantOfRoom(double requestsPerSecond);
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -161,7 +161,8 @@
 bool ForwardedRequest::skipIfPaced(const directory::BackendServer &server, Choice &choice) const
 {
     const overload::ServerKey key{server.instance, server.service, server.slots};
-    if (!tools_.overload || tools_.overload->hasRoom(key)) {
+    const ServerEntry *entry = tools_.pool->find(server.instance);
+    if (!tools_.overload || tools_.overload->hasRoom(key, entry ? entry->load.localOpenRequests : 0)) {
         return false;
     }
     choice.limited++;
--- a/src/forwarding/internal/forwardedrequestmove.cpp
+++ b/src/forwarding/internal/forwardedrequestmove.cpp
@@ -54,7 +54,7 @@
     if (!to || !takeRetry()) {
         return;
     }
-    countSend(to->server);
+    countSend(to->server.instance);
     move_ = Move{attempt_->server, to, nullptr, {}, false, false};
     move_->client = http1::HttpClient::create(*tools_.loop, attempt_->server->server.endpoint, {}, MoveAnswerLimits);
     std::string body;
--- a/src/overload/internal/overloadcontroller.cpp
+++ b/src/overload/internal/overloadcontroller.cpp
@@ -1,6 +1,7 @@
 #include "overload/overloadcontroller.h"
 
 #include "overload/overloadrules.h"
+#include "presence/presencetypes.h"
 
 #include <algorithm>
 
@@ -15,6 +16,7 @@
 constexpr std::size_t AssumedVms = 8;
 /// Until a request of the service has been answered.
 constexpr Duration AssumedServiceTime = std::chrono::milliseconds(500);
+constexpr Duration MinServiceTime = std::chrono::milliseconds(1);
 /// Weight of the latest request in the average time of a service's requests.
 constexpr int ServiceTimeSmoothing = 8;
 
@@ -22,17 +24,26 @@
 
 OverloadController::OverloadController(OverloadTools tools)
     : tools_(std::move(tools))
+    , ownHash_(presence::nameHash(tools_.instance))
 {
 }
 
 std::shared_ptr<OverloadController> OverloadController::create(OverloadTools tools)
 {
-    return std::shared_ptr<OverloadController>(new OverloadController(std::move(tools)));
+    std::shared_ptr<OverloadController> controller(new OverloadController(std::move(tools)));
+    controller->tick();
+    return controller;
 }
 
-std::size_t OverloadController::vms() const
+std::size_t OverloadController::vmCount() const
 {
-    return std::max<std::size_t>(1, tools_.vmCount().value_or(AssumedVms));
+    return vms_.empty() ? AssumedVms : vms_.size();
+}
+
+Duration OverloadController::serviceTime(const std::string &service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? AssumedServiceTime : found->second.serviceTime.value_or(AssumedServiceTime);
 }
 
 bool OverloadController::isPaced(const ServerKey &server) const
@@ -45,13 +56,6 @@
     return service != services_.end() && service->second.announcing > 0;
 }
 
-ServerPace OverloadController::startPace(const ServerKey &server) const
-{
-    const auto service = services_.find(server.service);
-    const auto serviceTime = service == services_.end() ? std::nullopt : service->second.serviceTime;
-    return initialPace(server.slots, serviceTime.value_or(AssumedServiceTime), tools_.loop->now());
-}
-
 OverloadController::ServerState *OverloadController::paced(const ServerKey &server)
 {
     if (!isPaced(server)) {
@@ -64,28 +68,40 @@
         ServiceState &service = services_[server.service];
         state.service = server.service;
         state.refusalsPerSecond = service.refusalsPerSecond;
-        state.pace = startPace(server);
-        restart(state.pace);
+        state.hash = presence::nameHash(server.instance);
+        state.capacity = initialCapacity(server.slots, tools_.loop->now());
+        restart(state.capacity);
         service.announcing++;
     }
     return &state;
 }
 
-bool OverloadController::hasRoom(const ServerKey &server)
+bool OverloadController::hasRoom(const ServerKey &server, int open)
 {
     ServerState *state = paced(server);
     if (!state) {
         return true;
     }
-    refill(state->pace, vms(), tools_.loop->now());
-    return hasToken(state->pace, tools_.loop->now());
+    const TimePoint now = tools_.loop->now();
+    const auto storeNow = tools_.storeNow();
+    grow(state->capacity, now);
+    if (now < state->capacity.pausedUntil || !storeNow) {
+        return false;
+    }
+    const Duration usualTime = serviceTime(server.service);
+    const Turn turn = turnAt(*storeNow, turnLength(usualTime));
+    return mayStart(turn, usualTime) && open < ownedSlots(*state, turn);
 }
 
-void OverloadController::noteSent(const ServerKey &server)
+int OverloadController::ownedSlots(ServerState &state, const Turn &turn) const
 {
-    if (ServerState *state = paced(server)) {
-        takeToken(state->pace);
+    const int slots = static_cast<int>(state.capacity.slots);
+    if (state.turn != turn.number || state.slots != slots) {
+        state.turn = turn.number;
+        state.slots = slots;
+        state.ownedSlots = overload::ownedSlots(vms_, ownHash_, state.hash, slots, turn.number);
     }
+    return state.ownedSlots;
 }
 
 void OverloadController::noteAnswer(const ServerKey &server, std::optional<int> refusalsPerSecond)
@@ -108,7 +124,8 @@
     service.refusalsPerSecond = refusalsPerSecond;
     if (!state.refusalsPerSecond) {
         state.service = server.service;
-        state.pace = startPace(server);
+        state.hash = presence::nameHash(server.instance);
+        state.capacity = initialCapacity(server.slots, tools_.loop->now());
         service.announcing++;
     }
     const bool isChange = state.refusalsPerSecond != refusalsPerSecond;
@@ -130,19 +147,20 @@
 
 RefusalBound OverloadController::boundOf(const ServerState &state) const
 {
-    return {state.refusalsPerSecond.value_or(0), vms()};
+    return {state.refusalsPerSecond.value_or(0), vmCount()};
 }
 
 void OverloadController::noteRefused(const ServerKey &server)
 {
     if (ServerState *state = paced(server)) {
-        overload::noteRefused(state->pace, boundOf(*state), tools_.loop->now());
+        overload::noteRefused(state->capacity, boundOf(*state), tools_.loop->now());
         log("refused", server.instance, *state);
     }
 }
 
 void OverloadController::noteServed(const ServerKey &server, Duration duration)
 {
+    duration = std::max(duration, MinServiceTime);
     std::optional<Duration> &average = services_[server.service].serviceTime;
     average = average ? *average + (duration - *average) / ServiceTimeSmoothing : duration;
 }
@@ -150,7 +168,7 @@
 void OverloadController::noteDown(const ServerKey &server)
 {
     if (ServerState *state = paced(server)) {
-        overload::noteDown(state->pace, tools_.loop->now());
+        overload::noteDown(state->capacity, tools_.loop->now());
         log("down", server.instance, *state);
     }
 }
@@ -158,8 +176,11 @@
 double OverloadController::ownRequestsPerSecond(const ServerKey &server) const
 {
     const auto found = servers_.find(server.instance);
-    const bool isKnown = found != servers_.end() && found->second.refusalsPerSecond;
-    return isKnown ? found->second.pace.requestsPerSecond / static_cast<double>(vms()) : 0;
+    if (found == servers_.end() || !found->second.refusalsPerSecond) {
+        return 0;
+    }
+    const double ownSlots = found->second.capacity.slots / static_cast<double>(vmCount());
+    return ownSlots / std::chrono::duration<double>(serviceTime(server.service)).count();
 }
 
 void OverloadController::log(std::string_view outcome, const std::string &instance, const ServerState &state) const
@@ -168,14 +189,19 @@
         {{Attribute::Server, instance},
             {Attribute::Service, state.service},
             {Attribute::Outcome, outcome},
-            {Attribute::LimitPerSecond, static_cast<std::int64_t>(state.pace.requestsPerSecond)},
+            {Attribute::Open, static_cast<std::int64_t>(state.capacity.slots)},
             {Attribute::Failed, std::int64_t(state.refusalsPerSecond.value_or(-1))},
-            {Attribute::WaitMs, std::max<std::int64_t>(0, toMilliseconds(state.pace.pausedUntil - tools_.loop->now()))},
-            {Attribute::Count, static_cast<std::int64_t>(vms())}});
+            {Attribute::WaitMs, std::max<std::int64_t>(0, toMilliseconds(state.capacity.pausedUntil - tools_.loop->now()))},
+            {Attribute::Count, static_cast<std::int64_t>(vmCount())}});
 }
 
 void OverloadController::tick()
 {
+    vms_.clear();
+    for (const std::string &vm : tools_.vms()) {
+        vms_.push_back(presence::nameHash(vm));
+    }
+    std::sort(vms_.begin(), vms_.end());
     for (auto entry = servers_.begin(); entry != servers_.end();) {
         if (tools_.isListed(entry->first)) {
             ++entry;
--- a/src/overload/internal/overloadrules.cpp
+++ b/src/overload/internal/overloadrules.cpp
@@ -1,87 +1,103 @@
 #include "overload/overloadrules.h"
 
+#include "serverlimits/permitrules.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace cardamomlift::overload {
 
 namespace {
 
-/// Part of the slots that is used: requests of several VMs may arrive at the same moment.
+/// Part of the slots that is used: some requests end after their turn.
 constexpr double SlotUse = 0.8;
-constexpr Duration MinServiceTime = std::chrono::milliseconds(5);
-/// Fraction of the pace that is left after a refusal, and for a server that has just started.
-constexpr double PaceAfterRefusal = 0.6;
-constexpr double PaceAfterRestart = 0.25;
+/// Fraction of the capacity that is left after a refusal, and for a server that has just started.
+constexpr double CapacityAfterRefusal = 0.7;
+constexpr double CapacityAfterRestart = 0.25;
 constexpr double GrowthPerSecond = 0.1;
-constexpr double MinRequestsPerSecond = 0.5;
-/// Tokens that a VM may have saved up. More would reach the server at once after a pause.
-constexpr double MaxTokens = 2;
 /// Margin for refusals of requests that were under way together.
 constexpr double RefusalMargin = 1.25;
 constexpr Duration MaxPause = std::chrono::seconds(10);
 constexpr Duration PauseWhenDown = std::chrono::seconds(1);
+constexpr Duration MinTurn = std::chrono::milliseconds(250);
+constexpr Duration MaxTurn = std::chrono::seconds(32);
+/// Requests that one slot runs in a turn, at least.
+constexpr int RequestsPerTurn = 8;
+/// Numbers for the slots of one turn, more than a server has.
+constexpr std::int64_t SlotNumbers = 4096;
+
+} // namespace
 
-double seconds(Duration duration)
+ServerCapacity initialCapacity(int slots, TimePoint now)
 {
-    return std::chrono::duration<double>(duration).count();
+    ServerCapacity capacity;
+    capacity.maxSlots = std::max(1.0, SlotUse * slots);
+    capacity.slots = capacity.maxSlots;
+    capacity.updatedAt = now;
+    return capacity;
 }
 
-} // namespace
+void restart(ServerCapacity &capacity)
+{
+    capacity.slots = std::max(1.0, capacity.maxSlots * CapacityAfterRestart);
+}
 
-ServerPace initialPace(int slots, Duration serviceTime, TimePoint now)
+void grow(ServerCapacity &capacity, TimePoint now)
 {
-    ServerPace pace;
-    pace.maxRequestsPerSecond = std::max(MinRequestsPerSecond, SlotUse * std::max(1, slots) / seconds(std::max(serviceTime, MinServiceTime)));
-    pace.requestsPerSecond = pace.maxRequestsPerSecond;
-    pace.updatedAt = now;
-    return pace;
+    const double elapsed = std::clamp(std::chrono::duration<double>(now - capacity.updatedAt).count(), 0.0, 1.0);
+    capacity.updatedAt = now;
+    capacity.slots = std::min(capacity.maxSlots, capacity.slots * (1 + GrowthPerSecond * elapsed));
 }
 
-void restart(ServerPace &pace)
+Duration pauseAfterRefusal(const RefusalBound &bound)
 {
-    pace.requestsPerSecond = std::max(MinRequestsPerSecond, pace.maxRequestsPerSecond * PaceAfterRestart);
-    pace.tokens = std::min(pace.tokens, 1.0);
+    const double pause = RefusalMargin * static_cast<double>(bound.vms) / std::max(0.5, static_cast<double>(bound.perSecond));
+    return std::min(MaxPause, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pause)));
 }
 
-void refill(ServerPace &pace, std::size_t vms, TimePoint now)
+void noteRefused(ServerCapacity &capacity, const RefusalBound &bound, TimePoint now)
 {
-    const double elapsed = std::max(0.0, seconds(now - pace.updatedAt));
-    pace.updatedAt = now;
-    pace.tokens = std::min(MaxTokens, pace.tokens + elapsed * pace.requestsPerSecond / static_cast<double>(std::max<std::size_t>(1, vms)));
-    pace.requestsPerSecond = std::min(pace.maxRequestsPerSecond, pace.requestsPerSecond * (1 + GrowthPerSecond * std::min(elapsed, 1.0)));
+    // Several refusals of one moment are one sign.
+    if (now < capacity.pausedUntil) {
+        return;
+    }
+    capacity.slots = std::max(1.0, capacity.slots * CapacityAfterRefusal);
+    capacity.pausedUntil = now + pauseAfterRefusal(bound);
 }
 
-bool hasToken(const ServerPace &pace, TimePoint now)
+void noteDown(ServerCapacity &capacity, TimePoint now)
 {
-    return now >= pace.pausedUntil && pace.tokens >= 1;
+    restart(capacity);
+    capacity.pausedUntil = std::max(capacity.pausedUntil, now + PauseWhenDown);
 }
 
-void takeToken(ServerPace &pace)
+Duration turnLength(Duration serviceTime)
 {
-    pace.tokens -= 1;
+    Duration length = MinTurn;
+    while (length < serviceTime * RequestsPerTurn && length < MaxTurn) {
+        length *= 2;
+    }
+    return length;
 }
 
-Duration pauseAfterRefusal(const RefusalBound &bound)
+Turn turnAt(Duration storeTime, Duration length)
 {
-    const double pause = RefusalMargin * static_cast<double>(bound.vms) / std::max(0.5, static_cast<double>(bound.perSecond));
-    return std::min(MaxPause, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pause)));
+    const std::int64_t number = storeTime / length;
+    return {number, length * (number + 1) - storeTime};
 }
 
-void noteRefused(ServerPace &pace, const RefusalBound &bound, TimePoint now)
+int ownedSlots(std::span<const std::uint64_t> vms, std::uint64_t ownHash, std::uint64_t server, int slots, std::int64_t number)
 {
-    // Several refusals of one moment are one sign.
-    if (now < pace.pausedUntil) {
-        return;
+    int owned = 0;
+    for (int slot = 0; slot < slots; slot++) {
+        owned += serverlimits::permitOwner(vms, server, number * SlotNumbers + slot) == ownHash ? 1 : 0;
     }
-    pace.requestsPerSecond = std::max(MinRequestsPerSecond, pace.requestsPerSecond * PaceAfterRefusal);
-    pace.pausedUntil = now + pauseAfterRefusal(bound);
-    pace.tokens = std::min(pace.tokens, 0.0);
+    return owned;
 }
 
-void noteDown(ServerPace &pace, TimePoint now)
+bool mayStart(const Turn &turn, Duration serviceTime)
 {
-    restart(pace);
-    pace.pausedUntil = std::max(pace.pausedUntil, now + PauseWhenDown);
+    return turn.left >= serviceTime;
 }
 
 } // namespace cardamomlift::overload
--- a/src/overload/overloadcontroller.h
+++ b/src/overload/overloadcontroller.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace cardamomlift::overload {
 
@@ -23,14 +24,17 @@
 struct OverloadTools {
     EventLoop *loop = nullptr;
     std::shared_ptr<eventlog::EventLog> log;
-    /// The number of entry VMs; empty while it is not known.
-    std::function<std::optional<std::size_t>()> vmCount;
+    std::string instance; ///< This VM.
+    std::function<std::optional<Duration>()> storeNow; ///< The current time of the store's clock; empty: not known yet.
+    /// The names of all VMs, including this one; empty: not known yet.
+    std::function<std::vector<std::string>()> vms;
     /// True if the server is still listed.
     std::function<bool(const std::string &instance)> isListed;
 };
 
-/// Paces the requests of this VM to servers that announce that they crash when they must refuse too many requests within a second. Each
-/// VM sends its even share of what a server is believed to sustain, and learns that from refusals; the VMs need not communicate.
+/// Limits the open requests of this VM at servers that announce that they crash when they must refuse too many requests within a second.
+/// Each slot of such a server belongs to one VM at a time, by the store's clock, so the VMs need not communicate. How many of the slots
+/// can be used is learnt from refusals.
 class OverloadController
 {
 public:
@@ -38,9 +42,8 @@
 
     /// Whether requests to the server are paced: it has announced it, or is a new instance of a service whose servers do.
     bool isPaced(const ServerKey &server) const;
-    /// Whether this VM may send a request to the server now.
-    bool hasRoom(const ServerKey &server);
-    void noteSent(const ServerKey &server);
+    /// Whether this VM, which has @p open requests at the server, may send another one now.
+    bool hasRoom(const ServerKey &server, int open);
     /// The head of an answer has arrived. @p refusalsPerSecond: what the server bears; empty if it announces nothing.
     void noteAnswer(const ServerKey &server, std::optional<int> refusalsPerSecond);
     void noteRefused(const ServerKey &server);
@@ -48,9 +51,9 @@
     void noteServed(const ServerKey &server, Duration duration);
     /// The server could not be reached, or a connection to it has broken.
     void noteDown(const ServerKey &server);
-    /// This VM's share of the pace, in requests per second; 0 if the server is not paced.
+    /// This VM's share of what the server can run, in requests per second; 0 if the server is not paced.
     double ownRequestsPerSecond(const ServerKey &server) const;
-    /// Forgets servers that are no longer listed. To be called every few seconds.
+    /// Updates the list of VMs and forgets servers that are no longer listed. To be called a few times a second.
     void tick();
     std::size_t pacedServers() const;
 
@@ -58,7 +61,12 @@
     struct ServerState {
         std::string service;
         std::optional<int> refusalsPerSecond; ///< Empty: it announces nothing.
-        ServerPace pace;
+        ServerCapacity capacity;
+        std::uint64_t hash = 0; ///< Of the instance.
+        /// This VM's slots in the current turn, as last computed.
+        std::int64_t turn = -1;
+        int slots = 0; ///< Of the server, of which ownedSlots belong to this VM.
+        int ownedSlots = 0;
     };
     struct ServiceState {
         std::size_t announcing = 0; ///< Servers that announce it.
@@ -66,15 +74,18 @@
         std::optional<Duration> serviceTime; ///< Average time of a request.
     };
     explicit OverloadController(OverloadTools tools);
-    std::size_t vms() const;
+    std::size_t vmCount() const;
+    Duration serviceTime(const std::string &service) const;
     ServerState *paced(const ServerKey &server);
-    ServerPace startPace(const ServerKey &server) const;
+    int ownedSlots(ServerState &state, const Turn &turn) const;
     RefusalBound boundOf(const ServerState &state) const;
     void announce(const ServerKey &server, int refusalsPerSecond);
     void endAnnouncement(ServerState &state, const std::string &instance);
     void log(std::string_view outcome, const std::string &instance, const ServerState &state) const;
 
     OverloadTools tools_;
+    std::uint64_t ownHash_; ///< Of this VM's name.
+    std::vector<std::uint64_t> vms_; ///< Hashes of the names of all VMs, sorted.
     std::unordered_map<std::string, ServerState> servers_; ///< By instance.
     std::unordered_map<std::string, ServiceState> services_; ///< By service.
 };
--- a/src/overload/overloadmodule.cpp
+++ b/src/overload/overloadmodule.cpp
@@ -3,13 +3,14 @@
 #include "kernel/runtime.h"
 #include "metrics/metrics.h"
 #include "overload/overloadcontroller.h"
+#include "presence/clusterclock.h"
 #include "presence/presence.h"
 
 namespace cardamomlift::overload {
 
 namespace {
 
-constexpr Duration TickPeriod = std::chrono::seconds(2);
+constexpr Duration TickPeriod = std::chrono::milliseconds(500);
 
 /// Paces requests to servers that crash when they must refuse too many.
 class OverloadModule : public Module
@@ -35,8 +36,13 @@
         OverloadTools tools;
         tools.loop = context.get<Runtime>()->loop;
         tools.log = context.get<eventlog::EventLog>();
-        tools.vmCount = [presence = context.get<presence::Presence>()] {
-            return presence->vmCount();
+        const auto presence = context.get<presence::Presence>();
+        tools.instance = presence->instance();
+        tools.storeNow = [time = context.get<presence::ClusterClock>()] {
+            return time->storeNow();
+        };
+        tools.vms = [presence] {
+            return presence->vmNames();
         };
         tools.isListed = [directory = context.get<directory::Directory>()](const std::string &instance) {
             return directory->find(instance) != nullptr;
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -492,6 +492,18 @@
     return ownRowSeen_ ? std::optional(peers_.size() + 1) : std::nullopt;
 }
 
+std::vector<std::string> Presence::vmNames() const
+{
+    if (!ownRowSeen_) {
+        return {};
+    }
+    std::vector<std::string> names{tools_.instance};
+    for (const auto &[instance, peer] : peers_) {
+        names.push_back(instance);
+    }
+    return names;
+}
+
 const std::string &Presence::instance() const
 {
     return tools_.instance;
--- a/src/presence/presence.h
+++ b/src/presence/presence.h
@@ -82,6 +82,8 @@
     std::size_t countPeersHeardWithin(Duration age) const;
     /// The number of VMs that have a row, including this one; empty until the rows, including that of this VM, have been read.
     std::optional<std::size_t> vmCount() const;
+    /// The names of these VMs; empty until vmCount() is known.
+    std::vector<std::string> vmNames() const;
     const std::string &instance() const;
     std::uint64_t incarnation() const;
     /// Time since this process started.
--- a/src/serverlimits/serverlimitsmodule.cpp
+++ b/src/serverlimits/serverlimitsmodule.cpp
@@ -12,19 +12,6 @@
 /// How often the list of VMs is updated and unlisted servers are removed.
 constexpr Duration TickPeriod = std::chrono::milliseconds(500);
 
-/// The names of all VMs of the deployment; empty until their rows have been read.
-std::vector<std::string> vmNames(const presence::Presence &presence)
-{
-    if (!presence.vmCount()) {
-        return {};
-    }
-    std::vector<std::string> names{presence.instance()};
-    for (const auto &[instance, peer] : presence.peers()) {
-        names.push_back(instance);
-    }
-    return names;
-}
-
 /// Enforces the rate limits that backend servers advertise.
 class ServerLimitsModule : public Module
 {
@@ -56,7 +43,7 @@
             return time->storeNow();
         };
         tools.vms = [presence] {
-            return vmNames(*presence);
+            return presence->vmNames();
         };
         EventLoop *loop = tools.loop;
         const auto limiter = ServerRateLimiter::create(std::move(tools));
