Never hand over a request that may not start anew

Handed over is only what may run again, or has neither run nor begun its stream, and never a moved run. Test with a move whose target can't be reached: 2 runs before, 1 now; tests-forwarding green.

--- a/src/forwarding/internal/forwardedrequestrelay.cpp
+++ b/src/forwarding/internal/forwardedrequestrelay.cpp
@@ -53,9 +53,11 @@
     return true;
 }
 
+// Another VM starts the request anew. It knows nothing of a KV cache that has been moved for it.
 bool ForwardedRequest::mayRelay() const
 {
-    return source_ == RequestSource::Caller && tools_.relays && relays_ < MaxRelays;
+    const bool mayStartAnew = kvSource_.empty() && (isIdempotent() || (runs_ == 0 && !hasStreamStarted()));
+    return source_ == RequestSource::Caller && tools_.relays && relays_ < MaxRelays && mayStartAnew;
 }
 
 bool ForwardedRequest::shouldRelay() const
--- a/src/forwarding/tests/forwarderrelayfaults_test.cpp
+++ b/src/forwarding/tests/forwarderrelayfaults_test.cpp
@@ -334,6 +334,34 @@
     }
 }
 
+// Guards against a second run of a stream that has been moved to a server which this VM can't reach: another VM would start it anew.
+TEST_F(RelayFaults, AMovedRunIsNotHandedOver)
+{
+    for (const auto &[instance, backend] : backends_) {
+        backend->events = 30;
+        backend->eventGap = milliseconds(100);
+    }
+    TestRequest &request = send(0, "/stream/");
+    pass(milliseconds(400));
+    std::string source;
+    for (const auto &[instance, backend] : backends_) {
+        source = backend->runs.contains(request.id) ? instance : source;
+    }
+    for (const auto &[instance, link] : vms_[0]->links) {
+        if (instance != source) {
+            link->reset();
+        }
+    }
+    directory::BackendServer server = vms_[0]->directory->find(source)->server;
+    server.state = directory::ServerState::Draining;
+    server.isReclaimable = true;
+    server.endsAt = loop_->now() + milliseconds(500);
+    vms_[0]->directory->put(std::move(server));
+    pass(milliseconds(4500));
+    EXPECT_TRUE(request.hasEnded());
+    EXPECT_EQ(runsOf(request.id), 1);
+}
+
 // Guards against servers that work for a caller who has left.
 TEST_F(RelayFaults, ACallerWhoLeavesIsNoticedAtTheServer)
 {
--- a/src/forwarding/tests/vmfleettest.h
+++ b/src/forwarding/tests/vmfleettest.h
@@ -49,6 +49,10 @@
 private:
     void handle(const http1::ExchangePtr &exchange)
     {
+        if (exchange->head().target == "/api/kv-move") {
+            stopStreams(exchange);
+            return;
+        }
         const std::string id(exchange->head().fields.get("X-Attempt-Id"));
         heads.push_back(exchange->head());
         if (refusals > 0) {
@@ -73,6 +77,7 @@
                 cancelled++;
             });
             exchange->begin(std::move(head));
+            streams_.emplace_back(exchange, isGone);
             const auto last = http1::parseNumber(exchange->head().fields.get("Last-Event-Id"));
             sendEvent(exchange, isGone, static_cast<int>(last.value_or(0)) + 1);
             return;
@@ -81,12 +86,26 @@
         loop_.after(delay, [exchange, head, body = exchange->body()] { exchange->answer(head, "answer to " + body); });
     }
 
+    /// Stops all streams, as when their KV caches have been copied to another server.
+    void stopStreams(const http1::ExchangePtr &move)
+    {
+        http1::ResponseHead head;
+        head.status = 200;
+        move->answer(std::move(head), "{\"handle\":\"h1\"}");
+        for (const auto &[stream, isGone] : streams_) {
+            *isGone = true;
+            stream->abort();
+        }
+        streams_.clear();
+    }
+
     void sendEvent(const http1::ExchangePtr &exchange, const std::shared_ptr<bool> &isGone, int number)
     {
         if (*isGone) {
             return;
         }
         if (number > events) {
+            std::erase_if(streams_, [&exchange](const auto &entry) { return entry.first == exchange; });
             exchange->end();
             return;
         }
@@ -96,6 +115,7 @@
 
     EventLoop &loop_;
     std::string instance_;
+    std::vector<std::pair<http1::ExchangePtr, std::shared_ptr<bool>>> streams_;
     std::shared_ptr<http1::HttpServer> server_;
 };
 
