--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -171,6 +171,9 @@
     void forwardRelayedAnswer();
     void endAnsweredRelay();
     void beginStream(const http1::ResponseHead &head);
+    void completeStream(const http1::ResponseHead &head);
+    /// An attempt or a relay has broken after the request may have run: repeats it if it may run again, else fails it.
+    void retryBroken();
     Duration relaySilenceLimit() const;
     void watchRelay();
     void onRelayTimeout();
@@ -211,7 +214,6 @@
     std::optional<Attempt> attempt_;
     std::set<std::string> tried_; ///< Instances not to be chosen again: they failed or refused, or the run leaves them.
     VersionPick pick_ = VersionPick::Usual; ///< For the next send.
-    std::optional<relay::RelayFields> relayedFields_; ///< If another entry VM has handed the request over.
     std::optional<Relay> relay_;
     std::set<std::string> triedPeers_; ///< Entry VMs that could not serve the request.
     TimerId relayTimer_ = 0;
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -128,20 +128,25 @@
 {
     noteServed();
     noteProgress(suspects::CompleteAnswer);
-    const std::string remainder = splitter_.incompleteEvent();
-    if (!headSent_) {
-        // An answer that ends without a whole event is forwarded as it is.
-        exchange_->answer(tools_.wire.writeAnswer(attempt_->head), remainder);
-    } else {
-        exchange_->send(remainder);
-        exchange_->end();
-    }
+    completeStream(attempt_->head);
     logAttempt("answered");
     tools_.metrics->add("requests_answered_total");
     endAttempt(true);
     finish();
 }
 
+void ForwardedRequest::completeStream(const http1::ResponseHead &head)
+{
+    const std::string remainder = splitter_.incompleteEvent();
+    if (!headSent_) {
+        // An answer that ends without a whole event is forwarded as it is.
+        exchange_->answer(tools_.wire.writeAnswer(head), remainder);
+        return;
+    }
+    exchange_->send(remainder);
+    exchange_->end();
+}
+
 void ForwardedRequest::onPlainAnswer()
 {
     if (tools_.usage && customer_ && !usageNoted_) {
@@ -295,6 +300,11 @@
     logAttempt(why);
     tried_.insert(attempt_->server->server.instance);
     endAttempt(false);
+    retryBroken();
+}
+
+void ForwardedRequest::retryBroken()
+{
     splitter_.dropIncompleteEvent();
     if (mayRunAgain() && takeRetry()) {
         tools_.metrics->retried(hasStreamStarted() ? metrics::RetryReason::StreamBroken : metrics::RetryReason::ServerFailed);
--- a/src/forwarding/internal/forwardedrequestrelay.cpp
+++ b/src/forwarding/internal/forwardedrequestrelay.cpp
@@ -33,20 +33,20 @@
     if (source_ == RequestSource::Caller) {
         return true;
     }
-    relayedFields_ = relay::readRelayFields(exchange_->head()).value_or(relay::RelayFields());
-    runs_ = relayedFields_->runs;
-    isAdmitted_ = relayedFields_->isAdmitted;
-    usageNoted_ = relayedFields_->isUsageNoted;
+    const relay::RelayFields fields = relay::readRelayFields(exchange_->head()).value_or(relay::RelayFields());
+    runs_ = fields.runs;
+    isAdmitted_ = fields.isAdmitted;
+    usageNoted_ = fields.isUsageNoted;
     tools_.log->write(Event::RequestTakenOver,
         {{Attribute::Request, request_.id},
-            {Attribute::Peer, relayedFields_->from},
+            {Attribute::Peer, fields.from},
             {Attribute::Attempt, std::int64_t(runs_)},
-            {Attribute::Version, static_cast<std::int64_t>(relayedFields_->manifestVersion)}});
+            {Attribute::Version, static_cast<std::int64_t>(fields.manifestVersion)}});
     if (tools_.reachability->state() == reachability::State::Unreachable) {
         refuse(StatusUnavailable, FailureReason::CutOff, ServersFullRetryAfter);
         return false;
     }
-    if (manifest_->manifest().version < relayedFields_->manifestVersion) {
+    if (manifest_->manifest().version < fields.manifestVersion) {
         refuse(StatusUnavailable, FailureReason::ManifestBehind, ServersFullRetryAfter);
         return false;
     }
@@ -163,13 +163,7 @@
         forwardRelayedAnswer();
         return;
     }
-    const std::string remainder = splitter_.incompleteEvent();
-    if (!headSent_) {
-        exchange_->answer(tools_.wire.writeAnswer(relay_->head), remainder);
-    } else {
-        exchange_->send(remainder);
-        exchange_->end();
-    }
+    completeStream(relay_->head);
     endAnsweredRelay();
 }
 
@@ -221,13 +215,7 @@
     triedPeers_.insert(relay_->peer.instance);
     tools_.relays->noteFailed(relay_->peer.instance);
     endRelay(false);
-    splitter_.dropIncompleteEvent();
-    if (mayRunAgain() && takeRetry()) {
-        tools_.metrics->retried(hasStreamStarted() ? metrics::RetryReason::StreamBroken : metrics::RetryReason::ServerFailed);
-        retry();
-        return;
-    }
-    fail(StatusBadGateway, hasStreamStarted() ? FailureReason::StreamBroken : noRetryReason());
+    retryBroken();
 }
 
 // The other VM may first try a server that accepts no connection.
