--- a/src/relay/tests/relaypool_test.cpp
+++ b/src/relay/tests/relaypool_test.cpp
@@ -93,11 +93,13 @@
 
 TEST_F(RelayPoolTest, OwnRequestsCountBeforeTheNextStatusTellsThem)
 {
+    constexpr int Relays = 3;
     std::vector<std::shared_ptr<http1::BackendChannel>> channels;
-    for (int i = 0; i < 3; i++) {
+    channels.reserve(Relays);
+    for (int i = 0; i < Relays; i++) {
         channels.push_back(pool_->acquire(candidates_[0].peer));
     }
-    EXPECT_EQ(pool_->openRelays(), 3);
+    EXPECT_EQ(pool_->openRelays(), Relays);
     EXPECT_EQ(choose(), "b");
     for (auto &channel : channels) {
         pool_->release("a", std::move(channel), false);
