--- a/tests/support/routefleet.cpp
+++ b/tests/support/routefleet.cpp
@@ -282,9 +282,20 @@
     }
 }
 
+void RouteFleet::describeProcess(const std::string &instance)
+{
+    Process &process = *workers_.at(instance);
+    const std::string state = process.isRunning() ? "runs" : fmt::format("ended with {}", process.wait());
+    ADD_FAILURE() << fmt::format("{}, process {}, {}: {}", instance, process.pid(), state, process.log());
+}
+
 Json::Value RouteFleet::controlWorker(const std::string &instance, const Json::Value &body)
 {
-    return put("POST", fmt::format("http://{}/control", workerAddresses_.at(instance)), http::writeJson(body))->json();
+    const auto call = put("POST", fmt::format("http://{}/control", workerAddresses_.at(instance)), http::writeJson(body));
+    if (call->status != StatusOk) {
+        describeProcess(instance);
+    }
+    return call->json();
 }
 
 int RouteFleet::runsOf(const std::string &id)
--- a/tests/support/routefleet.h
+++ b/tests/support/routefleet.h
@@ -97,6 +97,8 @@
     std::string address(int host) const;
     void startWorker(const std::string &instance);
     void stopWorker(const std::string &instance);
+    /// Adds a failure that says whether the worker's process has ended, and what it wrote.
+    void describeProcess(const std::string &instance);
     std::string storeUrl(const std::string &path) const;
     std::vector<Arrival> arrivalsAt(const std::string &instance);
     TestCallPtr put(const std::string &method, const std::string &url, const std::string &body);
