--- a/src/gateway/internal/peerrelay.cpp
+++ b/src/gateway/internal/peerrelay.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <utility>
 
 namespace cardamomlift::gateway {
 
@@ -215,8 +216,12 @@
     }
     const bool isComplete = result.transport == http::Transport::Completed;
     if (responder->isStreaming()) {
-        // A caller whose stream breaks resumes it.
-        isComplete ? responder->finish() : responder->abort();
+        if (isComplete) {
+            responder->finish();
+        } else {
+            // A caller whose stream breaks resumes it.
+            responder->abort();
+        }
         return;
     }
     const bool isUnavailable = isComplete && http::headerValue(relay->headers, RelayHeader) == UnavailableMark;
