--- a/src/forwarding/tests/vmfleettest.h
+++ b/src/forwarding/tests/vmfleettest.h
@@ -221,7 +221,11 @@
         tools.outliers = outliers::OutlierDetector::create(*loop_, vm.log);
         tools.reachability = reachability::ReachabilityTracker::create(
             {loop_.get(), [directory = vm.directory] { return reachability::probeTargets(*directory); }, vm.log, tools.metrics, {}});
-        tools.reachability->onChange([outliers = tools.outliers](bool) { outliers->forgetFailures(); });
+        tools.reachability->onChange([weak = std::weak_ptr<outliers::OutlierDetector>(tools.outliers)](bool) {
+            if (const auto outliers = weak.lock()) {
+                outliers->forgetFailures();
+            }
+        });
         tools.outliers->setCutOffCheck([reachability = tools.reachability] { return reachability->mayBeCutOff(); });
         tools.peerBacklog = std::make_shared<PeerBacklog>();
         tools.prefixes = prefixindex::PrefixIndex::create(*loop_);
--- a/src/outliers/outliersmodule.cpp
+++ b/src/outliers/outliersmodule.cpp
@@ -42,7 +42,11 @@
         });
         const auto reachability = context.get<reachability::ReachabilityTracker>();
         detector->setCutOffCheck([reachability] { return reachability->mayBeCutOff(); });
-        reachability->onChange([detector](bool) { detector->forgetFailures(); });
+        reachability->onChange([weak = std::weak_ptr<OutlierDetector>(detector)](bool) {
+            if (const auto open = weak.lock()) {
+                open->forgetFailures();
+            }
+        });
         loop->every(TickPeriod, [detector] { detector->tick(); });
         context.set(detector);
         return success();
