--- a/tests/chatcutoff_test.cpp
+++ b/tests/chatcutoff_test.cpp
@@ -94,8 +94,13 @@
             waitFor(RequestPeriod);
         }
         fleet_.caller.waitEnded(calls, "all requests end");
-        return static_cast<std::size_t>(std::count_if(
-            calls.begin(), calls.end(), [](const TestCallPtr &call) { return call->status != StatusOk || (GetParam() == "stream" && !call->isWhole()); }));
+        return static_cast<std::size_t>(std::count_if(calls.begin(), calls.end(), [&entry](const TestCallPtr &call) {
+            const bool isServed = call->status == StatusOk && (GetParam() != "stream" || call->isWhole());
+            if (!isServed) {
+                std::printf("%s: status %d %s\n", entry.c_str(), call->status, call->errorCode().c_str());
+            }
+            return !isServed;
+        }));
     }
 
     TimePoint now()
