Do not hand over a request that a server has refused

By reading: a request that was refused, or misdirected, by one server and could not connect to another went to other VMs with no repeat spent, and each VM that answered unavailable after a refusal of its own let the next one try. A server that refuses is reached, so there is no reason to go by way of another VM.

Not shown red: the test added here is green without the change as well; it guards the bound.

--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -219,6 +219,7 @@
     TimerId relayTimer_ = 0;
     int relays_ = 0;
     int connectFailures_ = 0; ///< Servers that could not be reached.
+    bool wasRefusedByServer_ = false;
     int sends_ = 0;
     int runs_ = 0; ///< Sends after which the request may have run.
     /// A run that is being moved to another server.
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -192,6 +192,7 @@
 void ForwardedRequest::onNotRun(std::string_view why)
 {
     logAttempt(why);
+    wasRefusedByServer_ = true;
     tried_.insert(attempt_->server->server.instance);
     // The next server would be the next to refuse it.
     const bool isLastSend = isPaced();
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -97,7 +97,8 @@
     if (retryAfter.count() > 0) {
         head.fields.add("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(retryAfter).count()));
     }
-    if (source_ == RequestSource::Peer && mayBeServedElsewhere(reason)) {
+    // What a server has refused would reach the next one as a repeat.
+    if (source_ == RequestSource::Peer && mayBeServedElsewhere(reason) && !wasRefusedByServer_) {
         relay::markUnavailable(head);
     }
     const auto age = tools_.manifests->age(tools_.loop->now());
--- a/src/forwarding/internal/forwardedrequestrelay.cpp
+++ b/src/forwarding/internal/forwardedrequestrelay.cpp
@@ -53,10 +53,11 @@
     return true;
 }
 
-// Another VM starts the request anew. It knows nothing of a KV cache that has been moved for it.
+// Another VM starts the request anew. It knows nothing of a KV cache that has been moved for it, and offers it to a server: after a refusal
+// that would be a repeat.
 bool ForwardedRequest::mayRelay() const
 {
-    const bool mayStartAnew = kvSource_.empty() && (isIdempotent() || (runs_ == 0 && !hasStreamStarted()));
+    const bool mayStartAnew = kvSource_.empty() && !wasRefusedByServer_ && (isIdempotent() || (runs_ == 0 && !hasStreamStarted()));
     return source_ == RequestSource::Caller && tools_.relays && relays_ < MaxRelays && mayStartAnew;
 }
 
--- a/src/forwarding/tests/forwarderrelayfaults_test.cpp
+++ b/src/forwarding/tests/forwarderrelayfaults_test.cpp
@@ -362,6 +362,29 @@
     EXPECT_EQ(runsOf(request.id), 1);
 }
 
+// Guards against repeats that no budget counts: each VM that is asked would offer the request to a server.
+TEST_F(RelayFaults, WhatAServerHasRefusedIsNotOfferedToOtherVms)
+{
+    for (const auto &vm : vms_) {
+        vm->tools.settings.retrySlack = 0;
+        start(*vm);
+    }
+    for (const auto &[instance, backend] : backends_) {
+        backend->refusals = 1000;
+        if (instance != "server-0") {
+            vms_[0]->links[instance]->reset();
+        }
+    }
+    constexpr int Requests = 40;
+    for (int i = 0; i < Requests; i++) {
+        send(0, "/once/");
+        pass(milliseconds(100));
+    }
+    pass(milliseconds(1500));
+    // Each VM may save up one repeat.
+    EXPECT_LE(runsAtBackends(), static_cast<std::size_t>(Requests * (1 + ForwardingSettings().retryRatio)) + Vms);
+}
+
 // Guards against servers that work for a caller who has left.
 TEST_F(RelayFaults, ACallerWhoLeavesIsNoticedAtTheServer)
 {
