Let the VM that hands a request over count and repeat its runs

The VM that had taken a stream over repeated it up to the route's attempts, then broke off; the first VM counted that as one run and handed it over again.

A VM now runs what it takes over once, and passes a failure or a break on. Where a server has failed, or the other VM has no answer, the first VM repeats the request within the route's attempts and its own budget. So each run is counted in one place, and the header needs not say how many there were.

--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -169,6 +169,8 @@
     void onRelayUnavailable(std::string_view why, bool keepChannel);
     void onRelayBroken(std::string_view why);
     void forwardRelayedAnswer();
+    /// Repeats a request that has failed at another VM, if it may run again. Returns false if not.
+    bool retryRelayed();
     void endAnsweredRelay();
     void beginStream(const http1::ResponseHead &head);
     void completeStream(const http1::ResponseHead &head);
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -285,9 +285,10 @@
     return route_->kind == manifest::RouteKind::Idempotent || (isStream() && route_->isResumable);
 }
 
+// The runs of a request that another VM has handed over are counted, and repeated, by that VM.
 bool ForwardedRequest::mayRunAgain() const
 {
-    return isIdempotent() && runs_ < route_->maxAttempts;
+    return source_ == RequestSource::Caller && isIdempotent() && runs_ < route_->maxAttempts;
 }
 
 bool ForwardedRequest::takeRetry()
--- a/src/forwarding/internal/forwardedrequestrelay.cpp
+++ b/src/forwarding/internal/forwardedrequestrelay.cpp
@@ -34,14 +34,10 @@
         return true;
     }
     const relay::RelayFields fields = relay::readRelayFields(exchange_->head()).value_or(relay::RelayFields());
-    runs_ = fields.runs;
     isAdmitted_ = fields.isAdmitted;
     usageNoted_ = fields.isUsageNoted;
     tools_.log->write(Event::RequestTakenOver,
-        {{Attribute::Request, request_.id},
-            {Attribute::Peer, fields.from},
-            {Attribute::Attempt, std::int64_t(runs_)},
-            {Attribute::Version, static_cast<std::int64_t>(fields.manifestVersion)}});
+        {{Attribute::Request, request_.id}, {Attribute::Peer, fields.from}, {Attribute::Version, static_cast<std::int64_t>(fields.manifestVersion)}});
     if (tools_.reachability->state() == reachability::State::Unreachable) {
         refuse(StatusUnavailable, FailureReason::CutOff, ServersFullRetryAfter);
         return false;
@@ -81,7 +77,6 @@
     relay::RelayFields fields;
     fields.from = tools_.settings.instance;
     fields.manifestVersion = manifest_->manifest().version;
-    fields.runs = runs_;
     fields.isAdmitted = isAdmitted_;
     fields.isUsageNoted = usageNoted_;
     return fields;
@@ -171,11 +166,17 @@
 // The answer is a server's, or the other VM's own. What that VM says of the request holds for its own sends only.
 void ForwardedRequest::forwardRelayedAnswer()
 {
-    const bool isNotRun = saysNotRun(relay_->head.status) && !tools_.wire.readAnswer(relay_->head).isSigned;
+    const int status = relay_->head.status;
+    const bool isSigned = tools_.wire.readAnswer(relay_->head).isSigned;
+    const bool isNotRun = saysNotRun(status) && !isSigned;
     if (hasStreamStarted() || (isNotRun && runs_ > 0)) {
         fail(StatusBadGateway, hasStreamStarted() ? FailureReason::StreamBroken : FailureReason::OutcomeUnknown);
         return;
     }
+    const bool hasFailed = isSigned ? status >= StatusServerError : status == StatusBadGateway;
+    if (hasFailed && retryRelayed()) {
+        return;
+    }
     if (isNotRun && allowanceTaken_) {
         tools_.allowances->refund(*customer_, cost());
     }
@@ -183,6 +184,21 @@
     endAnsweredRelay();
 }
 
+// The other VM could not get an answer from a server, or the server has failed.
+bool ForwardedRequest::retryRelayed()
+{
+    runs_++;
+    if (!mayRunAgain() || !takeRetry()) {
+        return false;
+    }
+    logRelay("server_error");
+    triedPeers_.insert(relay_->peer.instance);
+    endRelay(true);
+    tools_.metrics->retried(metrics::RetryReason::ServerFailed);
+    retry();
+    return true;
+}
+
 void ForwardedRequest::endAnsweredRelay()
 {
     logRelay("answered");
--- a/src/forwarding/tests/vmfleettest.h
+++ b/src/forwarding/tests/vmfleettest.h
@@ -44,6 +44,7 @@
     int events = 3;
     Duration eventGap{0};
     int cancelled = 0; ///< Requests whose connection was closed before their answer was complete.
+    int breakAfter = -1; ///< Events after which a stream breaks, and plain requests are run and broken off; -1: none.
     int refusals = 0; ///< So many requests are turned away, not run.
 
 private:
@@ -82,6 +83,10 @@
             sendEvent(exchange, isGone, static_cast<int>(last.value_or(0)) + 1);
             return;
         }
+        if (breakAfter >= 0) {
+            exchange->abort();
+            return;
+        }
         exchange->onDisconnected([this] { cancelled++; });
         loop_.after(delay, [exchange, head, body = exchange->body()] { exchange->answer(head, "answer to " + body); });
     }
@@ -104,6 +109,11 @@
         if (*isGone) {
             return;
         }
+        if (breakAfter >= 0 && number > breakAfter) {
+            *isGone = true;
+            exchange->abort();
+            return;
+        }
         if (number > events) {
             std::erase_if(streams_, [&exchange](const auto &entry) { return entry.first == exchange; });
             exchange->end();
--- a/src/relay/internal/relayformat.cpp
+++ b/src/relay/internal/relayformat.cpp
@@ -10,12 +10,11 @@
 
 namespace {
 
-/// "manifest version;runs;admitted;usage noted;VM" in requests, UnavailableMark in answers.
+/// "manifest version;admitted;usage noted;VM" in requests, UnavailableMark in answers.
 constexpr std::string_view RelayHeader = "Cardamomlift-Relay";
 constexpr std::string_view UnavailableMark = "unavailable";
 constexpr char Separator = ';';
-constexpr std::size_t Numbers = 4;
-constexpr std::int64_t MaxRuns = 1000;
+constexpr std::size_t Numbers = 3;
 
 /// Removes the part before the next separator from @p text and returns it.
 std::string_view takePart(std::string_view &text)
@@ -30,8 +29,7 @@
 
 void writeRelayFields(const RelayFields &fields, http1::RequestHead &head)
 {
-    head.fields.set(
-        RelayHeader, fmt::format("{};{};{};{};{}", fields.manifestVersion, fields.runs, int(fields.isAdmitted), int(fields.isUsageNoted), fields.from));
+    head.fields.set(RelayHeader, fmt::format("{};{};{};{}", fields.manifestVersion, int(fields.isAdmitted), int(fields.isUsageNoted), fields.from));
 }
 
 std::optional<RelayFields> readRelayFields(const http1::RequestHead &head)
@@ -51,8 +49,8 @@
     if (text.empty()) {
         return std::nullopt;
     }
-    const auto [version, runs, isAdmitted, isUsageNoted] = numbers;
-    return RelayFields{std::string(text), static_cast<std::uint64_t>(version), static_cast<int>(std::min(runs, MaxRuns)), isAdmitted != 0, isUsageNoted != 0};
+    const auto [version, isAdmitted, isUsageNoted] = numbers;
+    return RelayFields{std::string(text), static_cast<std::uint64_t>(version), isAdmitted != 0, isUsageNoted != 0};
 }
 
 void removeRelayFields(http1::RequestHead &head)
