Earn a request's repeats once, at the VM that its caller sent it to

Each VM that took a request over earned repeats by it, up to five for one request, and all of them could be spent: the sum over VMs passed the budget.

The VM of the caller earns them when the request comes in, also if it hands it over at once.

--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -62,6 +62,9 @@
         return;
     }
     service_ = chooseService();
+    if (source_ == RequestSource::Caller) {
+        forwarder_.budget(service_).addRequest(service_);
+    }
     dispatch();
 }
 
@@ -148,7 +151,6 @@
         return false;
     }
     isAdmitted_ = true;
-    forwarder_.budget(service_).addRequest(service_);
     tools_.demand->noteRequest(service_, request_.promptTokens, tools_.loop->now());
     demandNoted_ = true;
     if (tools_.versions) {
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -46,7 +46,7 @@
     ForwardedRequest(Forwarder &forwarder, http1::ExchangePtr exchange, RequestSource source);
     /// Takes in what the VM says that has handed the request over. Ends the request if this VM can't serve it.
     bool checkRelay();
-    /// Counts the request for its customer and service, once. Ends it if the customer's allowance is used up.
+    /// Counts the request in its customer's allowance and the service's demand, once. Ends it if the allowance is used up.
     bool admit();
     bool checkRequest();
     bool findRoute();
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -28,7 +28,7 @@
 struct RelayFields {
     std::string from; ///< The VM that the caller sent it to.
     std::uint64_t manifestVersion = 0; ///< Of the manifest in force there. An older one must not be applied to the request.
-    bool isAdmitted = false; ///< It is counted there: in the customer's allowance, in the demand, and for the retry budget.
+    bool isAdmitted = false; ///< It is counted there in the customer's allowance and in the service's demand.
     bool isUsageNoted = false; ///< The start of its run is counted there.
 };
 
