--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -36,7 +36,7 @@
     ServerBackoff, ///< The server turned a request away and accepts none from this VM for some time.
     ServersUnreachable, ///< This VM reaches no backend server; the line has the evidence.
     ServersReachable, ///< This VM reaches a backend server again.
-    ServerPaced, ///< Requests to a server that crashes when it must refuse too many are paced, or are no longer.
+    ServerOverload, ///< The open requests at a server that crashes when it must refuse too many are limited, or no longer are.
     ServerLimited, ///< The server set, changed or removed its limit on requests.
     ServerCrashSuspected, ///< A connection to the server broke while it ran requests, here or at another VM.
     ServerCrashConfirmed, ///< The server's entry is gone, and it had not been draining.
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -33,7 +33,7 @@
     "server_backoff",
     "servers_unreachable",
     "servers_reachable",
-    "server_paced",
+    "server_overload",
     "server_limited",
     "server_crash_suspected",
     "server_crash_confirmed",
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -86,9 +86,9 @@
     balancing::Candidate candidateOf(const directory::KnownServer &known, std::span<const prefixindex::PrefixMatch> matches) const;
     bool skipIfBackingOff(const std::string &instance, Choice &choice) const;
     bool skipIfLimited(const std::string &instance, Choice &choice) const;
-    bool skipIfPaced(const directory::BackendServer &server, Choice &choice) const;
+    bool skipIfNoSlot(const directory::BackendServer &server, Choice &choice) const;
     /// Of the current attempt's server.
-    bool isPaced() const;
+    bool isManaged() const;
     overload::ServerKey serverKey() const;
     /// True if the server recovers from a backoff and has as many open requests of this VM as it should have.
     bool isAtRecoveryLimit(const std::string &instance) const;
@@ -114,7 +114,7 @@
     void onHead(http1::ResponseHead head);
     /// Takes in what the server says of itself in any answer, also one to another request.
     void noteAnnouncements(const std::string &instance, const BackendAnswer &answer) const;
-    void notePace();
+    void noteOverload();
     void noteServed();
     void onBody(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -24,7 +24,7 @@
     if (tools_.limits) {
         tools_.limits->noteAnswer(instance, attempt_->answer.limit, attempt_->sentAt);
     }
-    notePace();
+    noteOverload();
     if (!attempt_->answer.isNotRun && !attempt_->answer.backoff) {
         tools_.backoffs->noteAnswered(instance, attempt_->sentAt);
     } else if (attempt_->head.status == StatusUnavailable && !attempt_->answer.backoff) {
@@ -46,7 +46,7 @@
 }
 
 // A 421 comes from another process at the server's address.
-void ForwardedRequest::notePace()
+void ForwardedRequest::noteOverload()
 {
     if (!tools_.overload || attempt_->head.status == StatusMisdirected) {
         return;
@@ -195,7 +195,7 @@
     wasRefusedByServer_ = true;
     tried_.insert(attempt_->server->server.instance);
     // The next server would be the next to refuse it.
-    const bool isLastSend = isPaced();
+    const bool isLastSend = isManaged();
     endAttempt(true);
     const Choice next = chooseServer();
     if (isLastSend && runs_ == 0 && !hasStreamStarted()) {
@@ -239,7 +239,7 @@
         return;
     }
     noteOutcome(outliers::Ending::NoAnswer);
-    const bool mayBeOverloaded = isPaced();
+    const bool mayBeOverloaded = isManaged();
     if (mayBeOverloaded) {
         tools_.overload->noteDown(serverKey());
     }
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -72,7 +72,7 @@
             choice.tried++;
             continue;
         }
-        if (skipIfLimited(instance, choice) || skipIfPaced(server->server, choice)) {
+        if (skipIfLimited(instance, choice) || skipIfNoSlot(server->server, choice)) {
             continue;
         }
         if (isAtRecoveryLimit(instance) || tools_.backoffs->isOverloaded(instance)) {
@@ -158,7 +158,7 @@
     return true;
 }
 
-bool ForwardedRequest::skipIfPaced(const directory::BackendServer &server, Choice &choice) const
+bool ForwardedRequest::skipIfNoSlot(const directory::BackendServer &server, Choice &choice) const
 {
     const overload::ServerKey key{server.instance, server.service, server.slots};
     const ServerEntry *entry = tools_.pool->find(server.instance);
@@ -170,9 +170,9 @@
     return true;
 }
 
-bool ForwardedRequest::isPaced() const
+bool ForwardedRequest::isManaged() const
 {
-    return tools_.overload && tools_.overload->isPaced(serverKey());
+    return tools_.overload && tools_.overload->isManaged(serverKey());
 }
 
 overload::ServerKey ForwardedRequest::serverKey() const
--- a/src/overload/internal/overloadcontroller.cpp
+++ b/src/overload/internal/overloadcontroller.cpp
@@ -46,7 +46,7 @@
     return found == services_.end() ? AssumedServiceTime : found->second.serviceTime.value_or(AssumedServiceTime);
 }
 
-bool OverloadController::isPaced(const ServerKey &server) const
+bool OverloadController::isManaged(const ServerKey &server) const
 {
     const auto found = servers_.find(server.instance);
     if (found != servers_.end()) {
@@ -56,9 +56,9 @@
     return service != services_.end() && service->second.announcing > 0;
 }
 
-OverloadController::ServerState *OverloadController::paced(const ServerKey &server)
+OverloadController::ServerState *OverloadController::managed(const ServerKey &server)
 {
-    if (!isPaced(server)) {
+    if (!isManaged(server)) {
         return nullptr;
     }
     const auto [entry, isNew] = servers_.try_emplace(server.instance);
@@ -78,7 +78,7 @@
 
 bool OverloadController::hasRoom(const ServerKey &server, int open)
 {
-    ServerState *state = paced(server);
+    ServerState *state = managed(server);
     if (!state) {
         return true;
     }
@@ -152,7 +152,7 @@
 
 void OverloadController::noteRefused(const ServerKey &server)
 {
-    if (ServerState *state = paced(server)) {
+    if (ServerState *state = managed(server)) {
         overload::noteRefused(state->capacity, boundOf(*state), tools_.loop->now());
         log("refused", server.instance, *state);
     }
@@ -167,7 +167,7 @@
 
 void OverloadController::noteDown(const ServerKey &server)
 {
-    if (ServerState *state = paced(server)) {
+    if (ServerState *state = managed(server)) {
         overload::noteDown(state->capacity, tools_.loop->now());
         log("down", server.instance, *state);
     }
@@ -185,7 +185,7 @@
 
 void OverloadController::log(std::string_view outcome, const std::string &instance, const ServerState &state) const
 {
-    tools_.log->write(Event::ServerPaced,
+    tools_.log->write(Event::ServerOverload,
         {{Attribute::Server, instance},
             {Attribute::Service, state.service},
             {Attribute::Outcome, outcome},
@@ -212,7 +212,7 @@
     }
 }
 
-std::size_t OverloadController::pacedServers() const
+std::size_t OverloadController::managedServers() const
 {
     return static_cast<std::size_t>(
         std::count_if(servers_.begin(), servers_.end(), [](const auto &entry) { return entry.second.refusalsPerSecond.has_value(); }));
--- a/src/overload/overloadcontroller.h
+++ b/src/overload/overloadcontroller.h
@@ -40,8 +40,8 @@
 public:
     static std::shared_ptr<OverloadController> create(OverloadTools tools);
 
-    /// Whether requests to the server are paced: it has announced it, or is a new instance of a service whose servers do.
-    bool isPaced(const ServerKey &server) const;
+    /// Whether open requests at the server are limited: it has announced it, or is a new instance of a service whose servers do.
+    bool isManaged(const ServerKey &server) const;
     /// Whether this VM, which has @p open requests at the server, may send another one now.
     bool hasRoom(const ServerKey &server, int open);
     /// The head of an answer has arrived. @p refusalsPerSecond: what the server bears; empty if it announces nothing.
@@ -51,11 +51,11 @@
     void noteServed(const ServerKey &server, Duration duration);
     /// The server could not be reached, or a connection to it has broken.
     void noteDown(const ServerKey &server);
-    /// This VM's share of what the server can run, in requests per second; 0 if the server is not paced.
+    /// This VM's share of what the server can run, in requests per second; 0 if they are not limited.
     double ownRequestsPerSecond(const ServerKey &server) const;
     /// Updates the list of VMs and forgets servers that are no longer listed. To be called a few times a second.
     void tick();
-    std::size_t pacedServers() const;
+    std::size_t managedServers() const;
 
 private:
     struct ServerState {
@@ -76,7 +76,7 @@
     explicit OverloadController(OverloadTools tools);
     std::size_t vmCount() const;
     Duration serviceTime(const std::string &service) const;
-    ServerState *paced(const ServerKey &server);
+    ServerState *managed(const ServerKey &server);
     int ownedSlots(ServerState &state, const Turn &turn) const;
     RefusalBound boundOf(const ServerState &state) const;
     void announce(const ServerKey &server, int refusalsPerSecond);
--- a/src/overload/overloadmodule.cpp
+++ b/src/overload/overloadmodule.cpp
@@ -12,7 +12,7 @@
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(500);
 
-/// Paces requests to servers that crash when they must refuse too many.
+/// Limits the open requests at servers that crash when they must refuse too many.
 class OverloadModule : public Module
 {
 public:
@@ -50,7 +50,7 @@
         EventLoop *loop = tools.loop;
         const auto controller = OverloadController::create(std::move(tools));
         loop->every(TickPeriod, [controller] { controller->tick(); });
-        context.get<metrics::Metrics>()->gauge("servers_paced", [controller] { return static_cast<double>(controller->pacedServers()); });
+        context.get<metrics::Metrics>()->gauge("servers_overload_managed", [controller] { return static_cast<double>(controller->managedServers()); });
         context.set(controller);
         return success();
     }
--- a/src/overload/tests/overloadcontroller_test.cpp
+++ b/src/overload/tests/overloadcontroller_test.cpp
@@ -72,12 +72,12 @@
     std::shared_ptr<OverloadController> controller_;
 };
 
-TEST_F(OverloadControllerTest, AServerThatAnnouncesNothingIsNotPaced)
+TEST_F(OverloadControllerTest, AServerThatAnnouncesNothingIsNotLimited)
 {
     EXPECT_EQ(room(one_), 100);
     controller_->noteRefused(one_);
     EXPECT_TRUE(controller_->hasRoom(one_, 99));
-    EXPECT_EQ(controller_->pacedServers(), 0U);
+    EXPECT_EQ(controller_->managedServers(), 0U);
 }
 
 TEST_F(OverloadControllerTest, AVmUsesItsShareOfTheSlots)
@@ -141,7 +141,7 @@
 TEST_F(OverloadControllerTest, ANewInstanceOfTheServiceStartsSlowly)
 {
     controller_->noteAnswer(one_, 5);
-    EXPECT_TRUE(controller_->isPaced(two_));
+    EXPECT_TRUE(controller_->isManaged(two_));
     EXPECT_LT(controller_->ownRequestsPerSecond(two_), controller_->ownRequestsPerSecond(one_));
     EXPECT_LE(room(two_), 3);
 }
@@ -151,7 +151,7 @@
     controller_->noteAnswer(one_, 5);
     controller_->noteAnswer(one_, std::nullopt);
     EXPECT_EQ(room(one_), 100);
-    EXPECT_FALSE(controller_->isPaced(two_));
+    EXPECT_FALSE(controller_->isManaged(two_));
 }
 
 TEST_F(OverloadControllerTest, AServerThatIsGoneIsForgotten)
@@ -159,8 +159,8 @@
     controller_->noteAnswer(one_, 5);
     unlisted_.insert(nameOne_);
     controller_->tick();
-    EXPECT_EQ(controller_->pacedServers(), 0U);
-    EXPECT_FALSE(controller_->isPaced(two_));
+    EXPECT_EQ(controller_->managedServers(), 0U);
+    EXPECT_FALSE(controller_->isManaged(two_));
 }
 
 } // namespace
--- a/src/overload/tests/overloadmodel_test.cpp
+++ b/src/overload/tests/overloadmodel_test.cpp
@@ -30,7 +30,7 @@
     std::vector<TimePoint> ends; ///< Of the requests that run.
     std::deque<TimePoint> refusals; ///< Of the last second.
     TimePoint downUntil;
-    int falls = 0;
+    int crashes = 0;
 
     bool isDown(TimePoint now) const
     {
@@ -50,7 +50,7 @@
             refusals.pop_front();
         }
         if (refusals.size() > static_cast<std::size_t>(deployment.refusalsPerSecond)) {
-            falls++;
+            crashes++;
             refusals.clear();
             ends.clear();
             downUntil = now + std::chrono::seconds(3);
@@ -60,7 +60,7 @@
 };
 
 struct Outcome {
-    int falls = 0;
+    int crashes = 0;
     int asked = 0;
     int served = 0;
 };
@@ -97,7 +97,7 @@
             ask(random_() % deployment_.vms);
         }
         for (const Server &server : servers_) {
-            outcome_.falls += server.falls;
+            outcome_.crashes += server.crashes;
         }
         return outcome_;
     }
@@ -160,8 +160,8 @@
     Outcome outcome_;
 };
 
-/// In one time in which servers say so, they may fall over this often.
-int allowedFalls(const Deployment &deployment)
+/// Crashes that are allowed while servers announce it.
+int allowedCrashes(const Deployment &deployment)
 {
     return 2 + static_cast<int>(deployment.servers) / 10;
 }
@@ -172,7 +172,7 @@
     void play(const Deployment &deployment)
     {
         const Outcome outcome = Model(deployment, GetParam()).run(std::chrono::seconds(20));
-        EXPECT_LE(outcome.falls, allowedFalls(deployment)) << outcome.served << " of " << outcome.asked << " served";
+        EXPECT_LE(outcome.crashes, allowedCrashes(deployment)) << outcome.served << " of " << outcome.asked << " served";
         // Refusing everything would keep the servers up too.
         EXPECT_GE(outcome.served * deployment.load * 3, outcome.asked) << "a third of what the servers could run";
     }
--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -101,16 +101,16 @@
     }
 };
 
-/// A worker with little room that falls over when it has to turn away too many requests within a second.
-struct Brittleness {
-    int refusalsPerSecond = -1; ///< As it is told in all answers; -1: it is not brittle.
+/// A worker with little room that crashes when it must refuse too many requests within a second.
+struct OverloadCrash {
+    int refusalsPerSecond = -1; ///< As it is told in all answers; -1: it bears any number.
     std::size_t room = 0; ///< Requests that run at once from LimitKnownAfter after the first such answer.
     Duration downTime = std::chrono::seconds(3);
     std::optional<TimePoint> firstToldAt;
     std::deque<TimePoint> refusals; ///< Of the last second.
     std::vector<http1::ExchangePtr> running;
     std::optional<TimePoint> downUntil;
-    int falls = 0;
+    int crashes = 0;
 
     bool isActive(TimePoint now) const
     {
@@ -135,24 +135,23 @@
         }
     }
 
-    /// Counts a request that is turned away. Returns true if the worker falls over by it.
-    bool noteRefusal(TimePoint now)
+    /// Counts a request that is refused; one too many within a second ends all that run.
+    void noteRefusal(TimePoint now)
     {
         refusals.push_back(now);
         while (now - refusals.front() > std::chrono::seconds(1)) {
             refusals.pop_front();
         }
         if (refusals.size() <= static_cast<std::size_t>(std::max(0, refusalsPerSecond))) {
-            return false;
+            return;
         }
-        falls++;
+        crashes++;
         refusals.clear();
         downUntil = now + downTime;
         for (const http1::ExchangePtr &exchange : running) {
             exchange->abort();
         }
         running.clear();
-        return true;
     }
 };
 
@@ -178,7 +177,7 @@
     bool announcesLeaving = false; ///< All answers say that the worker leaves.
     std::string retryAfter; ///< Sent with each refusal while full, as it is; empty: none.
     NamedLimit limit;
-    Brittleness brittleness;
+    OverloadCrash overload;
 
     http1::ResponseHead head(int status, const std::string &id)
     {
@@ -186,7 +185,7 @@
         head.status = status;
         head.fields.add("X-Attempt-Id", id);
         limit.addTo(head, loop->now());
-        brittleness.addTo(head, loop->now());
+        overload.addTo(head, loop->now());
         if (announcesLeaving) {
             head.fields.add("Server-Leaving", "1");
         }
@@ -222,7 +221,7 @@
         }
         json["cancelled"] = cancelled;
         json["afterLeaving"] = afterLeaving;
-        json["falls"] = brittleness.falls;
+        json["crashes"] = overload.crashes;
         json["mostInLimitWindow"] = Json::Int64(limit.mostInWindow);
         json["limitNamedMs"] =
             limit.firstNamedAt ? Json::Int64(std::chrono::duration_cast<std::chrono::milliseconds>(loop->now() - *limit.firstNamedAt).count()) : -1;
@@ -274,8 +273,8 @@
         announcesLeaving = body.get("announcesLeaving", announcesLeaving).asBool();
         retryAfter = body.get("retryAfter", retryAfter).asString();
         limit.perSecond = body.get("limit", limit.perSecond).asString();
-        brittleness.refusalsPerSecond = static_cast<int>(number("brittle", brittleness.refusalsPerSecond));
-        brittleness.room = static_cast<std::size_t>(number("room", static_cast<std::int64_t>(brittleness.room)));
+        overload.refusalsPerSecond = static_cast<int>(number("refusalsBorne", overload.refusalsPerSecond));
+        overload.room = static_cast<std::size_t>(number("room", static_cast<std::int64_t>(overload.room)));
         exchange->answer(http1::ResponseHead{StatusOk, {}, {}}, http::writeJson(report()));
     }
 
@@ -305,11 +304,11 @@
         }
         afterLeaving += leaving ? 1 : 0;
         limit.noteArrival(loop->now());
-        if (brittleness.isDown(loop->now())) {
+        if (overload.isDown(loop->now())) {
             exchange->abort();
             return;
         }
-        if (!brittleness.hasRoom(loop->now())) {
+        if (!overload.hasRoom(loop->now())) {
             refuseForWantOfRoom(exchange, id);
             return;
         }
@@ -346,9 +345,9 @@
             startStream(exchange, id);
             return;
         }
-        brittleness.running.push_back(exchange);
+        overload.running.push_back(exchange);
         loop->after(delay, [this, exchange, id] {
-            std::erase(brittleness.running, exchange);
+            std::erase(overload.running, exchange);
             exchange->answer(signedHead(id), fmt::format("{} {}", id, exchange->body()));
         });
     }
@@ -358,7 +357,7 @@
         http1::ResponseHead refusal = head(StatusUnavailable, id);
         refusal.fields.add("X-Not-Executed", "1");
         exchange->answer(std::move(refusal), "");
-        brittleness.noteRefusal(loop->now());
+        overload.noteRefusal(loop->now());
     }
 
     void startStream(const http1::ExchangePtr &exchange, const std::string &id)
--- a/tests/brittleservers_test.cpp
+++ b/tests/overload_test.cpp
@@ -1,4 +1,4 @@
-// What entry VMs make of servers that say in their answers that they fall over when they have to turn too many requests away.
+// What entry VMs make of servers that announce in their answers that they crash when they must refuse too many requests.
 
 #include "support/routefleet.h"
 
@@ -26,14 +26,14 @@
 constexpr int Room = 4;
 constexpr milliseconds WorkTime(100);
 constexpr milliseconds LoadTime(10000);
-/// In one time in which servers say so, they may fall over this often.
-constexpr int AllowedFalls = 2 + Workers / 10;
+/// Crashes that are allowed while servers announce it.
+constexpr int AllowedCrashes = 2 + Workers / 10;
 
 /// The parameters are the kind of route, as in the fleet's manifest, and the time between two requests at each VM.
-class BrittleServers : public testing::TestWithParam<std::tuple<std::string, int>>
+class OverloadCrashes : public testing::TestWithParam<std::tuple<std::string, int>>
 {
 protected:
-    BrittleServers()
+    OverloadCrashes()
         : fleet_(Entries, Workers)
     {
         fleet_.waitReady();
@@ -42,7 +42,7 @@
         waitFor(milliseconds(3000));
         Json::Value control;
         control["delayMs"] = Json::Int64(WorkTime.count());
-        control["brittle"] = RefusalsPerSecond;
+        control["refusalsBorne"] = RefusalsPerSecond;
         control["room"] = Room;
         for (const std::string &worker : fleet_.workerNames()) {
             fleet_.controlWorker(worker, control);
@@ -73,11 +73,11 @@
         fleet_.caller.waitEnded(calls_, "all requests end");
     }
 
-    int falls()
+    int crashes()
     {
         int sum = 0;
         for (const std::string &worker : fleet_.workerNames()) {
-            sum += fleet_.controlWorker(worker)["falls"].asInt();
+            sum += fleet_.controlWorker(worker)["crashes"].asInt();
         }
         return sum;
     }
@@ -86,26 +86,26 @@
     std::vector<TestCallPtr> calls_;
 };
 
-// Guards against servers that fall over one after the other, each by the requests that the one before has turned away.
-TEST_P(BrittleServers, AreNotMadeToFallOverByWhatTheyTurnAway)
+// Guards against servers that crash one after the other, each by the requests that the one before has refused.
+TEST_P(OverloadCrashes, AreNotCausedByWhatServersRefuse)
 {
     sendFor(LoadTime);
     const auto served = std::count_if(calls_.begin(), calls_.end(), [](const TestCallPtr &call) { return call->status == StatusOk; });
     const auto refused = std::count_if(calls_.begin(), calls_.end(), [](const TestCallPtr &call) {
         return call->status == StatusUnavailable && std::atof(std::string(http::headerValue(call->headers, "Retry-After")).c_str()) > 0;
     });
-    const int fallen = falls();
-    std::printf("%s, every %d ms at each VM: %zu of %zu served, %zu refused with a time, %d falls\n",
+    const int crashed = crashes();
+    std::printf("%s, every %d ms at each VM: %zu of %zu served, %zu refused with a time, %d crashes\n",
         std::get<std::string>(GetParam()).c_str(),
         std::get<int>(GetParam()),
         static_cast<std::size_t>(served),
         calls_.size(),
         static_cast<std::size_t>(refused),
-        fallen);
-    EXPECT_LE(fallen, AllowedFalls);
+        crashed);
+    EXPECT_LE(crashed, AllowedCrashes);
 }
 
-INSTANTIATE_TEST_SUITE_P(Routes, BrittleServers, testing::Combine(testing::Values("safe", "once"), testing::Values(10, 16)), [](const auto &param) {
+INSTANTIATE_TEST_SUITE_P(Routes, OverloadCrashes, testing::Combine(testing::Values("safe", "once"), testing::Values(10, 16)), [](const auto &param) {
     return fmt::format("{}_{}ms", std::get<std::string>(param.param), std::get<int>(param.param));
 });
 
