Test chats over hanging and half-living cuts, routes with two and with most VMs cut off

The tests of chats cut connections by reset only; those of routes cut three VMs of five. Now: three kinds of cut for chats (reset, hanging, open connections live on while new ones are refused), two and four of five VMs for routes. Green from the first play: no fault was found by them.

--- a/src/forwarding/tests/forwarderrelay_test.cpp
+++ b/src/forwarding/tests/forwarderrelay_test.cpp
@@ -64,6 +64,28 @@
     }
 }
 
+// Guards against a bound that holds for one share of cut VMs only: first two of five, then four.
+TEST_P(CutOffVms, CallersAreServedWithTwoAndWithMostVmsCutOff)
+{
+    load(milliseconds(500), path());
+    for (const std::size_t lastCut : {1, 3}) {
+        for (std::size_t i = 0; i <= lastCut; i++) {
+            cut(*vms_[i], std::get<Cut>(GetParam()));
+        }
+        const TimePoint cutAt = loop_->now();
+        load(milliseconds(4500), path());
+        const TimePoint end = loop_->now();
+        pass(milliseconds(1500));
+        const Served known = countServed(0, lastCut, cutAt + CutKnownAfter, end);
+        EXPECT_EQ(known.served, known.sent) << lastCut + 1 << " of five";
+        healAll();
+        pass(milliseconds(4000));
+    }
+    if (!mayRunAgain()) {
+        EXPECT_EQ(mostRuns(), 1);
+    }
+}
+
 // Guards against VMs whose open connections to servers live on, but are too few for their callers.
 TEST_P(CutOffVms, MoreCallersThanOpenConnectionsAreServed)
 {
--- a/src/standins/proxy/proxy.cpp
+++ b/src/standins/proxy/proxy.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t ReadBytes = 64 * 1024;
 constexpr std::size_t MostBuffered = 1 << 20;
 constexpr int Backlog = 1024;
+/// Connections that fill the queue of a listener with a backlog of 0.
+constexpr int Fillers = 3;
 
 sockaddr_in loopback(std::uint16_t port)
 {
@@ -42,14 +44,16 @@
     int listenFd = -1;
     ev_io watcher{};
     ProxyFaults faults;
+    std::vector<int> fillers;
     std::set<std::shared_ptr<Connection>> connections;
     std::uint64_t accepted = 0;
     std::uint64_t bytesToServer = 0;
     std::uint64_t bytesToClient = 0;
 
-    bool startListening();
+    /// With a backlog of 0 nothing is accepted: once the queue is full, the system drops further connections without an answer.
+    bool startListening(int backlog = Backlog);
     void stopListening();
-    void setClosed(bool closed);
+    void setListening(bool closed, bool unanswered);
     void accept();
     void closeAll();
     void rearm();
@@ -128,7 +132,7 @@
 
     void armReader(Side &from, Side &to)
     {
-        const bool wanted = !proxy_->faults.freeze && !from.ended && to.pending.size() < MostBuffered;
+        const bool wanted = !proxy_->faults.freeze && !proxy_->faults.unanswered && !from.ended && to.pending.size() < MostBuffered;
         if (wanted) {
             ev_io_start(raw(), &from.reader);
         } else {
@@ -276,14 +280,14 @@
     }
 }
 
-bool Proxy::Impl::startListening()
+bool Proxy::Impl::startListening(int backlog)
 {
     listenFd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int one = 1;
     setsockopt(listenFd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
     sockaddr_in address = loopback(port);
     socklen_t size = sizeof(address);
-    const bool bound = bind(listenFd, reinterpret_cast<sockaddr *>(&address), size) == 0 && listen(listenFd, Backlog) == 0
+    const bool bound = bind(listenFd, reinterpret_cast<sockaddr *>(&address), size) == 0 && listen(listenFd, backlog) == 0
         && getsockname(listenFd, reinterpret_cast<sockaddr *>(&address), &size) == 0;
     if (!bound) {
         return false;
@@ -292,12 +296,18 @@
     watcher.data = this;
     ev_io_init(
         &watcher, [](struct ev_loop *, ev_io *io, int) { static_cast<Impl *>(io->data)->accept(); }, listenFd, EV_READ);
-    ev_io_start(loop->raw(), &watcher);
+    if (backlog > 0) {
+        ev_io_start(loop->raw(), &watcher);
+    }
     return true;
 }
 
 void Proxy::Impl::stopListening()
 {
+    for (const int filler : fillers) {
+        close(filler);
+    }
+    fillers.clear();
     if (listenFd < 0) {
         return;
     }
@@ -306,17 +316,21 @@
     listenFd = -1;
 }
 
-void Proxy::Impl::setClosed(bool closed)
+void Proxy::Impl::setListening(bool closed, bool unanswered)
 {
-    if (closed == faults.closed) {
+    if (closed == faults.closed && unanswered == faults.unanswered) {
         return;
     }
     faults.closed = closed;
-    if (closed) {
-        stopListening();
-        closeAll();
-    } else {
-        startListening();
+    faults.unanswered = unanswered;
+    stopListening();
+    if (!closed) {
+        startListening(unanswered ? 0 : Backlog);
+    }
+    for (int i = 0; unanswered && i < Fillers; i++) {
+        fillers.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+        const sockaddr_in address = loopback(port);
+        connect(fillers.back(), reinterpret_cast<const sockaddr *>(&address), sizeof(address));
     }
 }
 
@@ -361,7 +375,7 @@
     faults.freeze = json.get("freeze", faults.freeze).asBool();
     faults.delayMs = json.get("delayMs", static_cast<Json::Int64>(faults.delayMs)).asInt64();
     faults.resetAfterRequest = json.get("resetAfterRequest", faults.resetAfterRequest).asBool();
-    impl_->setClosed(json.get("closed", faults.closed).asBool());
+    impl_->setListening(json.get("closed", faults.closed).asBool(), json.get("unanswered", faults.unanswered).asBool());
     if (json.get("closeAll", false).asBool()) {
         impl_->closeAll();
     }
--- a/src/standins/proxy/proxy.h
+++ b/src/standins/proxy/proxy.h
@@ -14,7 +14,8 @@
 /// How the proxy treats the bytes that pass it.
 struct ProxyFaults {
     bool refuse = false; ///< New connections are closed at once.
-    bool closed = false; ///< Nothing listens, and open connections are reset: the way to the server is cut.
+    bool closed = false; ///< New connections are refused by the system, as nothing listens.
+    bool unanswered = false; ///< New connections get no answer at all, and nothing gets through open ones.
     bool cutToServer = false; ///< Bytes towards the server are swallowed.
     bool cutToClient = false; ///< Bytes towards the client are swallowed: the server's answer is lost.
     bool freeze = false; ///< Nothing is read, in both directions.
@@ -30,7 +31,7 @@
     static Result<std::unique_ptr<Proxy>> create(EventLoop &loop, std::uint16_t targetPort);
     ~Proxy();
     std::uint16_t port() const;
-    /// Sets the faults named in @p json: refuse, closed, cutToServer, cutToClient, freeze, delayMs, resetAfterRequest. With
+    /// Sets the faults named in @p json: refuse, closed, unanswered, cutToServer, cutToClient, freeze, delayMs, resetAfterRequest. With
     /// "closeAll": true all open connections are reset.
     void control(const Json::Value &json);
     Json::Value totals() const;
--- a/tests/chatcutoff_test.cpp
+++ b/tests/chatcutoff_test.cpp
@@ -23,15 +23,21 @@
 constexpr milliseconds CutKnownAfter(3000);
 constexpr milliseconds RequestPeriod(100);
 
-Json::Value closed(bool isClosed)
+/// What the proxies do in each kind of cut, as standin-proxy knows it.
+Json::Value faultsOf(const std::string &cut, bool isCut)
 {
     Json::Value faults;
-    faults["closed"] = isClosed;
+    if (cut == "hang") {
+        faults["unanswered"] = isCut;
+        return faults;
+    }
+    faults["closed"] = isCut;
+    faults["closeAll"] = isCut && cut == "reset";
     return faults;
 }
 
-/// The parameter is the kind of request. One VM has a list of its own, in which each engine and service is behind a proxy.
-class ChatCutOff : public testing::TestWithParam<std::string>
+/// The parameters are the kind of cut and the kind of request. One VM has a list of its own, in which each engine and service is behind a proxy.
+class ChatCutOff : public testing::TestWithParam<std::tuple<std::string, std::string>>
 {
 protected:
     ChatCutOff()
@@ -68,20 +74,21 @@
     void setCut(bool isCut)
     {
         for (test::Process *proxy : proxies_) {
-            fleet_.controlProxy(*proxy, closed(isCut));
+            fleet_.controlProxy(*proxy, faultsOf(std::get<0>(GetParam()), isCut));
         }
     }
 
     http::ClientRequest request(const std::string &entry)
     {
         const std::string number = std::to_string(requests_++);
-        if (GetParam() == "stream") {
+        const std::string &kind = std::get<1>(GetParam());
+        if (kind == "stream") {
             return fleet_.chat(entry, "text " + number, Tokens);
         }
-        if (GetParam() == "answer") {
+        if (kind == "answer") {
             return fleet_.chat(entry, "text " + number, Tokens, false);
         }
-        return fleet_.serviceCall(entry, GetParam() == "once" ? "/orders/orders" : "/orders/tags", "{}", GetParam() == "once" ? "key-" + number : "");
+        return fleet_.serviceCall(entry, kind == "once" ? "/orders/orders" : "/orders/tags", "{}", kind == "once" ? "key-" + number : "");
     }
 
     /// Sends a request every RequestPeriod for @p time; returns how many were not served.
@@ -95,7 +102,7 @@
         }
         fleet_.caller.waitEnded(calls, "all requests end");
         return static_cast<std::size_t>(std::count_if(calls.begin(), calls.end(), [&entry](const TestCallPtr &call) {
-            const bool isServed = call->status == StatusOk && (GetParam() != "stream" || call->isWhole());
+            const bool isServed = call->status == StatusOk && (std::get<1>(GetParam()) != "stream" || call->isWhole());
             if (!isServed) {
                 std::printf("%s: status %d %s\n", entry.c_str(), call->status, call->errorCode().c_str());
             }
@@ -135,6 +142,9 @@
     EXPECT_EQ(countFailures(CutVm, milliseconds(2000)), 0U) << "after the cut";
 }
 
-INSTANTIATE_TEST_SUITE_P(Chat, ChatCutOff, testing::Values("stream", "answer", "once", "again"), [](const auto &param) { return param.param; });
+INSTANTIATE_TEST_SUITE_P(Chat,
+    ChatCutOff,
+    testing::Combine(testing::Values("hang", "reset", "refuseNew"), testing::Values("stream", "answer", "once", "again")),
+    [](const auto &param) { return std::get<0>(param.param) + "_" + std::get<1>(param.param); });
 
 } // namespace
