--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -219,7 +219,7 @@
     std::optional<Relay> relay_;
     std::set<std::string> triedPeers_; ///< Entry VMs that could not serve the request.
     TimerId relayTimer_ = 0;
-    int relays_ = 0;
+    std::size_t relays_ = 0;
     int connectFailures_ = 0; ///< Servers that could not be reached.
     bool wasRefusedByServer_ = false;
     int sends_ = 0;
--- a/src/forwarding/internal/forwardedrequestrelay.cpp
+++ b/src/forwarding/internal/forwardedrequestrelay.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/internal/forwardedrequest.h"
 #include "forwarding/internal/forwardingconstants.h"
 #include "relay/relayformat.h"
+#include "relay/relayrules.h"
 
 #include <algorithm>
 #include <array>
@@ -12,8 +13,6 @@
 using eventlog::Attribute;
 using eventlog::Event;
 
-/// Entry VMs that are asked to take over one request. Several may have been cut off together, before their statuses say so.
-constexpr int MaxRelays = 5;
 /// A request that could not connect to this many servers is handed over, even if it is not known that this VM is cut off.
 constexpr int MaxConnectFailures = 2;
 constexpr Duration MinRelayCheck = std::chrono::milliseconds(50);
@@ -54,7 +53,7 @@
 bool ForwardedRequest::mayRelay() const
 {
     const bool mayStartAnew = kvSource_.empty() && !wasRefusedByServer_ && (isIdempotent() || (runs_ == 0 && !hasStreamStarted()));
-    return source_ == RequestSource::Caller && tools_.relays && relays_ < MaxRelays && mayStartAnew;
+    return source_ == RequestSource::Caller && tools_.relays && relays_ < relay::MaxRelays && mayStartAnew;
 }
 
 bool ForwardedRequest::shouldRelay() const
@@ -92,7 +91,7 @@
             {Attribute::Peer, peer.instance},
             {Attribute::Zone, peer.zone},
             {Attribute::Reason, tools_.reachability->isDirect(salt()) ? "not_connected" : "cut_off"},
-            {Attribute::Attempt, std::int64_t(relays_)},
+            {Attribute::Attempt, static_cast<std::int64_t>(relays_)},
             {Attribute::Events, static_cast<std::int64_t>(splitter_.eventCount())},
             {Attribute::TookMs, millisecondsSince(exchange_->startedAt())},
             {Attribute::LeftMs, toMilliseconds(timeLeft())}});
@@ -291,7 +290,7 @@
             {Attribute::Zone, relay_->peer.zone},
             {Attribute::Outcome, outcome},
             {Attribute::Status, std::int64_t(relay_->head.status)},
-            {Attribute::Attempt, std::int64_t(relays_)},
+            {Attribute::Attempt, static_cast<std::int64_t>(relays_)},
             {Attribute::Events, static_cast<std::int64_t>(splitter_.eventCount())},
             {Attribute::TookMs, millisecondsSince(exchange_->startedAt())},
             {Attribute::LeftMs, toMilliseconds(timeLeft())}});
--- a/src/gateway/internal/peerrelay.cpp
+++ b/src/gateway/internal/peerrelay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peerrelay.h"
 
 #include "kernel/log.h"
+#include "relay/relayformat.h"
 #include "relay/relayrules.h"
 #include "text/digest.h"
 
@@ -15,11 +16,6 @@
 
 namespace {
 
-/// In requests the peers' shared secret, in responses UnavailableMark.
-constexpr char RelayHeader[] = "Cardamomlift-Relay";
-constexpr std::string_view UnavailableMark = "unavailable";
-/// Entry VMs that are asked to take over one request. Several may have been cut off together.
-constexpr std::size_t MaxRelays = 5;
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 /// A VM from which nothing comes for this long is given up. Longer than engines and services may take to answer.
 constexpr Duration StallTimeout = std::chrono::seconds(30);
@@ -28,7 +24,7 @@
 
 /// Header fields that concern one connection or the transfer of the body.
 constexpr std::array<std::string_view, 9> ConnectionHeaders{
-    "Host", "Connection", "Content-Length", "Transfer-Encoding", "Keep-Alive", "Expect", "Date", "Accept-Encoding", RelayHeader};
+    "Host", "Connection", "Content-Length", "Transfer-Encoding", "Keep-Alive", "Expect", "Date", "Accept-Encoding", relay::RelayHeader};
 
 http::Headers copyHeaders(const http::Headers &headers)
 {
@@ -95,7 +91,7 @@
 
 bool PeerRelay::takeMark(http::Request &request) const
 {
-    const auto found = request.headers.find(RelayHeader);
+    const auto found = request.headers.find(relay::RelayHeader);
     if (found == request.headers.end()) {
         return false;
     }
@@ -108,7 +104,7 @@
 http::Response PeerRelay::unavailableResponse(const CallerError &error)
 {
     http::Response response = errorResponse(error);
-    response.headers[RelayHeader] = std::string(UnavailableMark);
+    response.headers[std::string(relay::RelayHeader)] = std::string(relay::UnavailableMark);
     return response;
 }
 
@@ -164,7 +160,8 @@
     request.method = relay->request.method;
     request.url = urlOf(peer, relay->request);
     request.headers = copyHeaders(relay->request.headers);
-    request.headers[RelayHeader] = tools_.peerToken;
+    // In requests the field holds the secret that the entry VMs share.
+    request.headers[std::string(relay::RelayHeader)] = tools_.peerToken;
     request.body = relay->request.body;
     request.connectTimeout = ConnectTimeout;
     request.timeout = Duration(0);
@@ -224,7 +221,7 @@
         }
         return;
     }
-    const bool isUnavailable = isComplete && http::headerValue(relay->headers, RelayHeader) == UnavailableMark;
+    const bool isUnavailable = isComplete && http::headerValue(relay->headers, relay::RelayHeader) == relay::UnavailableMark;
     if (isUnavailable || result.transport == http::Transport::NotSent || (!isComplete && mayRepeat(relay->request))) {
         sendToNext(relay);
         return;
@@ -238,7 +235,7 @@
 
 void PeerRelay::sendToNext(const std::shared_ptr<Relay> &relay)
 {
-    const auto peer = relay->tried.size() < MaxRelays ? choosePeer(relay->tried) : std::nullopt;
+    const auto peer = relay->tried.size() < relay::MaxRelays ? choosePeer(relay->tried) : std::nullopt;
     if (!peer) {
         fail(relay, {metrics::RefusalReason::NoBackend, "No VM reaches a server for this request.", RetryAfterShort});
         return;
--- a/src/overload/internal/overloadcontroller.cpp
+++ b/src/overload/internal/overloadcontroller.cpp
@@ -65,17 +65,21 @@
     ServerState &state = entry->second;
     if (isNew) {
         // It has not said anything yet, but its service's other servers have: it has just started.
-        ServiceState &service = services_[server.service];
-        state.service = server.service;
-        state.refusalsPerSecond = service.refusalsPerSecond;
-        state.hash = presence::nameHash(server.instance);
-        state.capacity = initialCapacity(server.slots, tools_.loop->now());
+        manage(state, server);
+        state.refusalsPerSecond = services_[server.service].refusalsPerSecond;
         restart(state.capacity);
-        service.announcing++;
     }
     return &state;
 }
 
+void OverloadController::manage(ServerState &state, const ServerKey &server)
+{
+    state.service = server.service;
+    state.hash = presence::nameHash(server.instance);
+    state.capacity = initialCapacity(server.slots, tools_.loop->now());
+    services_[server.service].announcing++;
+}
+
 bool OverloadController::hasRoom(const ServerKey &server, int open)
 {
     ServerState *state = managed(server);
@@ -118,15 +122,10 @@
 
 void OverloadController::announce(const ServerKey &server, int refusalsPerSecond)
 {
-    const auto [entry, isNew] = servers_.try_emplace(server.instance);
-    ServerState &state = entry->second;
-    ServiceState &service = services_[server.service];
-    service.refusalsPerSecond = refusalsPerSecond;
+    ServerState &state = servers_[server.instance];
+    services_[server.service].refusalsPerSecond = refusalsPerSecond;
     if (!state.refusalsPerSecond) {
-        state.service = server.service;
-        state.hash = presence::nameHash(server.instance);
-        state.capacity = initialCapacity(server.slots, tools_.loop->now());
-        service.announcing++;
+        manage(state, server);
     }
     const bool isChange = state.refusalsPerSecond != refusalsPerSecond;
     state.refusalsPerSecond = refusalsPerSecond;
--- a/src/overload/overloadcontroller.h
+++ b/src/overload/overloadcontroller.h
@@ -77,6 +77,7 @@
     std::size_t vmCount() const;
     Duration serviceTime(const std::string &service) const;
     ServerState *managed(const ServerKey &server);
+    void manage(ServerState &state, const ServerKey &server);
     int ownedSlots(ServerState &state, const Turn &turn) const;
     RefusalBound boundOf(const ServerState &state) const;
     void announce(const ServerKey &server, int refusalsPerSecond);
--- a/src/relay/internal/relayformat.cpp
+++ b/src/relay/internal/relayformat.cpp
@@ -10,9 +10,7 @@
 
 namespace {
 
-/// "manifest version;admitted;usage noted;VM" in requests, UnavailableMark in answers.
-constexpr std::string_view RelayHeader = "Cardamomlift-Relay";
-constexpr std::string_view UnavailableMark = "unavailable";
+/// A request's field is "manifest version;admitted;usage noted;VM".
 constexpr char Separator = ';';
 constexpr std::size_t Numbers = 3;
 
