Log how an answer's body is delimited and what is left of an event at its end

request_answered did not tell whether a stream had ended with its connection or by a last chunk, nor whether that was inside an event. No change of what callers get. Unit tests of forwarding, http1 and eventlog: green.

--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -113,6 +113,8 @@
     "deferred",
     "limited",
     "fingerprint",
+    "framing",
+    "unfinished",
     "retries_left",
     "count"};
 
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -187,6 +187,8 @@
             {Attribute::Open, std::int64_t(load.localOpenRequests)},
             {Attribute::Tokens, request_.promptTokens},
             {Attribute::Events, static_cast<std::int64_t>(splitter_.eventCount())},
+            {Attribute::Framing, attempt_->hasHead ? http1::framingName(http1::framingOf(attempt_->head)) : std::string_view()},
+            {Attribute::Unfinished, static_cast<std::int64_t>(splitter_.incompleteEvent().size())},
             {Attribute::FirstEventMs, headSent_ ? toMilliseconds(firstEventAt_ - exchange_->startedAt()) : std::int64_t(-1)},
             {Attribute::TookMs, millisecondsSince(exchange_->startedAt())},
             {Attribute::LeftMs, toMilliseconds(timeLeft())},
--- a/src/http1/http1types.h
+++ b/src/http1/http1types.h
@@ -76,10 +76,18 @@
 /// The standard reason phrase of a status code.
 std::string_view reasonPhrase(int status);
 
-/// How the body of an outgoing message is delimited.
-enum class Framing { Length, Chunked };
+/// How the body of a message is delimited.
+enum class Framing {
+    Length,
+    Chunked,
+    Connection, ///< It ends with its connection.
+};
+
+std::string_view framingName(Framing framing);
+/// How the body of a response with this head is delimited.
+Framing framingOf(const ResponseHead &head);
 
-/// Serialises a message head. Adds the framing fields (Content-Length, Transfer-Encoding); @p head must not contain them.
+/// Serialises a message head. Adds the framing fields (Content-Length, Transfer-Encoding) if there are any; @p head must not contain them.
 std::string encodeHead(const RequestHead &head, std::size_t bodyLength);
 std::string encodeHead(const ResponseHead &head, Framing framing, std::size_t bodyLength, bool close);
 /// Serialises one chunk of a chunked body. @p data must not be empty, as an empty chunk ends the body.
--- a/src/http1/internal/http1types.cpp
+++ b/src/http1/internal/http1types.cpp
@@ -145,6 +145,27 @@
     return {text.data(), text.size()};
 }
 
+std::string_view framingName(Framing framing)
+{
+    switch (framing) {
+    case Framing::Length:
+        return "length";
+    case Framing::Chunked:
+        return "chunks";
+    case Framing::Connection:
+        return "connection";
+    }
+    return "unknown";
+}
+
+Framing framingOf(const ResponseHead &head)
+{
+    if (head.fields.has("Transfer-Encoding")) {
+        return Framing::Chunked;
+    }
+    return head.fields.has("Content-Length") ? Framing::Length : Framing::Connection;
+}
+
 std::string encodeHead(const RequestHead &head, std::size_t bodyLength)
 {
     std::string out = fmt::format("{} {} HTTP/1.1\r\n", head.method, head.target);
@@ -163,7 +184,7 @@
     appendFields(out, head.fields);
     if (framing == Framing::Chunked) {
         out += "Transfer-Encoding: chunked\r\n";
-    } else if (head.status != 204 && head.status != 304) {
+    } else if (framing == Framing::Length && head.status != 204 && head.status != 304) {
         out += fmt::format("Content-Length: {}\r\n", bodyLength);
     }
     if (close) {
