Test streams that their server ends inside an event: red

Four tests, all red on this code: the caller gets the half event and the last chunk, or a 200 with a length, whether the body ended by its length, in chunks or with its connection, in the middle of a line or after a whole one. The server is credited with an answer.

--- /dev/null
+++ b/src/forwarding/tests/forwarderbrokenoff_test.cpp
@@ -0,0 +1,176 @@
+// Answers that a server breaks off, with all ways in which the end of a body is told.
+
+#include "forwarding/tests/forwardertest.h"
+#include "http1/tests/rawserver.h"
+
+#include <array>
+#include <list>
+
+namespace cardamomlift::forwarding {
+
+namespace {
+
+using http1::Framing;
+
+constexpr std::array Framings{Framing::Connection, Framing::Chunked, Framing::Length};
+/// What a server sends of its second event before its answer ends: a part of a line, and a whole line without the empty line after it.
+constexpr std::array Remainders{"id: 2\nda", "id: 2\ndata: b\n"};
+constexpr char FirstEvent[] = "id: 1\ndata: a\n\n";
+constexpr char SecondEvent[] = "id: 2\ndata: b\n\n";
+constexpr char SignedHead[] = "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Attempt-Id: id1\r\nX-Response-Signature: sig\r\n";
+
+/// A forwarder whose two servers write their answers byte by byte.
+class BrokenOff : public ForwarderTest
+{
+protected:
+    BrokenOff()
+    {
+        for (const char *instance : {"one", "two"}) {
+            directory::BackendServer server = directory_->find(instance)->server;
+            server.endpoint.port = servers_[instance].port();
+            directory_->put(std::move(server));
+        }
+        tools_.metrics = metrics::Metrics::create();
+        restartForwarder();
+        clock_.advance(ForwardingSettings().retryWindow);
+        manifests_->confirm(loop_->now());
+    }
+
+    /// A send of the forwarder.
+    struct Send {
+        std::string server;
+        http1::RawConnection *connection = nullptr;
+    };
+
+    /// Waits for the next send on a connection of its own.
+    Send nextSend()
+    {
+        Send send;
+        EXPECT_TRUE(runUntil([&] {
+            for (auto &[instance, server] : servers_) {
+                for (http1::RawConnection &connection : server.connections()) {
+                    if (!answered_.contains(&connection) && connection.received().find("\r\n\r\n") != std::string::npos) {
+                        send = {instance, &connection};
+                        return true;
+                    }
+                }
+            }
+            return false;
+        }));
+        answered_.insert(send.connection);
+        return send;
+    }
+
+    std::size_t sends()
+    {
+        std::size_t sum = 0;
+        for (auto &[instance, server] : servers_) {
+            sum += server.connections().size();
+        }
+        return sum;
+    }
+
+    /// Sends a whole answer whose body ends as @p framing says, and closes the connection in order.
+    static void answer(const Send &send, Framing framing, const std::string &body, const std::string &more = {})
+    {
+        if (!send.connection) {
+            return;
+        }
+        std::string bytes = SignedHead + more;
+        switch (framing) {
+        case Framing::Length:
+            bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            break;
+        case Framing::Chunked:
+            bytes += "Transfer-Encoding: chunked\r\n\r\n" + http1::encodeChunk(body) + std::string(http1::LastChunk);
+            break;
+        case Framing::Connection:
+            bytes += "\r\n" + body;
+            break;
+        }
+        send.connection->send(bytes);
+        send.connection->close();
+    }
+
+    /// A caller's answer in chunks that ends with the last one.
+    static bool isWhole(http1::RawClient &client)
+    {
+        return client.received().starts_with("HTTP/1.1 200") && client.received().ends_with("0\r\n\r\n");
+    }
+
+    std::map<std::string, http1::RawServer> servers_;
+    std::set<http1::RawConnection *> answered_;
+};
+
+// Guards against a stream that ends inside an event and reaches its caller as a complete one.
+TEST_F(BrokenOff, AStreamThatMayNotBeResumedEndsWithoutItsLastChunk)
+{
+    for (const Framing framing : Framings) {
+        for (const char *remainder : Remainders) {
+            const auto client = call(request("/stream/1"));
+            const Send send = nextSend();
+            answer(send, framing, std::string(FirstEvent) + remainder);
+            ASSERT_TRUE(runUntil([&] { return client->hasEnded() || isWhole(*client); }));
+            EXPECT_FALSE(isWhole(*client)) << http1::framingName(framing) << " " << remainder;
+            EXPECT_NE(client->received().find("data: a"), std::string::npos);
+            EXPECT_EQ(client->received().find("id: 2"), std::string::npos) << "no bytes of the incomplete event";
+        }
+    }
+}
+
+// Guards against a stream that could go on and ends inside an event.
+TEST_F(BrokenOff, AResumableStreamGoesOnAtAnotherServer)
+{
+    for (const Framing framing : Framings) {
+        for (const char *remainder : Remainders) {
+            const auto client = call(request("/resumed/1"));
+            const Send first = nextSend();
+            answer(first, framing, std::string(FirstEvent) + remainder);
+            const Send second = nextSend();
+            ASSERT_NE(second.connection, nullptr) << http1::framingName(framing) << " " << remainder;
+            EXPECT_NE(second.server, first.server);
+            EXPECT_NE(second.connection->received().find("Last-Event-Id: 1\r\n"), std::string::npos);
+            answer(second, framing, SecondEvent);
+            ASSERT_TRUE(runUntil([&] { return isWhole(*client); }));
+            EXPECT_EQ(eventsOf(*client), std::string(FirstEvent) + SecondEvent);
+        }
+    }
+}
+
+// Guards against a half event that is answered with a length of its own.
+TEST_F(BrokenOff, AStreamBrokenOffBeforeItsFirstEventIsNoAnswer)
+{
+    for (const Framing framing : Framings) {
+        for (const char *remainder : {"id: 1\nda", "id: 1\ndata: a\n"}) {
+            const auto client = call(request("/stream/1"));
+            answer(nextSend(), framing, remainder);
+            ASSERT_TRUE(runUntil([&] { return client->received().find("\r\n\r\n") != std::string::npos; }));
+            EXPECT_TRUE(hasStatus(*client, "502")) << client->received();
+
+            const auto resumable = call(request("/resumed/1"));
+            answer(nextSend(), framing, remainder);
+            answer(nextSend(), framing, FirstEvent);
+            ASSERT_TRUE(runUntil([&] { return isWhole(*resumable); }));
+            EXPECT_EQ(eventsOf(*resumable), FirstEvent);
+        }
+    }
+}
+
+// Guards against a broken-off stream that counts as an answer: for its server, the metrics, the log.
+TEST_F(BrokenOff, CountsAsAFailedRun)
+{
+    const auto client = call(request("/stream/1"));
+    const Send send = nextSend();
+    answer(send, Framing::Connection, std::string(FirstEvent) + Remainders[0]);
+    ASSERT_TRUE(runUntil([&] { return client->hasEnded() || isWhole(*client); }));
+    const auto outcomes = tools_.outliers->outcomesToShare();
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_EQ(outcomes.front().failedInARow, 1);
+    EXPECT_EQ(logLines_.find("\"event\":\"request_answered\""), std::string::npos) << logLines_;
+    EXPECT_NE(logLines_.find("\"framing\":\"connection\",\"unfinished\":8"), std::string::npos) << logLines_;
+    EXPECT_NE(logLines_.find("\"event\":\"request_failed\""), std::string::npos) << logLines_;
+}
+
+} // namespace
+
+} // namespace cardamomlift::forwarding
