Read all line ends of event streams

Callers of a server that ends its lines with CR LF or CR got no event until the stream ended (or 256 KiB had come), and such a stream could not be resumed: only an empty line after LF was taken for the end of an event. The id of an event that has not ended is no longer taken for the last whole one's.

--- a/src/forwarding/internal/eventsplitter.cpp
+++ b/src/forwarding/internal/eventsplitter.cpp
@@ -6,43 +6,60 @@
 
 namespace {
 
-constexpr std::string_view EventEnd = "\n\n";
 constexpr std::string_view IdField = "id:";
+constexpr char CommentStart = ':';
 
 } // namespace
 
 std::string EventSplitter::feed(std::string_view bytes)
 {
     incompleteEvent_ += bytes;
-    const auto end = incompleteEvent_.rfind(EventEnd);
-    if (end == std::string::npos && incompleteEvent_.size() <= MaxEventBytes) {
-        return {};
+    std::size_t cut = scanLines();
+    if (cut == 0 && incompleteEvent_.size() > MaxEventBytes) {
+        cut = incompleteEvent_.size();
     }
-    const std::size_t cut = end == std::string::npos ? incompleteEvent_.size() : end + EventEnd.size();
     std::string events = incompleteEvent_.substr(0, cut);
     incompleteEvent_.erase(0, cut);
-    scanEvents(events);
+    scanned_ -= cut;
+    lineStart_ -= std::min(lineStart_, cut);
     return events;
 }
 
-void EventSplitter::scanEvents(std::string_view events)
+std::size_t EventSplitter::scanLines()
 {
-    std::size_t start = 0;
-    while (start < events.size()) {
-        const std::size_t end = std::min(events.find('\n', start), events.size());
-        std::string_view line = events.substr(start, end - start);
-        start = end + 1;
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
-        if (line.empty()) {
-            eventCount_++;
-        } else if (line.starts_with(IdField)) {
-            line.remove_prefix(IdField.size());
-            line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
-            lastId_ = line;
+    std::size_t eventEnd = 0;
+    for (; scanned_ < incompleteEvent_.size(); scanned_++) {
+        const char byte = incompleteEvent_[scanned_];
+        const bool isSecondOfLineEnd = byte == '\n' && wasCarriageReturn_;
+        wasCarriageReturn_ = byte == '\r';
+        if (byte != '\n' && byte != '\r') {
+            continue;
         }
+        const bool endsEvent = isSecondOfLineEnd ? eventEnd == scanned_ : endLine(std::string_view(incompleteEvent_).substr(lineStart_, scanned_ - lineStart_));
+        lineStart_ = scanned_ + 1;
+        eventEnd = endsEvent ? lineStart_ : eventEnd;
+    }
+    return eventEnd;
+}
+
+bool EventSplitter::endLine(std::string_view line)
+{
+    if (line.empty()) {
+        eventCount_++;
+        hasFields_ = false;
+        lastId_ = pendingId_;
+        return true;
     }
+    if (line.front() == CommentStart) {
+        return false;
+    }
+    hasFields_ = true;
+    if (line.starts_with(IdField)) {
+        line.remove_prefix(IdField.size());
+        line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+        pendingId_ = line;
+    }
+    return false;
 }
 
 const std::string &EventSplitter::incompleteEvent() const
@@ -50,9 +67,19 @@
     return incompleteEvent_;
 }
 
+bool EventSplitter::isInsideEvent() const
+{
+    return hasFields_ || lineStart_ < incompleteEvent_.size();
+}
+
 void EventSplitter::dropIncompleteEvent()
 {
     incompleteEvent_.clear();
+    scanned_ = 0;
+    lineStart_ = 0;
+    wasCarriageReturn_ = false;
+    hasFields_ = false;
+    pendingId_ = lastId_;
 }
 
 const std::string &EventSplitter::lastId() const
