Take a stream for complete only where its last event has ended

Callers saw a status 200 with the first half of an event and the last chunk, or with a length, and did not come again: servers had crashed in the middle of streams that had neither a length nor chunks.

Cause: MessageReader::finish completes a body that ends with its connection, as HTTP wants, and the forwarder took the end of a body for the end of a stream; it sent the bytes of the event that had not ended and the last chunk. The same for bodies that a server ended by a length or a last chunk inside an event, and for streams that another VM handed back.

Now a stream is whole only where its last event has ended; where nothing but the connection tells the end, one event must have come. Anything else is a broken run: it is resumed elsewhere, or the caller's answer ends without its last chunk; it counts as a failure for the server, the crash tracker, the retry budget and the metrics. Answers of another media type on a stream's route are plain ones.

Ruled out: runs joined wrongly (one attempt each in the record), long events (55 bytes each).

--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -36,6 +36,7 @@
         std::string body;
         TimePoint sentAt;
         bool hasHead = false;
+        bool isEventStream = false;
         bool hasFirstByte = false;
         bool failureNoted = false; ///< A failure or a silence of this attempt has been counted against the server.
         std::int64_t prefillTokens = 0; ///< Prompt tokens to prefill, as estimated when the request was sent.
@@ -121,6 +122,10 @@
     void onComplete();
     void onPlainAnswer();
     void onStreamEnd();
+    /// Whether the body is a stream of events, rather than a plain answer.
+    bool isEventStream(const http1::ResponseHead &head, const BackendAnswer &answer) const;
+    /// The current attempt's stream has ended, but not the last of its events.
+    bool isBrokenOff() const;
     void onNotRun(std::string_view why);
     void onFailure(http1::CallFailure failure);
     void onBroken(std::string_view why);
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -8,6 +8,15 @@
 using eventlog::Attribute;
 using eventlog::Event;
 
+constexpr std::string_view EventStreamType = "text/event-stream";
+
+/// Whether the media type allows events. A stream's route promises them, so an answer without a type counts as events.
+bool mayHoldEvents(const http1::ResponseHead &head)
+{
+    const std::string_view type = head.fields.get("Content-Type");
+    return type.empty() || http1::equalsIgnoreCase(type.substr(0, type.find_first_of("; ")), EventStreamType);
+}
+
 } // namespace
 
 void ForwardedRequest::onHead(http1::ResponseHead head)
@@ -15,6 +24,7 @@
     attempt_->hasHead = true;
     attempt_->lastByteAt = tools_.loop->now();
     attempt_->answer = tools_.wire.readAnswer(head);
+    attempt_->isEventStream = isEventStream(head, attempt_->answer);
     attempt_->head = std::move(head);
     const std::string &instance = attempt_->server->server.instance;
     noteServerActive();
@@ -32,6 +42,11 @@
     }
 }
 
+bool ForwardedRequest::isEventStream(const http1::ResponseHead &head, const BackendAnswer &answer) const
+{
+    return isStream() && head.status == StatusOk && answer.isSigned && mayHoldEvents(head);
+}
+
 void ForwardedRequest::noteAnnouncements(const std::string &instance, const BackendAnswer &answer) const
 {
     if (answer.isLeaving && tools_.directory->markLeaving(instance)) {
@@ -78,7 +93,7 @@
         tools_.demand->noteFirstByte(service_, tools_.loop->now() - exchange_->startedAt(), route_->latencyGoal, tools_.loop->now());
         tools_.pool->noteFirstByte(attempt_->server->server.instance, attempt_->prefillTokens);
     }
-    if (isStream() && attempt_->head.status == StatusOk && attempt_->answer.isSigned) {
+    if (attempt_->isEventStream) {
         forwardEvents(bytes);
         return;
     }
@@ -112,8 +127,7 @@
 
 void ForwardedRequest::onComplete()
 {
-    const bool isEventStream = isStream() && attempt_->head.status == StatusOk && attempt_->answer.isSigned;
-    if (isEventStream) {
+    if (attempt_->isEventStream) {
         onStreamEnd();
         return;
     }
@@ -124,8 +138,21 @@
     onPlainAnswer();
 }
 
+// Where only the connection tells the end of the body, at least one event must have ended.
+bool ForwardedRequest::isBrokenOff() const
+{
+    const bool isUnframed = http1::framingOf(attempt_->head) == http1::Framing::Connection;
+    const bool isEmpty = !attempt_->hasFirstByte && exchange_->head().method != "HEAD";
+    return splitter_.isInsideEvent() || (isUnframed && isEmpty);
+}
+
 void ForwardedRequest::onStreamEnd()
 {
+    if (isBrokenOff()) {
+        tools_.metrics->add("streams_ended_inside_event_total");
+        onFailure(http1::CallFailure::Broken);
+        return;
+    }
     noteServed();
     noteProgress(suspects::CompleteAnswer);
     completeStream(attempt_->head);
@@ -137,13 +164,13 @@
 
 void ForwardedRequest::completeStream(const http1::ResponseHead &head)
 {
-    const std::string remainder = splitter_.incompleteEvent();
+    const std::string comments = splitter_.incompleteEvent();
     if (!headSent_) {
-        // An answer that ends without a whole event is forwarded as it is.
-        exchange_->answer(tools_.wire.writeAnswer(head), remainder);
+        // An answer that ends without an event is forwarded as it is.
+        exchange_->answer(tools_.wire.writeAnswer(head), comments);
         return;
     }
-    exchange_->send(remainder);
+    exchange_->send(comments);
     exchange_->end();
 }
 
--- a/src/forwarding/internal/forwardedrequestrelay.cpp
+++ b/src/forwarding/internal/forwardedrequestrelay.cpp
@@ -125,7 +125,7 @@
 void ForwardedRequest::onRelayHead(http1::ResponseHead head)
 {
     relay_->lastByteAt = tools_.loop->now();
-    relay_->isEventStream = isStream() && head.status == StatusOk && tools_.wire.readAnswer(head).isSigned;
+    relay_->isEventStream = isEventStream(head, tools_.wire.readAnswer(head));
     relay_->head = std::move(head);
 }
 
@@ -158,6 +158,10 @@
         forwardRelayedAnswer();
         return;
     }
+    if (splitter_.isInsideEvent()) {
+        onRelayBroken("broken");
+        return;
+    }
     completeStream(relay_->head);
     endAnsweredRelay();
 }
--- a/src/forwarding/tests/forwarderbrokenoff_test.cpp
+++ b/src/forwarding/tests/forwarderbrokenoff_test.cpp
@@ -156,6 +156,68 @@
     }
 }
 
+// Guards against an end of the connection that is taken for an answer without events.
+TEST_F(BrokenOff, NothingBeforeTheEndOfTheConnectionIsNoStream)
+{
+    const auto client = call(request("/stream/1"));
+    answer(nextSend(), Framing::Connection, {});
+    ASSERT_TRUE(runUntil([&] { return client->received().find("\r\n\r\n") != std::string::npos; }));
+    EXPECT_TRUE(hasStatus(*client, "502")) << client->received();
+}
+
+// Guards against a resumed run whose end is not looked at.
+TEST_F(BrokenOff, AResumedRunIsBrokenOffLikeAnyOther)
+{
+    for (const char *remainder : Remainders) {
+        const auto client = call(request("/resumed/1"));
+        answer(nextSend(), Framing::Connection, FirstEvent);
+        ASSERT_TRUE(runUntil([&] { return isWhole(*client); })) << "it ended with an event";
+
+        const auto broken = call(request("/resumed/1"));
+        answer(nextSend(), Framing::Connection, std::string(FirstEvent) + remainder);
+        answer(nextSend(), Framing::Connection, std::string(SecondEvent) + "id: 3\n");
+        ASSERT_TRUE(runUntil([&] { return broken->hasEnded() || isWhole(*broken); }));
+        EXPECT_FALSE(isWhole(*broken)) << "both servers have broken it off";
+        EXPECT_NE(broken->received().find(SecondEvent), std::string::npos);
+        EXPECT_EQ(broken->received().find("id: 3"), std::string::npos);
+    }
+}
+
+// Guards against whole answers that are taken for broken-off ones.
+TEST_F(BrokenOff, WholeAnswersAreForwarded)
+{
+    for (const Framing framing : Framings) {
+        for (const char *path : {"/stream/1", "/resumed/1"}) {
+            for (const char *end : {"", ": a comment\n", "\n"}) {
+                const auto client = call(request(path));
+                answer(nextSend(), framing, std::string(FirstEvent) + SecondEvent + end);
+                ASSERT_TRUE(runUntil([&] { return isWhole(*client); })) << path;
+                EXPECT_EQ(eventsOf(*client), std::string(FirstEvent) + SecondEvent + end);
+            }
+            const auto plain = call(request(path));
+            answer(nextSend(), framing, "{}", "Content-Type: application/json\r\n");
+            ASSERT_TRUE(runUntil([&] { return hasStatus(*plain, "200") && plain->received().ends_with("\r\n\r\n{}"); })) << path;
+        }
+        const auto client = call(request("/once/1"));
+        answer(nextSend(), framing, "id: 1\nda");
+        ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "200") && client->received().ends_with("id: 1\nda"); }));
+    }
+    const auto client = call("HEAD /stream/1 HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: id1\r\nX-Credential: key\r\n\r\n");
+    answer(nextSend(), Framing::Connection, {});
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "200"); }));
+}
+
+// Guards against a plain answer without a length that was reset on the way and counts as whole.
+TEST_F(BrokenOff, APlainAnswerThatIsResetIsNotWhole)
+{
+    const auto client = call(request("/once/1"));
+    const Send send = nextSend();
+    send.connection->send(std::string(SignedHead) + "\r\nhalf of it");
+    ASSERT_TRUE(runUntil([&] { return pool_->lastActivityAt(send.server).has_value(); }));
+    send.connection->reset();
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "502"); })) << client->received();
+}
+
 // Guards against a broken-off stream that counts as an answer: for its server, the metrics, the log.
 TEST_F(BrokenOff, CountsAsAFailedRun)
 {
