Do not take the stream of a run that is stopped for a move for a complete one

Callers of a stream that may run once and whose server is reclaimed got a short answer as complete, if the answer had no length: the source ends the stream in order when it stops the run, with the last event that it has made, and the end of the connection counted as the end of the stream. Found by looking for the same cause elsewhere.

While a move goes on, such an end is the source's stop; the run goes on at the target once the source has answered. If the source says that it has no such run, the stream is ended as broken, though it may have been whole: only a length or a last chunk could tell.

--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -138,18 +138,18 @@
     onPlainAnswer();
 }
 
-// Where only the connection tells the end of the body, at least one event must have ended.
+// Where only the connection tells the end of the body, at least one event must have ended. Then a run that has been stopped for a move ends like a
+// whole stream; only the answer to the move tells them apart.
 bool ForwardedRequest::isBrokenOff() const
 {
     const bool isUnframed = http1::framingOf(attempt_->head) == http1::Framing::Connection;
     const bool isEmpty = !attempt_->hasFirstByte && exchange_->head().method != "HEAD";
-    return splitter_.isInsideEvent() || (isUnframed && isEmpty);
+    return splitter_.isInsideEvent() || (isUnframed && (isEmpty || move_));
 }
 
 void ForwardedRequest::onStreamEnd()
 {
     if (isBrokenOff()) {
-        tools_.metrics->add("streams_ended_inside_event_total");
         onFailure(http1::CallFailure::Broken);
         return;
     }
--- a/src/forwarding/tests/forwarderbrokenoff_test.cpp
+++ b/src/forwarding/tests/forwarderbrokenoff_test.cpp
@@ -218,6 +218,56 @@
     ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "502"); })) << client->received();
 }
 
+/// A stream without a length, at a server that is reclaimed while the stream runs.
+class BrokenOffMove : public BrokenOff
+{
+protected:
+    BrokenOffMove()
+    {
+        client_ = call(request("/stream/1"));
+        source_ = nextSend();
+        source_.connection->send(std::string(SignedHead) + "\r\n" + FirstEvent);
+        EXPECT_TRUE(runUntil([&] { return client_->received().find("data: a") != std::string::npos; }));
+        reclaim(source_.server);
+        move_ = nextSend();
+        EXPECT_NE(move_.connection->received().find("/api/kv-move"), std::string::npos);
+    }
+
+    void answerMove(const std::string &statusLine, const std::string &body) const
+    {
+        move_.connection->send("HTTP/1.1 " + statusLine + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+
+    std::unique_ptr<http1::RawClient> client_;
+    Send source_;
+    Send move_;
+};
+
+// Guards against the end of a stopped run's stream that is taken for the end of the answer.
+TEST_F(BrokenOffMove, AStreamWithoutALengthGoesOnAtTheTarget)
+{
+    source_.connection->close();
+    ASSERT_TRUE(runUntil([&] { return logLines_.find("\"outcome\":\"stopped_for_move\"") != std::string::npos || isWhole(*client_); }));
+    ASSERT_FALSE(isWhole(*client_));
+    answerMove("200 OK", R"({"handle":"h1","created":1})");
+    const Send target = nextSend();
+    EXPECT_NE(target.connection->received().find("Kv-From: "), std::string::npos);
+    answer(target, Framing::Connection, SecondEvent);
+    ASSERT_TRUE(runUntil([&] { return isWhole(*client_); }));
+    EXPECT_EQ(eventsOf(*client_), std::string(FirstEvent) + SecondEvent);
+}
+
+// Guards against a moved run that its target breaks off.
+TEST_F(BrokenOffMove, AMovedRunIsBrokenOffLikeAnyOther)
+{
+    source_.connection->close();
+    answerMove("200 OK", R"({"handle":"h1","created":1})");
+    answer(nextSend(), Framing::Connection, std::string(SecondEvent) + "id: 3\ndata: c\n");
+    ASSERT_TRUE(runUntil([&] { return client_->hasEnded() || isWhole(*client_); }));
+    EXPECT_FALSE(isWhole(*client_));
+    EXPECT_EQ(client_->received().find("id: 3"), std::string::npos);
+}
+
 // Guards against a broken-off stream that counts as an answer: for its server, the metrics, the log.
 TEST_F(BrokenOff, CountsAsAFailedRun)
 {
