Do not resume a stream inside an event that has been passed on in part

An event of over 256 KiB is passed on in parts. When the run broke in the middle of one, the stream was resumed after the last whole event: the caller got the start of that event and then the whole of it. At the end of the buffer a line that had been cut could also be taken for the empty line that ends an event. Found by reading what "inside an event" means in each place that cuts a stream.

Such a stream is not resumed, moved or handed over any more: it ends without its last chunk.

BrokenOff.AStreamIsNotResumedInsideAnEvent: red before (2 sends where 1 is allowed, for each framing); EventSplitter: 8 of 8. Forwarding: 197 of 197.

--- a/src/forwarding/eventsplitter.h
+++ b/src/forwarding/eventsplitter.h
@@ -19,6 +19,8 @@
     const std::string &incompleteEvent() const;
     /// True if a part of an event has come, but not the empty line that ends it. Whole lines with comments belong to no event.
     bool isInsideEvent() const;
+    /// False if the caller has received a part of an event: no other run can go on there, or after an event of unknown id.
+    bool canResume() const;
     /// Discards the incomplete event, for a stream that is resumed at another server after the last whole event.
     void dropIncompleteEvent();
     /// The id of the last whole event; empty before the first one.
@@ -36,6 +38,9 @@
     std::size_t lineStart_ = 0; ///< Position of the line that has not ended yet.
     bool wasCarriageReturn_ = false; ///< The last byte scanned; an LF after it belongs to the same line end.
     bool hasFields_ = false; ///< A line of an event has ended, but not the event.
+    bool isLineCut_ = false; ///< The start of the line that has not ended yet was passed on already.
+    bool canResume_ = true;
+    bool hasNewId_ = false; ///< The event that has not ended yet sets an id.
     std::string pendingId_; ///< The id of the event that has not ended yet; as lastId_ until a line sets it.
     std::string lastId_;
     std::size_t eventCount_ = 0;
--- a/src/forwarding/internal/eventsplitter.cpp
+++ b/src/forwarding/internal/eventsplitter.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/eventsplitter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cardamomlift::forwarding {
 
@@ -17,6 +18,9 @@
     std::size_t cut = scanLines();
     if (cut == 0 && incompleteEvent_.size() > MaxEventBytes) {
         cut = incompleteEvent_.size();
+        isLineCut_ = isLineCut_ || lineStart_ < cut;
+        hasFields_ = true;
+        canResume_ = false;
     }
     std::string events = incompleteEvent_.substr(0, cut);
     incompleteEvent_.erase(0, cut);
@@ -44,9 +48,13 @@
 
 bool EventSplitter::endLine(std::string_view line)
 {
+    if (std::exchange(isLineCut_, false)) {
+        return false;
+    }
     if (line.empty()) {
         eventCount_++;
         hasFields_ = false;
+        canResume_ = std::exchange(hasNewId_, false) || canResume_;
         lastId_ = pendingId_;
         return true;
     }
@@ -58,6 +66,7 @@
         line.remove_prefix(IdField.size());
         line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
         pendingId_ = line;
+        hasNewId_ = true;
     }
     return false;
 }
@@ -72,6 +81,11 @@
     return hasFields_ || lineStart_ < incompleteEvent_.size();
 }
 
+bool EventSplitter::canResume() const
+{
+    return canResume_;
+}
+
 void EventSplitter::dropIncompleteEvent()
 {
     incompleteEvent_.clear();
@@ -79,6 +93,8 @@
     lineStart_ = 0;
     wasCarriageReturn_ = false;
     hasFields_ = false;
+    isLineCut_ = false;
+    hasNewId_ = false;
     pendingId_ = lastId_;
 }
 
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -141,7 +141,8 @@
     void startMove();
     void onMoved(const std::optional<std::string> &handle);
     void continueAtTarget();
-    bool isIdempotent() const;
+    /// The request is idempotent, or a stream that may be resumed after the last event that the caller has received.
+    bool mayRepeat() const;
     bool mayRunAgain() const;
     bool takeRetry();
     void retryUnsent(metrics::RetryReason reason);
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -307,15 +307,15 @@
     refuse(StatusUnavailable, FailureReason::NoServer, ServersFullRetryAfter);
 }
 
-bool ForwardedRequest::isIdempotent() const
+bool ForwardedRequest::mayRepeat() const
 {
-    return route_->kind == manifest::RouteKind::Idempotent || (isStream() && route_->isResumable);
+    return route_->kind == manifest::RouteKind::Idempotent || (isStream() && route_->isResumable && splitter_.canResume());
 }
 
 // The runs of a request that another VM has handed over are counted, and repeated, by that VM.
 bool ForwardedRequest::mayRunAgain() const
 {
-    return source_ == RequestSource::Caller && isIdempotent() && runs_ < route_->maxAttempts;
+    return source_ == RequestSource::Caller && mayRepeat() && runs_ < route_->maxAttempts;
 }
 
 bool ForwardedRequest::takeRetry()
@@ -345,7 +345,7 @@
 
 FailureReason ForwardedRequest::noRetryReason() const
 {
-    if (!isIdempotent()) {
+    if (!mayRepeat()) {
         return FailureReason::OutcomeUnknown;
     }
     return mayRunAgain() ? FailureReason::RetryBudget : FailureReason::AttemptsUsed;
--- a/src/forwarding/internal/forwardedrequestmove.cpp
+++ b/src/forwarding/internal/forwardedrequestmove.cpp
@@ -99,7 +99,7 @@
     }
     const Move move = std::move(*move_);
     move_.reset();
-    if (move.kvSource.empty()) {
+    if (move.kvSource.empty() || !splitter_.canResume()) {
         runs_++;
         fail(StatusBadGateway, hasStreamStarted() ? FailureReason::StreamBroken : FailureReason::OutcomeUnknown);
         return;
--- a/src/forwarding/internal/forwardedrequestrelay.cpp
+++ b/src/forwarding/internal/forwardedrequestrelay.cpp
@@ -52,7 +52,7 @@
 // that would be a repeat.
 bool ForwardedRequest::mayRelay() const
 {
-    const bool mayStartAnew = kvSource_.empty() && !wasRefusedByServer_ && (isIdempotent() || (runs_ == 0 && !hasStreamStarted()));
+    const bool mayStartAnew = kvSource_.empty() && !wasRefusedByServer_ && (mayRepeat() || (runs_ == 0 && !hasStreamStarted()));
     return source_ == RequestSource::Caller && tools_.relays && relays_ < relay::MaxRelays && mayStartAnew;
 }
 
@@ -265,7 +265,7 @@
         return;
     }
     const bool isSilent = tools_.loop->now() - relay_->lastByteAt >= relaySilenceLimit();
-    if (isSilent && isIdempotent() && runs_ + 1 < route_->maxAttempts) {
+    if (isSilent && mayRepeat() && runs_ + 1 < route_->maxAttempts) {
         onRelayBroken("silent");
         return;
     }
--- a/src/forwarding/tests/eventsplitter_test.cpp
+++ b/src/forwarding/tests/eventsplitter_test.cpp
@@ -91,6 +91,39 @@
     EXPECT_EQ(splitter.feed(huge).size(), huge.size());
 }
 
+// Guards against an event that is passed on in parts and whose parts are taken for whole events.
+TEST(EventSplitter, KnowsThatAPartOfALongEventWasPassedOn)
+{
+    const std::string half(EventSplitter::MaxEventBytes, 'x');
+    for (const std::string end : {"\n", "\r\n", "id: 2\n\n"}) {
+        EventSplitter splitter;
+        splitter.feed("id: 1\ndata: a\n\n");
+        EXPECT_TRUE(splitter.canResume());
+        EXPECT_FALSE(splitter.feed("data: " + half).empty());
+        EXPECT_TRUE(splitter.isInsideEvent());
+        EXPECT_FALSE(splitter.canResume());
+        EXPECT_EQ(splitter.feed(half + "\n"), half + "\n") << "the buffer is full again";
+        EXPECT_TRUE(splitter.isInsideEvent());
+        EXPECT_EQ(splitter.eventCount(), 1U);
+        splitter.feed(end);
+        EXPECT_FALSE(splitter.isInsideEvent());
+        EXPECT_EQ(splitter.eventCount(), 2U);
+        EXPECT_EQ(splitter.canResume(), splitter.lastId() == "2") << "an event without an id can't be resumed after";
+    }
+}
+
+// Guards against an empty rest of a line that is taken for the empty line after an event.
+TEST(EventSplitter, ALineThatWasPassedOnInPartsIsNotEmpty)
+{
+    EventSplitter splitter;
+    splitter.feed("data: " + std::string(EventSplitter::MaxEventBytes, 'x'));
+    splitter.feed("\n");
+    EXPECT_TRUE(splitter.isInsideEvent());
+    EXPECT_EQ(splitter.eventCount(), 0U);
+    splitter.feed("\n");
+    EXPECT_EQ(splitter.eventCount(), 1U);
+}
+
 } // namespace
 
 } // namespace cardamomlift::forwarding
--- a/src/forwarding/tests/forwarderbrokenoff_test.cpp
+++ b/src/forwarding/tests/forwarderbrokenoff_test.cpp
@@ -1,5 +1,6 @@
 // Answers that a server breaks off, with all ways in which the end of a body is told.
 
+#include "forwarding/eventsplitter.h"
 #include "forwarding/tests/forwardertest.h"
 #include "http1/tests/rawserver.h"
 
@@ -268,6 +269,20 @@
     EXPECT_EQ(client_->received().find("id: 3"), std::string::npos);
 }
 
+// Guards against an event that is sent twice, in part and then whole, since its start had been passed on when the run broke.
+TEST_F(BrokenOff, AStreamIsNotResumedInsideAnEvent)
+{
+    for (const Framing framing : Framings) {
+        const auto client = call(request("/resumed/1"));
+        const std::size_t before = sends();
+        answer(nextSend(), framing, std::string(FirstEvent) + "id: 2\ndata: " + std::string(EventSplitter::MaxEventBytes, 'x'));
+        ASSERT_TRUE(runUntil([&] { return client->hasEnded() || isWhole(*client) || sends() > before + 1; }));
+        EXPECT_TRUE(client->hasEnded());
+        EXPECT_FALSE(isWhole(*client));
+        EXPECT_EQ(sends(), before + 1);
+    }
+}
+
 // Guards against a broken-off stream that counts as an answer: for its server, the metrics, the log.
 TEST_F(BrokenOff, CountsAsAFailedRun)
 {
