End streams for HTTP/1.0 callers with their connection, and reset those that are broken off

A caller that speaks HTTP/1.0 got a stream in chunks, which that version does not know: the lengths of the chunks stood among its events. Without chunks, nothing but a reset tells it that a stream is not whole, so the connection is set to be reset by any close before the end, also by the end of the process. Found by asking where else the end of a connection counts as the end of an answer: here at our own callers.

--- a/src/http1/httpserver.h
+++ b/src/http1/httpserver.h
@@ -20,8 +20,8 @@
     std::size_t maxBufferedBodyBytes = 64u << 20; ///< Request bodies of all connections together.
 };
 
-/// One request and the means to respond to it. One of these must follow: answer(); begin(), any number of send(), and end(); or
-/// abort(), which may also come after begin().
+/// One request and the means to respond to it. One of these must follow: answer(); begin() or beginUnframed(), any number of send(), and
+/// end(); or abort(), which may also come after begin().
 class Exchange
 {
 public:
@@ -34,8 +34,10 @@
     virtual void onDisconnected(std::function<void()> handler) = 0;
     /// Sends a complete response.
     virtual void answer(ResponseHead head, std::string_view body) = 0;
-    /// Sends the head of a response whose body follows in parts.
+    /// Sends the head of a response whose body follows in parts: in chunks, or without a length if the client's HTTP version knows none.
     virtual void begin(ResponseHead head) = 0;
+    /// As begin(), but the body has neither a length nor chunks and ends with the connection.
+    virtual void beginUnframed(ResponseHead head) = 0;
     virtual void send(std::string_view part) = 0;
     /// Ends the body and thus completes the response.
     virtual void end() = 0;
--- a/src/http1/internal/serverconnection.cpp
+++ b/src/http1/internal/serverconnection.cpp
@@ -14,6 +14,8 @@
 /// A client that acknowledges no response bytes for this long counts as disconnected, although its connection is still open.
 constexpr Duration UnackedTimeout = std::chrono::seconds(10);
 
+/// RequestHead::version of HTTP/1.1.
+constexpr int Http11 = 11;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusTimeout = 408;
 constexpr int StatusBodyTooLarge = 413;
@@ -182,14 +184,30 @@
     finishResponse();
 }
 
+// HTTP/1.0 knows no chunks.
 void ServerConnection::begin(ResponseHead head)
+{
+    beginBody(head, reader_->head().version < Http11 ? Framing::Connection : Framing::Chunked);
+}
+
+void ServerConnection::beginUnframed(ResponseHead head)
+{
+    beginBody(head, Framing::Connection);
+}
+
+void ServerConnection::beginBody(const ResponseHead &head, Framing framing)
 {
     if (phase_ != Phase::Answering || headSent_) {
         return;
     }
     headSent_ = true;
-    closeAfterResponse_ = closeAfterResponse_ || server_->keepAliveDisabled;
-    socket_->write(encodeHead(head, Framing::Chunked, 0, closeAfterResponse_));
+    framing_ = framing;
+    closeAfterResponse_ = closeAfterResponse_ || server_->keepAliveDisabled || framing == Framing::Connection;
+    if (framing == Framing::Connection) {
+        // Only a reset tells the client that the body is not whole.
+        socket_->setResetOnClose(true);
+    }
+    socket_->write(encodeHead(head, framing, 0, closeAfterResponse_));
 }
 
 void ServerConnection::send(std::string_view part)
@@ -197,7 +215,7 @@
     if (phase_ != Phase::Answering || part.empty()) {
         return;
     }
-    socket_->write(encodeChunk(part));
+    socket_->write(framing_ == Framing::Chunked ? encodeChunk(part) : std::string(part));
     if (socket_->unsentBytes() > server_->limits.maxUnsentResponseBytes) {
         onEnd();
     }
@@ -208,7 +226,11 @@
     if (phase_ != Phase::Answering) {
         return;
     }
-    socket_->write(LastChunk);
+    if (framing_ == Framing::Chunked) {
+        socket_->write(LastChunk);
+    } else {
+        socket_->setResetOnClose(false);
+    }
     finishResponse();
 }
 
--- a/src/http1/internal/serverconnection.h
+++ b/src/http1/internal/serverconnection.h
@@ -32,6 +32,7 @@
     void onDisconnected(std::function<void()> handler) override;
     void answer(ResponseHead head, std::string_view body) override;
     void begin(ResponseHead head) override;
+    void beginUnframed(ResponseHead head) override;
     void send(std::string_view part) override;
     void end() override;
     void abort() override;
@@ -51,6 +52,7 @@
     void sendContinueIfExpected();
     void onRequestComplete();
     void reject(int status);
+    void beginBody(const ResponseHead &head, Framing framing);
     void finishResponse();
     void startLingering();
     void closeConnection();
@@ -66,6 +68,7 @@
     bool continueSent_ = false;
     bool closeAfterResponse_ = false;
     bool headSent_ = false;
+    Framing framing_ = Framing::Chunked; ///< Of a response whose body is sent in parts.
     std::function<void()> onDisconnected_;
 };
 
--- a/src/http1/internal/socket.cpp
+++ b/src/http1/internal/socket.cpp
@@ -241,6 +241,12 @@
     }
 }
 
+void Socket::setResetOnClose(bool on)
+{
+    const linger option{on ? 1 : 0, 0};
+    setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
 void Socket::close()
 {
     ended_ = true;
--- a/src/http1/socket.h
+++ b/src/http1/socket.h
@@ -57,6 +57,8 @@
     bool isOpen() const;
     /// Pauses or resumes reading. While reading is paused, a close by the peer is not noticed either.
     void setReading(bool on);
+    /// While on, the connection is reset when it is closed, also by the end of the process.
+    void setResetOnClose(bool on);
     /// Sends the buffered bytes, then shuts down the sending direction.
     void shutdownAfterWrite();
     /// Closes the connection at once. No handler is called after that.
--- a/src/http1/tests/httpserver_test.cpp
+++ b/src/http1/tests/httpserver_test.cpp
@@ -55,6 +55,45 @@
     EXPECT_NE(client.received().find("one"), std::string::npos);
 }
 
+// Guards against chunks that are sent to a client that does not know them, and against a body without a length whose end can't be told from its
+// being cut off.
+TEST_F(HttpServerTest, ABodyForAnHttp10ClientEndsWithItsConnectionOrAReset)
+{
+    for (const bool isWhole : {true, false}) {
+        exchanges_.clear();
+        RawClient client(server_->port());
+        client.send("GET /1 HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n");
+        ASSERT_TRUE(runUntil([&] { return hasRequests(1); }));
+        exchanges_[0]->begin(ok());
+        exchanges_[0]->send("one");
+        exchanges_[0]->send("two");
+        ASSERT_TRUE(runUntil([&] { return client.received().find("two") != std::string::npos; }));
+        EXPECT_TRUE(client.received().ends_with("\r\n\r\nonetwo")) << client.received();
+        if (isWhole) {
+            exchanges_[0]->end();
+        } else {
+            exchanges_[0]->abort();
+        }
+        ASSERT_TRUE(runUntil([&] { return client.hasEnded(); }));
+        EXPECT_EQ(client.wasReset(), !isWhole);
+    }
+}
+
+// Guards against a body without a length that looks whole when its server's connections go.
+TEST_F(HttpServerTest, ABodyThatEndsWithItsConnectionIsResetWithTheServer)
+{
+    RawClient client(server_->port());
+    client.send("GET /1 HTTP/1.0\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return hasRequests(1); }));
+    exchanges_[0]->begin(ok());
+    exchanges_[0]->send("one");
+    ASSERT_TRUE(runUntil([&] { return client.received().find("one") != std::string::npos; }));
+    exchanges_.clear();
+    server_.reset();
+    ASSERT_TRUE(runUntil([&] { return client.hasEnded(); }));
+    EXPECT_TRUE(client.wasReset());
+}
+
 TEST_F(HttpServerTest, ABodyThatLooksLikeARequestIsABody)
 {
     const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n";
--- a/src/http1/tests/looptest.h
+++ b/src/http1/tests/looptest.h
@@ -111,7 +111,8 @@
         for (;;) {
             const ssize_t count = ::recv(descriptor_, buffer, sizeof buffer, MSG_DONTWAIT);
             if (count <= 0) {
-                ended_ = ended_ || count == 0 || errno == ECONNRESET;
+                reset_ = reset_ || (count < 0 && errno == ECONNRESET);
+                ended_ = ended_ || count == 0 || reset_;
                 return received_;
             }
             received_.append(buffer, static_cast<std::size_t>(count));
@@ -125,6 +126,13 @@
         return ended_;
     }
 
+    /// True once the connection was reset.
+    bool wasReset()
+    {
+        received();
+        return reset_;
+    }
+
     void close()
     {
         if (descriptor_ >= 0) {
@@ -137,6 +145,7 @@
     int descriptor_;
     std::string received_;
     bool ended_ = false;
+    bool reset_ = false;
 };
 
 } // namespace cardamomlift::http1
