--- a/src/forwarding/tests/forwarderrelayfaults_test.cpp
+++ b/src/forwarding/tests/forwarderrelayfaults_test.cpp
@@ -153,6 +153,28 @@
     EXPECT_EQ(allowanceTaken(), 0);
 }
 
+// Guards against a stream that a server has broken off and that is taken for complete by the VM that has handed the request over, or by the one that
+// serves it.
+TEST_F(RelayFaults, AStreamThatIsBrokenOffBehindAHandOverIsNotComplete)
+{
+    clock_.pause();
+    cutOff(0, 0);
+    for (const auto &[instance, backend] : backends_) {
+        backend->breaksInOrder = true;
+        backend->breakAfter = 2;
+    }
+    TestRequest &single = send(0, "/stream/");
+    waitEnded(single);
+    EXPECT_FALSE(single.isServed());
+    EXPECT_NE(single.client->received().find("data: 2\n\n"), std::string::npos);
+    EXPECT_EQ(single.client->received().find("data: 3"), std::string::npos);
+    TestRequest &resumed = send(0, "/resumed/");
+    waitEnded(resumed);
+    EXPECT_EQ(runsOf(resumed.id), 2);
+    EXPECT_FALSE(resumed.isServed()) << "both runs broke off inside the third event";
+    EXPECT_EQ(resumed.client->received().find("data: 3"), std::string::npos);
+}
+
 // Guards against requests that go in circles between VMs that think well of each other.
 TEST_F(RelayFaults, VmsThatAreAllCutOffAskEachOtherOnceAndRefuse)
 {
--- a/src/forwarding/tests/vmfleettest.h
+++ b/src/forwarding/tests/vmfleettest.h
@@ -45,6 +45,7 @@
     Duration eventGap{0};
     int cancelled = 0; ///< Requests whose connection was closed before their answer was complete.
     int breakAfter = -1; ///< Events after which a stream breaks, and plain requests are run and broken off; -1: none.
+    bool breaksInOrder = false; ///< A stream that breaks ends its body inside an event, as if it were whole.
     int refusals = 0; ///< So many requests are turned away, not run.
 
 private:
@@ -111,7 +112,7 @@
         }
         if (breakAfter >= 0 && number > breakAfter) {
             *isGone = true;
-            exchange->abort();
+            breakOff(exchange, number);
             return;
         }
         if (number > events) {
@@ -123,6 +124,16 @@
         loop_.after(eventGap, [this, exchange, isGone, number] { sendEvent(exchange, isGone, number + 1); });
     }
 
+    void breakOff(const http1::ExchangePtr &exchange, int number) const
+    {
+        if (!breaksInOrder) {
+            exchange->abort();
+            return;
+        }
+        exchange->send(fmt::format("id: {}\ndata: {}\n", number, number));
+        exchange->end();
+    }
+
     EventLoop &loop_;
     std::string instance_;
     std::vector<std::pair<http1::ExchangePtr, std::shared_ptr<bool>>> streams_;
--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -163,6 +163,9 @@
     Duration delay{0};
     int events = 5;
     int breakAfter = -1; ///< Events after which a stream breaks off; -1: none.
+    std::string brokenPart = "id"; ///< What is sent of the event in which a stream breaks off: "id", or whole "lines" without the last, empty one.
+    bool breaksInOrder = false; ///< The body of a stream that breaks off ends as that of a whole one.
+    bool unframed = false; ///< Streams have neither a length nor chunks.
     bool resets = false; ///< Plain requests are run and their connection is closed.
     bool fails = false; ///< Plain requests are run and answered with an error of the worker's own.
     bool full = false;
@@ -262,6 +265,9 @@
         delay = std::chrono::milliseconds(number("delayMs", std::chrono::duration_cast<std::chrono::milliseconds>(delay).count()));
         events = static_cast<int>(number("events", events));
         breakAfter = static_cast<int>(number("breakAfter", breakAfter));
+        brokenPart = body.get("brokenPart", brokenPart).asString();
+        breaksInOrder = body.get("breaksInOrder", breaksInOrder).asBool();
+        unframed = body.get("unframed", unframed).asBool();
         resets = body.get("resets", resets).asBool();
         fails = body.get("fails", fails).asBool();
         full = body.get("full", full).asBool();
@@ -368,10 +374,24 @@
             cancelled++;
         });
         const std::string_view last = exchange->head().fields.get("Last-Event-Id");
-        exchange->begin(signedHead(id));
+        if (unframed) {
+            exchange->beginUnframed(signedHead(id));
+        } else {
+            exchange->begin(signedHead(id));
+        }
         sendEvent(exchange, gone, id, last.empty() ? 1 : static_cast<int>(http1::parseNumber(last).value_or(0)) + 1, 0);
     }
 
+    void breakOff(const http1::ExchangePtr &exchange, const std::string &id, int number) const
+    {
+        exchange->send(brokenPart == "lines" ? fmt::format("id: {}\ndata: {} {}\n", number, id, number) : fmt::format("id: {}\nda", number));
+        if (breaksInOrder) {
+            exchange->end();
+        } else {
+            exchange->abort();
+        }
+    }
+
     void sendEvent(const http1::ExchangePtr &exchange, const std::shared_ptr<bool> &gone, const std::string &id, int number, int sent)
     {
         if (*gone) {
@@ -389,8 +409,7 @@
             return;
         }
         if (breakAfter >= 0 && sent >= breakAfter) {
-            exchange->send(fmt::format("id: {}\nda", number));
-            exchange->abort();
+            breakOff(exchange, id, number);
             return;
         }
         exchange->send(fmt::format("id: {}\ndata: {} {}\n\n", number, id, number));
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -200,7 +200,7 @@
             workerPathHeals_.push_back({now() + milliseconds(300 + pick(1500)), worker});
             break;
         case 6:
-            fleet_.controlWorker(worker, fault("breakAfter", pick(4)));
+            breakStreams(worker);
             workerHeals_.push_back({now() + milliseconds(200 + pick(800)), worker});
             break;
         case 7:
@@ -238,6 +238,17 @@
         healDue();
     }
 
+    // All ways in which a body may end, in turns.
+    void breakStreams(const std::string &worker)
+    {
+        Json::Value body = fault("breakAfter", pick(4));
+        const int kind = breaks_++;
+        body["breaksInOrder"] = kind % 2 == 0;
+        body["unframed"] = kind / 2 % 2 == 0;
+        body["brokenPart"] = kind / 4 % 2 == 0 ? "id" : "lines";
+        fleet_.controlWorker(worker, body);
+    }
+
     void pauseEntry(int entry)
     {
         if (busy_.contains(entry)) {
@@ -394,6 +405,7 @@
     void healWorker(const std::string &worker)
     {
         Json::Value off = fault("breakAfter", -1);
+        off["unframed"] = false;
         off["resets"] = false;
         off["full"] = false;
         off["silent"] = false;
@@ -493,6 +505,7 @@
     RouteFleet fleet_;
     TimePoint end_;
     std::vector<Sent> sent_;
+    int breaks_ = 0; ///< Faults that break streams off, so far.
     bool isRestoring_ = false;
     int probes_ = 0;
     std::set<std::string> pausedWorkers_;
