Log which stream a request takes up

request_dispatched tells the version of its server, but not whether the request takes up a stream and which one, so the two tries of a caller could not be brought together. No change of what callers get.

--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -120,6 +120,7 @@
     Deferred, ///< Number of backend servers that are a last resort: overloaded, or recovering from a backoff.
     Limited, ///< Number of backend servers skipped because of their request limits.
     Fingerprint, ///< Hash that identifies a request and its repeats by the same customer.
+    Resumes, ///< The caller's attempt that brought the first event of the stream that it resumes; empty if it resumes none.
     Framing, ///< How the body of a backend server's answer is delimited.
     Unfinished, ///< Bytes of a stream that have not been passed on, as their event has not ended.
     RetriesLeft, ///< Retries that this VM may still send to the service, of the budget that all VMs share.
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -113,6 +113,7 @@
     "deferred",
     "limited",
     "fingerprint",
+    "resumes",
     "framing",
     "unfinished",
     "retries_left",
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -211,6 +211,7 @@
             {Attribute::Server, server.instance},
             {Attribute::Zone, server.zone},
             {Attribute::Software, server.version},
+            {Attribute::Resumes, request_.resumedRequest},
             {Attribute::Outcome, choice.pick == VersionPick::OnTrial ? "on_trial" : "usual"},
             {Attribute::Attempt, std::int64_t(sends_)},
             {Attribute::Candidates, static_cast<std::int64_t>(choice.candidates)},
--- a/src/forwarding/wireformat.h
+++ b/src/forwarding/wireformat.h
@@ -27,6 +27,7 @@
     std::int64_t outputTokens = 0; ///< Maximum number of tokens to generate.
     std::vector<PromptPart> prompt; ///< In order; the last part belongs to this request alone.
     std::string lastEventId; ///< Set if the caller resumes a stream after this event.
+    std::string resumedRequest; ///< Set if the caller resumes a stream: the id of its attempt that brought the first event.
 };
 
 /// Header fields that an entry VM sets on a request to a backend server.
