--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -165,6 +165,7 @@
     int breakAfter = -1; ///< Events after which a stream breaks off; -1: none.
     std::string brokenPart = "id"; ///< What is sent of the event in which a stream breaks off: "id", or whole "lines" without the last, empty one.
     bool breaksInOrder = false; ///< The body of a stream that breaks off ends as that of a whole one.
+    bool namesServer = false; ///< Each event of a stream names the worker.
     bool unframed = false; ///< Streams have neither a length nor chunks.
     bool resets = false; ///< Plain requests are run and their connection is closed.
     bool fails = false; ///< Plain requests are run and answered with an error of the worker's own.
@@ -268,6 +269,7 @@
         brokenPart = body.get("brokenPart", brokenPart).asString();
         breaksInOrder = body.get("breaksInOrder", breaksInOrder).asBool();
         unframed = body.get("unframed", unframed).asBool();
+        namesServer = body.get("namesServer", namesServer).asBool();
         resets = body.get("resets", resets).asBool();
         fails = body.get("fails", fails).asBool();
         full = body.get("full", full).asBool();
@@ -412,7 +414,7 @@
             breakOff(exchange, id, number);
             return;
         }
-        exchange->send(fmt::format("id: {}\ndata: {} {}\n\n", number, id, number));
+        exchange->send(fmt::format("id: {}\ndata: {} {}{}\n\n", number, id, number, namesServer ? " " + instance : std::string()));
         loop->after(eventGap, [this, exchange, gone, id, number, sent] { sendEvent(exchange, gone, id, number + 1, sent + 1); });
     }
 };
