Resume a stream within one answer at its software version only

Callers got streams whose events came from two versions, which don't fit together: the server for a resumed run was chosen among all of the service.

Where none is left the stream is cut or refused with the reason origin_gone: refused, never mixed.

--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -248,8 +248,9 @@
     if (connectFailures_ > 0 && mayRelay() && startRelay()) {
         return;
     }
+    const bool isOriginGone = origin_ && choice.ofOrigin == 0;
     if (runs_ > 0) {
-        fail(StatusBadGateway, FailureReason::OutcomeUnknown);
+        fail(StatusBadGateway, isOriginGone ? FailureReason::OriginGone : FailureReason::OutcomeUnknown);
         return;
     }
     if (choice.limited > 0) {
@@ -261,7 +262,8 @@
         refuse(StatusUnavailable, FailureReason::ServersBackingOff, backoff::retryAfterBackoff(left, salt()));
         return;
     }
-    refuse(StatusUnavailable, sends_ == 0 ? FailureReason::NoServer : FailureReason::ServersFull, ServersFullRetryAfter);
+    const FailureReason reason = sends_ == 0 ? FailureReason::NoServer : FailureReason::ServersFull;
+    refuse(StatusUnavailable, isOriginGone ? FailureReason::OriginGone : reason, ServersFullRetryAfter);
 }
 
 void ForwardedRequest::refuseForWantOfRoom(double requestsPerSecond)
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -3,6 +3,7 @@
 #include "forwarding/eventsplitter.h"
 #include "forwarding/forwarder.h"
 #include "http1/httpclient.h"
+#include "origins/originstypes.h"
 #include "prefixindex/prefixrules.h"
 #include "relay/relaytypes.h"
 #include "suspects/suspecttypes.h"
@@ -70,6 +71,7 @@
         VersionPick pick = VersionPick::Usual; ///< The assignment for which it was chosen.
         std::size_t candidates = 0;
         std::size_t outliers = 0; ///< Among the candidates.
+        std::size_t ofOrigin = 0; ///< Servers whose software may go on with the stream; all if it has not begun.
         std::size_t tried = 0; ///< Servers skipped because this request has failed or was refused there.
         std::size_t backingOff = 0; ///< Servers skipped because they accept no requests of this VM for some time.
         TimePoint backoffEndsAt = TimePoint::max(); ///< The earliest end of their backoffs.
@@ -85,6 +87,8 @@
     Choice chooseAmong(std::span<const directory::ServerPtr> usable, VersionPick pick, std::span<const prefixindex::PrefixMatch> matches) const;
     std::uint64_t salt() const;
     balancing::Candidate candidateOf(const directory::KnownServer &known, std::span<const prefixindex::PrefixMatch> matches) const;
+    /// Whether the stream has begun with the software of @p server, or has not begun yet.
+    bool isOfOrigin(const directory::BackendServer &server) const;
     bool skipIfBackingOff(const std::string &instance, Choice &choice) const;
     bool skipIfLimited(const std::string &instance, Choice &choice) const;
     bool skipIfNoSlot(const directory::BackendServer &server, Choice &choice) const;
@@ -250,6 +254,7 @@
     bool demandNoted_ = false;
     bool finished_ = false;
     EventSplitter splitter_;
+    std::optional<origins::SoftwareId> origin_; ///< What has begun the stream: no server with other software may go on with it.
     http1::ResponseHead streamHead_; ///< From the first server; heads of later servers are not forwarded.
     TimePoint firstEventAt_;
 };
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -64,6 +64,10 @@
     preferred.reserve(usable.size());
     for (const auto &server : usable) {
         const std::string &instance = server->server.instance;
+        if (!isOfOrigin(server->server)) {
+            continue;
+        }
+        choice.ofOrigin++;
         const Eligibility eligibility = tools_.versions ? tools_.versions->eligibility(server->server, pick) : Eligibility::Preferred;
         if (eligibility == Eligibility::None || skipIfBackingOff(instance, choice)) {
             continue;
@@ -130,6 +134,11 @@
     return XXH3_64bits(request_.id.data(), request_.id.size());
 }
 
+bool ForwardedRequest::isOfOrigin(const directory::BackendServer &server) const
+{
+    return !origin_ || origins::softwareId(server.service, server.version) == *origin_;
+}
+
 bool ForwardedRequest::skipIfBackingOff(const std::string &instance, Choice &choice) const
 {
     const auto end = tools_.backoffs->endsAt(instance);
