Move a run to a server of its software version only

What a run keeps in memory was copied to a server of any version, which went on with the stream: two versions in one answer of a stream that may not even be resumed. A move binds the run to its source's software, also before its first event; with no such server left it stays where it is.

Origins.ARunIsMovedToItsVersionOnly, Origins.ARunIsNotMovedWhereItsVersionIsGone: red before, green now.

--- a/src/forwarding/internal/forwardedrequestmove.cpp
+++ b/src/forwarding/internal/forwardedrequestmove.cpp
@@ -49,7 +49,10 @@
 
 void ForwardedRequest::startMove()
 {
-    tried_.insert(attempt_->server->server.instance);
+    const directory::BackendServer &source = attempt_->server->server;
+    tried_.insert(source.instance);
+    // What the run keeps in memory fits its own software only, also before the first event.
+    origin_ = origins::softwareId(source.service, source.version);
     const auto to = chooseServer().server;
     if (!to || !takeRetry()) {
         return;
