Let a stream that a caller takes up go on at the version that began it

Callers came again at another VM with the id of their last event, and it went on at any version: that VM could not know which one had begun the stream, and Resumes was read nowhere.

src/origins: the VM at which a stream begins tells three VMs, chosen by the stream's id and in different failure domains, beside the first event; the VM at which it is taken up asks them. What they know is told anew when VMs come, go or start again. If nobody knows, and the service's servers have had one version only since before any such stream can have begun (a row in the store says so over restarts of all VMs), it is that one; else the caller is refused at once, with a time if a VM has not answered. A resumed stream also goes on at its service where the route has several. Event stream_origin, counter streams_taken_up_total.

--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -49,6 +49,7 @@
             "presence",
             "allowance",
             "usage",
+            "origins",
             "outliers",
             "overload",
             "reachability",
@@ -91,6 +92,8 @@
         tools.vmCount = [presence = context.get<presence::Presence>()] {
             return presence->vmCount();
         };
+        tools.origins = context.get<origins::OriginTracker>();
+        tools.softwareHistory = context.get<origins::SoftwareHistory>();
         tools.outliers = context.get<outliers::OutlierDetector>();
         tools.reachability = context.get<reachability::ReachabilityTracker>();
         tools.overload = context.get<overload::OverloadController>();
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cardamomlift::forwarding {
 
@@ -62,10 +63,14 @@
         return;
     }
     service_ = chooseService();
-    if (source_ == RequestSource::Caller) {
+    dispatch();
+}
+
+void ForwardedRequest::countRequest()
+{
+    if (source_ == RequestSource::Caller && !std::exchange(isCounted_, true)) {
         forwarder_.budget(service_).addRequest(service_);
     }
-    dispatch();
 }
 
 bool ForwardedRequest::checkRequest()
@@ -226,6 +231,11 @@
         onDeadline();
         return;
     }
+    if (mustFindOrigin()) {
+        findOrigin();
+        return;
+    }
+    countRequest();
     if (!checkCrashes() || (shouldRelay() && startRelay()) || !admit()) {
         return;
     }
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -60,6 +60,18 @@
     /// Ends the request if it must not run because of crashes of servers. Returns false in that case.
     bool checkCrashes();
     suspects::Fingerprint fingerprint();
+    origins::StreamId streamId() const;
+    /// The stream has begun, but not here: it must be found out with which software.
+    bool mustFindOrigin() const;
+    void findOrigin();
+    void onOriginAnswer(const origins::FoundOrigin &found);
+    void onOriginFound(const origins::FoundOrigin &found);
+    void chooseServiceOfOrigin();
+    /// Binds the stream to the software of the current attempt's server, and lets other VMs know.
+    void noteOrigin();
+    void logOrigin(const origins::FoundOrigin &found) const;
+    /// Counts a caller's request once for the retry budget of its service.
+    void countRequest();
     /// How far the answer is, for the crash of its server.
     std::uint64_t crashPosition() const;
     void noteConnectionBroken();
@@ -247,6 +259,7 @@
     std::string kvSource_; ///< For the next send.
     TimerId moveTimer_ = 0;
     const RequestSource source_;
+    bool isCounted_ = false;
     bool isAdmitted_ = false;
     bool allowanceTaken_ = false;
     bool headSent_ = false; ///< The head of a stream's answer has been sent to the caller.
@@ -255,6 +268,7 @@
     bool finished_ = false;
     EventSplitter splitter_;
     std::optional<origins::SoftwareId> origin_; ///< What has begun the stream: no server with other software may go on with it.
+    std::optional<TimePoint> originToldAt_; ///< When other VMs were last told of it.
     http1::ResponseHead streamHead_; ///< From the first server; heads of later servers are not forwarded.
     TimePoint firstEventAt_;
 };
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -106,10 +106,7 @@
     if (events.empty()) {
         return;
     }
-    if (!origin_) {
-        const directory::BackendServer &server = attempt_->server->server;
-        origin_ = origins::softwareId(server.service, server.version);
-    }
+    noteOrigin();
     if (!headSent_) {
         noteOutcome(outliers::Ending::Answered);
         if (tools_.usage && customer_ && !usageNoted_) {
--- a/src/forwarding/internal/forwardingtypes.cpp
+++ b/src/forwarding/internal/forwardingtypes.cpp
@@ -24,6 +24,7 @@
     "crash_cause_unknown",
     "draining",
     "cut_off",
+    "origin_unknown",
     "origin_gone",
     "manifest_behind"};
 
--- a/src/origins/internal/originstypes.cpp
+++ b/src/origins/internal/originstypes.cpp
@@ -2,12 +2,35 @@
 
 #include <xxhash.h>
 
+#include <array>
+
 namespace cardamomlift::origins {
 
+namespace {
+
+constexpr std::array<std::string_view, 5> SourceNames{"own", "peer", "only_version", "unknown", "unanswered"};
+
+/// A hash of two texts in which their border counts.
+std::uint64_t pairHash(std::string_view first, std::string_view second)
+{
+    return XXH3_64bits_withSeed(second.data(), second.size(), XXH3_64bits(first.data(), first.size()));
+}
+
+} // namespace
+
 SoftwareId softwareId(std::string_view service, std::string_view version)
 {
-    const XXH64_hash_t serviceHash = XXH3_64bits(service.data(), service.size());
-    return XXH3_64bits_withSeed(version.data(), version.size(), serviceHash);
+    return pairHash(service, version);
+}
+
+StreamId streamId(std::string_view customer, std::string_view request)
+{
+    return pairHash(customer, request);
+}
+
+std::string_view originSourceName(OriginSource source)
+{
+    return SourceNames[static_cast<std::size_t>(source)];
 }
 
 } // namespace cardamomlift::origins
--- /dev/null
+++ b/src/origins/internal/origintracker.cpp
@@ -0,0 +1,279 @@
+#include "origins/origintracker.h"
+
+#include "origins/ownerrules.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomlift::origins {
+
+namespace {
+
+/// What is told and asked within this time goes in one datagram.
+constexpr Duration SendDelay = std::chrono::milliseconds(2);
+/// Origins and streams in one datagram: it fits into one packet.
+constexpr std::size_t MaxEntries = 50;
+/// A question is sent again after this long: more than the way between regions and back.
+constexpr Duration AskPeriod = std::chrono::milliseconds(60);
+/// A VM that has not answered by then is cut off or has ended.
+constexpr Duration AskTimeout = std::chrono::milliseconds(250);
+/// The oldest are forgotten first.
+constexpr std::size_t MaxRecords = 100'000;
+
+} // namespace
+
+OriginTracker::OriginTracker(OriginTools tools)
+    : tools_(std::move(tools))
+{
+}
+
+std::shared_ptr<OriginTracker> OriginTracker::create(OriginTools tools)
+{
+    std::shared_ptr<OriginTracker> tracker(new OriginTracker(std::move(tools)));
+    OriginTracker *raw = tracker.get();
+    raw->updateVms();
+    raw->tools_.socket->onDatagram([raw](std::string_view bytes) { raw->onDatagram(bytes); });
+    return tracker;
+}
+
+OriginTracker::~OriginTracker()
+{
+    tools_.socket->onDatagram([](std::string_view) {});
+    tools_.loop->cancel(sendTimer_);
+    tools_.loop->cancel(questionTimer_);
+}
+
+std::size_t OriginTracker::size() const
+{
+    return records_.size();
+}
+
+void OriginTracker::noteBegun(StreamId stream, SoftwareId software)
+{
+    const StreamOrigin origin{stream, software, Duration(0)};
+    remember(origin);
+    for (const std::size_t owner : chooseOwners(stream, vms_)) {
+        if (owner != 0) {
+            messageTo(vms_[owner].endpoint).origins.push_back(origin);
+        }
+    }
+}
+
+void OriginTracker::remember(const StreamOrigin &origin)
+{
+    const TimePoint now = tools_.loop->now();
+    const auto [entry, isNew] = records_.try_emplace(origin.stream);
+    entry->second.software = origin.software;
+    entry->second.begunAt = isNew ? now - origin.age : std::max(entry->second.begunAt, now - origin.age);
+    order_.emplace_back(origin.stream, now);
+    while (order_.size() > MaxRecords) {
+        records_.erase(order_.front().first);
+        order_.pop_front();
+    }
+}
+
+StreamOrigin OriginTracker::originOf(StreamId stream, const Record &record) const
+{
+    return {stream, record.software, tools_.loop->now() - record.begunAt};
+}
+
+void OriginTracker::find(StreamId stream, FoundHandler handler)
+{
+    const auto known = records_.find(stream);
+    if (known != records_.end()) {
+        handler({OriginSource::Own, known->second.software, originOf(stream, known->second).age});
+        return;
+    }
+    const bool isAsked = questions_.contains(stream);
+    Question &question = questions_[stream];
+    question.handlers.push_back(std::move(handler));
+    if (isAsked) {
+        return;
+    }
+    question.endsAt = tools_.loop->now() + AskTimeout;
+    for (const std::size_t owner : chooseOwners(stream, vms_)) {
+        if (owner != 0) {
+            question.unanswered.insert(vms_[owner].endpoint);
+            messageTo(vms_[owner].endpoint).asked.push_back(stream);
+        }
+    }
+    if (question.unanswered.empty()) {
+        finish(stream, {});
+        return;
+    }
+    scheduleQuestions();
+}
+
+void OriginTracker::scheduleQuestions()
+{
+    if (questionTimer_ != 0) {
+        return;
+    }
+    questionTimer_ = tools_.loop->after(AskPeriod, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->questionTimer_ = 0;
+            self->askAgain();
+        }
+    });
+}
+
+void OriginTracker::askAgain()
+{
+    std::vector<StreamId> over;
+    for (const auto &[stream, question] : questions_) {
+        if (tools_.loop->now() >= question.endsAt) {
+            over.push_back(stream);
+            continue;
+        }
+        for (const http1::Endpoint &endpoint : question.unanswered) {
+            messageTo(endpoint).asked.push_back(stream);
+        }
+    }
+    for (const StreamId stream : over) {
+        finish(stream, {OriginSource::Unanswered, std::nullopt, Duration(0)});
+    }
+    if (!questions_.empty()) {
+        scheduleQuestions();
+    }
+}
+
+void OriginTracker::finish(StreamId stream, const FoundOrigin &found)
+{
+    const auto entry = questions_.find(stream);
+    if (entry == questions_.end()) {
+        return;
+    }
+    const std::vector<FoundHandler> handlers = std::move(entry->second.handlers);
+    questions_.erase(entry);
+    for (const FoundHandler &handler : handlers) {
+        handler(found);
+    }
+}
+
+void OriginTracker::onDatagram(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    const auto message = decodeMessage(bytes);
+    if (!message) {
+        return;
+    }
+    for (const StreamOrigin &origin : message->origins) {
+        remember(origin);
+        finish(origin.stream, {OriginSource::Peer, origin.software, origin.age});
+    }
+    for (const StreamId stream : message->unknown) {
+        noteUnknown(stream, message->from);
+    }
+    answer(*message);
+}
+
+void OriginTracker::answer(const OriginMessage &message)
+{
+    for (const StreamId stream : message.asked) {
+        const auto known = records_.find(stream);
+        if (known == records_.end()) {
+            messageTo(message.from).unknown.push_back(stream);
+        } else {
+            messageTo(message.from).origins.push_back(originOf(stream, known->second));
+        }
+    }
+}
+
+void OriginTracker::noteUnknown(StreamId stream, const http1::Endpoint &from)
+{
+    const auto entry = questions_.find(stream);
+    if (entry == questions_.end()) {
+        return;
+    }
+    entry->second.unanswered.erase(from);
+    if (entry->second.unanswered.empty()) {
+        finish(stream, {});
+    }
+}
+
+void OriginTracker::tick()
+{
+    const TimePoint now = tools_.loop->now();
+    while (!order_.empty() && now - order_.front().second >= OriginLifetime) {
+        const auto record = records_.find(order_.front().first);
+        // It may have come again since.
+        if (record != records_.end() && now - record->second.begunAt >= OriginLifetime) {
+            records_.erase(record);
+        }
+        order_.pop_front();
+    }
+    updateVms();
+}
+
+void OriginTracker::updateVms()
+{
+    std::vector<OriginVm> vms = tools_.others();
+    vms.insert(vms.begin(), tools_.self);
+    if (vms == vms_) {
+        return;
+    }
+    const std::vector<OriginVm> before = std::exchange(vms_, std::move(vms));
+    tellNewOwners(before);
+}
+
+void OriginTracker::tellNewOwners(const std::vector<OriginVm> &before)
+{
+    for (const auto &[stream, record] : records_) {
+        const std::vector<std::size_t> ownersBefore = chooseOwners(stream, before);
+        for (const std::size_t owner : chooseOwners(stream, vms_)) {
+            const bool knewIt = std::any_of(ownersBefore.begin(), ownersBefore.end(), [&](std::size_t index) { return before[index] == vms_[owner]; });
+            if (owner != 0 && !knewIt) {
+                messageTo(vms_[owner].endpoint).origins.push_back(originOf(stream, record));
+            }
+        }
+    }
+}
+
+OriginMessage &OriginTracker::messageTo(const http1::Endpoint &endpoint)
+{
+    scheduleSend();
+    return outgoing_[endpoint];
+}
+
+void OriginTracker::scheduleSend()
+{
+    if (sendTimer_ != 0) {
+        return;
+    }
+    sendTimer_ = tools_.loop->after(SendDelay, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->sendTimer_ = 0;
+            self->sendMessages();
+        }
+    });
+}
+
+void OriginTracker::sendMessages()
+{
+    const auto outgoing = std::exchange(outgoing_, {});
+    for (const auto &[endpoint, message] : outgoing) {
+        OriginMessage part;
+        part.from = tools_.self.endpoint;
+        const auto sendIfFull = [&](std::size_t most) {
+            if (part.origins.size() + part.asked.size() + part.unknown.size() < most) {
+                return;
+            }
+            tools_.socket->send(endpoint, encodeMessage(part));
+            part.origins.clear();
+            part.asked.clear();
+            part.unknown.clear();
+        };
+        const auto addAll = [&](const auto &from, auto &to) {
+            for (const auto &entry : from) {
+                to.push_back(entry);
+                sendIfFull(MaxEntries);
+            }
+        };
+        addAll(message.origins, part.origins);
+        addAll(message.asked, part.asked);
+        addAll(message.unknown, part.unknown);
+        sendIfFull(1);
+    }
+}
+
+} // namespace cardamomlift::origins
