--- a/src/forwarding/tests/forwarderorigins_test.cpp
+++ b/src/forwarding/tests/forwarderorigins_test.cpp
@@ -1,6 +1,11 @@
 // Streams stay at the software version that began them.
 
+#include "forwarding/tests/fakeversiongate.h"
 #include "forwarding/tests/forwardertest.h"
+#include "forwarding/tests/vmfleettest.h"
+#include "origins/tests/fakenetwork.h"
+
+#include <set>
 
 namespace cardamomlift::forwarding {
 
@@ -120,6 +125,261 @@
     EXPECT_EQ(logLines_.find("\"event\":\"stream_moved\""), std::string::npos) << "there is no server to move it to";
 }
 
+/// As above; the VM knows the origin of streams of earlier attempts.
+class KnownOrigins : public Origins
+{
+protected:
+    KnownOrigins()
+    {
+        network_->loop = loop_.get();
+        origins::OriginTools tools;
+        tools.loop = loop_.get();
+        tools.self = {"vm", "zone", {"127.0.0.1", 1000}, 1};
+        tools.socket = std::make_shared<origins::FakeSocket>(network_, tools.self.endpoint);
+        tools.others = [] {
+            return std::vector<origins::OriginVm>();
+        };
+        tools_.origins = origins::OriginTracker::create(std::move(tools));
+        restart();
+    }
+
+    void restart()
+    {
+        restartForwarder();
+        clock_.advance(ForwardingSettings().retryWindow);
+        manifests_->confirm(loop_->now());
+    }
+
+    static std::string resumption(const std::string &first)
+    {
+        return request("/resumed/1", "Last-Event-Id: 1\r\nResumes: " + first + "\r\n");
+    }
+
+    std::shared_ptr<origins::FakeNetwork> network_ = std::make_shared<origins::FakeNetwork>();
+};
+
+// Guards against a stream that is taken up at the service that its new attempt draws.
+TEST_F(KnownOrigins, AStreamGoesOnAtTheServiceThatBeganIt)
+{
+    manifest::Manifest manifest = testManifest(2);
+    manifest.routes[3].shares = {{"service", 1'000'000}, {"other", 1}};
+    manifests_->update(manifest);
+    addBackend("of-other", "v1");
+    directory::BackendServer server = directory_->find("of-other")->server;
+    server.service = "other";
+    directory_->put(std::move(server));
+    tools_.origins->noteBegun(origins::streamId("customer", "first"), origins::softwareId("other", "v1"));
+    const auto client = call(resumption("first"));
+    const auto exchange = nextRequest();
+    ASSERT_TRUE(exchange);
+    EXPECT_EQ(exchange->head().fields.get("X-Expect-Instance"), "of-other");
+}
+
+// Guards against a stream of a service that the route has left.
+TEST_F(KnownOrigins, AStreamOfAnotherServiceIsRefused)
+{
+    tools_.origins->noteBegun(origins::streamId("customer", "first"), origins::softwareId("other", "v1"));
+    const auto client = call(resumption("first"));
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "503"); }));
+    EXPECT_NE(logLines_.find("origin_gone"), std::string::npos);
+    EXPECT_EQ(arrivals(), 0);
+}
+
+// Guards against a rollout that sends a stream to another version.
+TEST_F(KnownOrigins, AStreamWhoseVersionARolloutExcludesIsRefused)
+{
+    const auto versions = std::make_shared<FakeVersionGate>();
+    versions->versionOnTrial = "v2";
+    tools_.versions = versions;
+    restart();
+    tools_.origins->noteBegun(origins::streamId("customer", "first"), origins::softwareId("service", "v2"));
+    const auto client = call(resumption("first"));
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "503"); }));
+    EXPECT_EQ(arrivals(), 0);
+}
+
+// Guards against a customer that goes on with another's stream.
+TEST_F(KnownOrigins, AnotherCustomersStreamIsNotKnown)
+{
+    tools_.origins->noteBegun(origins::streamId("another", "first"), origins::softwareId("service", "v1"));
+    const auto client = call(resumption("first"));
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "503"); }));
+    EXPECT_NE(logLines_.find("origin_unknown"), std::string::npos);
+    EXPECT_NE(logLines_.find("\"event\":\"stream_origin\""), std::string::npos);
+}
+
+/// Five entry VMs and servers of two versions.
+class OriginsOfFleet : public VmFleetTest
+{
+protected:
+    OriginsOfFleet()
+    {
+        network_->loop = loop_.get();
+        for (const auto &vm : vms_) {
+            originVms_.push_back({vm->name, vm->zone, {"127.0.0.1", static_cast<std::uint16_t>(1000 + originVms_.size())}, 1});
+        }
+        for (std::size_t i = 0; i < vms_.size(); i++) {
+            trackers_.push_back(createTracker(i));
+            vms_[i]->tools.origins = trackers_.back();
+            vms_[i]->tools.settings.retrySlack = 200;
+            start(*vms_[i]);
+            setVersions(*vms_[i]);
+        }
+        clock_.advance(ForwardingSettings().retryWindow);
+        tick();
+    }
+
+    std::shared_ptr<origins::OriginTracker> createTracker(std::size_t index)
+    {
+        origins::OriginTools tools;
+        tools.loop = loop_.get();
+        tools.self = originVms_[index];
+        tools.socket = std::make_shared<origins::FakeSocket>(network_, tools.self.endpoint);
+        tools.others = [this, index] {
+            std::vector<origins::OriginVm> others = originVms_;
+            others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
+            return others;
+        };
+        return origins::OriginTracker::create(std::move(tools));
+    }
+
+    static std::string versionOf(const std::string &instance)
+    {
+        return (instance.back() - '0') % 2 == 0 ? "v1" : "v2";
+    }
+
+    static void setVersions(TestVm &vm)
+    {
+        std::vector<directory::BackendServer> servers;
+        for (const auto &[instance, known] : vm.directory->all()) {
+            servers.push_back(known->server);
+        }
+        for (directory::BackendServer &server : servers) {
+            server.version = versionOf(server.instance);
+            vm.directory->put(server);
+        }
+    }
+
+    void setEventGap(Duration gap)
+    {
+        for (const auto &[instance, backend] : backends_) {
+            backend->eventGap = gap;
+            backend->events = 20;
+        }
+    }
+
+    /// No VM reaches the servers any more that have run the request; connections that are open live on.
+    void refuseNewAtServersOf(const std::string &id)
+    {
+        for (const auto &[instance, backend] : backends_) {
+            for (const auto &vm : vms_) {
+                if (backend->runs.contains(id)) {
+                    vm->links.at(instance)->refuseNew();
+                }
+            }
+        }
+    }
+
+    void healAll()
+    {
+        for (const auto &vm : vms_) {
+            heal(*vm);
+        }
+        pass(milliseconds(3000));
+    }
+
+    /// Versions of the servers that ran any of these requests.
+    std::set<std::string> versionsOf(const std::vector<std::string> &ids) const
+    {
+        std::set<std::string> versions;
+        for (const auto &[instance, backend] : backends_) {
+            for (const std::string &id : ids) {
+                if (backend->runs.contains(id)) {
+                    versions.insert(versionOf(instance));
+                }
+            }
+        }
+        return versions;
+    }
+
+    std::shared_ptr<origins::FakeNetwork> network_ = std::make_shared<origins::FakeNetwork>();
+    std::vector<origins::OriginVm> originVms_;
+    std::vector<std::shared_ptr<origins::OriginTracker>> trackers_;
+};
+
+// Guards against a stream whose rest is handed over to a VM that does not know what began it.
+TEST_F(OriginsOfFleet, AStreamThatIsHandedOverGoesOnAtItsVersion)
+{
+    setEventGap(milliseconds(50));
+    for (int i = 0; i < 6; i++) {
+        TestRequest &request = send(0, "/resumed/");
+        pass(milliseconds(300));
+        EXPECT_NE(request.client->received().find("data: 2"), std::string::npos);
+        refuseNewAtServersOf(request.id);
+        cut(*vms_[0], Cut::Reset);
+        pass(milliseconds(3000));
+        EXPECT_TRUE(request.isServed()) << request.client->received();
+        EXPECT_EQ(runsOf(request.id), 2);
+        EXPECT_EQ(versionsOf({request.id}).size(), 1U);
+        healAll();
+    }
+}
+
+// Guards against a stream that another VM has begun for this one, and that goes on elsewhere at another version.
+TEST_F(OriginsOfFleet, AStreamThatWasBegunBehindAHandOverGoesOnAtItsVersion)
+{
+    setEventGap(milliseconds(50));
+    cutOff(0, 0);
+    for (int i = 0; i < 6; i++) {
+        TestRequest &request = send(0, "/resumed/");
+        pass(milliseconds(300));
+        EXPECT_NE(request.client->received().find("data: 2"), std::string::npos);
+        refuseNewAtServersOf(request.id);
+        for (std::size_t vm = 1; vm < Vms; vm++) {
+            vms_[vm]->peerLink->reset();
+            vms_[vm]->peerLink->open();
+        }
+        pass(milliseconds(3000));
+        EXPECT_TRUE(request.isServed()) << request.client->received();
+        EXPECT_EQ(versionsOf({request.id}).size(), 1U);
+        healAll();
+        cutOff(0, 0);
+    }
+}
+
+// Guards against a caller that comes again with its last event and is served by another version.
+TEST_F(OriginsOfFleet, AStreamThatACallerTakesUpGoesOnAtItsVersion)
+{
+    setEventGap(milliseconds(50));
+    for (std::size_t vm = 1; vm < Vms; vm++) {
+        TestRequest &first = send(0, "/resumed/");
+        pass(milliseconds(300));
+        first.client->close();
+        const std::string firstId = first.id;
+        TestRequest &second = send(vm, "/resumed/", "Last-Event-Id: 2\r\nResumes: " + firstId + "\r\n");
+        pass(milliseconds(2500));
+        EXPECT_TRUE(second.isServed()) << second.client->received();
+        EXPECT_EQ(versionsOf({firstId, second.id}).size(), 1U);
+    }
+}
+
+// Guards against a stream that is guessed at: its id is another's, or never was.
+TEST_F(OriginsOfFleet, AStreamThatNobodyKnowsIsRefusedAtOnce)
+{
+    TestRequest &request = send(0, "/resumed/", "Last-Event-Id: 2\r\nResumes: never-was\r\n");
+    pass(milliseconds(200));
+    EXPECT_TRUE(request.client->received().starts_with("HTTP/1.1 503")) << request.client->received();
+    EXPECT_EQ(request.client->received().find("Retry-After"), std::string::npos) << "it won't be known later";
+    EXPECT_EQ(versionsOf({request.id}).size(), 0U);
+    for (const origins::OriginVm &vm : originVms_) {
+        network_->cutOff.insert(vm.endpoint);
+    }
+    TestRequest &unanswered = send(0, "/resumed/", "Last-Event-Id: 2\r\nResumes: never-was\r\n");
+    pass(milliseconds(500));
+    EXPECT_TRUE(unanswered.client->received().starts_with("HTTP/1.1 503")) << unanswered.client->received();
+    EXPECT_NE(unanswered.client->received().find("Retry-After: 0.2"), std::string::npos);
+}
+
 } // namespace
 
 } // namespace cardamomlift::forwarding
