Play streams beside other versions in the soak

Four VMs, servers of two versions and of newer ones that take their place; VMs are killed, paused and cut off from the store, callers leave and come again. At most two streams may hold events of two versions, and each event comes once.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,6 +4,7 @@
 //   soak --gtest_filter=Soak.* with SOAK_SEEDS="7 8 9" and SOAK_SECONDS=20 in the environment, or the defaults.
 
 #include "soak/crashingsoak.h"
+#include "soak/versionssoak.h"
 #include "support/announcements.h"
 #include "support/arrivals.h"
 #include "support/routefleet.h"
@@ -671,6 +672,11 @@
     soak::CrashingSoak(GetParam(), chosenLength()).run();
 }
 
+TEST_P(Soak, KeepsStreamsAtTheirVersion)
+{
+    soak::VersionsSoak(GetParam(), chosenLength()).run();
+}
+
 TEST_P(Soak, AKeyThatIsTakenAwayStopsWhileManyVmsLackTheStore)
 {
     TakenKeyRun(GetParam()).run();
--- a/tests/streamversions_test.cpp
+++ b/tests/streamversions_test.cpp
@@ -1,15 +1,11 @@
 // Real daemons before workers of two software versions, which can't go on with each other's streams.
 
-#include "support/routefleet.h"
+#include "support/streamreaders.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <csignal>
-#include <functional>
-#include <set>
-#include <sstream>
 
 using namespace cardamomlift;
 using test::RouteFleet;
@@ -25,40 +21,8 @@
 constexpr int Events = 60;
 constexpr int EventGapMs = 40;
 constexpr milliseconds TroubleAfter(600);
-/// A caller that is refused, or finds no VM, comes again this much later, and gives up in the end.
-constexpr milliseconds ReturnsAfter(100);
-constexpr milliseconds GivesUpAfter(6000);
-
-/// A caller that reads one stream, over as many tries as it takes.
-struct Reader {
-    std::string name;
-    int entry = 0;
-    int tries = 0;
-    std::string firstTry; ///< The one that brought the first event.
-    TestCallPtr call;
-    std::vector<std::pair<int, std::string>> events; ///< Number and worker, of the tries before.
-    TimePoint returnsAt;
-    bool hasEnded = false;
-    bool isWhole = false;
-};
-
-std::vector<std::pair<int, std::string>> eventsOf(const std::string &body)
-{
-    std::vector<std::pair<int, std::string>> events;
-    std::istringstream lines(body);
-    for (std::string line; std::getline(lines, line);) {
-        std::istringstream words(line);
-        std::string field;
-        std::string id;
-        int number = 0;
-        std::string worker;
-        words >> field >> id >> number >> worker;
-        if (field == "data:") {
-            events.emplace_back(number, worker);
-        }
-    }
-    return events;
-}
+/// A caller gives up this long after it began.
+constexpr milliseconds Patience(7500);
 
 class StreamVersions : public testing::Test
 {
@@ -66,101 +30,19 @@
     void addWorkers(const std::string &version)
     {
         for (int i = 0; i < WorkersOfVersion; i++) {
-            addWorker(fmt::format("{}-{}", version, i), version);
+            readers_.addWorker(fmt::format("{}-{}", version, i));
         }
     }
 
-    void addWorker(const std::string &instance, const std::string &version)
-    {
-        fleet_.addWorker(instance, version);
-        Json::Value control;
-        control["events"] = Events;
-        control["eventGapMs"] = EventGapMs;
-        control["namesServer"] = true;
-        fleet_.controlWorker(instance, control);
-    }
-
-    TimePoint now()
-    {
-        return fleet_.caller.loop().now();
-    }
-
     void startReaders()
     {
         fleet_.waitReady();
         fleet_.waitKnown();
         for (int i = 0; i < Streams; i++) {
-            Reader reader;
-            reader.name = fmt::format("reader-{}", i);
-            reader.entry = i % Entries + 1;
-            readers_.push_back(reader);
-            startTry(readers_.back());
-        }
-        const TimePoint at = now() + TroubleAfter;
-        fleet_.caller.waitUntil([&] { return now() >= at; }, "the streams run");
-    }
-
-    void startTry(Reader &reader)
-    {
-        const std::string id = fmt::format("{}-{}", reader.name, reader.tries++);
-        http::ClientRequest request = fleet_.request(reader.entry, "/stream/1", id);
-        if (!reader.events.empty()) {
-            request.headers["Last-Event-Id"] = std::to_string(reader.events.back().first);
-            request.headers["Resumes"] = reader.firstTry;
-        } else {
-            reader.firstTry = id;
-        }
-        reader.call = fleet_.caller.start(request);
-    }
-
-    /// Takes in what the last try has brought. The next one goes to another VM.
-    void endTry(Reader &reader)
-    {
-        const auto events = eventsOf(reader.call->body);
-        reader.events.insert(reader.events.end(), events.begin(), events.end());
-        reader.isWhole = reader.call->result.transport == http::Transport::Completed && reader.call->status == 200;
-        reader.hasEnded = reader.isWhole;
-        reader.call = nullptr;
-        reader.entry = reader.entry % Entries + 1;
-        reader.returnsAt = now() + ReturnsAfter;
-    }
-
-    /// All callers leave, and come again at once at other VMs.
-    void leaveAndReturn()
-    {
-        for (Reader &reader : readers_) {
-            fleet_.caller.hangUp(reader.call);
-            endTry(reader);
-            reader.returnsAt = now();
-        }
-    }
-
-    void finishReaders()
-    {
-        const TimePoint end = now() + GivesUpAfter;
-        fleet_.caller.waitUntil(
-            [&] {
-                for (Reader &reader : readers_) {
-                    step(reader, end);
-                }
-                return std::all_of(readers_.begin(), readers_.end(), [](const Reader &reader) { return reader.hasEnded; });
-            },
-            "all callers are served or give up");
-    }
-
-    void step(Reader &reader, TimePoint end)
-    {
-        if (reader.hasEnded) {
-            return;
-        }
-        if (reader.call && reader.call->ended) {
-            endTry(reader);
-        }
-        if (!reader.call && !reader.isWhole && now() >= end) {
-            reader.hasEnded = true;
-        } else if (!reader.call && !reader.hasEnded && now() >= reader.returnsAt) {
-            startTry(reader);
+            readers_.start(i % Entries + 1);
         }
+        const TimePoint at = fleet_.caller.loop().now() + TroubleAfter;
+        fleet_.caller.waitUntil([&] { return fleet_.caller.loop().now() >= at; }, "the streams run");
     }
 
     /// Waits until each VM has got an answer from a worker of @p version.
@@ -176,21 +58,12 @@
         }
     }
 
-    /// @p minWhole: streams that must have gone on to their end.
+    /// Waits for the callers. @p minWhole: streams that must have gone on to their end.
     void check(int minWhole)
     {
-        int mixed = 0;
-        int whole = 0;
-        for (const Reader &reader : readers_) {
-            std::set<std::string> versions;
-            for (std::size_t i = 0; i < reader.events.size(); i++) {
-                EXPECT_EQ(reader.events[i].first, static_cast<int>(i) + 1) << reader.name << ": an event is missing, or came twice";
-                versions.insert(reader.events[i].second.substr(0, reader.events[i].second.find('-')));
-            }
-            mixed += versions.size() > 1 ? 1 : 0;
-            whole += reader.isWhole ? 1 : 0;
-            EXPECT_TRUE(!reader.isWhole || reader.events.size() == Events) << reader.name;
-        }
+        readers_.finish(Patience);
+        const int mixed = readers_.countMixed();
+        const int whole = readers_.countWhole();
         std::printf("%d at two versions, %d of %d whole\n", mixed, whole, Streams);
         EXPECT_EQ(mixed, 0);
         EXPECT_GE(whole, minWhole);
@@ -208,7 +81,7 @@
     }
 
     RouteFleet fleet_{Entries, 0};
-    std::vector<Reader> readers_;
+    test::StreamReaders readers_{fleet_, Entries, Events, EventGapMs};
 };
 
 // Guards against a stream that is resumed at another version within one answer.
@@ -220,7 +93,6 @@
     for (const char *worker : {"v1-0", "v2-0"}) {
         fleet_.worker(worker).signal(SIGKILL);
     }
-    finishReaders();
     check(Streams / 2);
 }
 
@@ -230,8 +102,7 @@
     addWorkers("v1");
     addWorkers("v2");
     startReaders();
-    leaveAndReturn();
-    finishReaders();
+    readers_.leaveAndReturn();
     check(Streams / 2);
 }
 
@@ -242,7 +113,6 @@
     addWorkers("v2");
     startReaders();
     restartEntries(Entries / 2);
-    finishReaders();
     check(Streams / 2);
 }
 
@@ -253,7 +123,6 @@
     addWorkers("v2");
     startReaders();
     restartEntries(Entries);
-    finishReaders();
     check(0);
 }
 
@@ -266,7 +135,6 @@
     for (int i = 0; i < WorkersOfVersion; i++) {
         fleet_.worker(fmt::format("v1-{}", i)).signal(SIGKILL);
     }
-    finishReaders();
     check(0);
 }
 
@@ -277,8 +145,7 @@
     startReaders();
     addWorkers("v2");
     waitServedBy("v2");
-    leaveAndReturn();
-    finishReaders();
+    readers_.leaveAndReturn();
     check(Streams / 2);
 }
 
@@ -288,7 +155,6 @@
     addWorkers("v1");
     startReaders();
     restartEntries(Entries);
-    finishReaders();
     check(Streams / 2);
 }
 
