--- a/src/origins/tests/origintracker_test.cpp
+++ b/src/origins/tests/origintracker_test.cpp
@@ -5,6 +5,8 @@
 #include "origins/tests/fakenetwork.h"
 
 #include <algorithm>
+#include <cstdio>
+#include <numeric>
 
 namespace cardamomlift::origins {
 
@@ -194,6 +196,37 @@
     EXPECT_EQ(find(0, 1).source, OriginSource::Unknown);
 }
 
+// At the size of docs/CAPACITY.md, as if all requests were streams that may be resumed.
+TEST_F(OriginTrackerTest, AFullFleetStaysWithinItsControlTraffic)
+{
+    constexpr std::size_t Vms = 380;
+    constexpr int StreamsPerSecond = 8100;
+    constexpr int Seconds = 1;
+    constexpr std::size_t PacketHeader = 28; // IPv4 and UDP.
+    constexpr std::size_t ControlBytesPerSecond = 14'000;
+    startVms(Vms);
+    StreamId stream = 0;
+    for (int i = 0; i < Seconds * 100; i++) {
+        for (int j = 0; j < StreamsPerSecond / 100; j++, stream++) {
+            trackers_[stream % Vms]->noteBegun(stream, Software);
+        }
+        pass(std::chrono::milliseconds(10));
+    }
+    const std::size_t bytes = (network_->bytes + network_->datagrams * PacketHeader) / Vms / Seconds;
+    const std::size_t kept =
+        std::accumulate(trackers_.begin(), trackers_.end(), std::size_t(0), [](std::size_t sum, const auto &tracker) { return sum + tracker->size(); });
+    std::printf("measured: %zu datagrams, %zu bytes a second and VM sent, %zu origins a VM and second kept\n",
+        network_->datagrams / Vms / Seconds,
+        bytes,
+        kept / Vms / Seconds);
+    EXPECT_LE(2 * bytes, ControlBytesPerSecond) << "sent and received";
+    network_->datagrams = network_->bytes = 0;
+    startVm(1);
+    pass(std::chrono::milliseconds(300));
+    std::printf("measured: %zu datagrams, %zu bytes over all VMs when one starts again\n", network_->datagrams, network_->bytes);
+    EXPECT_EQ(find(0, 1).software, Software);
+}
+
 TEST(OwnerRules, OwnersAreInDifferentFailureDomainsAndStayWhereTheyAre)
 {
     std::vector<OriginVm> vms;
