Pause between failed calls that record a service's versions

The VM that records which version of a service is listed read the store four times a second while it was down; each call is priced. It waits two seconds after a call that has failed, and a process first listens for a second for VMs that record before it.

SoftwareHistoryTest.ACallThatFailsIsRepeatedSeldom: 40 calls in ten seconds before, 6 allowed; green now.

--- a/src/origins/internal/softwarehistory.cpp
+++ b/src/origins/internal/softwarehistory.cpp
@@ -11,6 +11,7 @@
 constexpr char Table[] = "service-software";
 /// What was read this long ago is used again, so that many streams cost one call.
 constexpr Duration MaxReadAge = std::chrono::seconds(1);
+constexpr Duration RetryDelay = std::chrono::seconds(2);
 /// An older list of servers may lack a version.
 constexpr Duration MaxListAge = std::chrono::seconds(3);
 
@@ -145,54 +146,73 @@
 
 void SoftwareHistory::tick()
 {
-    if (!isRecorder_ || !isRecorder_() || isWriting_) {
+    if (!isRecorder_ || !isRecorder_() || isRecording_ || tools_.loop->now() < recordsAgainAt_) {
         return;
     }
     for (const auto &[service, version] : listedVersions()) {
-        const auto row = rows_.find(service);
-        if (row == rows_.end() || row->second.row.version != version) {
+        if (!isRecorded(service, version)) {
             record(service, version);
             return;
         }
     }
 }
 
-// Reads first: another VM may have recorded it before it lost the lease.
+bool SoftwareHistory::isRecorded(const std::string &service, const std::optional<std::string> &version) const
+{
+    const auto row = rows_.find(service);
+    return row != rows_.end() && row->second.row.version == version;
+}
+
+// Reads first: another VM may have recorded it.
 void SoftwareHistory::record(const std::string &service, const std::optional<std::string> &version)
 {
-    isWriting_ = true;
+    isRecording_ = true;
     read([weak = weak_from_this(), service, version] {
         const auto self = weak.lock();
         if (!self) {
             return;
         }
-        const auto row = self->rows_.find(service);
-        const bool isRecorded = row != self->rows_.end() && row->second.row.version == version;
-        const auto storeTime = self->storeTime();
-        if (!self->readAt_ || isRecorded || !storeTime) {
-            self->isWriting_ = false;
+        const bool canWrite = self->readAt_ && self->storeTime();
+        if (!canWrite || self->isRecorded(service, version)) {
+            self->endRecording(!canWrite);
             return;
         }
-        rows::RowWrite write;
-        write.table = Table;
-        write.key = service;
-        write.isConditional = true;
-        write.expectedVersion = row == self->rows_.end() ? rows::StoreVersion() : row->second.version;
-        const SoftwareRow next{version, row == self->rows_.end() ? Duration(0) : *storeTime};
-        write.value = formatSoftwareRow(next);
-        self->tools_.store->write({write}, [weak, service, next](const rows::WriteResult &result) {
-            const auto again = weak.lock();
-            if (!again) {
-                return;
-            }
-            again->isWriting_ = false;
-            if (result.outcome == rows::WriteOutcome::Written) {
-                again->rows_[service] = {next, result.version};
-            } else {
-                again->readAt_.reset();
-            }
-        });
+        self->writeRow(service, version);
+    });
+}
+
+void SoftwareHistory::writeRow(const std::string &service, const std::optional<std::string> &version)
+{
+    const auto known = rows_.find(service);
+    const bool isFirst = known == rows_.end();
+    const SoftwareRow row{version, isFirst ? Duration(0) : *storeTime()};
+    rows::RowWrite write;
+    write.table = Table;
+    write.key = service;
+    write.value = formatSoftwareRow(row);
+    write.isConditional = true;
+    write.expectedVersion = isFirst ? rows::StoreVersion() : known->second.version;
+    tools_.store->write({write}, [weak = weak_from_this(), service, row](const rows::WriteResult &result) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        const bool isWritten = result.outcome == rows::WriteOutcome::Written;
+        if (isWritten) {
+            self->rows_[service] = {row, result.version};
+        } else {
+            self->readAt_.reset();
+        }
+        self->endRecording(!isWritten);
     });
 }
 
+void SoftwareHistory::endRecording(bool hasFailed)
+{
+    isRecording_ = false;
+    if (hasFailed) {
+        recordsAgainAt_ = tools_.loop->now() + RetryDelay;
+    }
+}
+
 } // namespace cardamomlift::origins
--- a/src/origins/originsmodule.cpp
+++ b/src/origins/originsmodule.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(250);
+/// By then a process has heard of the VMs that are there.
+constexpr Duration ListenAtStart = std::chrono::seconds(1);
 /// A VM from which no status has come for longer does not record the versions of services.
 constexpr Duration MaxStatusAge = std::chrono::seconds(3);
 
@@ -37,7 +39,7 @@
 bool isRecorder(const presence::Presence &presence, TimePoint now)
 {
     const auto &peers = presence.peers();
-    return std::none_of(peers.begin(), peers.end(), [&](const auto &entry) {
+    return presence.uptime() >= ListenAtStart && std::none_of(peers.begin(), peers.end(), [&](const auto &entry) {
         const auto &[instance, peer] = entry;
         return instance < presence.instance() && peer.heardAt && now - *peer.heardAt <= MaxStatusAge;
     });
--- a/src/origins/softwarehistory.h
+++ b/src/origins/softwarehistory.h
@@ -58,7 +58,10 @@
     std::optional<Duration> storeTime() const;
     void read(std::function<void()> done);
     void onRead(const rows::ReadResult &result);
+    bool isRecorded(const std::string &service, const std::optional<std::string> &version) const;
     void record(const std::string &service, const std::optional<std::string> &version);
+    void writeRow(const std::string &service, const std::optional<std::string> &version);
+    void endRecording(bool hasFailed);
 
     struct KnownRow {
         SoftwareRow row;
@@ -69,7 +72,8 @@
     std::map<std::string, KnownRow> rows_; ///< By service, as last read or written.
     std::optional<TimePoint> readAt_; ///< When the last successful read was answered.
     std::vector<std::function<void()>> waiting_; ///< For the read in progress.
-    bool isWriting_ = false;
+    bool isRecording_ = false;
+    TimePoint recordsAgainAt_; ///< After a call that has failed.
 };
 
 } // namespace cardamomlift::origins
--- a/src/origins/tests/softwarehistory_test.cpp
+++ b/src/origins/tests/softwarehistory_test.cpp
@@ -115,6 +115,21 @@
     EXPECT_FALSE(findOnly());
 }
 
+// Guards against calls in quick succession, each of which costs, to a store that is down.
+TEST_F(SoftwareHistoryTest, ACallThatFailsIsRepeatedSeldom)
+{
+    list("one", "v1");
+    store_->faults.down = true;
+    pass(std::chrono::seconds(10));
+    EXPECT_LE(store_->calls, 6U);
+    store_->faults.down = false;
+    pass(std::chrono::seconds(4));
+    EXPECT_TRUE(findOnly());
+    const std::uint64_t calls = store_->calls;
+    pass(std::chrono::seconds(60));
+    EXPECT_EQ(store_->calls, calls) << "nothing has changed";
+}
+
 TEST(SoftwareRow, IsReadAsItWasWritten)
 {
     const auto row = parseSoftwareRow(formatSoftwareRow({"v1", std::chrono::seconds(5)}));
