--- a/src/origins/internal/origintracker.cpp
+++ b/src/origins/internal/origintracker.cpp
@@ -98,7 +98,7 @@
         }
     }
     if (question.unanswered.empty()) {
-        finish(stream, {});
+        finish(stream, FoundOrigin{OriginSource::Unknown, std::nullopt, Duration(0)});
         return;
     }
     scheduleQuestions();
@@ -130,7 +130,7 @@
         }
     }
     for (const StreamId stream : over) {
-        finish(stream, {OriginSource::Unanswered, std::nullopt, Duration(0)});
+        finish(stream, FoundOrigin{OriginSource::Unanswered, std::nullopt, Duration(0)});
     }
     if (!questions_.empty()) {
         scheduleQuestions();
@@ -187,7 +187,7 @@
     }
     entry->second.unanswered.erase(from);
     if (entry->second.unanswered.empty()) {
-        finish(stream, {});
+        finish(stream, FoundOrigin{OriginSource::Unknown, std::nullopt, Duration(0)});
     }
 }
 
