--- a/src/origins/internal/origintracker.cpp
+++ b/src/origins/internal/origintracker.cpp
@@ -250,29 +250,33 @@
 
 void OriginTracker::sendMessages()
 {
-    const auto outgoing = std::exchange(outgoing_, {});
-    for (const auto &[endpoint, message] : outgoing) {
-        OriginMessage part;
+    for (const auto &[endpoint, message] : std::exchange(outgoing_, {})) {
+        sendInParts(endpoint, message);
+    }
+}
+
+void OriginTracker::sendInParts(const http1::Endpoint &to, const OriginMessage &message)
+{
+    OriginMessage part;
+    std::size_t entries = 0;
+    const auto send = [&] {
         part.from = tools_.self.endpoint;
-        const auto sendIfFull = [&](std::size_t most) {
-            if (part.origins.size() + part.asked.size() + part.unknown.size() < most) {
-                return;
-            }
-            tools_.socket->send(endpoint, encodeMessage(part));
-            part.origins.clear();
-            part.asked.clear();
-            part.unknown.clear();
-        };
-        const auto addAll = [&](const auto &from, auto &to) {
-            for (const auto &entry : from) {
-                to.push_back(entry);
-                sendIfFull(MaxEntries);
+        tools_.socket->send(to, encodeMessage(std::exchange(part, {})));
+        entries = 0;
+    };
+    const auto add = [&](const auto &from, auto OriginMessage::*list) {
+        for (const auto &entry : from) {
+            (part.*list).push_back(entry);
+            if (++entries == MaxEntries) {
+                send();
             }
-        };
-        addAll(message.origins, part.origins);
-        addAll(message.asked, part.asked);
-        addAll(message.unknown, part.unknown);
-        sendIfFull(1);
+        }
+    };
+    add(message.origins, &OriginMessage::origins);
+    add(message.asked, &OriginMessage::asked);
+    add(message.unknown, &OriginMessage::unknown);
+    if (entries > 0) {
+        send();
     }
 }
 
--- a/src/origins/origintracker.h
+++ b/src/origins/origintracker.h
@@ -70,6 +70,7 @@
     OriginMessage &messageTo(const http1::Endpoint &endpoint);
     void scheduleSend();
     void sendMessages();
+    void sendInParts(const http1::Endpoint &to, const OriginMessage &message);
 
     OriginTools tools_;
     std::vector<OriginVm> vms_; ///< All entry VMs, this one first.
--- a/src/origins/tests/origintracker_test.cpp
+++ b/src/origins/tests/origintracker_test.cpp
@@ -229,8 +229,10 @@
 
 TEST(OwnerRules, OwnersAreInDifferentFailureDomainsAndStayWhereTheyAre)
 {
+    constexpr int Vms = 12;
     std::vector<OriginVm> vms;
-    for (int i = 0; i < 12; i++) {
+    vms.reserve(Vms);
+    for (int i = 0; i < Vms; i++) {
         vms.push_back({"vm-" + std::to_string(i), "zone-" + std::to_string(i % 4), {}, 0});
     }
     int moved = 0;
