--- a/tests/brokenoff_test.cpp
+++ b/tests/brokenoff_test.cpp
@@ -35,9 +35,9 @@
     std::string brokenPart = "id";
 };
 
-void PrintTo(const Kind &kind, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const Kind &kind)
 {
-    *out << kind.name;
+    return out << kind.name;
 }
 
 class BrokenOffStreams : public testing::TestWithParam<Kind>
