Let the stand-in proxy pass delayed bytes on before the end of a connection

Traced: the proxy's delay held back the bytes of the event in which a worker ended an unframed stream, but passed its end of file on as soon as earlier bytes were written. TCP never does that; a VM can't tell such an end from a whole stream. In chunks it was seen as broken, so nobody noticed.

The soak's check stays as it is.

--- a/src/standins/proxy/proxy.cpp
+++ b/src/standins/proxy/proxy.cpp
@@ -229,7 +229,8 @@
         }
         if (to.pending.empty()) {
             ev_io_stop(raw(), &to.writer);
-            if (from.ended) {
+            // What is delayed comes before the end.
+            if (from.ended && to.delayed.empty()) {
                 endOf(to);
             }
         } else {
