Let a question for a stream's origin wait for the list of VMs

A process that had just started and did not know the other VMs yet took each stream for one that nobody knows, and refused its caller without a time to come back. It waits for the list now, for as long as it waits for answers, and asks whoever appears in it meanwhile; without a list the refusal says that the origin may be known later.

OriginTrackerTest.AQuestionWaitsForTheListOfVms; the tracker before had no notion of a list that is not known (the test does not compile there, so it was not shown red). tests-origins 18 of 18, forwarding's Origins tests green.

--- a/src/forwarding/tests/forwarderorigins_test.cpp
+++ b/src/forwarding/tests/forwarderorigins_test.cpp
@@ -137,7 +137,7 @@
         tools.self = {"vm", "zone", {"127.0.0.1", 1000}, 1};
         tools.socket = std::make_shared<origins::FakeSocket>(network_, tools.self.endpoint);
         tools.others = [] {
-            return std::vector<origins::OriginVm>();
+            return std::optional(std::vector<origins::OriginVm>());
         };
         tools_.origins = origins::OriginTracker::create(std::move(tools));
         restart();
@@ -238,7 +238,7 @@
         tools.others = [this, index] {
             std::vector<origins::OriginVm> others = originVms_;
             others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
-            return others;
+            return std::optional(others);
         };
         return origins::OriginTracker::create(std::move(tools));
     }
--- a/src/origins/internal/origintracker.cpp
+++ b/src/origins/internal/origintracker.cpp
@@ -91,17 +91,36 @@
         return;
     }
     question.endsAt = tools_.loop->now() + AskTimeout;
+    scheduleQuestions();
+    ask(stream);
+}
+
+std::vector<http1::Endpoint> OriginTracker::unansweredOwners(StreamId stream) const
+{
+    const std::set<http1::Endpoint> &withoutOrigin = questions_.at(stream).withoutOrigin;
+    std::vector<http1::Endpoint> unanswered;
     for (const std::size_t owner : chooseOwners(stream, vms_)) {
-        if (owner != 0) {
-            question.unanswered.insert(vms_[owner].endpoint);
-            messageTo(vms_[owner].endpoint).asked.push_back(stream);
+        if (owner != 0 && !withoutOrigin.contains(vms_[owner].endpoint)) {
+            unanswered.push_back(vms_[owner].endpoint);
         }
     }
-    if (question.unanswered.empty()) {
+    return unanswered;
+}
+
+void OriginTracker::ask(StreamId stream)
+{
+    const std::vector<http1::Endpoint> unanswered = unansweredOwners(stream);
+    for (const http1::Endpoint &endpoint : unanswered) {
+        messageTo(endpoint).asked.push_back(stream);
+    }
+    finishIfAnswered(stream, unanswered);
+}
+
+void OriginTracker::finishIfAnswered(StreamId stream, const std::vector<http1::Endpoint> &unanswered)
+{
+    if (isFleetKnown_ && unanswered.empty()) {
         finish(stream, FoundOrigin{OriginSource::Unknown, std::nullopt, Duration(0)});
-        return;
     }
-    scheduleQuestions();
 }
 
 void OriginTracker::scheduleQuestions()
@@ -119,18 +138,18 @@
 
 void OriginTracker::askAgain()
 {
-    std::vector<StreamId> over;
+    updateVms();
+    std::vector<StreamId> streams;
+    streams.reserve(questions_.size());
     for (const auto &[stream, question] : questions_) {
-        if (tools_.loop->now() >= question.endsAt) {
-            over.push_back(stream);
-            continue;
-        }
-        for (const http1::Endpoint &endpoint : question.unanswered) {
-            messageTo(endpoint).asked.push_back(stream);
-        }
+        streams.push_back(stream);
     }
-    for (const StreamId stream : over) {
-        finish(stream, FoundOrigin{OriginSource::Unanswered, std::nullopt, Duration(0)});
+    for (const StreamId stream : streams) {
+        if (tools_.loop->now() >= questions_.at(stream).endsAt) {
+            finish(stream, FoundOrigin{OriginSource::Unanswered, std::nullopt, Duration(0)});
+        } else {
+            ask(stream);
+        }
     }
     if (!questions_.empty()) {
         scheduleQuestions();
@@ -185,10 +204,8 @@
     if (entry == questions_.end()) {
         return;
     }
-    entry->second.unanswered.erase(from);
-    if (entry->second.unanswered.empty()) {
-        finish(stream, FoundOrigin{OriginSource::Unknown, std::nullopt, Duration(0)});
-    }
+    entry->second.withoutOrigin.insert(from);
+    finishIfAnswered(stream, unansweredOwners(stream));
 }
 
 void OriginTracker::tick()
@@ -207,7 +224,9 @@
 
 void OriginTracker::updateVms()
 {
-    std::vector<OriginVm> vms = tools_.others();
+    std::optional<std::vector<OriginVm>> others = tools_.others();
+    isFleetKnown_ = isFleetKnown_ || others;
+    std::vector<OriginVm> vms = std::move(others).value_or(std::vector<OriginVm>());
     vms.insert(vms.begin(), tools_.self);
     if (vms == vms_) {
         return;
--- a/src/origins/originsmodule.cpp
+++ b/src/origins/originsmodule.cpp
@@ -25,8 +25,11 @@
     return endpoint;
 }
 
-std::vector<OriginVm> otherVms(const presence::Presence &presence)
+std::optional<std::vector<OriginVm>> otherVms(const presence::Presence &presence)
 {
+    if (!presence.vmCount()) {
+        return std::nullopt;
+    }
     std::vector<OriginVm> vms;
     vms.reserve(presence.peers().size());
     for (const auto &[instance, peer] : presence.peers()) {
--- a/src/origins/origintracker.h
+++ b/src/origins/origintracker.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -21,8 +22,8 @@
     EventLoop *loop = nullptr;
     std::shared_ptr<presence::DatagramSocket> socket;
     OriginVm self;
-    /// The other entry VMs.
-    std::function<std::vector<OriginVm>()> others;
+    /// The other entry VMs; empty while it is not known which there are.
+    std::function<std::optional<std::vector<OriginVm>>()> others;
 };
 
 /// Knows which software began the streams that callers may take up, over all entry VMs. The VM at which a stream begins tells a few VMs, chosen
@@ -50,7 +51,7 @@
     /// A stream whose origin this VM has asked for.
     struct Question {
         std::vector<FoundHandler> handlers;
-        std::set<http1::Endpoint> unanswered;
+        std::set<http1::Endpoint> withoutOrigin; ///< VMs that have answered that they don't know it.
         TimePoint endsAt;
     };
     struct Record {
@@ -62,6 +63,10 @@
     void answer(const OriginMessage &message);
     void noteUnknown(StreamId stream, const http1::Endpoint &from);
     void finish(StreamId stream, const FoundOrigin &found);
+    std::vector<http1::Endpoint> unansweredOwners(StreamId stream) const;
+    /// Asks the VMs that have not answered yet.
+    void ask(StreamId stream);
+    void finishIfAnswered(StreamId stream, const std::vector<http1::Endpoint> &unanswered);
     void askAgain();
     void scheduleQuestions();
     void updateVms();
@@ -74,6 +79,7 @@
 
     OriginTools tools_;
     std::vector<OriginVm> vms_; ///< All entry VMs, this one first.
+    bool isFleetKnown_ = false;
     std::unordered_map<StreamId, Record> records_;
     std::deque<std::pair<StreamId, TimePoint>> order_; ///< Records with the time at which they came, oldest first.
     std::map<StreamId, Question> questions_;
--- a/src/origins/tests/origintracker_test.cpp
+++ b/src/origins/tests/origintracker_test.cpp
@@ -45,7 +45,10 @@
         tools.loop = loop_.get();
         tools.self = vms_[index];
         tools.socket = std::make_shared<FakeSocket>(network_, vms_[index].endpoint);
-        tools.others = [this, index] {
+        tools.others = [this, index]() -> std::optional<std::vector<OriginVm>> {
+            if (!isFleetKnown_) {
+                return std::nullopt;
+            }
             std::vector<OriginVm> others = vms_;
             others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
             return others;
@@ -85,6 +88,7 @@
     std::shared_ptr<FakeNetwork> network_ = std::make_shared<FakeNetwork>();
     std::vector<OriginVm> vms_;
     std::vector<std::shared_ptr<OriginTracker>> trackers_;
+    bool isFleetKnown_ = true; ///< To processes that ask for the other VMs.
     int steps_ = 0;
 };
 
@@ -144,6 +148,28 @@
     }
 }
 
+// Guards against a process that has just started, asks nobody, and takes the stream for one that nobody knows.
+TEST_F(OriginTrackerTest, AQuestionWaitsForTheListOfVms)
+{
+    startVms(4);
+    trackers_[0]->noteBegun(1, Software);
+    pass(std::chrono::milliseconds(5));
+    isFleetKnown_ = false;
+    startVm(3);
+    std::optional<FoundOrigin> result;
+    trackers_[3]->find(1, [&](const FoundOrigin &found) { result = found; });
+    pass(std::chrono::milliseconds(50));
+    EXPECT_FALSE(result);
+    isFleetKnown_ = true;
+    pass(std::chrono::milliseconds(100));
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->software, Software);
+
+    isFleetKnown_ = false;
+    startVm(3);
+    EXPECT_EQ(find(3, 1).source, OriginSource::Unanswered) << "it may be known later";
+}
+
 // Guards against a question that is lost with one datagram.
 TEST_F(OriginTrackerTest, AQuestionIsAskedAgain)
 {
