--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -17,7 +17,7 @@
     RequestDispatched, ///< An attempt was sent to a backend server; the line has the data on which the server was chosen.
     RequestRelayed, ///< The request was handed over to another entry VM, as this one reaches no backend server.
     RequestTakenOver, ///< Another entry VM has handed the request over to this one.
-    StreamOrigin, ///< A caller takes a stream up: with which software it began, and how that is known.
+    StreamOrigin, ///< A caller resumes a stream: with which software it began, and how that is known.
     RequestAnswered, ///< The answer of the backend server was passed to the caller.
     RequestRefused, ///< The entry VM answered with an error, and the request has not run.
     RequestFailed, ///< The entry VM answered with an error or cut the answer off, and the request may have run.
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -54,7 +54,7 @@
     std::shared_ptr<outliers::OutlierDetector> outliers;
     std::shared_ptr<reachability::ReachabilityTracker> reachability;
     std::shared_ptr<overload::OverloadController> overload; ///< May be null: servers that crash when they refuse too many get no special care.
-    std::shared_ptr<origins::OriginTracker> origins; ///< May be null: streams that callers take up go on with any software.
+    std::shared_ptr<origins::OriginTracker> origins; ///< May be null: streams are resumed with any software.
     std::shared_ptr<origins::SoftwareHistory> softwareHistory; ///< May be null.
     std::shared_ptr<relay::RelayPool> relays; ///< May be null: no request is handed over to other entry VMs.
     std::shared_ptr<prefixindex::PrefixIndex> prefixes;
--- a/src/forwarding/forwardingtypes.h
+++ b/src/forwarding/forwardingtypes.h
@@ -30,7 +30,7 @@
     CrashCauseUnknown, ///< The request may have crashed servers; until this is decided it does not run.
     Draining,
     CutOff, ///< This VM reaches no backend server, and the request has been handed over to it by another VM.
-    OriginUnknown, ///< It is not known which software began the stream that the caller takes up.
+    OriginUnknown, ///< It is not known which software began the stream that the caller resumes.
     OriginGone, ///< No server is left with the software that has begun the stream.
     ManifestBehind, ///< The VM that has handed the request over has a newer manifest.
     Count
--- a/src/forwarding/internal/forwardedrequestorigin.cpp
+++ b/src/forwarding/internal/forwardedrequestorigin.cpp
@@ -109,7 +109,7 @@
     const auto server = std::find_if(servers.begin(), servers.end(), [&](const auto &entry) {
         return found.software && origins::softwareId(entry.second->server.service, entry.second->server.version) == *found.software;
     });
-    tools_.metrics->add(fmt::format("streams_taken_up_total{{origin=\"{}\"}}", origins::originSourceName(found.source)));
+    tools_.metrics->add(fmt::format("streams_resumed_total{{origin=\"{}\"}}", origins::originSourceName(found.source)));
     tools_.log->write(Event::StreamOrigin,
         {{Attribute::Request, request_.id},
             {Attribute::Resumes, request_.resumedRequest},
--- a/src/forwarding/tests/forwarderorigins_test.cpp
+++ b/src/forwarding/tests/forwarderorigins_test.cpp
@@ -158,7 +158,7 @@
     std::shared_ptr<origins::FakeNetwork> network_ = std::make_shared<origins::FakeNetwork>();
 };
 
-// Guards against a stream that is taken up at the service that its new attempt draws.
+// Guards against a stream that is resumed at the service that its new attempt draws.
 TEST_F(KnownOrigins, AStreamGoesOnAtTheServiceThatBeganIt)
 {
     manifest::Manifest manifest = testManifest(2);
--- a/src/origins/originstypes.h
+++ b/src/origins/originstypes.h
@@ -24,7 +24,7 @@
 struct StreamOrigin {
     StreamId stream = 0;
     SoftwareId software = 0;
-    Duration age{0}; ///< Time since the stream began, or was last taken up.
+    Duration age{0}; ///< Time since the stream began, or was last resumed.
 };
 
 /// An entry VM, which keeps origins for others.
@@ -55,7 +55,7 @@
     Duration age{0}; ///< As StreamOrigin::age; 0 if only the version is known.
 };
 
-/// Origins are kept for this long after a stream has begun or was last taken up: longer than callers try to go on with one.
+/// Origins are kept for this long after a stream has begun or was last resumed: longer than callers try to resume one.
 inline constexpr Duration OriginLifetime = std::chrono::seconds(60);
 
 } // namespace cardamomlift::origins
--- a/src/origins/origintracker.h
+++ b/src/origins/origintracker.h
@@ -26,8 +26,8 @@
     std::function<std::optional<std::vector<OriginVm>>()> others;
 };
 
-/// Knows which software began the streams that callers may take up, over all entry VMs. The VM at which a stream begins tells a few VMs, chosen
-/// by the stream's id, beside the first event; the VM at which it is taken up asks these. Origins survive as long as one of them runs, and are
+/// Knows which software began the streams that callers may resume, over all entry VMs. The VM at which a stream begins tells a few VMs, chosen
+/// by the stream's id, beside the first event; the VM at which it is resumed asks these. Origins survive as long as one of them runs, and are
 /// told anew when VMs come, go or start again.
 class OriginTracker : public std::enable_shared_from_this<OriginTracker>
 {
@@ -37,7 +37,7 @@
     static std::shared_ptr<OriginTracker> create(OriginTools tools);
     ~OriginTracker();
 
-    /// The stream has begun with @p software, or has been taken up with it.
+    /// The stream has begun with @p software, or has been resumed with it.
     void noteBegun(StreamId stream, SoftwareId software);
     /// Calls @p handler with the origin, at once if this VM knows it. Else other VMs are asked, which takes some milliseconds, or
     /// until a time limit if some don't answer.
--- a/src/origins/tests/origintracker_test.cpp
+++ b/src/origins/tests/origintracker_test.cpp
@@ -197,7 +197,7 @@
     pass(OriginLifetime / 2);
     trackers_[0]->noteBegun(1, Software);
     pass(OriginLifetime * 3 / 4);
-    EXPECT_EQ(trackers_[0]->size(), 1U) << "it was taken up again";
+    EXPECT_EQ(trackers_[0]->size(), 1U) << "it was resumed";
     pass(OriginLifetime);
     for (const auto &tracker : trackers_) {
         EXPECT_EQ(tracker->size(), 0U);
--- a/tests/soak/versionssoak.cpp
+++ b/tests/soak/versionssoak.cpp
@@ -71,9 +71,13 @@
     heal(true);
     readers_.finish(Patience);
     const int mixed = readers_.countMixed();
-    const auto [takenUp, goneOn] = readers_.countTakenUp();
-    std::printf(
-        "%zu streams, %d whole; taken up %d times, gone on %d times; %d at two versions\n", readers_.size(), readers_.countWhole(), takenUp, goneOn, mixed);
+    const auto [resumed, withEvents] = readers_.countResumed();
+    std::printf("%zu streams, %d whole; resumed %d times, %d times with events; %d at two versions\n",
+        readers_.size(),
+        readers_.countWhole(),
+        resumed,
+        withEvents,
+        mixed);
     EXPECT_LE(mixed, MaxMixed);
     EXPECT_GT(readers_.countWhole(), static_cast<int>(readers_.size()) / 10);
 }
--- a/tests/soak/versionssoak.h
+++ b/tests/soak/versionssoak.h
@@ -9,7 +9,7 @@
 
 namespace cardamomlift::soak {
 
-/// Streams beside servers of other versions, which callers take up again, while VMs and servers are killed, replaced, paused and cut off in series.
+/// Streams beside servers of other versions, which callers resume, while VMs and servers are killed, replaced, paused and cut off in series.
 class VersionsSoak
 {
 public:
--- a/tests/streamversions_test.cpp
+++ b/tests/streamversions_test.cpp
@@ -96,7 +96,7 @@
     check(Streams / 2);
 }
 
-// Guards against a stream that is taken up at a VM that does not know which version began it.
+// Guards against a stream that is resumed at a VM that does not know which version began it.
 TEST_F(StreamVersions, AreKeptWhenCallersComeAgainAtOtherVms)
 {
     addWorkers("v1");
@@ -138,7 +138,7 @@
     check(0);
 }
 
-// Guards against streams that began while one version served alone and are taken up beside another.
+// Guards against streams that began while one version served alone and are resumed beside another.
 TEST_F(StreamVersions, AreKeptWhenAnotherComesWhileStreamsRun)
 {
     addWorkers("v1");
--- a/tests/support/streamreaders.cpp
+++ b/tests/support/streamreaders.cpp
@@ -95,12 +95,12 @@
 void StreamReaders::endTry(StreamReader &reader)
 {
     const auto events = eventsOf(reader.call->body);
-    const bool wasTakenUp = !reader.events.empty();
+    const bool isResumption = !reader.events.empty();
     reader.events.insert(reader.events.end(), events.begin(), events.end());
     reader.isWhole = reader.call->result.transport == http::Transport::Completed && reader.call->status == StatusOk;
     reader.isOver = reader.isWhole;
-    takenUp_ += wasTakenUp ? 1 : 0;
-    goneOn_ += wasTakenUp && (!events.empty() || reader.isWhole) ? 1 : 0;
+    resumed_ += isResumption ? 1 : 0;
+    resumedWithEvents_ += isResumption && (!events.empty() || reader.isWhole) ? 1 : 0;
     reader.call = nullptr;
     reader.entry = reader.entry % entries_ + 1;
     reader.returnsAt = now() + ReturnsAfter;
@@ -165,9 +165,9 @@
     return static_cast<int>(std::count_if(readers_.begin(), readers_.end(), [](const StreamReader &reader) { return reader.isWhole; }));
 }
 
-std::pair<int, int> StreamReaders::countTakenUp() const
+std::pair<int, int> StreamReaders::countResumed() const
 {
-    return {takenUp_, goneOn_};
+    return {resumed_, resumedWithEvents_};
 }
 
 } // namespace cardamomlift::test
--- a/tests/support/streamreaders.h
+++ b/tests/support/streamreaders.h
@@ -40,8 +40,8 @@
     /// Each event came once and in order. Returns the streams with events of more than one version.
     int countMixed() const;
     int countWhole() const;
-    /// Streams that were taken up, and those among them that brought an event afterwards.
-    std::pair<int, int> countTakenUp() const;
+    /// Attempts to resume a stream, and those among them that brought an event or its end.
+    std::pair<int, int> countResumed() const;
     std::size_t size() const;
 
 private:
@@ -53,8 +53,8 @@
     int events_;
     int eventGapMs_;
     std::vector<StreamReader> readers_;
-    int takenUp_ = 0;
-    int goneOn_ = 0;
+    int resumed_ = 0;
+    int resumedWithEvents_ = 0;
 };
 
 } // namespace cardamomlift::test
