--- a/src/origins/originsmodule.cpp
+++ b/src/origins/originsmodule.cpp
@@ -18,10 +18,10 @@
 /// A VM from which no status has come for longer does not record the versions of services.
 constexpr Duration MaxStatusAge = std::chrono::seconds(3);
 
-/// Datagrams about origins have the port after that of statuses.
+/// Datagrams about origins have the port after that of statuses, if that one is fixed.
 http1::Endpoint originEndpoint(http1::Endpoint endpoint)
 {
-    endpoint.port++;
+    endpoint.port += endpoint.port == 0 ? 0 : 1;
     return endpoint;
 }
 
