Name the parts of prompts in failed attempts

No line named the parts of a prompt, so nobody could count the crashes of one. attempt_failed names those that other requests may share, as a number that is the same for all spellings of the id and on all VMs; platform/ reads it once.

RequestFormat.ReadsPromptPartsAsOneWhateverTheirSpelling passes; 28 tests of tests-platform pass.

--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -121,6 +121,7 @@
     Deferred, ///< Number of backend servers that are a last resort: overloaded, or recovering from a backoff.
     Limited, ///< Number of backend servers skipped because of their request limits.
     Fingerprint, ///< Hash that identifies a request and its repeats by the same customer.
+    Parts, ///< Parts of the prompt that other requests may share, without the last.
     Resumes, ///< The caller's attempt that brought the first event of the stream that it resumes; empty if it resumes none.
     Framing, ///< How the body of a backend server's answer is delimited.
     Unfinished, ///< Bytes of a stream that have not been passed on, as their event has not ended.
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -114,6 +114,7 @@
     "deferred",
     "limited",
     "fingerprint",
+    "parts",
     "resumes",
     "framing",
     "unfinished",
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/internal/forwardedrequest.h"
 #include "forwarding/internal/forwardingconstants.h"
+#include "forwarding/internal/promptparts.h"
 #include "relay/relayformat.h"
 
 #include <fmt/format.h>
@@ -174,6 +175,7 @@
         observeStep("whole");
     }
     const std::string identity = isAnswered ? std::string() : fmt::format("{:016x}", fingerprint());
+    const std::string parts = isAnswered ? std::string() : formatParts(sharedParts(request_.prompt));
     tools_.log->write(isAnswered ? Event::RequestAnswered : Event::AttemptFailed,
         {{Attribute::Request, request_.id},
             {Attribute::Route, route_->name},
@@ -193,6 +195,7 @@
             {Attribute::TookMs, millisecondsSince(exchange_->startedAt())},
             {Attribute::LeftMs, toMilliseconds(timeLeft())},
             {Attribute::Fingerprint, identity},
+            {Attribute::Parts, parts},
             {Attribute::RetriesLeft, static_cast<std::int64_t>(forwarder_.budget(service_).credit())}});
 }
 
--- a/src/forwarding/wireformat.h
+++ b/src/forwarding/wireformat.h
@@ -14,6 +14,7 @@
 struct PromptPart {
     std::string id;
     std::int64_t tokens = 0;
+    std::uint64_t key = 0; ///< Equal for all spellings of the id, on all VMs.
 };
 
 /// What the header fields of a caller's request say.
