--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -32,6 +32,9 @@
 /// It ends in the middle of a stream whose target ends like this, after as many events.
 constexpr std::string_view CrashingLateTarget = "/crash-late";
 constexpr int EventsBeforeCrash = 3;
+/// It ends when it begins the answer to a request with such a part in its prompt, the last one excepted.
+constexpr std::string_view CrashingPartStart = "dead";
+constexpr Duration CrashAfterHead = std::chrono::milliseconds(30);
 /// Exit code of a process that was ended by a request with the id "crashing-0-...". It is one more for "crashing-1-...".
 constexpr int FirstCrashExitCode = 70;
 constexpr std::string_view CrashingIdStart = "crashing-";
@@ -42,6 +45,13 @@
     std::_Exit(FirstCrashExitCode + static_cast<int>(http1::parseNumber(number.substr(0, number.find('-'))).value_or(0)));
 }
 
+bool hasCrashingPart(std::string_view prompt)
+{
+    const std::string_view shared = prompt.substr(0, std::min(prompt.rfind(','), prompt.size()));
+    return shared.size() < prompt.size()
+        && (shared.starts_with(CrashingPartStart) || shared.find("," + std::string(CrashingPartStart)) != std::string_view::npos);
+}
+
 /// A request as it reached the worker, run or refused.
 struct Arrival {
     std::string id;
@@ -334,6 +344,11 @@
         if (exchange->head().target.ends_with(CrashingTarget)) {
             crash(id);
         }
+        if (hasCrashingPart(exchange->head().fields.get("X-Prompt-Prefix"))) {
+            exchange->begin(signedHead(id));
+            loop->after(CrashAfterHead, [id] { crash(id); });
+            return;
+        }
         if (silent) {
             held.push_back(exchange);
             return;
