--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -43,6 +43,8 @@
     ServerCrashConfirmed, ///< The server's entry is gone, and it had not been draining.
     ServerCrashRetracted, ///< The server has sent something since.
     RequestBlocked, ///< A request that crashes servers is refused from now on.
+    PartSuspected, ///< A part of prompts may be what crashes servers: requests with it wait until that is known.
+    PartBlocked, ///< Requests with a part of prompts that crashes servers are refused from now on.
     TableRead, ///< A snapshot of a store table was read.
     StoreRestored, ///< The store was restored from an older copy; what was written after that copy is lost.
     StoreLost,
@@ -122,6 +124,9 @@
     Limited, ///< Number of backend servers skipped because of their request limits.
     Fingerprint, ///< Hash that identifies a request and its repeats by the same customer.
     Parts, ///< Parts of the prompt that other requests may share, without the last.
+    Confirmed, ///< Crashes that the platform's list has confirmed.
+    Requests, ///< Number of different requests.
+    AnswerAgeMs, ///< Time since a server last answered what the line is about; -1 if no answer is known.
     Resumes, ///< The caller's attempt that brought the first event of the stream that it resumes; empty if it resumes none.
     Framing, ///< How the body of a backend server's answer is delimited.
     Unfinished, ///< Bytes of a stream that have not been passed on, as their event has not ended.
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -2,6 +2,7 @@
 
 #include "backoff/retryafter.h"
 #include "forwarding/internal/forwardingconstants.h"
+#include "forwarding/internal/promptparts.h"
 #include "relay/relayformat.h"
 
 #include <xxhash.h>
@@ -77,6 +78,7 @@
 {
     request_ = tools_.wire.readRequest(exchange_->head());
     prefixes_ = prefixindex::prefixesOf(request_.prompt);
+    sharedParts_ = sharedParts(request_.prompt);
     manifest_ = tools_.manifests->current();
     if (!manifest_) {
         refuse(StatusUnavailable, FailureReason::NoManifest, StaleRetryAfter);
@@ -313,6 +315,7 @@
     attempt_ = Attempt();
     attempt_->server = server;
     attempt_->sentAt = tools_.loop->now();
+    attempt_->eventsBefore = splitter_.eventCount();
     attempt_->lastByteAt = attempt_->sentAt;
     attempt_->channel = tools_.pool->acquire(server->server);
     attempt_->prefillTokens = choice.prefillTokens;
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -39,6 +39,7 @@
         bool hasHead = false;
         bool isEventStream = false;
         bool hasFirstByte = false;
+        std::uint64_t eventsBefore = 0; ///< Events of the stream that came from attempts before.
         bool failureNoted = false; ///< A failure or a silence of this attempt has been counted against the server.
         std::int64_t prefillTokens = 0; ///< Prompt tokens to prefill, as estimated when the request was sent.
         TimePoint firstByteAt;
@@ -77,6 +78,9 @@
     void noteConnectionBroken();
     void noteServerActive();
     void noteProgress(std::uint64_t position);
+    /// A server has answered the prompt: whole, or in so many events of the current attempt.
+    void notePromptAnswered();
+    void noteEvents();
     /// The result of choosing a backend server, with figures for the log.
     struct Choice {
         directory::ServerPtr server; ///< Null if there is none.
@@ -234,6 +238,9 @@
     TimerId connectTimer_ = 0;
     TimerId silenceTimer_ = 0;
     TimePoint silenceDueAt_;
+    std::vector<suspects::PartKey> sharedParts_; ///< Of the prompt; see sharedParts().
+    std::optional<suspects::PartKey> suspectedPart_; ///< The part because of which the request must not run now.
+    std::optional<TimePoint> promptAnsweredAt_; ///< When the answer was last noted for the parts of the prompt.
     std::optional<suspects::Fingerprint> fingerprint_; ///< Computed when first needed: bodies may be large.
     std::optional<Attempt> attempt_;
     std::set<std::string> tried_; ///< Instances not to be chosen again: they failed or refused, or the run leaves them.
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -117,6 +117,7 @@
     }
     exchange_->send(events);
     noteProgress(splitter_.eventCount());
+    noteEvents();
 }
 
 void ForwardedRequest::beginStream(const http1::ResponseHead &head)
@@ -156,6 +157,7 @@
     }
     noteServed();
     noteProgress(suspects::CompleteAnswer);
+    notePromptAnswered();
     completeStream(attempt_->head);
     logAttempt("answered");
     tools_.metrics->add("requests_answered_total");
@@ -188,6 +190,9 @@
     }
     noteServed();
     noteProgress(suspects::CompleteAnswer);
+    if (status >= StatusOk && status < StatusSuccessEnd) {
+        notePromptAnswered();
+    }
     noteOutcome(status >= StatusServerError ? outliers::Ending::ServerError : outliers::Ending::Answered);
     if (status >= StatusServerError) {
         runs_++;
--- a/src/forwarding/internal/forwardedrequestcrashes.cpp
+++ b/src/forwarding/internal/forwardedrequestcrashes.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/internal/forwardedrequest.h"
 #include "forwarding/internal/forwardingconstants.h"
+#include "suspects/partevidence.h"
 
 namespace cardamomlift::forwarding {
 
@@ -10,6 +11,8 @@
 constexpr Duration CauseUnknownRetryAfter = std::chrono::milliseconds(1000);
 /// The position at a crash of a stream that did not start with its first event. Only a complete answer clears it.
 constexpr std::uint64_t UnknownPosition = suspects::CompleteAnswer / 2;
+/// The events of a stream are noted this often.
+constexpr Duration AnswerNotePeriod = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -18,11 +21,12 @@
     if (!tools_.suspects || !tools_.suspects->hasCrashes()) {
         return true;
     }
-    const suspects::SuspectState state = tools_.suspects->stateOf(fingerprint());
-    const bool isBlocked = state == suspects::SuspectState::Blocked;
-    if (!isBlocked && state != suspects::SuspectState::Undecided) {
+    const suspects::Judgement judgement = tools_.suspects->judge({fingerprint(), sharedParts_});
+    const bool isBlocked = judgement.state == suspects::SuspectState::Blocked;
+    if (!isBlocked && judgement.state != suspects::SuspectState::Undecided) {
         return true;
     }
+    suspectedPart_ = judgement.part;
     const FailureReason reason = isBlocked ? FailureReason::CrashesServers : FailureReason::CrashCauseUnknown;
     if (runs_ > 0) {
         fail(StatusBadGateway, reason);
@@ -43,7 +47,8 @@
 void ForwardedRequest::noteConnectionBroken()
 {
     if (tools_.suspects && !tools_.reachability->wasCutOffSince(attempt_->sentAt)) {
-        tools_.suspects->noteConnectionBroken(attempt_->server->server.instance, {fingerprint(), crashPosition(), tools_.loop->now() - attempt_->sentAt});
+        tools_.suspects->noteConnectionBroken(
+            attempt_->server->server.instance, {fingerprint(), crashPosition(), tools_.loop->now() - attempt_->sentAt, sharedParts_});
     }
 }
 
@@ -72,4 +77,24 @@
     }
 }
 
+// The last part is in later prompts of its session, where it is shared.
+void ForwardedRequest::notePromptAnswered()
+{
+    if (!tools_.suspects || request_.prompt.empty()) {
+        return;
+    }
+    promptAnsweredAt_ = tools_.loop->now();
+    std::vector<suspects::PartKey> parts = sharedParts_;
+    parts.push_back(request_.prompt.back().key);
+    tools_.suspects->noteAnswered(parts);
+}
+
+void ForwardedRequest::noteEvents()
+{
+    const bool hasAnswered = splitter_.eventCount() - attempt_->eventsBefore >= suspects::MinEventsOfAnswer;
+    if (hasAnswered && (!promptAnsweredAt_ || tools_.loop->now() - *promptAnsweredAt_ >= AnswerNotePeriod)) {
+        notePromptAnswered();
+    }
+}
+
 } // namespace cardamomlift::forwarding
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -103,6 +103,7 @@
         relay::markUnavailable(head);
     }
     const auto age = tools_.manifests->age(tools_.loop->now());
+    const std::string part = suspectedPart_ ? formatParts(std::span(&*suspectedPart_, 1)) : std::string();
     tools_.metrics->add(fmt::format("forwarding_refusals_total{{reason=\"{}\"}}", reasonName(reason)));
     tools_.log->write(Event::RequestRefused,
         {{Attribute::Request, request_.id},
@@ -114,6 +115,7 @@
             {Attribute::AgeMs, age ? toMilliseconds(*age) : std::int64_t(-1)},
             {Attribute::Attempt, std::int64_t(sends_)},
             {Attribute::TookMs, millisecondsSince(exchange_->startedAt())},
+            {Attribute::Parts, part},
             {Attribute::RetryAfterMs, toMilliseconds(retryAfter)}});
     exchange_->answer(std::move(head), {});
     finish();
@@ -175,7 +177,7 @@
         observeStep("whole");
     }
     const std::string identity = isAnswered ? std::string() : fmt::format("{:016x}", fingerprint());
-    const std::string parts = isAnswered ? std::string() : formatParts(sharedParts(request_.prompt));
+    const std::string parts = isAnswered ? std::string() : formatParts(sharedParts_);
     tools_.log->write(isAnswered ? Event::RequestAnswered : Event::AttemptFailed,
         {{Attribute::Request, request_.id},
             {Attribute::Route, route_->name},
--- a/src/forwarding/suspectgate.h
+++ b/src/forwarding/suspectgate.h
@@ -3,11 +3,12 @@
 #include "kernel/clock.h"
 #include "suspects/suspecttypes.h"
 
+#include <span>
 #include <string>
 
 namespace cardamomlift::forwarding {
 
-/// Finds the requests that crash the backend servers that run them, over all entry VMs.
+/// Finds the requests, and the parts of prompts, that crash the backend servers that run them, over all entry VMs.
 class SuspectGate
 {
 public:
@@ -15,13 +16,15 @@
     /// False as long as no request can be restricted; then its fingerprint is not needed.
     virtual bool hasCrashes() const = 0;
     /// How a request may run now.
-    virtual suspects::SuspectState stateOf(suspects::Fingerprint fingerprint) = 0;
+    virtual suspects::Judgement judge(const suspects::RequestTraits &request) = 0;
     /// The connection to a server broke while it ran @p request.
     virtual void noteConnectionBroken(const std::string &instance, const suspects::Progress &request) = 0;
     /// Something was received from the server.
     virtual void noteServerActive(const std::string &instance) = 0;
     /// The answer to a request has progressed; suspects::CompleteAnswer if it is complete.
     virtual void noteProgress(const suspects::Progress &request) = 0;
+    /// A server has answered a request whose prompt has these parts: as a whole, or with suspects::MinEventsOfAnswer events of a stream.
+    virtual void noteAnswered(std::span<const suspects::PartKey> parts) = 0;
 };
 
 } // namespace cardamomlift::forwarding
--- a/src/forwarding/tests/forwardercrashes_test.cpp
+++ b/src/forwarding/tests/forwardercrashes_test.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/tests/forwardertest.h"
+#include "suspects/partevidence.h"
 
 namespace cardamomlift::forwarding {
 
@@ -15,9 +16,10 @@
         return state != SuspectState::Trusted;
     }
 
-    SuspectState stateOf(suspects::Fingerprint) override
+    suspects::Judgement judge(const suspects::RequestTraits &request) override
     {
-        return state;
+        judged.assign(request.parts.begin(), request.parts.end());
+        return {state, part};
     }
 
     void noteConnectionBroken(const std::string &instance, const suspects::Progress &request) override
@@ -36,7 +38,15 @@
         progress.push_back(request);
     }
 
+    void noteAnswered(std::span<const suspects::PartKey> parts) override
+    {
+        answered.emplace_back(parts.begin(), parts.end());
+    }
+
     SuspectState state = SuspectState::Trusted;
+    std::optional<suspects::PartKey> part;
+    std::vector<suspects::PartKey> judged;
+    std::vector<std::vector<suspects::PartKey>> answered;
     SuspectState stateAfterCrash = SuspectState::Trusted;
     std::vector<std::pair<std::string, suspects::Progress>> broken;
     std::vector<std::string> active;
@@ -138,6 +148,56 @@
     EXPECT_EQ(gate_->broken[0].second.position, 2U);
 }
 
+constexpr const char *Prompt = "X-Prompt-Prefix: A1:800,b2:410,a1:20,c3:250\r\n";
+using Parts = std::vector<suspects::PartKey>;
+
+TEST_F(ForwarderCrashesTest, TheSharedPartsOfAPromptAreJudgedAndReportedOnceEach)
+{
+    gate_->state = SuspectState::Suspect;
+    const auto client = call(request("/once/1", Prompt));
+    nextRequest()->abort();
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "502"); }));
+    EXPECT_EQ(gate_->judged, (Parts{0xa1, 0xb2}));
+    ASSERT_EQ(gate_->broken.size(), 1U);
+    EXPECT_EQ(gate_->broken[0].second.parts, (Parts{0xa1, 0xb2}));
+    EXPECT_TRUE(gate_->answered.empty());
+}
+
+TEST_F(ForwarderCrashesTest, AWholeAnswerSpeaksForAllPartsOfItsPrompt)
+{
+    const auto client = call(request("/once/1", Prompt));
+    nextRequest()->answer(signedHead(), "answer");
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "200"); }));
+    ASSERT_EQ(gate_->answered.size(), 1U);
+    EXPECT_EQ(gate_->answered[0], (Parts{0xa1, 0xb2, 0xc3}));
+}
+
+TEST_F(ForwarderCrashesTest, AFailureOfAServerSpeaksForNoPart)
+{
+    const auto client = call(request("/once/1", Prompt));
+    http1::ResponseHead failure = signedHead();
+    failure.status = 500;
+    nextRequest()->answer(std::move(failure), "failed");
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "500"); }));
+    EXPECT_TRUE(gate_->answered.empty());
+}
+
+// Guards against the beginning of an answer that is taken for an answer: a server that crashes on a part may have sent it.
+TEST_F(ForwarderCrashesTest, SeveralEventsOfAStreamSpeakForTheParts)
+{
+    const auto client = call(request("/stream/1", Prompt));
+    const auto forwarded = nextRequest();
+    forwarded->begin(signedHead());
+    for (std::uint64_t i = 1; i < suspects::MinEventsOfAnswer; i++) {
+        forwarded->send("id: " + std::to_string(i) + "\ndata: a\n\n");
+    }
+    ASSERT_TRUE(runUntil([&] { return client->received().find("id: 7") != std::string::npos; }));
+    EXPECT_TRUE(gate_->answered.empty());
+    forwarded->send("id: 8\ndata: a\n\n");
+    ASSERT_TRUE(runUntil([&] { return !gate_->answered.empty(); }));
+    EXPECT_EQ(gate_->answered[0], (Parts{0xa1, 0xb2, 0xc3}));
+}
+
 } // namespace
 
 } // namespace cardamomlift::forwarding
--- a/src/presence/internal/statussummary.cpp
+++ b/src/presence/internal/statussummary.cpp
@@ -22,7 +22,9 @@
 /// many servers fail at once.
 constexpr std::size_t MaxCrashReports = 64;
 constexpr std::size_t MaxInFlightRequests = 512;
+constexpr std::size_t MaxPartsInFlight = 1024;
 constexpr std::size_t MaxBlockedRequests = 32;
+constexpr std::size_t MaxAnsweredParts = 256;
 constexpr std::size_t MaxClearedRequests = 128;
 
 /// A member from which nothing was received for longer has probably stopped. Its leader lease and its store state are left out
@@ -164,26 +166,54 @@
     }
     sum.cleared.insert(sum.cleared.end(), update.cleared.begin(), update.cleared.end());
     sum.blocked.insert(sum.blocked.end(), update.blocked.begin(), update.blocked.end());
+    sum.blockedParts.insert(sum.blockedParts.end(), update.blockedParts.begin(), update.blockedParts.end());
+    for (suspects::CrashUpdate::AnsweredPart answered : update.answeredParts) {
+        answered.age += member.age;
+        sum.answeredParts.push_back(answered);
+    }
+    if (update.sincePromptAnswered) {
+        sum.sincePromptAnswered = shorter(sum.sincePromptAnswered, *update.sincePromptAnswered + member.age);
+    }
 }
 
 void limitInFlight(std::vector<suspects::CrashUpdate::CrashReport> &newestFirst)
 {
     std::size_t left = MaxInFlightRequests;
+    std::size_t partsLeft = MaxPartsInFlight;
     for (suspects::CrashUpdate::CrashReport &report : newestFirst) {
         report.inFlight.resize(std::min(report.inFlight.size(), left));
         left -= report.inFlight.size();
+        for (suspects::Progress &request : report.inFlight) {
+            request.parts.resize(std::min(request.parts.size(), partsLeft));
+            partsLeft -= request.parts.size();
+        }
     }
 }
 
-// The members share what they know of blocked requests, so most are blocked at several VMs.
+/// Sorts @p entries by @p key and keeps the first of those with the same key; @p key begins with what identifies an entry.
+template<typename Entry, typename Key, typename Id>
+void keepFirstOfEach(std::vector<Entry> &entries, Key key, Id id)
+{
+    std::sort(entries.begin(), entries.end(), [&key](const Entry &a, const Entry &b) { return key(a) < key(b); });
+    entries.erase(std::unique(entries.begin(), entries.end(), [&id](const Entry &a, const Entry &b) { return id(a) == id(b); }), entries.end());
+}
+
+// The members share what they know of blocked requests and of parts, so several VMs tell most of it.
 void limitCrashUpdate(suspects::CrashUpdate &sum)
 {
     keepLargest(sum.crashes, MaxCrashReports, [](const auto &report) { return -report.age; });
     limitInFlight(sum.crashes);
-    keepLargest(sum.blocked, sum.blocked.size(), [](const auto &request) { return std::pair(request.fingerprint, request.remaining); });
-    const auto end = std::unique(sum.blocked.begin(), sum.blocked.end(), [](const auto &a, const auto &b) { return a.fingerprint == b.fingerprint; });
-    sum.blocked.erase(end, sum.blocked.end());
+    keepFirstOfEach(
+        sum.blocked,
+        [](const auto &request) { return std::pair(request.fingerprint, -request.remaining); },
+        [](const auto &request) { return request.fingerprint; });
     keepLargest(sum.blocked, MaxBlockedRequests, [](const auto &request) { return request.remaining; });
+    keepFirstOfEach(
+        sum.blockedParts, [](const auto &part) { return std::pair(part.part, -part.remaining); }, [](const auto &part) { return part.part; });
+    keepLargest(sum.blockedParts, MaxBlockedRequests, [](const auto &part) { return part.remaining; });
+    keepFirstOfEach(
+        sum.answeredParts, [](const auto &part) { return std::pair(part.part, part.age); }, [](const auto &part) { return part.part; });
+    keepLargest(sum.answeredParts, MaxAnsweredParts, [](const auto &part) { return -part.age; });
     sum.cleared.resize(std::min(sum.cleared.size(), MaxClearedRequests));
     keepLargest(sum.alive, MaxCrashReports, [](const auto &server) { return -server.age; });
 }
--- a/src/presence/tests/presence_test.cpp
+++ b/src/presence/tests/presence_test.cpp
@@ -144,9 +144,12 @@
     message.status.usage = {{4, 5, 6}};
     message.status.outcomes = {{7, 8.5, 2.25, 3, milliseconds(400), milliseconds(900)}};
     message.status.services = {{9, 10.5, 11, 0.5, 2}};
-    message.status.crashUpdate.crashes = {{"server", std::chrono::milliseconds(40), {{12, 3, std::chrono::milliseconds(7)}}}};
+    message.status.crashUpdate.crashes = {{"server", std::chrono::milliseconds(40), {{12, 3, std::chrono::milliseconds(7), {0xa1, 0xdead}}}}};
     message.status.crashUpdate.alive = {{"other", std::chrono::milliseconds(5)}};
     message.status.crashUpdate.blocked = {{13, std::chrono::seconds(2)}};
+    message.status.crashUpdate.answeredParts = {{0xa1, std::chrono::milliseconds(6)}};
+    message.status.crashUpdate.blockedParts = {{0xdead, std::chrono::seconds(3)}};
+    message.status.crashUpdate.sincePromptAnswered = std::chrono::milliseconds(8);
     message.status.limits = {{13, true, 1.1, milliseconds(200)}, {14, true, 0, milliseconds(0)}, {15, false, 0, milliseconds(7)}};
     message.status.holdsLease = true;
     const auto read = decodeStatus(encodeStatus(message.status, 7, {{"t", PackedDelta{{6, 2}, {6, 3}, packChanges(message.status.tables["t"].changes), 77}}}));
@@ -186,6 +189,12 @@
     EXPECT_EQ(read->status.crashUpdate.crashes[0].inFlight[0].ranFor, std::chrono::milliseconds(7));
     EXPECT_EQ(read->status.crashUpdate.alive[0].age, std::chrono::milliseconds(5));
     EXPECT_EQ(read->status.crashUpdate.blocked[0].remaining, std::chrono::seconds(2));
+    EXPECT_EQ(read->status.crashUpdate.crashes[0].inFlight[0].parts, (std::vector<suspects::PartKey>{0xa1, 0xdead}));
+    EXPECT_EQ(read->status.crashUpdate.answeredParts[0].part, 0xa1U);
+    EXPECT_EQ(read->status.crashUpdate.answeredParts[0].age, std::chrono::milliseconds(6));
+    EXPECT_EQ(read->status.crashUpdate.blockedParts[0].part, 0xdeadU);
+    EXPECT_EQ(read->status.crashUpdate.blockedParts[0].remaining, std::chrono::seconds(3));
+    EXPECT_EQ(read->status.crashUpdate.sincePromptAnswered, std::chrono::milliseconds(8));
     EXPECT_TRUE(read->status.holdsLease);
     EXPECT_FALSE(decodeStatus("\xff\xff"));
     EXPECT_FALSE(decodeStatus(""));
--- a/src/suspects/crashevidence.h
+++ b/src/suspects/crashevidence.h
@@ -4,6 +4,8 @@
 
 #include <functional>
 #include <span>
+#include <unordered_map>
+#include <vector>
 
 namespace cardamomlift::suspects {
 
@@ -32,16 +34,38 @@
 /// of it any more. Its caller has given it up, so nothing will ever clear it.
 inline constexpr Duration BystanderTime = std::chrono::seconds(10);
 
+/// The number of crashes with each request and each part in flight, without those that an answer has cleared.
+struct TraitCounts {
+    std::unordered_map<Fingerprint, std::size_t> requests;
+    std::unordered_map<PartKey, std::size_t> parts;
+
+    std::size_t ofRequest(Fingerprint fingerprint) const;
+    std::size_t ofPart(PartKey part) const;
+};
+
+TraitCounts countTraits(std::span<const Crash> crashes);
+
 /// The known crashes, and how to judge them.
 struct CrashHistory {
     std::span<const Crash> crashes;
     std::function<bool(Fingerprint)> isBlocked; ///< Crashes with a blocked request in flight have a known cause.
     RepeatSource repeats = RepeatSource::System;
     TimePoint now;
+    const TraitCounts *counts = nullptr; ///< Set if callers repeat requests.
+    std::function<bool(PartKey)> isPartBlocked; ///< Set if callers repeat requests: so have crashes with a blocked part in flight.
 };
 
+/// When one request was sent to a server, and when that server crashed.
+struct Run {
+    TimePoint startedAt;
+    TimePoint crashedAt;
+};
+
+/// The longest series of @p runs of which each was sent after the crash before.
+std::size_t countSuccessive(std::vector<Run> runs);
+
 /// Counts the crashes that @p fingerprint may have caused, except those with a known cause. If callers repeat requests, another
-/// request in flight is a possible cause only if it was in flight at another crash too.
+/// request in flight, or a part of its prompt, is a possible cause only if it was in flight at another crash too.
 CrashEvidence evidenceAgainst(const CrashHistory &history, Fingerprint fingerprint);
 
 /// Whether @p fingerprint is next to run in isolation although it has reached MaxCrashes: other requests that were in flight
--- a/src/suspects/crashstore.h
+++ b/src/suspects/crashstore.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "suspects/answeredparts.h"
+#include "suspects/blocklist.h"
 #include "suspects/crashevidence.h"
+#include "suspects/partevidence.h"
 #include "suspects/suspecttypes.h"
 
 #include <optional>
@@ -11,8 +14,8 @@
 
 namespace cardamomlift::suspects {
 
-/// The crashes and blocked requests known to this VM, including those reported by other VMs. Bounded in size: the oldest are
-/// evicted. Entries expire after CrashRetention.
+/// The crashes known to this VM and what is blocked as their cause, requests and parts of prompts, including those reported by other VMs. Bounded in size: the
+/// oldest are evicted. Entries expire after CrashRetention.
 class CrashStore
 {
 public:
@@ -37,9 +40,24 @@
     bool retract(const std::string &instance);
     /// Blocks a request until @p until. Returns false if it is already blocked.
     bool block(Fingerprint fingerprint, TimePoint until);
-    /// How long the next block of @p fingerprint lasts: CrashRetention, and twice as long with each time that the request crashed a
-    /// server after the end of a block.
     Duration nextBlockLength(Fingerprint fingerprint) const;
+    /// Records that a server has answered a request with @p parts at @p at. Clears them of the crashes before, and returns those that were in flight at one.
+    std::vector<PartKey> noteAnswered(std::span<const PartKey> parts, TimePoint at, TimePoint now);
+    /// The last answer of a server to a request with @p part; empty if none is known.
+    std::optional<TimePoint> lastAnswer(PartKey part) const;
+    /// Records that a server has answered some request with a prompt at @p at.
+    void notePromptAnswered(TimePoint at);
+    /// When a server last answered any request with a prompt; the clock's origin if none is known.
+    TimePoint promptAnsweredAt() const;
+    /// How a request with the parts @p ofRequest may run because of @p part, one of them. Does not block it by itself.
+    SuspectState stateOfPart(PartKey part, std::span<const PartKey> ofRequest, TimePoint now) const;
+    PartEvidence evidenceAgainstPart(PartKey part, std::span<const PartKey> ofRequest, TimePoint now) const;
+    /// Like reportsAbout(), for a part.
+    std::vector<CrashUpdate::CrashReport> reportsAboutPart(PartKey part, Duration maxAge, TimePoint now) const;
+    /// The parts whose requests are refused.
+    BlockList &partBlocks();
+    const BlockList &partBlocks() const;
+    std::size_t answeredParts() const;
     /// The last crashes that @p fingerprint may have caused, not older than @p maxAge and MaxReports at most, as reports about this
     /// request alone.
     std::vector<CrashUpdate::CrashReport> reportsAbout(Fingerprint fingerprint, Duration maxAge, TimePoint now) const;
@@ -62,30 +80,28 @@
     std::size_t crashes() const;
 
 private:
+    void noteChange();
     bool mergeCrash(const Crash &added, std::span<const Progress> inFlight);
     CrashHistory history(TimePoint now) const;
     void noteFurthest(const Progress &progress);
+    PartHistory partHistory(TimePoint now) const;
+    const TraitCounts &counts() const;
+    bool clearParts(Crash &crash, std::span<const PartKey> parts, std::vector<PartKey> &cleared) const;
     BlockThreshold thresholdFor(Fingerprint fingerprint) const;
-    void noteBlock(Fingerprint fingerprint, TimePoint until);
-    void expireBlocks(TimePoint now);
     RepeatSource repeats_;
     std::vector<Crash> crashes_; ///< In the order in which they were first reported.
     /// The furthest position of each request. Gossip is not ordered, so progress may be received before the report of the
     /// crash that it clears.
     std::unordered_map<Fingerprint, std::uint64_t> furthestPositions_;
-    std::unordered_map<Fingerprint, TimePoint> blockedUntil_;
-    /// A block, also after its end: then one crash blocks the request again, and a complete answer lifts that.
-    struct LastBlock {
-        TimePoint until;
-        Duration length{0};
-    };
-    std::unordered_map<Fingerprint, LastBlock> lastBlocks_; ///< Only if callers repeat requests.
+    BlockList requestBlocks_;
+    BlockList partBlocks_;
+    AnsweredParts answered_;
+    TimePoint promptAnsweredAt_;
+    mutable std::optional<TraitCounts> counts_; ///< Empty until needed after a change.
     std::uint64_t version_ = 1;
 };
 
-/// How long a crash is remembered, and the first block of a request lasts.
+/// How long a crash is remembered.
 inline constexpr Duration CrashRetention = std::chrono::minutes(10);
-/// The longest block.
-inline constexpr Duration MaxBlockLength = std::chrono::hours(24);
 
 } // namespace cardamomlift::suspects
--- a/src/suspects/internal/crashevidence.cpp
+++ b/src/suspects/internal/crashevidence.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
@@ -42,24 +43,55 @@
     return {evidenceAgainst(history, fingerprint).crashes, CompleteAnswer - furthest, fingerprint};
 }
 
-/// The number of crashes with an uncleared copy of each request in flight.
-std::unordered_map<Fingerprint, std::size_t> countUncleared(std::span<const Crash> crashes)
+std::size_t countOf(const std::unordered_map<std::uint64_t, std::size_t> &counts, std::uint64_t key)
 {
-    std::unordered_map<Fingerprint, std::size_t> counts;
-    for (const Crash &crash : crashes) {
-        for (const InFlightRequest &request : crash.inFlight) {
-            counts[request.fingerprint] += request.cleared ? 0 : 1;
-        }
-    }
-    return counts;
+    const auto count = counts.find(key);
+    return count == counts.end() ? 0 : count->second;
 }
 
-/// When one request was sent to a server, and when that server crashed.
-struct Run {
-    TimePoint startedAt;
-    TimePoint crashedAt;
+/// Judges what else may be the cause of crashes with a request in flight that callers repeat: what recurs, and as often, or if the crash is not long ago.
+class RecurringCauses
+{
+public:
+    RecurringCauses(const CrashHistory &history, Fingerprint fingerprint)
+        : history_(history)
+        , fingerprint_(fingerprint)
+        , own_(history.counts->ofRequest(fingerprint))
+    {
+    }
+
+    bool includesRequest(const InFlightRequest &other, const Crash &crash) const
+    {
+        return !other.cleared && isPossibleCause(history_.counts->ofRequest(other.fingerprint), crash);
+    }
+
+    /// Of the prompt of @p request. A part of the judged request itself must recur more often than that.
+    bool includesPartOf(const InFlightRequest &request, const Crash &crash) const
+    {
+        return !request.cleared && std::any_of(request.parts.begin(), request.parts.end(), [&](PartKey part) {
+            const std::size_t crashes = history_.counts->ofPart(part);
+            return request.fingerprint == fingerprint_ ? crashes > own_ : isPossibleCause(crashes, crash);
+        });
+    }
+
+private:
+    bool isPossibleCause(std::size_t crashes, const Crash &crash) const
+    {
+        return crashes > 1 && (crashes >= own_ || history_.now - crash.at < BystanderTime);
+    }
+
+    const CrashHistory &history_;
+    Fingerprint fingerprint_;
+    std::size_t own_;
 };
 
+bool hasBlockedPart(const CrashHistory &history, const InFlightRequest &request)
+{
+    return history.isPartBlocked && std::any_of(request.parts.begin(), request.parts.end(), history.isPartBlocked);
+}
+
+} // namespace
+
 std::size_t countSuccessive(std::vector<Run> runs)
 {
     std::sort(runs.begin(), runs.end(), [](const Run &a, const Run &b) { return a.crashedAt < b.crashedAt; });
@@ -74,28 +106,46 @@
     return count;
 }
 
-} // namespace
-
 Fingerprint fingerprintOf(std::string_view customer, std::string_view target, std::string_view body)
 {
     return text::stableHash(body, text::stableHash(target, text::stableHash(customer)));
 }
 
+TraitCounts countTraits(std::span<const Crash> crashes)
+{
+    TraitCounts counts;
+    for (const Crash &crash : crashes) {
+        std::set<PartKey> parts;
+        for (const InFlightRequest &request : crash.inFlight) {
+            if (!request.cleared) {
+                counts.requests[request.fingerprint]++;
+                parts.insert(request.parts.begin(), request.parts.end());
+            }
+        }
+        for (const PartKey part : parts) {
+            counts.parts[part]++;
+        }
+    }
+    return counts;
+}
+
+std::size_t TraitCounts::ofRequest(Fingerprint fingerprint) const
+{
+    return countOf(requests, fingerprint);
+}
+
+std::size_t TraitCounts::ofPart(PartKey part) const
+{
+    return countOf(parts, part);
+}
+
 CrashEvidence evidenceAgainst(const CrashHistory &history, Fingerprint fingerprint)
 {
     // Nearly all requests: spares them the counts.
     if (std::none_of(history.crashes.begin(), history.crashes.end(), [&](const Crash &crash) { return isInFlight(crash, fingerprint); })) {
         return {};
     }
-    const bool onlyRecurring = history.repeats == RepeatSource::Callers;
-    const auto uncleared = onlyRecurring ? countUncleared(history.crashes) : std::unordered_map<Fingerprint, std::size_t>();
-    const auto isPossibleCause = [&](const InFlightRequest &other, const Crash &crash) {
-        if (other.cleared || !onlyRecurring) {
-            return !other.cleared;
-        }
-        const std::size_t crashes = uncleared.at(other.fingerprint);
-        return crashes > 1 && (crashes >= uncleared.at(fingerprint) || history.now - crash.at < BystanderTime);
-    };
+    const auto recurring = history.repeats == RepeatSource::Callers ? std::optional(RecurringCauses(history, fingerprint)) : std::nullopt;
     CrashEvidence evidence;
     std::vector<Run> runs;
     for (const Crash &crash : history.crashes) {
@@ -104,18 +154,23 @@
         }
         bool isExplained = false;
         bool hasOtherCauses = false;
+        bool hasSuspectedPart = false;
         Duration ranFor{0};
         for (const InFlightRequest &request : crash.inFlight) {
+            isExplained = isExplained || hasBlockedPart(history, request);
+            hasSuspectedPart = hasSuspectedPart || (recurring && recurring->includesPartOf(request, crash));
             if (request.fingerprint == fingerprint) {
                 ranFor = request.ranFor;
                 continue;
             }
             isExplained = isExplained || history.isBlocked(request.fingerprint);
-            hasOtherCauses = hasOtherCauses || isPossibleCause(request, crash);
+            hasOtherCauses = hasOtherCauses || (recurring ? recurring->includesRequest(request, crash) : !request.cleared);
         }
         if (isExplained) {
             continue;
         }
+        hasOtherCauses = hasOtherCauses || hasSuspectedPart;
+        evidence.hasSuspectedParts = evidence.hasSuspectedParts || hasSuspectedPart;
         evidence.crashes++;
         evidence.confirmedCrashes += crash.isConfirmed ? 1 : 0;
         evidence.soleSuspectCrashes += crash.isConfirmed && !hasOtherCauses ? 1 : 0;
--- a/src/suspects/internal/crashstore.cpp
+++ b/src/suspects/internal/crashstore.cpp
@@ -11,13 +11,25 @@
 constexpr std::size_t MaxStoredCrashes = 256;
 constexpr std::size_t MaxInFlight = 512;
 constexpr std::size_t MaxFurthestPositions = 4096;
-constexpr std::size_t MaxBlocked = 1024;
+/// Parts of prompts in flight at one crash.
+constexpr std::size_t MaxParts = 512;
 /// How many tokens an answer must have progressed beyond its position at a crash to be cleared of it. Covers tokens that the
 /// crashed server had generated but that were lost in transit.
 constexpr std::uint64_t ClearMargin = 8;
 /// Reports about one instance within this time are taken as the same crash.
 constexpr Duration SameCrashWindow = std::chrono::seconds(5);
 
+/// As many of the parts of @p added as may still be stored with @p crash.
+std::vector<PartKey> storableParts(const Crash &crash, const Progress &added)
+{
+    std::size_t stored = 0;
+    for (const InFlightRequest &request : crash.inFlight) {
+        stored += request.parts.size();
+    }
+    const std::size_t count = std::min(added.parts.size(), MaxParts - std::min(stored, MaxParts));
+    return {added.parts.begin(), added.parts.begin() + static_cast<std::ptrdiff_t>(count)};
+}
+
 bool addInFlight(Crash &crash, std::span<const Progress> inFlight)
 {
     bool isChanged = false;
@@ -25,7 +37,7 @@
         const bool known =
             std::any_of(crash.inFlight.begin(), crash.inFlight.end(), [&](const InFlightRequest &one) { return one.fingerprint == added.fingerprint; });
         if (!known && crash.inFlight.size() < MaxInFlight) {
-            crash.inFlight.push_back({added.fingerprint, added.position, false, added.ranFor});
+            crash.inFlight.push_back({added.fingerprint, added.position, false, added.ranFor, storableParts(crash, added)});
             isChanged = true;
         }
     }
@@ -36,12 +48,20 @@
 
 CrashStore::CrashStore(RepeatSource repeats)
     : repeats_(repeats)
+    , requestBlocks_(repeats == RepeatSource::Callers)
+    , partBlocks_(true)
 {
 }
 
-bool CrashStore::addUnconfirmedCrash(const std::string &instance, TimePoint at, std::span<const Progress> inFlight)
+void CrashStore::noteChange()
 {
     version_++;
+    counts_.reset();
+}
+
+bool CrashStore::addUnconfirmedCrash(const std::string &instance, TimePoint at, std::span<const Progress> inFlight)
+{
+    noteChange();
     return mergeCrash({instance, at, {}, false}, inFlight);
 }
 
@@ -53,14 +73,17 @@
         crash.isConfirmed = crash.isConfirmed || isAwaited;
         isChanged = isChanged || isAwaited;
     }
-    version_ += isChanged ? 1 : 0;
+    if (isChanged) {
+        noteChange();
+    }
     return isChanged;
 }
 
 void CrashStore::forgetUnconfirmed(TimePoint before)
 {
-    const auto forgotten = std::erase_if(crashes_, [before](const Crash &crash) { return !crash.isConfirmed && crash.at < before; });
-    version_ += forgotten > 0 ? 1 : 0;
+    if (std::erase_if(crashes_, [before](const Crash &crash) { return !crash.isConfirmed && crash.at < before; }) > 0) {
+        noteChange();
+    }
 }
 
 std::vector<std::pair<std::string, TimePoint>> CrashStore::unconfirmed() const
@@ -76,7 +99,7 @@
 
 bool CrashStore::addCrash(const std::string &instance, TimePoint at, std::span<const Progress> inFlight)
 {
-    version_++;
+    noteChange();
     const bool isChanged = mergeCrash({instance, at, {}, true}, inFlight);
     for (const Progress &progress : inFlight) {
         const auto early = furthestPositions_.find(progress.fingerprint);
@@ -109,7 +132,7 @@
     if (repeats_ == RepeatSource::System) {
         noteFurthest(progress);
     }
-    bool isChanged = progress.position == CompleteAnswer && lastBlocks_.erase(progress.fingerprint) > 0;
+    bool isChanged = progress.position == CompleteAnswer && requestBlocks_.forgive(progress.fingerprint);
     for (Crash &crash : crashes_) {
         for (InFlightRequest &request : crash.inFlight) {
             const bool isBeyond = progress.position >= request.position + ClearMargin;
@@ -119,7 +142,9 @@
             }
         }
     }
-    version_ += isChanged ? 1 : 0;
+    if (isChanged) {
+        noteChange();
+    }
     return isChanged;
 }
 
@@ -147,36 +172,85 @@
 
 bool CrashStore::retract(const std::string &instance)
 {
-    version_++;
+    noteChange();
     return std::erase_if(crashes_, [&](const Crash &crash) { return crash.instance == instance; }) > 0;
 }
 
-bool CrashStore::block(Fingerprint fingerprint, TimePoint until)
+bool CrashStore::clearParts(Crash &crash, std::span<const PartKey> parts, std::vector<PartKey> &cleared) const
 {
-    if (blockedUntil_.size() >= MaxBlocked) {
-        const auto soonest = std::min_element(blockedUntil_.begin(), blockedUntil_.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
-        blockedUntil_.erase(soonest);
-    }
-    const bool isNew = blockedUntil_.emplace(fingerprint, until).second;
-    if (isNew && repeats_ == RepeatSource::Callers) {
-        noteBlock(fingerprint, until);
+    bool isChanged = false;
+    for (InFlightRequest &request : crash.inFlight) {
+        const auto isAnswered = [&](PartKey part) {
+            const bool isCleared = std::find(parts.begin(), parts.end(), part) != parts.end();
+            if (isCleared) {
+                cleared.push_back(part);
+            }
+            return isCleared;
+        };
+        isChanged = std::erase_if(request.parts, isAnswered) > 0 || isChanged;
     }
-    return isNew;
+    return isChanged;
 }
 
-void CrashStore::noteBlock(Fingerprint fingerprint, TimePoint until)
+std::vector<PartKey> CrashStore::noteAnswered(std::span<const PartKey> parts, TimePoint at, TimePoint now)
 {
-    const Duration length = nextBlockLength(fingerprint);
-    if (lastBlocks_.size() >= MaxBlocked) {
-        lastBlocks_.erase(lastBlocks_.begin());
+    for (const PartKey part : parts) {
+        answered_.note(part, at, now);
+        if (at > partBlocks_.blockedSince(part)) {
+            partBlocks_.lift(part);
+        }
+    }
+    std::vector<PartKey> cleared;
+    bool isChanged = false;
+    for (Crash &crash : crashes_) {
+        isChanged = (crash.at <= at && clearParts(crash, parts, cleared)) || isChanged;
+    }
+    if (isChanged) {
+        noteChange();
     }
-    lastBlocks_[fingerprint] = {until, length};
+    std::sort(cleared.begin(), cleared.end());
+    cleared.erase(std::unique(cleared.begin(), cleared.end()), cleared.end());
+    return cleared;
+}
+
+std::optional<TimePoint> CrashStore::lastAnswer(PartKey part) const
+{
+    return answered_.lastAnswer(part);
+}
+
+void CrashStore::notePromptAnswered(TimePoint at)
+{
+    promptAnsweredAt_ = std::max(promptAnsweredAt_, at);
+}
+
+TimePoint CrashStore::promptAnsweredAt() const
+{
+    return promptAnsweredAt_;
+}
+
+std::size_t CrashStore::answeredParts() const
+{
+    return answered_.size();
+}
+
+bool CrashStore::block(Fingerprint fingerprint, TimePoint until)
+{
+    return requestBlocks_.block(fingerprint, until);
 }
 
 Duration CrashStore::nextBlockLength(Fingerprint fingerprint) const
 {
-    const auto ended = lastBlocks_.find(fingerprint);
-    return ended == lastBlocks_.end() ? CrashRetention : std::min(ended->second.length * 2, MaxBlockLength);
+    return requestBlocks_.nextLength(fingerprint);
+}
+
+BlockList &CrashStore::partBlocks()
+{
+    return partBlocks_;
+}
+
+const BlockList &CrashStore::partBlocks() const
+{
+    return partBlocks_;
 }
 
 BlockThreshold CrashStore::thresholdFor(Fingerprint fingerprint) const
@@ -184,7 +258,7 @@
     if (repeats_ == RepeatSource::System) {
         return SystemThreshold;
     }
-    return lastBlocks_.contains(fingerprint) ? ThresholdAfterBlock : CallerThreshold;
+    return requestBlocks_.wasBlocked(fingerprint) ? ThresholdAfterBlock : CallerThreshold;
 }
 
 std::vector<CrashUpdate::CrashReport> CrashStore::reportsAbout(Fingerprint fingerprint, Duration maxAge, TimePoint now) const
@@ -200,16 +274,79 @@
     return reports;
 }
 
+std::vector<CrashUpdate::CrashReport> CrashStore::reportsAboutPart(PartKey part, Duration maxAge, TimePoint now) const
+{
+    std::vector<CrashUpdate::CrashReport> reports;
+    for (auto crash = crashes_.rbegin(); crash != crashes_.rend() && reports.size() < MaxReports; ++crash) {
+        const auto request = std::find_if(crash->inFlight.begin(), crash->inFlight.end(), [part](const InFlightRequest &one) {
+            return !one.cleared && std::find(one.parts.begin(), one.parts.end(), part) != one.parts.end();
+        });
+        if (request != crash->inFlight.end() && now - crash->at <= maxAge) {
+            reports.push_back({crash->instance, now - crash->at, {{request->fingerprint, request->position, request->ranFor, {part}}}});
+        }
+    }
+    return reports;
+}
+
 std::vector<std::pair<Fingerprint, TimePoint>> CrashStore::blockedRequests() const
 {
-    std::vector<std::pair<Fingerprint, TimePoint>> blocked(blockedUntil_.begin(), blockedUntil_.end());
-    std::sort(blocked.begin(), blocked.end(), [](const auto &a, const auto &b) { return a.second > b.second; });
-    return blocked;
+    return requestBlocks_.entries();
+}
+
+const TraitCounts &CrashStore::counts() const
+{
+    if (!counts_) {
+        counts_ = countTraits(crashes_);
+    }
+    return *counts_;
 }
 
 CrashHistory CrashStore::history(TimePoint now) const
 {
-    return {crashes_, [this](Fingerprint fingerprint) { return isBlocked(fingerprint); }, repeats_, now};
+    CrashHistory history{crashes_, [this](Fingerprint fingerprint) { return isBlocked(fingerprint); }, repeats_, now};
+    if (repeats_ == RepeatSource::Callers) {
+        history.counts = &counts();
+        history.isPartBlocked = [this](PartKey part) {
+            return partBlocks_.isBlocked(part);
+        };
+    }
+    return history;
+}
+
+PartHistory CrashStore::partHistory(TimePoint now) const
+{
+    PartHistory history;
+    history.crashes = crashes_;
+    history.counts = &counts();
+    history.isRequestBlocked = [this](Fingerprint fingerprint) {
+        return isBlocked(fingerprint);
+    };
+    history.isPartBlocked = [this](PartKey part) {
+        return partBlocks_.isBlocked(part);
+    };
+    history.lastAnswer = [this](PartKey part) {
+        return lastAnswer(part);
+    };
+    history.promptAnsweredAt = promptAnsweredAt_;
+    history.now = now;
+    return history;
+}
+
+PartEvidence CrashStore::evidenceAgainstPart(PartKey part, std::span<const PartKey> ofRequest, TimePoint now) const
+{
+    return suspects::evidenceAgainstPart(partHistory(now), part, ofRequest);
+}
+
+SuspectState CrashStore::stateOfPart(PartKey part, std::span<const PartKey> ofRequest, TimePoint now) const
+{
+    if (partBlocks_.isBlocked(part)) {
+        return SuspectState::Blocked;
+    }
+    // Nearly all parts: spares them the evidence.
+    if (counts().ofPart(part) == 0) {
+        return SuspectState::Trusted;
+    }
+    return partState(evidenceAgainstPart(part, ofRequest, now), partBlocks_.wasBlocked(part), now);
 }
 
 SuspectState CrashStore::stateOf(Fingerprint fingerprint, TimePoint now) const
@@ -223,7 +360,9 @@
     const bool isConfirmed = evidence.confirmedCrashes == evidence.crashes;
     const bool hasSoleSuspectCrashes = evidence.soleSuspectCrashes >= threshold.soleSuspectCrashes;
     const bool isSettled = now - evidence.latest >= ReportSettleTime;
-    if (state == SuspectState::Undecided && isConfirmed && !hasSoleSuspectCrashes && isSettled && mayProbe(history(now), fingerprint)) {
+    const bool isOld = evidence.hasSuspectedParts && now - evidence.latest >= BystanderTime;
+    const bool isAmbiguous = state == SuspectState::Undecided && isConfirmed && !hasSoleSuspectCrashes && isSettled;
+    if (isAmbiguous && (isOld || mayProbe(history(now), fingerprint))) {
         return SuspectState::Suspect;
     }
     return state;
@@ -236,7 +375,7 @@
 
 bool CrashStore::isBlocked(Fingerprint fingerprint) const
 {
-    return blockedUntil_.contains(fingerprint);
+    return requestBlocks_.isBlocked(fingerprint);
 }
 
 std::optional<TimePoint> CrashStore::crashedAt(const std::string &instance) const
@@ -264,17 +403,13 @@
     return version_;
 }
 
-// An ended block is remembered for as long again as it lasted.
-void CrashStore::expireBlocks(TimePoint now)
-{
-    std::erase_if(blockedUntil_, [&](const auto &entry) { return entry.second <= now; });
-    std::erase_if(lastBlocks_, [&](const auto &entry) { return entry.second.until + entry.second.length <= now; });
-}
-
 void CrashStore::expire(TimePoint now)
 {
-    std::erase_if(crashes_, [&](const Crash &crash) { return now - crash.at > CrashRetention; });
-    expireBlocks(now);
+    if (std::erase_if(crashes_, [&](const Crash &crash) { return now - crash.at > CrashRetention; }) > 0) {
+        noteChange();
+    }
+    requestBlocks_.expire(now);
+    partBlocks_.expire(now);
     if (crashes_.empty()) {
         furthestPositions_.clear();
     }
@@ -282,7 +417,7 @@
 
 bool CrashStore::empty() const
 {
-    return crashes_.empty() && blockedUntil_.empty() && lastBlocks_.empty();
+    return crashes_.empty() && requestBlocks_.empty() && partBlocks_.empty();
 }
 
 std::size_t CrashStore::crashes() const
--- a/src/suspects/internal/crashupdateformat.cpp
+++ b/src/suspects/internal/crashupdateformat.cpp
@@ -13,6 +13,9 @@
     out.set_fingerprint(progress.fingerprint);
     out.set_position(progress.position);
     out.set_ran_us(static_cast<std::uint64_t>(progress.ranFor.count()));
+    for (const PartKey part : progress.parts) {
+        out.add_parts(part);
+    }
 }
 
 Duration readDuration(std::uint64_t microseconds)
@@ -46,6 +49,19 @@
         conviction.set_fingerprint(request.fingerprint);
         conviction.set_left_us(static_cast<std::uint64_t>(request.remaining.count()));
     }
+    for (const CrashUpdate::AnsweredPart &answered : update.answeredParts) {
+        wire::AnsweredPart &part = *out.add_answered_parts();
+        part.set_part(answered.part);
+        part.set_age_us(static_cast<std::uint64_t>(answered.age.count()));
+    }
+    for (const CrashUpdate::BlockedPart &blocked : update.blockedParts) {
+        wire::BlockedPart &part = *out.add_blocked_parts();
+        part.set_part(blocked.part);
+        part.set_left_us(static_cast<std::uint64_t>(blocked.remaining.count()));
+    }
+    if (update.sincePromptAnswered) {
+        out.set_prompt_answered_age_us(static_cast<std::uint64_t>(update.sincePromptAnswered->count()));
+    }
     return out.SerializeAsString();
 }
 
@@ -62,12 +78,13 @@
     for (const wire::CrashReport &report : in.crashes()) {
         CrashUpdate::CrashReport crash{report.instance(), readDuration(report.age_us()) + sinceWritten, {}};
         for (const wire::Progress &progress : report.present()) {
-            crash.inFlight.push_back({progress.fingerprint(), progress.position(), readDuration(progress.ran_us())});
+            crash.inFlight.push_back(
+                {progress.fingerprint(), progress.position(), readDuration(progress.ran_us()), {progress.parts().begin(), progress.parts().end()}});
         }
         update.crashes.push_back(std::move(crash));
     }
     for (const wire::Progress &progress : in.cleared()) {
-        update.cleared.push_back({progress.fingerprint(), progress.position()});
+        update.cleared.push_back({progress.fingerprint(), progress.position(), Duration(0), {}});
     }
     for (int i = 0; i < in.alive_size(); i++) {
         const std::uint64_t age = i < in.alive_age_us_size() ? in.alive_age_us(i) : 0;
@@ -76,6 +93,15 @@
     for (const wire::Conviction &conviction : in.convictions()) {
         update.blocked.push_back({conviction.fingerprint(), readDuration(conviction.left_us()) - sinceWritten});
     }
+    for (const wire::AnsweredPart &answered : in.answered_parts()) {
+        update.answeredParts.push_back({answered.part(), readDuration(answered.age_us()) + sinceWritten});
+    }
+    for (const wire::BlockedPart &blocked : in.blocked_parts()) {
+        update.blockedParts.push_back({blocked.part(), readDuration(blocked.left_us()) - sinceWritten});
+    }
+    if (in.has_prompt_answered_age_us()) {
+        update.sincePromptAnswered = readDuration(in.prompt_answered_age_us()) + sinceWritten;
+    }
     return update;
 }
 
--- a/src/suspects/internal/routesuspecttracker.cpp
+++ b/src/suspects/internal/routesuspecttracker.cpp
@@ -16,7 +16,9 @@
 /// Bytes received this long after a crash were not in transit when the server crashed: the server is alive.
 constexpr Duration AliveMargin = std::chrono::milliseconds(500);
 /// A request that was answered this short a time before a crash is not its cause.
-constexpr Duration AnswerMemory = std::chrono::seconds(2);
+constexpr Duration RequestAnswerMemory = std::chrono::seconds(2);
+/// A part that this VM has seen answered this short a time before a crash is not reported with it: it is in nearly all requests.
+constexpr Duration RecentAnswer = std::chrono::seconds(1);
 /// Crashes not older than this are shared again, whichever VM saw them, while a request has to wait because of them: a VM that was
 /// started meanwhile would run it. Less than UnconfirmedRetention, so that VMs do not keep a crash alive by sharing it.
 constexpr Duration MaxResharedAge = std::chrono::seconds(10);
@@ -26,6 +28,10 @@
 constexpr std::size_t MaxSharedCleared = 64;
 constexpr std::size_t MaxSharedAlive = 16;
 constexpr std::size_t MaxSharedBlocked = 32;
+constexpr std::size_t MaxSharedAnswered = 256;
+constexpr std::size_t MaxSharedParts = 1024;
+/// Parts of one prompt. Of more, all VMs take the same ones.
+constexpr std::size_t MaxPartsOfRun = 64;
 /// A block that ends sooner is not shared: it ends a little sooner at some VMs than at others, which would start it anew there.
 constexpr Duration MinSharedBlock = std::chrono::seconds(2);
 
@@ -59,7 +65,18 @@
     return !store_.empty();
 }
 
-SuspectState RouteSuspectTracker::stateOf(Fingerprint fingerprint)
+Judgement RouteSuspectTracker::judge(const RequestTraits &request)
+{
+    Judgement judgement{stateOfRequest(request.fingerprint), std::nullopt};
+    for (const PartKey part : request.parts) {
+        if (const SuspectState state = stateOfPart(part, request.parts); state > judgement.state) {
+            judgement = {state, part};
+        }
+    }
+    return judgement;
+}
+
+SuspectState RouteSuspectTracker::stateOfRequest(Fingerprint fingerprint)
 {
     const TimePoint now = tools_.loop->now();
     SuspectState state = store_.stateOf(fingerprint, now);
@@ -75,6 +92,60 @@
     return state;
 }
 
+SuspectState RouteSuspectTracker::stateOfPart(PartKey part, std::span<const PartKey> ofRequest)
+{
+    const TimePoint now = tools_.loop->now();
+    SuspectState state = store_.stateOfPart(part, ofRequest, now);
+    if (state == SuspectState::Undecided) {
+        review();
+        state = store_.stateOfPart(part, ofRequest, now);
+    }
+    if (state == SuspectState::Blocked) {
+        blockPart(part, ofRequest);
+    } else if (state == SuspectState::Undecided) {
+        notePartHeld(part, ofRequest);
+    }
+    return state;
+}
+
+void RouteSuspectTracker::notePartHeld(PartKey part, std::span<const PartKey> ofRequest)
+{
+    const bool isKnown = partsHeldAt_.contains(part);
+    if (partsHeldAt_.size() >= MaxWaitingRequests && !isKnown) {
+        return;
+    }
+    partsHeldAt_[part] = tools_.loop->now();
+    if (!isKnown) {
+        logPart(Event::PartSuspected, part, ofRequest, Duration(0));
+    }
+}
+
+void RouteSuspectTracker::blockPart(PartKey part, std::span<const PartKey> ofRequest)
+{
+    const Duration length = store_.partBlocks().nextLength(part);
+    if (!store_.partBlocks().block(part, tools_.loop->now() + length)) {
+        return;
+    }
+    logPart(Event::PartBlocked, part, ofRequest, length);
+    tools_.metrics->add("parts_blocked_total");
+}
+
+void RouteSuspectTracker::logPart(Event event, PartKey part, std::span<const PartKey> ofRequest, Duration left) const
+{
+    const TimePoint now = tools_.loop->now();
+    const PartEvidence evidence = store_.evidenceAgainstPart(part, ofRequest, now);
+    const auto answeredAt = store_.lastAnswer(part);
+    const std::string id = fmt::format("{:x}", part);
+    tools_.log->write(event,
+        {{Attribute::Parts, id},
+            {Attribute::Source, "evidence"},
+            {Attribute::LeftMs, toMilliseconds(left)},
+            {Attribute::Count, static_cast<std::int64_t>(evidence.crashes.crashes)},
+            {Attribute::Confirmed, static_cast<std::int64_t>(evidence.crashes.confirmedCrashes)},
+            {Attribute::Requests, static_cast<std::int64_t>(evidence.requests)},
+            {Attribute::AnswerAgeMs, answeredAt ? toMilliseconds(now - *answeredAt) : std::int64_t(-1)}});
+}
+
 void RouteSuspectTracker::noteHeld(Fingerprint fingerprint, TimePoint now)
 {
     if (heldAt_.size() < MaxWaitingRequests || heldAt_.contains(fingerprint)) {
@@ -106,8 +177,9 @@
     }
     const TimePoint now = tools_.loop->now();
     const bool isKnown = store_.crashedAt(instance).has_value();
-    store_.addUnconfirmedCrash(instance, now, std::span(&request, 1));
-    brokenRuns_.push_back({now, {instance, request}});
+    const Progress report = withPossibleCauses(request, now);
+    store_.addUnconfirmedCrash(instance, now, std::span(&report, 1));
+    brokenRuns_.push_back({now, {instance, report}});
     keepNewest(brokenRuns_, MaxSharedRuns);
     clearIfAnswered(std::span(&request, 1), now);
     if (!isKnown) {
@@ -115,6 +187,24 @@
     }
 }
 
+// Parts that were answered since the crash, or just before it, are no cause of it. The other VMs are told of earlier answers.
+Progress RouteSuspectTracker::withPossibleCauses(const Progress &request, TimePoint crashedAt)
+{
+    Progress report{request.fingerprint, request.position, request.ranFor, {}};
+    std::vector<PartKey> answered;
+    for (const PartKey part : request.parts) {
+        const auto answeredAt = store_.lastAnswer(part);
+        if (answeredAt && *answeredAt >= crashedAt - AnswerMemory) {
+            answered.push_back(part);
+        }
+        if ((!answeredAt || *answeredAt < crashedAt - RecentAnswer) && report.parts.size() < MaxPartsOfRun) {
+            report.parts.push_back(part);
+        }
+    }
+    shareAnswered(answered);
+    return report;
+}
+
 void RouteSuspectTracker::noteServerActive(const std::string &instance)
 {
     activeAt_[instance] = tools_.loop->now();
@@ -130,6 +220,22 @@
     }
 }
 
+void RouteSuspectTracker::noteAnswered(std::span<const PartKey> parts)
+{
+    const TimePoint now = tools_.loop->now();
+    store_.notePromptAnswered(now);
+    shareAnswered(store_.noteAnswered(parts, now, now));
+}
+
+void RouteSuspectTracker::shareAnswered(std::span<const PartKey> parts)
+{
+    for (const PartKey part : parts) {
+        std::erase_if(answered_, [part](const auto &shared) { return shared.value == part; });
+        answered_.push_back({tools_.loop->now(), part});
+    }
+    keepNewest(answered_, MaxSharedAnswered);
+}
+
 void RouteSuspectTracker::shareCleared(const Progress &request)
 {
     cleared_.push_back({tools_.loop->now(), request});
@@ -141,7 +247,7 @@
     for (const Progress &request : inFlight) {
         const auto answered = answeredAt_.find(request.fingerprint);
         const Progress complete{request.fingerprint, CompleteAnswer};
-        if (answered != answeredAt_.end() && answered->second >= crashedAt - AnswerMemory && store_.clear(complete)) {
+        if (answered != answeredAt_.end() && answered->second >= crashedAt - RequestAnswerMemory && store_.clear(complete)) {
             shareCleared(complete);
         }
     }
@@ -152,17 +258,7 @@
     forgetOld();
     const TimePoint now = tools_.loop->now();
     CrashUpdate update;
-    for (const Shared<BrokenRun> &run : brokenRuns_) {
-        const auto found =
-            std::find_if(update.crashes.begin(), update.crashes.end(), [&](const auto &report) { return report.instance == run.value.instance; });
-        CrashUpdate::CrashReport &report =
-            found != update.crashes.end() ? *found : update.crashes.emplace_back(CrashUpdate::CrashReport{run.value.instance, now - run.at, {}});
-        report.inFlight.push_back(run.value.request);
-    }
-    for (const auto &[fingerprint, heldAt] : heldAt_) {
-        const auto reports = store_.reportsAbout(fingerprint, MaxResharedAge, now);
-        update.crashes.insert(update.crashes.end(), reports.begin(), reports.end());
-    }
+    shareCrashes(update);
     for (const Shared<Progress> &progress : cleared_) {
         update.cleared.push_back(progress.value);
     }
@@ -176,23 +272,63 @@
             update.blocked.push_back({fingerprint, until - now});
         }
     }
+    shareParts(update);
     return update;
 }
 
-void RouteSuspectTracker::applyPeerUpdate(const std::string &source, const CrashUpdate &update)
+void RouteSuspectTracker::shareCrashes(CrashUpdate &update) const
 {
     const TimePoint now = tools_.loop->now();
-    for (const CrashUpdate::CrashReport &report : update.crashes) {
-        const TimePoint at = now - report.age;
-        if (isAlive(report.instance, at)) {
-            shareAlive(report.instance);
-            continue;
+    std::size_t partsLeft = MaxSharedParts;
+    for (const Shared<BrokenRun> &run : brokenRuns_) {
+        const auto found =
+            std::find_if(update.crashes.begin(), update.crashes.end(), [&](const auto &report) { return report.instance == run.value.instance; });
+        CrashUpdate::CrashReport &report =
+            found != update.crashes.end() ? *found : update.crashes.emplace_back(CrashUpdate::CrashReport{run.value.instance, now - run.at, {}});
+        Progress &request = report.inFlight.emplace_back(run.value.request);
+        request.parts.resize(std::min(request.parts.size(), partsLeft));
+        partsLeft -= request.parts.size();
+    }
+    const auto add = [&update](const std::vector<CrashUpdate::CrashReport> &reports) {
+        update.crashes.insert(update.crashes.end(), reports.begin(), reports.end());
+    };
+    for (const auto &[fingerprint, heldAt] : heldAt_) {
+        add(store_.reportsAbout(fingerprint, MaxResharedAge, now));
+    }
+    for (const auto &[part, heldAt] : partsHeldAt_) {
+        add(store_.reportsAboutPart(part, MaxResharedAge, now));
+    }
+}
+
+void RouteSuspectTracker::shareParts(CrashUpdate &update) const
+{
+    const TimePoint now = tools_.loop->now();
+    for (const Shared<PartKey> &part : answered_) {
+        if (const auto answeredAt = store_.lastAnswer(part.value)) {
+            update.answeredParts.push_back({part.value, now - *answeredAt});
         }
-        const bool isKnown = store_.crashedAt(report.instance).has_value();
-        if (store_.addUnconfirmedCrash(report.instance, at, report.inFlight) && !isKnown) {
-            logCrash(Event::ServerCrashSuspected, report.instance, at, source);
+    }
+    for (const auto &[part, until] : store_.partBlocks().entries()) {
+        if (update.blockedParts.size() < MaxSharedBlocked && until - now >= MinSharedBlock) {
+            update.blockedParts.push_back({part, until - now});
         }
-        clearIfAnswered(report.inFlight, at);
+    }
+    if (!update.crashes.empty() && store_.promptAnsweredAt() != TimePoint()) {
+        update.sincePromptAnswered = now - store_.promptAnsweredAt();
+    }
+}
+
+void RouteSuspectTracker::applyPeerUpdate(const std::string &source, const CrashUpdate &update)
+{
+    const TimePoint now = tools_.loop->now();
+    for (const CrashUpdate::AnsweredPart &answered : update.answeredParts) {
+        store_.noteAnswered(std::span(&answered.part, 1), now - answered.age, now);
+    }
+    if (update.sincePromptAnswered) {
+        store_.notePromptAnswered(now - *update.sincePromptAnswered);
+    }
+    for (const CrashUpdate::CrashReport &report : update.crashes) {
+        applyCrashReport(source, report);
     }
     for (const Progress &progress : update.cleared) {
         store_.clear(progress);
@@ -203,6 +339,30 @@
             retract(server.instance, *crashedAt, source);
         }
     }
+    applyBlocks(source, update);
+}
+
+void RouteSuspectTracker::applyCrashReport(const std::string &source, const CrashUpdate::CrashReport &report)
+{
+    const TimePoint at = tools_.loop->now() - report.age;
+    if (isAlive(report.instance, at)) {
+        shareAlive(report.instance);
+        return;
+    }
+    std::vector<Progress> inFlight;
+    for (const Progress &request : report.inFlight) {
+        inFlight.push_back(withPossibleCauses(request, at));
+    }
+    const bool isKnown = store_.crashedAt(report.instance).has_value();
+    if (store_.addUnconfirmedCrash(report.instance, at, inFlight) && !isKnown) {
+        logCrash(Event::ServerCrashSuspected, report.instance, at, source);
+    }
+    clearIfAnswered(report.inFlight, at);
+}
+
+void RouteSuspectTracker::applyBlocks(const std::string &source, const CrashUpdate &update)
+{
+    const TimePoint now = tools_.loop->now();
     for (const CrashUpdate::BlockedRequest &request : update.blocked) {
         if (request.remaining < MinSharedBlock || !store_.block(request.fingerprint, now + std::min(request.remaining, MaxBlockLength))) {
             continue;
@@ -211,6 +371,13 @@
         tools_.log->write(
             Event::RequestBlocked, {{Attribute::Fingerprint, id}, {Attribute::Source, source}, {Attribute::LeftMs, toMilliseconds(request.remaining)}});
     }
+    for (const CrashUpdate::BlockedPart &blocked : update.blockedParts) {
+        if (blocked.remaining < MinSharedBlock || !store_.partBlocks().block(blocked.part, now + std::min(blocked.remaining, MaxBlockLength))) {
+            continue;
+        }
+        const std::string id = fmt::format("{:x}", blocked.part);
+        tools_.log->write(Event::PartBlocked, {{Attribute::Parts, id}, {Attribute::Source, source}, {Attribute::LeftMs, toMilliseconds(blocked.remaining)}});
+    }
 }
 
 void RouteSuspectTracker::tick()
@@ -247,9 +414,11 @@
     };
     std::erase_if(brokenRuns_, isOld);
     std::erase_if(cleared_, isOld);
+    std::erase_if(answered_, isOld);
     std::erase_if(alive_, isOld);
     std::erase_if(heldAt_, [oldest](const auto &entry) { return entry.second < oldest; });
-    std::erase_if(answeredAt_, [now = tools_.loop->now()](const auto &entry) { return now - entry.second > AnswerMemory + ShareTime; });
+    std::erase_if(partsHeldAt_, [oldest](const auto &entry) { return entry.second < oldest; });
+    std::erase_if(answeredAt_, [now = tools_.loop->now()](const auto &entry) { return now - entry.second > RequestAnswerMemory + ShareTime; });
 }
 
 void RouteSuspectTracker::retract(const std::string &instance, TimePoint crashedAt, std::string_view source)
--- a/src/suspects/routesuspectsmodule.cpp
+++ b/src/suspects/routesuspectsmodule.cpp
@@ -43,6 +43,8 @@
             [tracker](const presence::Status &status, std::optional<TimePoint>) { tracker->applyPeerUpdate(status.instance, status.crashUpdate); });
         loop->every(TickPeriod, [tracker] { tracker->tick(); });
         context.get<metrics::Metrics>()->gauge("server_crashes_known", [tracker] { return static_cast<double>(tracker->store().crashes()); });
+        context.get<metrics::Metrics>()->gauge("parts_blocked", [tracker] { return static_cast<double>(tracker->store().partBlocks().entries().size()); });
+        context.get<metrics::Metrics>()->gauge("parts_answered", [tracker] { return static_cast<double>(tracker->store().answeredParts()); });
         context.get<metrics::Metrics>()->gauge("requests_blocked", [tracker] { return static_cast<double>(tracker->store().blockedRequests().size()); });
         return success();
     }
--- a/src/suspects/routesuspecttracker.h
+++ b/src/suspects/routesuspecttracker.h
@@ -30,21 +30,22 @@
     std::shared_ptr<metrics::Metrics> metrics;
 };
 
-/// Finds the requests of routes that crash servers. A broken connection is only a sign of a crash: it counts for good once the
+/// Finds the requests of routes, and the parts of their prompts, that crash servers. A broken connection is only a sign of a crash: it counts for good once the
 /// server's entry is gone from the platform's list without having been draining, and no more once the server sends anything.
-/// VMs share broken connections, answered suspects, servers that are alive, and blocked requests in their statuses.
+/// VMs share broken connections, answered suspects, servers that are alive, and what is blocked in their statuses.
 class RouteSuspectTracker : public forwarding::SuspectGate
 {
 public:
     static std::shared_ptr<RouteSuspectTracker> create(RouteSuspectTools tools);
 
     bool hasCrashes() const override;
-    SuspectState stateOf(Fingerprint fingerprint) override;
+    Judgement judge(const RequestTraits &request) override;
     void noteConnectionBroken(const std::string &instance, const Progress &request) override;
     void noteServerActive(const std::string &instance) override;
     void noteProgress(const Progress &request) override;
+    void noteAnswered(std::span<const PartKey> parts) override;
 
-    /// What this VM has seen in the last seconds, and the blocked requests that it knows of; for its next status.
+    /// What this VM has seen in the last seconds, and the blocked requests and parts that it knows of; for its next status.
     CrashUpdate updateToShare();
     /// Takes in the update in the status of the VM or group @p source.
     void applyPeerUpdate(const std::string &source, const CrashUpdate &update);
@@ -65,6 +66,8 @@
         Progress request;
     };
     explicit RouteSuspectTracker(RouteSuspectTools tools);
+    SuspectState stateOfRequest(Fingerprint fingerprint);
+    SuspectState stateOfPart(PartKey part, std::span<const PartKey> ofRequest);
     void review();
     void forgetOld();
     void clearIfAnswered(std::span<const Progress> inFlight, TimePoint crashedAt);
@@ -77,15 +80,26 @@
     bool isGone(const std::string &instance, TimePoint crashedAt) const;
     void noteHeld(Fingerprint fingerprint, TimePoint now);
     void block(Fingerprint fingerprint);
+    void notePartHeld(PartKey part, std::span<const PartKey> ofRequest);
+    void blockPart(PartKey part, std::span<const PartKey> ofRequest);
+    void logPart(eventlog::Event event, PartKey part, std::span<const PartKey> ofRequest, Duration left) const;
+    Progress withPossibleCauses(const Progress &request, TimePoint crashedAt);
+    void shareAnswered(std::span<const PartKey> parts);
+    void shareCrashes(CrashUpdate &update) const;
+    void shareParts(CrashUpdate &update) const;
+    void applyCrashReport(const std::string &source, const CrashUpdate::CrashReport &report);
+    void applyBlocks(const std::string &source, const CrashUpdate &update);
     void logCrash(eventlog::Event event, const std::string &instance, TimePoint at, std::string_view source) const;
 
     RouteSuspectTools tools_;
     CrashStore store_{RepeatSource::Callers};
     std::unordered_map<Fingerprint, TimePoint> answeredAt_; ///< Recent complete answers.
     std::unordered_map<Fingerprint, TimePoint> heldAt_; ///< Requests that had to wait, by the last time.
+    std::unordered_map<PartKey, TimePoint> partsHeldAt_; ///< Parts whose requests had to wait.
     std::unordered_map<std::string, TimePoint> activeAt_; ///< By instance: when something was last received from the server.
     std::vector<Shared<BrokenRun>> brokenRuns_;
     std::vector<Shared<Progress>> cleared_;
+    std::vector<Shared<PartKey>> answered_; ///< Parts in flight at crashes that this VM knows to be answered.
     std::vector<Shared<std::string>> alive_; ///< Instances.
 };
 
--- a/src/suspects/tests/routesuspectmodel_test.cpp
+++ b/src/suspects/tests/routesuspectmodel_test.cpp
@@ -24,6 +24,14 @@
 constexpr std::size_t MaxRefused = 5;
 constexpr std::size_t RequestsPerRefused = 500;
 constexpr Fingerprint Poison = 1;
+/// Parts of prompts: one that crashes servers, one in all requests, and the first of those of customers.
+constexpr PartKey PoisonPart = 1;
+constexpr PartKey CommonPart = 2;
+constexpr PartKey FirstCustomerPart = 10;
+constexpr PartKey FirstOwnPart = 1000;
+constexpr std::size_t Customers = 20;
+/// So many crashes by a part are followed by the time in which all VMs learn of it.
+constexpr std::size_t CrashesByPart = 5;
 /// The caller of the crashing request repeats it this often, at any VM.
 constexpr Duration RepeatPeriod = milliseconds(300);
 constexpr Duration ReplacedAfter = milliseconds(1500);
@@ -44,6 +52,7 @@
     std::size_t crashesAtOnce = 1;
     bool restartsVms = false; ///< A VM is restarted every second.
     bool hasPoison = true;
+    bool isPart = false; ///< The poison is a part of prompts: no two of its requests are alike.
     Duration length = seconds(25);
 };
 
@@ -83,10 +92,11 @@
 
     std::size_t latePoisonCrashes() const
     {
-        if (poisonCrashes_.size() < MaxCrashes) {
+        const std::size_t crashes = play_.isPart ? CrashesByPart : MaxCrashes;
+        if (poisonCrashes_.size() < crashes) {
             return 0;
         }
-        const TimePoint knownAt = poisonCrashes_[MaxCrashes - 1] + KnownAfter;
+        const TimePoint knownAt = poisonCrashes_[crashes - 1] + KnownAfter;
         return static_cast<std::size_t>(std::count_if(poisonCrashes_.begin(), poisonCrashes_.end(), [&](TimePoint at) { return at > knownAt; }));
     }
 
@@ -113,6 +123,8 @@
         bool isIdempotent = true;
         int attemptsLeft = 2; ///< Of the VM.
         int repeatsLeft = 2; ///< Of the caller.
+        bool isPoison = false;
+        std::vector<PartKey> parts;
     };
     struct Run {
         Request request;
@@ -192,7 +204,7 @@
         const TimePoint now = loop_->now();
         if (play_.hasPoison && now >= nextPoison_) {
             for (std::size_t i = 0; i < play_.poisonCopies; i++) {
-                send({Poison, random_() % 2 == 0, 2, 0}, anyVm());
+                send(poison(), anyVm());
             }
             nextPoison_ += RepeatPeriod;
         }
@@ -231,14 +243,42 @@
         for (; due_ >= 1; due_ -= 1) {
             const bool isCommon = random_() % 3 != 0;
             const Fingerprint fingerprint = isCommon ? 10 + random_() % 20 : 1000 + nextFingerprint_++;
-            send({fingerprint, isCommon || random_() % 2 == 0, 2, 2}, anyVm());
+            send({fingerprint, isCommon || random_() % 2 == 0, 2, 2, false, harmlessParts()}, anyVm());
         }
     }
 
+    Request poison()
+    {
+        Request request{Poison, random_() % 2 == 0, 2, 0, true, {}};
+        if (play_.isPart) {
+            request.fingerprint = 1000 + nextFingerprint_++;
+            request.parts = {CommonPart, anyCustomerPart(), PoisonPart};
+        }
+        return request;
+    }
+
+    PartKey anyCustomerPart()
+    {
+        return FirstCustomerPart + random_() % Customers;
+    }
+
+    // A third of the prompts has a part that is in no answer yet.
+    std::vector<PartKey> harmlessParts()
+    {
+        if (!play_.isPart) {
+            return {};
+        }
+        std::vector<PartKey> parts{CommonPart, anyCustomerPart()};
+        if (random_() % 3 == 0) {
+            parts.push_back(FirstOwnPart + nextOwnPart_++);
+        }
+        return parts;
+    }
+
     void send(Request request, std::size_t vm)
     {
-        const bool isPoison = request.fingerprint == Poison;
-        const SuspectState state = vms_[vm].tracker->hasCrashes() ? vms_[vm].tracker->stateOf(request.fingerprint) : SuspectState::Trusted;
+        const bool isPoison = request.isPoison;
+        const SuspectState state = vms_[vm].tracker->hasCrashes() ? vms_[vm].tracker->judge({request.fingerprint, request.parts}).state : SuspectState::Trusted;
         harmless += isPoison ? 0 : 1;
         if (state == SuspectState::Blocked) {
             (isPoison ? poisonBlocked : harmlessBlocked)++;
@@ -288,7 +328,7 @@
             Vm &vm = vms_[run.vm];
             if (!servers_[run.server].isAlive) {
                 breakRun(run);
-            } else if (run.request.fingerprint == Poison) {
+            } else if (run.request.isPoison) {
                 poisonCrashes_.push_back(now);
                 breakRun(run);
                 crash(run.server);
@@ -297,13 +337,16 @@
             } else {
                 vm.tracker->noteServerActive(servers_[run.server].instance);
                 vm.tracker->noteProgress({run.request.fingerprint, CompleteAnswer});
+                if (!run.request.parts.empty()) {
+                    vm.tracker->noteAnswered(run.request.parts);
+                }
             }
         }
     }
 
     void breakRun(const Run &run)
     {
-        vms_[run.vm].tracker->noteConnectionBroken(servers_[run.server].instance, {run.request.fingerprint, 0, loop_->now() - run.sentAt});
+        vms_[run.vm].tracker->noteConnectionBroken(servers_[run.server].instance, {run.request.fingerprint, 0, loop_->now() - run.sentAt, run.request.parts});
         if (!run.request.isIdempotent) {
             return;
         }
@@ -349,6 +392,7 @@
     TimePoint nextRestart_;
     std::uint64_t listVersion_ = 0;
     std::uint64_t nextFingerprint_ = 0;
+    PartKey nextOwnPart_ = 0;
     std::uint64_t ticks_ = 0;
     double due_ = 0;
 };
@@ -411,6 +455,44 @@
     expectBounds(play, GetParam());
 }
 
+// Guards against a part of prompts that crashes servers and is sent to more of them, as no two of its requests are alike.
+TEST_P(RouteSuspectSeeds, ACrashingPartEndsWhileServersCrashAndAnswersBreak)
+{
+    Play play;
+    play.isPart = true;
+    play.brokenAnswers = 0.03;
+    play.crashPeriod = seconds(4);
+    expectBounds(play, GetParam());
+}
+
+TEST_P(RouteSuspectSeeds, ACrashingPartEndsWhileVmsAreRestarted)
+{
+    Play play;
+    play.isPart = true;
+    play.restartsVms = true;
+    expectBounds(play, GetParam());
+}
+
+TEST_P(RouteSuspectSeeds, ACrashingPartOfManyRequestsAtOnceEnds)
+{
+    Play play;
+    play.isPart = true;
+    play.servers = 24;
+    play.poisonCopies = 4;
+    expectBounds(play, GetParam());
+}
+
+TEST_P(RouteSuspectSeeds, NoHarmlessPartIsBlamedForFailuresOfManyServers)
+{
+    Play play;
+    play.isPart = true;
+    play.hasPoison = false;
+    play.brokenAnswers = 0.05;
+    play.crashPeriod = seconds(2);
+    play.crashesAtOnce = 3;
+    expectBounds(play, GetParam());
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, RouteSuspectSeeds, testing::Range(1U, 11U));
 
 class RouteSuspectFleets : public testing::TestWithParam<std::size_t>
@@ -428,6 +510,18 @@
     expectBounds(play, 1);
 }
 
+TEST_P(RouteSuspectFleets, AllVmsKnowOfACrashingPartInTime)
+{
+    Play play;
+    play.isPart = true;
+    play.vms = GetParam();
+    play.zones = 6;
+    play.servers = play.vms;
+    play.requestsPerSecond = 5 * static_cast<double>(play.vms);
+    play.length = seconds(14);
+    expectBounds(play, 1);
+}
+
 INSTANTIATE_TEST_SUITE_P(Vms, RouteSuspectFleets, testing::Values(9, 63, 295));
 
 } // namespace
--- a/src/suspects/tests/routesuspecttracker_test.cpp
+++ b/src/suspects/tests/routesuspecttracker_test.cpp
@@ -1,6 +1,6 @@
 #include "presence/statusformat.h"
 #include "presence/statussummary.h"
-#include "suspects/routesuspecttracker.h"
+#include "suspects/tests/routesuspecttrackertest.h"
 
 #include <gtest/gtest.h>
 
@@ -15,100 +15,6 @@
 constexpr Fingerprint Poison = 1;
 constexpr Fingerprint Harmless = 2;
 
-/// The tracker of one VM, with the list of servers that it reads.
-class Vm
-{
-public:
-    explicit Vm(EventLoop &loop)
-        : loop_(loop)
-    {
-        RouteSuspectTools tools;
-        tools.loop = &loop;
-        tools.directory = directory;
-        tools.log = eventlog::EventLog::create(loop.clock(), "vm", [](std::string_view) { return true; });
-        tools.metrics = metrics::Metrics::create();
-        tracker = RouteSuspectTracker::create(std::move(tools));
-    }
-
-    void list(const std::string &instance, directory::ServerState state = directory::ServerState::Ready)
-    {
-        directory::BackendServer server;
-        server.name = instance;
-        server.instance = instance;
-        server.service = "service";
-        server.state = state;
-        directory->put(std::move(server));
-    }
-
-    /// The list is known to be complete now.
-    void confirmList()
-    {
-        directory->noteListComplete({0, ++listVersion_}, loop_.now());
-    }
-
-    void unlist(const std::string &instance)
-    {
-        directory->remove(instance, loop_.now());
-        confirmList();
-    }
-
-    void breakConnection(const std::string &instance, Fingerprint fingerprint, Duration ranFor = milliseconds(10))
-    {
-        tracker->noteConnectionBroken(instance, {fingerprint, 0, ranFor});
-    }
-
-    SuspectState stateOf(Fingerprint fingerprint)
-    {
-        return tracker->stateOf(fingerprint);
-    }
-
-    std::shared_ptr<directory::Directory> directory = directory::Directory::create();
-    std::shared_ptr<RouteSuspectTracker> tracker;
-
-private:
-    EventLoop &loop_;
-    std::uint64_t listVersion_ = 0;
-};
-
-class RouteSuspectTrackerTest : public testing::Test
-{
-protected:
-    RouteSuspectTrackerTest()
-    {
-        for (int i = 1; i <= 5; i++) {
-            vm_.list("server-" + std::to_string(i));
-            peer_.list("server-" + std::to_string(i));
-        }
-    }
-
-    void advance(Duration time)
-    {
-        clock_.advance(time);
-        vm_.tracker->tick();
-        peer_.tracker->tick();
-    }
-
-    /// The request runs on the server, which crashes; its entry is removed some seconds later.
-    void crash(const std::string &instance, Fingerprint fingerprint)
-    {
-        vm_.breakConnection(instance, fingerprint);
-        advance(seconds(4));
-        vm_.unlist(instance);
-        advance(milliseconds(500));
-    }
-
-    void exchange()
-    {
-        peer_.tracker->applyPeerUpdate("vm", vm_.tracker->updateToShare());
-        vm_.tracker->applyPeerUpdate("peer", peer_.tracker->updateToShare());
-    }
-
-    ManualClock clock_;
-    std::unique_ptr<EventLoop> loop_ = std::move(EventLoop::create(clock_).value());
-    Vm vm_{*loop_};
-    Vm peer_{*loop_};
-};
-
 TEST_F(RouteSuspectTrackerTest, ThreeCrashesInSuccessionBlockARequest)
 {
     crash("server-1", Poison);
@@ -207,7 +113,7 @@
 
 TEST_F(RouteSuspectTrackerTest, AVmThatDoesNotKnowTheListYetConfirmsNothing)
 {
-    Vm fresh(*loop_);
+    TrackerVm fresh(*loop_);
     vm_.breakConnection("server-1", Poison);
     fresh.tracker->applyPeerUpdate("vm", vm_.tracker->updateToShare());
     fresh.tracker->tick();
@@ -262,7 +168,7 @@
     exchange();
     advance(seconds(6));
     EXPECT_EQ(vm_.stateOf(Poison), SuspectState::Undecided);
-    Vm fresh(*loop_);
+    TrackerVm fresh(*loop_);
     fresh.tracker->applyPeerUpdate("vm", vm_.tracker->updateToShare());
     EXPECT_EQ(fresh.stateOf(Poison), SuspectState::Undecided);
 }
--- a/tests/support/crashingpartsrun.cpp
+++ b/tests/support/crashingpartsrun.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 
 namespace cardamomlift::test {
 
@@ -198,6 +199,13 @@
     const Served all = served(TimePoint(), TimePoint::max());
     const Served before = servedBefore();
     const Served after = servedAfter();
+    std::map<int, int> failures;
+    for (const Sound &sound : sound_) {
+        failures[sound.call->status] += isServed(sound.call) ? 0 : 1;
+    }
+    for (const auto &[status, count] : failures) {
+        text += count > 0 ? fmt::format("{} sound ones ended with {}, ", count, status) : std::string();
+    }
     return fmt::format("{}{} late; sound requests served at the first attempt: {} of {} in all, {} of {} before, {} of {} after",
         text,
         lateCrashes(),
