Conclude that a VM is cut off only after probes have failed

Callers saw 503 for all requests at all VMs while a quarter of the servers lived.

Cause: three servers that fail in succession mean a cut, unless probes reach others. A doubt that was refuted within the last second sent no probes, and the conclusion was drawn without them. Requests with one prompt go to the same servers; when these have ended, three failures in succession come at once.

Now probes are sent before the conclusion if none were since a connection was last established. A real cut is still known at once (a test for each).

ServersThatEndSoonAfterADoubtWasRefutedAreNoCut was red before; tests-reachability pass.

--- a/src/reachability/internal/reachabilitytracker.cpp
+++ b/src/reachability/internal/reachabilitytracker.cpp
@@ -51,6 +51,7 @@
 void ReachabilityTracker::noteConnected(const std::string &instance)
 {
     noteActivity();
+    connectedAt_ = tools_.loop->now();
     failed_.clear();
     if (state_ == State::Doubtful) {
         state_ = State::Reachable;
@@ -135,6 +136,13 @@
     if (state_ != State::Doubtful && state_ != State::Recovering) {
         return;
     }
+    if (!isCutOff(evidence(), state_)) {
+        return;
+    }
+    // Connections go to the servers that suit the requests, and these may have ended together. Probes go to others.
+    if (probedAt_ <= connectedAt_) {
+        probe(ProbesInDoubt);
+    }
     if (const Evidence current = evidence(); isCutOff(current, state_)) {
         enterUnreachable(current);
     }
--- a/src/reachability/reachabilitytracker.h
+++ b/src/reachability/reachabilitytracker.h
@@ -88,6 +88,7 @@
     TimePoint recoveringSince_;
     TimePoint lastFailureAt_;
     TimePoint probedAt_; ///< When probes were last sent.
+    TimePoint connectedAt_; ///< When a connection was last established.
     std::optional<TimePoint> lastContactAt_;
     std::set<std::string> failed_; ///< Servers to which no connection could be established since the last that succeeded.
     std::set<std::string> reached_; ///< While unreachable: servers reached in succession.
--- a/src/reachability/tests/reachabilitytracker_test.cpp
+++ b/src/reachability/tests/reachabilitytracker_test.cpp
@@ -181,6 +181,34 @@
     EXPECT_EQ(tracker_->state(), State::Reachable);
 }
 
+// Guards against a VM that takes itself for cut off as the servers that suit its requests have ended one after the other, while others live.
+TEST_F(ReachabilityTrackerTest, ServersThatEndSoonAfterADoubtWasRefutedAreNoCut)
+{
+    tracker_->noteSilent();
+    pass(milliseconds(200));
+    ASSERT_EQ(tracker_->state(), State::Reachable);
+    for (const char *instance : {"server-0", "server-1", "server-2", "server-3"}) {
+        links_[instance]->reset();
+        tracker_->noteConnectFailed(instance);
+    }
+    pass(milliseconds(1000));
+    EXPECT_TRUE(changes_.empty());
+}
+
+// Guards against a cut that is found out only when the pause between probes is over.
+TEST_F(ReachabilityTrackerTest, ACutSoonAfterADoubtWasRefutedIsKnownAtOnce)
+{
+    tracker_->noteSilent();
+    pass(milliseconds(200));
+    ASSERT_EQ(tracker_->state(), State::Reachable);
+    refuseAll();
+    for (const char *instance : {"server-0", "server-1", "server-2"}) {
+        tracker_->noteConnectFailed(instance);
+    }
+    pass(milliseconds(100));
+    EXPECT_EQ(tracker_->state(), State::Unreachable);
+}
+
 TEST_F(ReachabilityTrackerTest, AProbeFindsTheEndOfTheCutAndRequestsReturnByDegrees)
 {
     clock_.pause();
