Ask a server that refused a connection last for a second

Callers saw 503 for want of a server while others lived: a request asked four ended servers one after the other, which have its prompt in their caches and no load, and was refused. Each VM learnt it anew with each request, for the 3.6 s in which the list still has them.

Now a server to which this VM could not connect is a last resort for a second, or until it sends anything. Behind a real cut all are equal, and are asked as before.

AServerThatRefusedAConnectionIsALast ResortForASecond was red without the choice.

--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -120,7 +120,7 @@
     ListVersion, ///< Version of the server list on which the decision was based.
     ListAgeMs, ///< Time since the server list was last known to be complete.
     BackingOff, ///< Number of backend servers skipped because they accept no requests of this VM for some time.
-    Deferred, ///< Number of backend servers that are a last resort: overloaded, or recovering from a backoff.
+    Deferred, ///< Number of backend servers that are a last resort: overloaded, recovering from a backoff, or not connected to a moment ago.
     Limited, ///< Number of backend servers skipped because of their request limits.
     Fingerprint, ///< Hash that identifies a request and its repeats by the same customer.
     Parts, ///< Parts of the prompt that other requests may share, without the last.
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -91,7 +91,7 @@
         std::size_t tried = 0; ///< Servers skipped because this request has failed or was refused there.
         std::size_t backingOff = 0; ///< Servers skipped because they accept no requests of this VM for some time.
         TimePoint backoffEndsAt = TimePoint::max(); ///< The earliest end of their backoffs.
-        std::size_t deferred = 0; ///< Servers that are a last resort: overloaded, or recovering from a backoff.
+        std::size_t deferred = 0; ///< Servers that are a last resort: overloaded, recovering from a backoff, or not connected to a moment ago.
         std::size_t limited = 0; ///< Servers skipped because their rate limits leave no room now.
         double limitedPerSecond = 0; ///< Requests per second that this VM may send to the skipped servers.
         std::int64_t cachedTokens = 0; ///< Prompt tokens believed to be in the server's cache.
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -291,6 +291,7 @@
     if (failure == http1::CallFailure::NotConnected) {
         connectFailures_++;
         tools_.reachability->noteConnectFailed(instance);
+        tools_.pool->noteConnectFailed(instance);
     }
     retryUnsent(metrics::RetryReason::ConnectFailed);
 }
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -79,7 +79,7 @@
         if (skipIfLimited(instance, choice) || skipIfNoSlot(server->server, choice)) {
             continue;
         }
-        if (isAtRecoveryLimit(instance) || tools_.backoffs->isOverloaded(instance)) {
+        if (isAtRecoveryLimit(instance) || tools_.backoffs->isOverloaded(instance) || tools_.pool->hasFailedToConnect(instance)) {
             lastResort.push_back(server.get());
         } else if (eligibility == Eligibility::Preferred) {
             preferred.push_back(server.get());
--- a/src/forwarding/internal/serverpool.cpp
+++ b/src/forwarding/internal/serverpool.cpp
@@ -11,6 +11,8 @@
 constexpr Duration UnackedTimeout = std::chrono::milliseconds(2500);
 /// Idle time before the first TCP keep-alive probe; a dead server is detected within three seconds.
 constexpr Duration KeepAliveIdle = std::chrono::seconds(1);
+/// A server to which no connection could be established is a last resort for this long. The list has an ended server for some seconds.
+constexpr Duration ConnectFailureMemory = std::chrono::seconds(1);
 /// Limits on the size of a server's answer; an answer that is not a stream is buffered whole.
 constexpr http1::ReadLimits AnswerLimits{65536, 16u << 20};
 constexpr http1::SocketOptions ChannelOptions{UnackedTimeout, KeepAliveIdle};
@@ -86,7 +88,20 @@
 
 void ServerPool::noteActivity(const std::string &instance)
 {
-    entries_[instance].lastActivityAt = loop_.now();
+    ServerEntry &entry = entries_[instance];
+    entry.lastActivityAt = loop_.now();
+    entry.connectFailedAt.reset();
+}
+
+void ServerPool::noteConnectFailed(const std::string &instance)
+{
+    entries_[instance].connectFailedAt = loop_.now();
+}
+
+bool ServerPool::hasFailedToConnect(const std::string &instance) const
+{
+    const ServerEntry *entry = find(instance);
+    return entry && entry->connectFailedAt && loop_.now() - *entry->connectFailedAt < ConnectFailureMemory;
 }
 
 std::optional<TimePoint> ServerPool::lastActivityAt(const std::string &instance) const
--- a/src/forwarding/serverpool.h
+++ b/src/forwarding/serverpool.h
@@ -18,6 +18,7 @@
 struct ServerEntry {
     balancing::ServerLoad load;
     std::optional<TimePoint> lastActivityAt; ///< When bytes of an answer were last received, on any channel.
+    std::optional<TimePoint> connectFailedAt; ///< When a connection could last not be established; empty if the server has sent bytes since.
 };
 
 /// Connection pool of the backend servers, with what is known of their load. Keyed by instance, never by address.
@@ -44,6 +45,9 @@
     void noteActivity(const std::string &instance);
     /// When noteActivity() was last called; empty if it never was.
     std::optional<TimePoint> lastActivityAt(const std::string &instance) const;
+    void noteConnectFailed(const std::string &instance);
+    /// Whether a connection to the server could not be established a short time ago: its process has probably ended.
+    bool hasFailedToConnect(const std::string &instance) const;
     std::size_t openChannels() const;
     /// Closes the idle channels to all servers: they may have ended unnoticed while this VM was cut off.
     void closeIdle();
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/tests/forwardertest.h"
+#include "prefixindex/prefixrules.h"
 
 namespace cardamomlift::forwarding {
 
@@ -367,6 +368,33 @@
     EXPECT_FALSE(manifests->isFresh(clock.now(), settings.maxKeyAge));
 }
 
+// Guards against an ended server that each request asks first, as it has the prompt in its cache and no load.
+TEST_F(ForwarderTest, AServerThatRefusedAConnectionIsALastResortForASecond)
+{
+    addBackend("ended");
+    backends_["ended"].server.reset();
+    const auto countFailures = [this] {
+        int count = 0;
+        for (auto at = logLines_.find("not_connected"); at != std::string::npos; at = logLines_.find("not_connected", at + 1)) {
+            count++;
+        }
+        return count;
+    };
+    const auto serveCachedAtEndedOnly = [&](const std::string &part) {
+        tools_.prefixes->noteSent(prefixindex::prefixesOf(std::vector<PromptPart>{{part, 80000}, {"own", 250}}), "ended");
+        const auto client = call(request("/once/1", "X-Prompt-Prefix: " + part + ":80000,own:250\r\nX-Token-Usage: 80250,10\r\n"));
+        nextRequest()->answer(signedHead(), "answer");
+        EXPECT_TRUE(runUntil([&] { return hasStatus(*client, "200"); }));
+    };
+    serveCachedAtEndedOnly("a1");
+    EXPECT_EQ(countFailures(), 1);
+    serveCachedAtEndedOnly("a2");
+    EXPECT_EQ(countFailures(), 1);
+    EXPECT_TRUE(pool_->hasFailedToConnect("ended"));
+    clock_.advance(milliseconds(1100));
+    EXPECT_FALSE(pool_->hasFailedToConnect("ended"));
+}
+
 } // namespace
 
 } // namespace cardamomlift::forwarding
