Hand requests over to VMs that have room at limited servers

Callers saw 503 at the VM to which the platform hands most new connections, while servers that name limits took half of what they may.

Cause: what a server takes belongs to all VMs in equal parts, in permits and in slots, whoever has the callers. That needs no word between VMs, and was taken for that; nine tenths of the callers have a quarter of the room at one of four VMs.

A VM that has no room now hands the request over to one that has, as it does when it reaches no server; two are asked at most. VMs say in their statuses whether they have refused for want of room within half a second, and get no such request then; so where all are full, a request is refused at once. The permits stay as they are.

Weighed: moving permits on request. It takes the same datagrams for each request and a second owner for each permit.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -66,7 +66,7 @@
 /// Who has sent a request.
 enum class RequestSource {
     Caller,
-    Peer, ///< Another entry VM, which reaches no backend server itself.
+    Peer, ///< Another entry VM, which reaches no backend server itself or has no room at any.
 };
 
 class ForwardedRequest;
@@ -81,6 +81,8 @@
     /// Handles a request that another entry VM hands over. It is never handed on.
     void handleRelayed(http1::ExchangePtr exchange);
     std::size_t openRequests() const;
+    /// Whether requests were refused a short time ago as servers' limits left no room.
+    bool lacksServerRoom() const;
     /// Adapts the retry budgets to the number of VMs and to the age of this process. Called a few times a second.
     void tick();
     /// Announces that this process ends at @p end: after a transition period, requests whose deadline is later are refused.
@@ -113,6 +115,7 @@
     double grantedFraction() const;
     TimePoint startedAt_;
     std::map<std::string, ServiceBudget> budgets_; ///< By service.
+    std::optional<TimePoint> roomLackedAt_; ///< When a request was last refused for want of room at servers.
     RetryPacer retryPacer_; ///< For callers that are refused because of servers' rate limits.
     std::map<ForwardedRequest *, std::shared_ptr<ForwardedRequest>> open_;
 };
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -116,6 +116,8 @@
             pool->tick();
             forwarder->tick();
         });
+        context.get<presence::Presence>()->addStatusContributor(
+            [forwarder](presence::Status &status) { status.lacksServerRoom = forwarder->lacksServerRoom(); });
         watchSuspensions(*loop, gatewayTools.log);
         context.set(forwarder);
         gatewayTools.forwarder = forwarder;
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -266,7 +266,9 @@
         return;
     }
     if (choice.limited > 0) {
-        refuseForWantOfRoom(choice.limitedPerSecond);
+        if (!startRelayForRoom()) {
+            refuseForWantOfRoom(choice.limitedPerSecond);
+        }
         return;
     }
     if (choice.backingOff > 0 && choice.tried == 0) {
@@ -280,6 +282,7 @@
 
 void ForwardedRequest::refuseForWantOfRoom(double requestsPerSecond)
 {
+    forwarder_.roomLackedAt_ = tools_.loop->now();
     const Duration retryAfter = forwarder_.retryPacer_.nextDelay(service_, requestsPerSecond, tools_.loop->now());
     refuse(StatusUnavailable, FailureReason::ServersLimited, retryAfter);
 }
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -178,6 +178,7 @@
         std::shared_ptr<http1::BackendChannel> channel;
         http1::ResponseHead head;
         bool isEventStream = false;
+        bool needsRoom = false; ///< It is handed over for want of room at servers.
         std::string body;
         TimePoint lastByteAt; ///< The time of the send until a byte is received.
     };
@@ -186,7 +187,9 @@
     bool shouldRelay() const;
     /// Hands the request over to another entry VM. Returns false if there is none.
     bool startRelay();
-    void sendToPeer(const relay::RelayPeer &peer);
+    /// The same to one that may have room at servers that limit the requests of each VM.
+    bool startRelayForRoom();
+    void sendToPeer(const relay::RelayPeer &peer, std::string_view reason);
     relay::RelayFields relayFields() const;
     void onRelayHead(http1::ResponseHead head);
     void onRelayBody(std::string_view bytes);
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -37,6 +37,7 @@
     case FailureReason::Draining:
     case FailureReason::CutOff:
     case FailureReason::ManifestBehind:
+    case FailureReason::ServersLimited:
         return true;
     default:
         return false;
--- a/src/forwarding/internal/forwardedrequestrelay.cpp
+++ b/src/forwarding/internal/forwardedrequestrelay.cpp
@@ -63,11 +63,25 @@
 
 bool ForwardedRequest::startRelay()
 {
-    const auto peer = tools_.relays->choose(manifest_->manifest().version, triedPeers_, salt());
+    const auto peer = tools_.relays->choose(manifest_->manifest().version, triedPeers_, salt(), false);
     if (!peer) {
         return false;
     }
-    sendToPeer(*peer);
+    sendToPeer(*peer, tools_.reachability->isDirect(salt()) ? "not_connected" : "cut_off");
+    return true;
+}
+
+bool ForwardedRequest::startRelayForRoom()
+{
+    if (!mayRelay() || relays_ >= relay::MaxRelaysForRoom) {
+        return false;
+    }
+    const auto peer = tools_.relays->choose(manifest_->manifest().version, triedPeers_, salt(), true);
+    if (!peer) {
+        return false;
+    }
+    sendToPeer(*peer, "no_room");
+    relay_->needsRoom = true;
     return true;
 }
 
@@ -81,7 +95,7 @@
     return fields;
 }
 
-void ForwardedRequest::sendToPeer(const relay::RelayPeer &peer)
+void ForwardedRequest::sendToPeer(const relay::RelayPeer &peer, std::string_view reason)
 {
     relays_++;
     tools_.metrics->add("requests_relayed_total");
@@ -90,7 +104,7 @@
             {Attribute::Route, route_->name},
             {Attribute::Peer, peer.instance},
             {Attribute::Zone, peer.zone},
-            {Attribute::Reason, tools_.reachability->isDirect(salt()) ? "not_connected" : "cut_off"},
+            {Attribute::Reason, reason},
             {Attribute::Attempt, static_cast<std::int64_t>(relays_)},
             {Attribute::Events, static_cast<std::int64_t>(splitter_.eventCount())},
             {Attribute::TookMs, millisecondsSince(exchange_->startedAt())},
@@ -222,7 +236,11 @@
 {
     logRelay(why);
     triedPeers_.insert(relay_->peer.instance);
-    tools_.relays->noteFailed(relay_->peer.instance);
+    if (relay_->needsRoom && keepChannel) {
+        tools_.relays->noteLacksRoom(relay_->peer.instance);
+    } else {
+        tools_.relays->noteFailed(relay_->peer.instance);
+    }
     endRelay(keepChannel);
     retry();
 }
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -16,6 +16,9 @@
 /// The least value of maxSavedRetries(), also used while the number of VMs that share the bound is unknown.
 constexpr double MinSavedRetries = 1;
 
+/// A VM that has refused requests for want of room says so for this long. Other VMs hand none over to it meanwhile.
+constexpr Duration RoomLackedMemory = std::chrono::milliseconds(500);
+
 } // namespace
 
 Forwarder::Forwarder(ForwarderTools tools)
@@ -99,6 +102,11 @@
     request->start();
 }
 
+bool Forwarder::lacksServerRoom() const
+{
+    return roomLackedAt_ && tools_->loop->now() - *roomLackedAt_ < RoomLackedMemory;
+}
+
 std::size_t Forwarder::openRequests() const
 {
     return open_.size();
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -51,6 +51,7 @@
     partial.isStoreUnavailable = status.isStoreUnavailable;
     partial.isDraining = status.isDraining;
     partial.reachesNoServer = status.reachesNoServer;
+    partial.lacksServerRoom = status.lacksServerRoom;
     partial.sinceServerContact = status.sinceServerContact;
     partial.isPartial = true;
     return partial;
@@ -393,6 +394,7 @@
     peer.status->isStoreUnavailable = status.isStoreUnavailable;
     peer.status->isDraining = status.isDraining;
     peer.status->reachesNoServer = status.reachesNoServer;
+    peer.status->lacksServerRoom = status.lacksServerRoom;
     peer.status->sinceServerContact = status.sinceServerContact;
 }
 
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -237,6 +237,7 @@
     out.set_lacks_store(status.isStoreUnavailable);
     out.set_draining(status.isDraining);
     out.set_reaches_no_server(status.reachesNoServer);
+    out.set_lacks_server_room(status.lacksServerRoom);
     if (status.sinceServerContact) {
         out.set_since_server_contact_ms(toMillis(*status.sinceServerContact));
     }
@@ -308,6 +309,7 @@
     status.isStoreUnavailable = in.lacks_store();
     status.isDraining = in.draining();
     status.reachesNoServer = in.reaches_no_server();
+    status.lacksServerRoom = in.lacks_server_room();
     if (in.has_since_server_contact_ms()) {
         status.sinceServerContact = std::chrono::milliseconds(in.since_server_contact_ms());
     }
--- a/src/presence/internal/statussummary.cpp
+++ b/src/presence/internal/statussummary.cpp
@@ -128,6 +128,7 @@
     }
     const Status &status = *member.status;
     summary.reachesNoServer = summary.reachesNoServer && status.reachesNoServer;
+    summary.lacksServerRoom = summary.lacksServerRoom && status.lacksServerRoom;
     if (status.sinceServerContact && !status.reachesNoServer) {
         summary.sinceServerContact = shorter(summary.sinceServerContact, *status.sinceServerContact + member.age);
     }
@@ -235,6 +236,7 @@
     summary.isStoreUnavailable = true;
     summary.isDraining = true;
     summary.reachesNoServer = true;
+    summary.lacksServerRoom = true;
     std::map<std::uint64_t, CustomerDemand> demands;
     std::map<std::uint64_t, ServiceLoad> loads;
     std::map<std::uint64_t, CombinedOutcomes> combined;
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -106,6 +106,7 @@
     bool isStoreUnavailable = false; ///< Its calls to the store for the lease fail, so it can't take the lease.
     bool isStoreReader = false; ///< It polls the store on behalf of other VMs, and sends them its table versions in each round.
     bool isDraining = false;
+    bool lacksServerRoom = false; ///< It has just refused requests as servers' limits left it no room. In a summary: all VMs of the group have.
     bool reachesNoServer = false; ///< It is cut off from the backend servers. In a summary: all VMs of the group are.
     std::optional<Duration> sinceServerContact; ///< Time since it last heard from a backend server. In a summary: the shortest.
     bool isPartial = false; ///< Only the frequently sent fields are set; the others are unchanged since the last full status.
--- a/src/relay/internal/relaypool.cpp
+++ b/src/relay/internal/relaypool.cpp
@@ -16,6 +16,8 @@
 constexpr http1::ReadLimits AnswerLimits{65536, 16u << 20};
 /// A VM that failed is asked again after this time: its next statuses say whether it reaches servers.
 constexpr Duration FailurePause = std::chrono::seconds(1);
+/// A VM that had no room is asked again after this time: a server's limit leaves it room again soon, or its next status says that it has none.
+constexpr Duration RoomPause = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -38,10 +40,19 @@
     return found != entries_.end() && loop_.now() < found->second.avoidUntil;
 }
 
-std::optional<RelayPeer> RelayPool::choose(std::uint64_t manifestVersion, const std::set<std::string> &except, std::uint64_t salt) const
+bool RelayPool::lacksRoom(const RelayCandidate &candidate) const
+{
+    const auto found = entries_.find(candidate.peer.instance);
+    return candidate.lacksRoom || (found != entries_.end() && loop_.now() < found->second.lacksRoomUntil);
+}
+
+std::optional<RelayPeer> RelayPool::choose(std::uint64_t manifestVersion, const std::set<std::string> &except, std::uint64_t salt, bool needsRoom) const
 {
     std::vector<RelayCandidate> candidates = candidates_(manifestVersion);
-    std::erase_if(candidates, [&](const RelayCandidate &candidate) { return except.contains(candidate.peer.instance) || isAvoided(candidate.peer.instance); });
+    std::erase_if(candidates, [&](const RelayCandidate &candidate) {
+        const std::string &instance = candidate.peer.instance;
+        return except.contains(instance) || isAvoided(instance) || (needsRoom && lacksRoom(candidate));
+    });
     for (RelayCandidate &candidate : candidates) {
         const auto found = entries_.find(candidate.peer.instance);
         candidate.openRelays = found == entries_.end() ? 0 : found->second.open;
@@ -72,6 +83,11 @@
     entries_[instance].avoidUntil = loop_.now() + FailurePause;
 }
 
+void RelayPool::noteLacksRoom(const std::string &instance)
+{
+    entries_[instance].lacksRoomUntil = loop_.now() + RoomPause;
+}
+
 int RelayPool::openRelays() const
 {
     int sum = 0;
@@ -84,7 +100,8 @@
 void RelayPool::tick()
 {
     channels_->removeUnusable();
-    std::erase_if(entries_, [this](const auto &entry) { return entry.second.open == 0 && loop_.now() >= entry.second.avoidUntil; });
+    std::erase_if(entries_,
+        [this](const auto &entry) { return entry.second.open == 0 && loop_.now() >= std::max(entry.second.avoidUntil, entry.second.lacksRoomUntil); });
 }
 
 } // namespace cardamomlift::relay
--- a/src/relay/relaymodule.cpp
+++ b/src/relay/relaymodule.cpp
@@ -43,7 +43,7 @@
     const std::size_t first = candidates.size();
     for (const auto &[instance, peer] : presence.peers()) {
         if (peer.group == group) {
-            candidates.push_back({{instance, peer.zone, peer.endpoint}, 0, 0, {}});
+            candidates.push_back({{instance, peer.zone, peer.endpoint}, 0, 0, {}, summary.status->lacksServerRoom});
         }
     }
     const auto members = static_cast<double>(candidates.size() - first);
@@ -57,7 +57,8 @@
     std::vector<RelayCandidate> candidates;
     for (const auto &[instance, peer] : presence.peers()) {
         if (presence.isInOwnGroup(instance) && canTakeOver(peer, manifestVersion, now)) {
-            candidates.push_back({{instance, peer.zone, peer.endpoint}, openRequests(*peer.status), 0, sinceServerContact(peer, now)});
+            candidates.push_back(
+                {{instance, peer.zone, peer.endpoint}, openRequests(*peer.status), 0, sinceServerContact(peer, now), peer.status->lacksServerRoom});
         }
     }
     for (const auto &[name, group] : presence.groups()) {
@@ -69,7 +70,7 @@
     return candidates;
 }
 
-/// Hands requests over to other entry VMs while this one reaches no backend server.
+/// Hands requests over to other entry VMs while this one reaches no backend server, or has no room at any.
 class RelayModule : public Module
 {
 public:
--- a/src/relay/relaypool.h
+++ b/src/relay/relaypool.h
@@ -24,13 +24,16 @@
 public:
     static std::shared_ptr<RelayPool> create(EventLoop &loop, std::string zone, CandidateSource candidates);
 
-    /// The VM to hand a request over to, other than those in @p except; empty if there is none.
-    std::optional<RelayPeer> choose(std::uint64_t manifestVersion, const std::set<std::string> &except, std::uint64_t salt) const;
+    /// The VM to hand a request over to, other than those in @p except; empty if there is none. @p needsRoom: this VM has no room at servers that limit
+    /// the requests of each VM; not to one that lacks it too.
+    std::optional<RelayPeer> choose(std::uint64_t manifestVersion, const std::set<std::string> &except, std::uint64_t salt, bool needsRoom) const;
     std::shared_ptr<http1::BackendChannel> acquire(const RelayPeer &peer);
     /// Ends a call on a channel of acquire(). @p isReusable: its answer was complete.
     void release(const std::string &instance, std::shared_ptr<http1::BackendChannel> channel, bool isReusable);
     /// The VM could not be reached, or could not serve the request: others are preferred for some time.
     void noteFailed(const std::string &instance);
+    /// The VM had no room at servers for a request: for a short time it gets no other for that reason.
+    void noteLacksRoom(const std::string &instance);
     /// Requests that are handed over now.
     int openRelays() const;
     /// Closes connections that can't be reused. To be called a few times a second.
@@ -40,9 +43,11 @@
     struct Entry {
         int open = 0;
         TimePoint avoidUntil;
+        TimePoint lacksRoomUntil;
     };
     RelayPool(EventLoop &loop, std::string zone, CandidateSource candidates);
     bool isAvoided(const std::string &instance) const;
+    bool lacksRoom(const RelayCandidate &candidate) const;
     EventLoop &loop_;
     std::string zone_;
     CandidateSource candidates_;
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -22,6 +22,7 @@
     double openRequests = 0; ///< Requests in progress there.
     int openRelays = 0; ///< Requests of this VM among them that were handed over.
     std::optional<Duration> sinceServerContact; ///< Time since it last heard from a backend server; empty if not known.
+    bool lacksRoom = false; ///< It has just refused requests as servers' limits left it no room.
 };
 
 /// What an entry VM says of a request that it hands over, beside the request itself.
--- a/src/relay/tests/relaypool_test.cpp
+++ b/src/relay/tests/relaypool_test.cpp
@@ -66,7 +66,7 @@
 
     std::string choose(const std::set<std::string> &except = {})
     {
-        const auto peer = pool_->choose(7, except, 0);
+        const auto peer = pool_->choose(7, except, 0, false);
         return peer ? peer->instance : std::string();
     }
 
@@ -108,6 +108,23 @@
     EXPECT_EQ(choose(), "a");
 }
 
+// Guards against requests that go from one VM without room to the next.
+TEST_F(RelayPoolTest, AVmWithoutRoomGetsNoRequestThatNeedsIt)
+{
+    const auto chooseForRoom = [this] {
+        const auto peer = pool_->choose(7, {}, 0, true);
+        return peer ? peer->instance : std::string();
+    };
+    EXPECT_EQ(chooseForRoom(), "a");
+    candidates_[0].lacksRoom = true;
+    EXPECT_EQ(chooseForRoom(), "b");
+    EXPECT_EQ(choose(), "a") << "it reaches servers";
+    pool_->noteLacksRoom("b");
+    EXPECT_EQ(chooseForRoom(), "");
+    clock_.advance(milliseconds(250));
+    EXPECT_EQ(chooseForRoom(), "b");
+}
+
 } // namespace
 
 } // namespace cardamomlift::relay
