Wait for the next turn where only the end of this one leaves no room

Callers saw 503 for one request in ten at all VMs, with much room left, before servers that crash when they must refuse too many.

Cause: a slot belongs to one VM for a turn, and nothing starts that would not end in it. So near the end of each turn all VMs refused what came, though the next turn, with room, begins within the time of one request.

A request now waits once, 100 ms at most, where the next turn has room for this VM. Longer waits are refused as before.

The unit test does not compile without the change.

--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -22,6 +22,8 @@
 constexpr Duration DrainingRetryAfter = std::chrono::milliseconds(50);
 /// A request with less time left than this is not sent: no server answers that fast.
 constexpr Duration MinTimeForSend = std::chrono::milliseconds(20);
+/// A request waits no longer for room at a server: a refusal would cost its caller more.
+constexpr Duration MaxRoomWait = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -44,6 +46,7 @@
     tools_.loop->cancel(deadlineTimer_);
     tools_.loop->cancel(connectTimer_);
     tools_.loop->cancel(silenceTimer_);
+    tools_.loop->cancel(roomTimer_);
     tools_.loop->cancel(moveTimer_);
     tools_.loop->cancel(relayTimer_);
 }
@@ -266,7 +269,7 @@
         return;
     }
     if (choice.limited > 0) {
-        if (!startRelayForRoom()) {
+        if (!waitForRoom(choice) && !startRelayForRoom()) {
             refuseForWantOfRoom(choice.limitedPerSecond);
         }
         return;
@@ -280,6 +283,21 @@
     refuse(StatusUnavailable, isOriginGone ? FailureReason::OriginGone : reason, ServersFullRetryAfter);
 }
 
+bool ForwardedRequest::waitForRoom(const Choice &choice)
+{
+    if (hasWaitedForRoom_ || !choice.roomIn || *choice.roomIn > MaxRoomWait || timeLeft() < *choice.roomIn + MinTimeForSend) {
+        return false;
+    }
+    hasWaitedForRoom_ = true;
+    roomTimer_ = tools_.loop->after(*choice.roomIn, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->finished_) {
+            self->dispatch();
+        }
+    });
+    return true;
+}
+
 void ForwardedRequest::refuseForWantOfRoom(double requestsPerSecond)
 {
     forwarder_.roomLackedAt_ = tools_.loop->now();
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -93,6 +93,7 @@
         TimePoint backoffEndsAt = TimePoint::max(); ///< The earliest end of their backoffs.
         std::size_t deferred = 0; ///< Servers that are a last resort: overloaded, recovering from a backoff, or not connected to a moment ago.
         std::size_t limited = 0; ///< Servers skipped because their rate limits leave no room now.
+        std::optional<Duration> roomIn; ///< When one of the skipped servers has room again, as far as that is known.
         double limitedPerSecond = 0; ///< Requests per second that this VM may send to the skipped servers.
         std::int64_t cachedTokens = 0; ///< Prompt tokens believed to be in the server's cache.
         std::int64_t prefillTokens = 0; ///< Prompt tokens neither cached at the server nor to be copied to it.
@@ -115,6 +116,8 @@
     bool isAtRecoveryLimit(const std::string &instance) const;
     void countSend(const std::string &instance);
     void endWithoutServer(const Choice &choice);
+    /// Chooses a server again in a moment, when this VM has room at one. Returns false if that is not known, too late, or has been done before.
+    bool waitForRoom(const Choice &choice);
     /// @p requestsPerSecond: what this VM may send to the servers that have no room now.
     void refuseForWantOfRoom(double requestsPerSecond);
     /// The servers of @p usable that may get the request now. Counts in @p choice those that are skipped, by cause.
@@ -240,6 +243,8 @@
     TimerId deadlineTimer_ = 0;
     TimerId connectTimer_ = 0;
     TimerId silenceTimer_ = 0;
+    TimerId roomTimer_ = 0;
+    bool hasWaitedForRoom_ = false;
     TimePoint silenceDueAt_;
     std::vector<suspects::PartKey> sharedParts_; ///< Of the prompt; see sharedParts().
     std::optional<suspects::PartKey> suspectedPart_; ///< The part because of which the request must not run now.
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -176,6 +176,9 @@
     }
     choice.limited++;
     choice.limitedPerSecond += tools_.overload->ownRequestsPerSecond(key);
+    if (const auto roomIn = tools_.overload->untilNextTurn(key)) {
+        choice.roomIn = std::min(choice.roomIn.value_or(*roomIn), *roomIn);
+    }
     return true;
 }
 
--- a/src/overload/internal/overloadcontroller.cpp
+++ b/src/overload/internal/overloadcontroller.cpp
@@ -97,13 +97,34 @@
     return mayStart(turn, usualTime) && open < ownedSlots(*state, turn);
 }
 
+std::optional<Duration> OverloadController::untilNextTurn(const ServerKey &server)
+{
+    const ServerState *state = managed(server);
+    const auto storeNow = tools_.storeNow();
+    if (!state || !storeNow) {
+        return std::nullopt;
+    }
+    const Duration usualTime = serviceTime(server.service);
+    const Turn turn = turnAt(*storeNow, turnLength(usualTime));
+    const bool isPaused = tools_.loop->now() + turn.left < state->capacity.pausedUntil;
+    if (isPaused || mayStart(turn, usualTime) || ownedSlotsIn(*state, turn.number + 1) == 0) {
+        return std::nullopt;
+    }
+    return turn.left;
+}
+
+int OverloadController::ownedSlotsIn(const ServerState &state, std::int64_t turn) const
+{
+    return overload::ownedSlots(vms_, ownHash_, state.hash, static_cast<int>(state.capacity.slots), turn);
+}
+
 int OverloadController::ownedSlots(ServerState &state, const Turn &turn) const
 {
     const int slots = static_cast<int>(state.capacity.slots);
     if (state.turn != turn.number || state.slots != slots) {
         state.turn = turn.number;
         state.slots = slots;
-        state.ownedSlots = overload::ownedSlots(vms_, ownHash_, state.hash, slots, turn.number);
+        state.ownedSlots = ownedSlotsIn(state, turn.number);
     }
     return state.ownedSlots;
 }
--- a/src/overload/overloadcontroller.h
+++ b/src/overload/overloadcontroller.h
@@ -44,6 +44,8 @@
     bool isManaged(const ServerKey &server) const;
     /// Whether this VM, which has @p open requests at the server, may send another one now.
     bool hasRoom(const ServerKey &server, int open);
+    /// Time until this VM has room at the server again, where only the end of the present turn leaves it none; empty: that is not why, or not known.
+    std::optional<Duration> untilNextTurn(const ServerKey &server);
     /// The head of an answer has arrived. @p refusalsPerSecond: what the server bears; empty if it announces nothing.
     void noteAnswer(const ServerKey &server, std::optional<int> refusalsPerSecond);
     void noteRefused(const ServerKey &server);
@@ -79,6 +81,7 @@
     ServerState *managed(const ServerKey &server);
     void manage(ServerState &state, const ServerKey &server);
     int ownedSlots(ServerState &state, const Turn &turn) const;
+    int ownedSlotsIn(const ServerState &state, std::int64_t turn) const;
     RefusalBound boundOf(const ServerState &state) const;
     void announce(const ServerKey &server, int refusalsPerSecond);
     void endAnnouncement(ServerState &state, const std::string &instance);
--- a/src/overload/tests/overloadcontroller_test.cpp
+++ b/src/overload/tests/overloadcontroller_test.cpp
@@ -163,6 +163,30 @@
     EXPECT_FALSE(controller_->isManaged(two_));
 }
 
+// Guards against requests that all VMs refuse near the end of a turn although the next one has room.
+TEST_F(OverloadControllerTest, TellsWhenTheNextTurnHasRoomWhereOnlyTheEndOfThisOneLeavesNone)
+{
+    EXPECT_FALSE(controller_->untilNextTurn(one_)) << "it has announced nothing";
+    controller_->noteAnswer(one_, 5);
+    const Duration length = turnLength(ServiceTime);
+    int told = 0;
+    for (int i = 0; i < Turns; i++) {
+        clock_.advance(turnAt(clock_.now().time_since_epoch(), length).left);
+        EXPECT_FALSE(controller_->untilNextTurn(one_));
+        clock_.advance(length - ServiceTime / 2);
+        EXPECT_EQ(room(one_), 0);
+        const auto wait = controller_->untilNextTurn(one_);
+        if (!wait) {
+            continue;
+        }
+        told++;
+        EXPECT_EQ(*wait, ServiceTime / 2);
+        clock_.advance(*wait);
+        EXPECT_GT(room(one_), 0);
+    }
+    EXPECT_GT(told, Turns / 2);
+}
+
 } // namespace
 
 } // namespace cardamomlift::overload
