Count crashes of servers that announce how many refusals they bear

Callers saw what a crashing part does without end, before servers that announce that they crash when they must refuse too many: none of their crashes was held against the requests that they ran.

Cause: such a server may crash by itself, so its end was no sign at all. It is one now, unless the server has refused a request of this VM within two seconds.

ABrokenConnectionIsReportedIfTheServerHasRefusedNothing was red before.

--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -272,12 +272,12 @@
         return;
     }
     noteOutcome(outliers::Ending::NoAnswer);
-    const bool mayBeOverloaded = isManaged();
-    if (mayBeOverloaded) {
+    if (isManaged()) {
         tools_.overload->noteDown(serverKey());
     }
     if (failure == http1::CallFailure::Broken) {
         // A server that has refused too much crashes by itself.
+        const bool mayBeOverloaded = isManaged() && tools_.overload->hasRefusedLately(serverKey());
         if (!mayBeOverloaded) {
             noteConnectionBroken();
         }
--- a/src/forwarding/tests/forwardercrashes_test.cpp
+++ b/src/forwarding/tests/forwardercrashes_test.cpp
@@ -198,6 +198,59 @@
     EXPECT_EQ(gate_->answered[0], (Parts{0xa1, 0xb2, 0xc3}));
 }
 
+/// Servers "one" and "two" crash when they must refuse too many requests.
+class ForwarderOverloadCrashesTest : public ForwarderCrashesTest
+{
+protected:
+    ForwarderOverloadCrashesTest()
+    {
+        overload::OverloadTools tools;
+        tools.loop = loop_.get();
+        tools.log = log_;
+        tools.instance = "vm";
+        tools.storeNow = [this] {
+            return std::optional(loop_->now().time_since_epoch());
+        };
+        tools.vms = [] {
+            return std::vector<std::string>{"vm"};
+        };
+        tools.isListed = [](const std::string &) {
+            return true;
+        };
+        tools_.overload = overload::OverloadController::create(std::move(tools));
+        for (const std::string &instance : {One, Two}) {
+            tools_.overload->noteAnswer({instance, Service, Slots}, 5);
+            tools_.overload->noteServed({instance, Service, Slots}, milliseconds(1));
+        }
+        restartForwarder();
+    }
+
+    static constexpr int Slots = 8;
+    const std::string One = "one";
+    const std::string Two = "two";
+    const std::string Service = "service";
+};
+
+// Guards against requests whose crashes are not counted, as their server may also crash for another reason.
+TEST_F(ForwarderOverloadCrashesTest, ABrokenConnectionIsReportedIfTheServerHasRefusedNothing)
+{
+    const auto client = call(request("/once/1"));
+    nextRequest()->abort();
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "502"); }));
+    EXPECT_EQ(gate_->broken.size(), 1U);
+}
+
+TEST_F(ForwarderOverloadCrashesTest, TheCrashOfAServerThatHasRefusedRequestsIsNoSignAgainstThoseThatItRan)
+{
+    const auto client = call(request("/once/1"));
+    const auto running = nextRequest();
+    tools_.overload->noteRefused({One, Service, Slots});
+    tools_.overload->noteRefused({Two, Service, Slots});
+    running->abort();
+    ASSERT_TRUE(runUntil([&] { return hasStatus(*client, "502"); }));
+    EXPECT_TRUE(gate_->broken.empty());
+}
+
 } // namespace
 
 } // namespace cardamomlift::forwarding
--- a/src/overload/internal/overloadcontroller.cpp
+++ b/src/overload/internal/overloadcontroller.cpp
@@ -17,6 +17,8 @@
 /// Until a request of the service has been answered.
 constexpr Duration AssumedServiceTime = std::chrono::milliseconds(500);
 constexpr Duration MinServiceTime = std::chrono::milliseconds(1);
+/// A server crashes for the refusals of one second.
+constexpr Duration RefusalMemory = std::chrono::seconds(2);
 /// Weight of the latest request in the average time of a service's requests.
 constexpr int ServiceTimeSmoothing = 8;
 
@@ -173,11 +175,18 @@
 void OverloadController::noteRefused(const ServerKey &server)
 {
     if (ServerState *state = managed(server)) {
+        state->refusedAt = tools_.loop->now();
         overload::noteRefused(state->capacity, boundOf(*state), tools_.loop->now());
         log("refused", server.instance, *state);
     }
 }
 
+bool OverloadController::hasRefusedLately(const ServerKey &server) const
+{
+    const auto found = servers_.find(server.instance);
+    return found != servers_.end() && found->second.refusedAt && tools_.loop->now() - *found->second.refusedAt < RefusalMemory;
+}
+
 void OverloadController::noteServed(const ServerKey &server, Duration duration)
 {
     duration = std::max(duration, MinServiceTime);
--- a/src/overload/overloadcontroller.h
+++ b/src/overload/overloadcontroller.h
@@ -49,6 +49,8 @@
     /// The head of an answer has arrived. @p refusalsPerSecond: what the server bears; empty if it announces nothing.
     void noteAnswer(const ServerKey &server, std::optional<int> refusalsPerSecond);
     void noteRefused(const ServerKey &server);
+    /// Whether the server has refused a request of this VM a short time ago: if it crashes, it may be for its refusals.
+    bool hasRefusedLately(const ServerKey &server) const;
     /// A request was answered whole, @p duration after it was sent.
     void noteServed(const ServerKey &server, Duration duration);
     /// The server could not be reached, or a connection to it has broken.
@@ -65,6 +67,7 @@
         std::optional<int> refusalsPerSecond; ///< Empty: it announces nothing.
         ServerCapacity capacity;
         std::uint64_t hash = 0; ///< Of the instance.
+        std::optional<TimePoint> refusedAt; ///< When it last refused a request of this VM.
         /// This VM's slots in the current turn, as last computed.
         std::int64_t turn = -1;
         int slots = 0; ///< Of the server, of which ownedSlots belong to this VM.
--- a/tests/crashingparts_test.cpp
+++ b/tests/crashingparts_test.cpp
@@ -80,6 +80,16 @@
     expectBounds(run);
 }
 
+// Guards against a crashing part that is not looked for at servers that may crash for another reason.
+TEST(CrashingPart, IsFoundAtServersThatCrashWhenTheyMustRefuseTooMany)
+{
+    CrashingPartsRun::Options options;
+    options.path = "/single/request";
+    options.refusalsBorne = 5;
+    CrashingPartsRun run(std::move(options));
+    expectBounds(run);
+}
+
 // Guards against VMs that know nothing of a crashing part after a restart.
 TEST(CrashingPart, IsFoundWhileVmsAreKilled)
 {
--- a/tests/support/crashingpartsrun.cpp
+++ b/tests/support/crashingpartsrun.cpp
@@ -13,6 +13,8 @@
 constexpr int StatusOk = 200;
 /// Events of a whole stream.
 constexpr int Events = 5;
+/// Requests that a worker runs at once if it crashes when it must refuse too many.
+constexpr int RoomOfWorker = 16;
 constexpr milliseconds ReplacedAfter(2500);
 constexpr milliseconds SoundOnly(2000);
 constexpr std::size_t CrashesBeforeBound = 5;
@@ -33,7 +35,7 @@
     fleet_.waitReady();
     fleet_.waitKnown();
     for (const std::string &worker : fleet_.workerNames()) {
-        setPace(worker);
+        setUp(worker);
     }
 }
 
@@ -116,16 +118,18 @@
         }
     }
     for (const std::string &worker : changes.started) {
-        setPace(worker);
+        setUp(worker);
     }
 }
 
-void CrashingPartsRun::setPace(const std::string &worker)
+void CrashingPartsRun::setUp(const std::string &worker)
 {
-    Json::Value pace;
-    pace["delayMs"] = Json::Int64(options_.soundTime.count());
-    pace["eventGapMs"] = Json::Int64(options_.soundTime.count());
-    fleet_.controlWorker(worker, pace);
+    Json::Value control;
+    control["delayMs"] = Json::Int64(options_.soundTime.count());
+    control["eventGapMs"] = Json::Int64(options_.soundTime.count());
+    control["refusalsBorne"] = options_.refusalsBorne;
+    control["room"] = RoomOfWorker;
+    fleet_.controlWorker(worker, control);
 }
 
 std::vector<std::size_t> CrashingPartsRun::crashes() const
--- a/tests/support/crashingpartsrun.h
+++ b/tests/support/crashingpartsrun.h
@@ -22,6 +22,7 @@
         milliseconds crashingPeriod{250}; ///< Between two requests with a crashing part, over all VMs.
         milliseconds soundPeriod{250}; ///< Between two sound requests at each VM.
         milliseconds soundTime{0}; ///< How long a worker takes to answer a request, or between two events of a stream.
+        int refusalsBorne = -1; ///< A worker crashes when it must refuse more than this within a second; -1: it bears any number.
         milliseconds length{12000}; ///< After the first request with a crashing part.
         /// Called about every 10 ms once requests with crashing parts come.
         std::function<void(RouteFleet &fleet)> onStep;
@@ -56,7 +57,7 @@
     void sendCrashing();
     void sendSound();
     void replaceWorkers();
-    void setPace(const std::string &worker);
+    void setUp(const std::string &worker);
     http::ClientRequest request(int entry, const std::string &prompt, const std::string &id);
     bool isServed(const TestCallPtr &call) const;
     Served served(TimePoint from, TimePoint until) const;
