Play crashing prompt parts in the soak

One or two crashing parts among sound requests on a route of any kind, while VMs are paused, killed, hung up and cut off from the store and servers end for other reasons. The faults of VMs are shared with the series of requests that crash.

--- a/tests/soak/crashingsoak.cpp
+++ b/tests/soak/crashingsoak.cpp
@@ -1,5 +1,9 @@
 #include "soak/crashingsoak.h"
 
+#include "soak/vmfaults.h"
+#include "support/crashingpartsrun.h"
+#include "support/crashingrun.h"
+
 #include <gtest/gtest.h>
 
 #include <csignal>
@@ -10,20 +14,17 @@
 namespace {
 
 using std::chrono::milliseconds;
+using test::CrashingPartsRun;
 using test::CrashingRun;
 using test::RouteFleet;
 
 constexpr const char *Targets[] = {"/safe/crash", "/once/crash", "/stream/crash", "/single/crash", "/stream/crash-late", "/single/crash-late"};
-/// Servers that a request may crash once all VMs know of three crashes.
+constexpr const char *PartPaths[] = {"/safe/request", "/once/request", "/stream/request", "/single/request"};
+constexpr const char *PartPrompts[] = {"a1:800,dead1:410", "dead1:410,a1:800,b2:300", "a1:800,dead1:410,c3:20"};
+/// Servers that a request or a part may crash once all VMs know of its crashes.
 constexpr std::size_t MaxLateCrashes = 3;
-
-void setCut(RouteFleet &fleet, int entry, bool isCut)
-{
-    Json::Value faults;
-    faults["cutToClient"] = isCut;
-    faults["closeAll"] = !isCut;
-    fleet.setStorePathFault(entry, faults);
-}
+/// One in so many steps, of which there are about a hundred a second, ends a server for another reason.
+constexpr unsigned StepsPerOtherEnd = 400;
 
 } // namespace
 
@@ -40,68 +41,47 @@
 
 void CrashingSoak::run()
 {
+    VmFaults faults(random_, CrashingRun::Entries);
     CrashingRun::Options options;
     options.targets = {anyTarget(), anyTarget()};
     options.otherPaths = {"/once/other", "/single/other", "/safe/other", "/stream/other"};
     options.isProxied = true;
-    options.onStep = [this](RouteFleet &fleet) {
-        heal(fleet);
-        injectFault(fleet);
+    options.onStep = [&faults](RouteFleet &fleet) {
+        faults.step(fleet);
     };
     CrashingRun run(std::move(options));
     run.run(length_, 4 * length_);
-    resumeAll(run.fleet());
+    faults.healAll(run.fleet());
     std::printf("%zu crashes, %zu late, %zu of %zu other requests answered\n", run.crashes(), run.lateCrashes(), run.othersAnswered(), run.others());
     EXPECT_LE(run.lateCrashes(), MaxLateCrashes);
     EXPECT_TRUE(run.fleet().caller.waitUntil([&] { return run.othersAreServed(); }, "other requests are served"));
 }
 
-void CrashingSoak::injectFault(RouteFleet &fleet)
+void CrashingSoak::runParts()
 {
-    const TimePoint now = fleet.caller.loop().now();
-    if (now < nextFault_) {
-        return;
-    }
-    nextFault_ = now + milliseconds(300 + random_() % 700);
-    const int entry = static_cast<int>(random_() % CrashingRun::Entries) + 1;
-    if (paused_.contains(entry)) {
-        return;
-    }
-    switch (random_() % 4) {
-    case 0:
-        fleet.entry(entry).signal(SIGSTOP);
-        paused_[entry] = now + milliseconds(100 + random_() % 1500);
-        break;
-    case 1:
-        fleet.entry(entry).signal(SIGKILL);
-        fleet.entry(entry).wait();
-        fleet.addEntry(entry);
-        break;
-    case 2:
-        fleet.entry(entry).signal(SIGHUP);
-        break;
-    default:
-        setCut(fleet, entry, true);
-        cut_[entry] = now + milliseconds(300 + random_() % 1500);
-        break;
-    }
-}
-
-void CrashingSoak::heal(RouteFleet &fleet)
-{
-    const TimePoint now = fleet.caller.loop().now();
-    std::erase_if(paused_, [&](const auto &entry) { return entry.second <= now && (fleet.entry(entry.first).signal(SIGCONT), true); });
-    std::erase_if(cut_, [&](const auto &entry) { return entry.second <= now && (setCut(fleet, entry.first, false), true); });
-}
-
-void CrashingSoak::resumeAll(RouteFleet &fleet)
-{
-    for (const auto &[entry, until] : paused_) {
-        fleet.entry(entry).signal(SIGCONT);
-    }
-    for (const auto &[entry, until] : cut_) {
-        setCut(fleet, entry, false);
+    VmFaults faults(random_, CrashingPartsRun::Entries);
+    CrashingPartsRun::Options options;
+    options.path = PartPaths[random_() % std::size(PartPaths)];
+    options.crashingPrompts = {PartPrompts[random_() % std::size(PartPrompts)]};
+    if (random_() % 2 == 0) {
+        options.crashingPrompts.emplace_back("a1:800,b2:300,dead2:410");
     }
+    options.isProxied = true;
+    options.soundTime = milliseconds(random_() % 60);
+    options.length = length_;
+    options.onStep = [&](RouteFleet &fleet) {
+        faults.step(fleet);
+        const auto workers = fleet.workerNames();
+        if (random_() % StepsPerOtherEnd == 0 && !workers.empty()) {
+            fleet.worker(workers[random_() % workers.size()]).signal(SIGKILL);
+        }
+    };
+    CrashingPartsRun run(std::move(options));
+    run.run();
+    faults.healAll(run.fleet());
+    std::printf("%s\n", run.summary().c_str());
+    EXPECT_LE(run.lateCrashes(), MaxLateCrashes);
+    EXPECT_TRUE(run.fleet().caller.waitUntil([&] { return run.soundAreServed(); }, "sound requests are served"));
 }
 
 } // namespace cardamomlift::soak
--- a/tests/soak/crashingsoak.h
+++ b/tests/soak/crashingsoak.h
@@ -1,9 +1,6 @@
 #pragma once
 
-#include "support/crashingrun.h"
-
 #include <chrono>
-#include <map>
 #include <random>
 
 namespace cardamomlift::soak {
@@ -15,18 +12,15 @@
     CrashingSoak(unsigned seed, std::chrono::milliseconds length);
 
     void run();
+    /// The same with requests of which no two are alike, but for a part of their prompts that crashes servers, beside sound ones with the other
+    /// parts. Servers also end for another reason.
+    void runParts();
 
 private:
-    void injectFault(test::RouteFleet &fleet);
-    void heal(test::RouteFleet &fleet);
-    void resumeAll(test::RouteFleet &fleet);
     const char *anyTarget();
 
     std::mt19937 random_;
     std::chrono::milliseconds length_;
-    TimePoint nextFault_;
-    std::map<int, TimePoint> paused_; ///< Entry VMs, and until when.
-    std::map<int, TimePoint> cut_; ///< Entry VMs that can't reach the store, and until when.
 };
 
 } // namespace cardamomlift::soak
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -672,6 +672,12 @@
     soak::CrashingSoak(GetParam(), chosenLength()).run();
 }
 
+// Guards against a part of prompts that crashes servers and is never found, as VMs that knew of its crashes are gone, or servers crash for other reasons.
+TEST_P(Soak, PartsOfPromptsThatCrashServersEnd)
+{
+    soak::CrashingSoak(GetParam(), chosenLength()).runParts();
+}
+
 TEST_P(Soak, KeepsStreamsAtTheirVersion)
 {
     soak::VersionsSoak(GetParam(), chosenLength()).run();
--- a/tests/support/crashingpartsrun.cpp
+++ b/tests/support/crashingpartsrun.cpp
@@ -28,7 +28,7 @@
 
 CrashingPartsRun::CrashingPartsRun(Options options)
     : options_(std::move(options))
-    , fleet_(Entries, options_.workers)
+    , fleet_(Entries, options_.workers, options_.isProxied)
     , replacer_(fleet_, ReplacedAfter)
     , crashes_(options_.crashingPrompts.size())
 {
@@ -189,6 +189,16 @@
     return served(last + SettledAfter, TimePoint::max());
 }
 
+bool CrashingPartsRun::soundAreServed()
+{
+    for (int entry = 1; entry <= Entries; entry++) {
+        if (!isServed(fleet_.caller.call(request(entry, options_.soundPrompt, fmt::format("last-{}", entry))))) {
+            return false;
+        }
+    }
+    return true;
+}
+
 double CrashingPartsRun::Served::share() const
 {
     return sent == 0 ? 0 : static_cast<double>(served) / static_cast<double>(sent);
--- a/tests/support/crashingpartsrun.h
+++ b/tests/support/crashingpartsrun.h
@@ -19,6 +19,7 @@
         std::vector<std::string> crashingPrompts{"a1:800,dead1:410"};
         std::string soundPrompt = "a1:800,b2:410"; ///< Without its last part.
         int workers = 12;
+        bool isProxied = false;
         milliseconds crashingPeriod{250}; ///< Between two requests with a crashing part, over all VMs.
         milliseconds soundPeriod{250}; ///< Between two sound requests at each VM.
         milliseconds soundTime{0}; ///< How long a worker takes to answer a request, or between two events of a stream.
@@ -45,6 +46,8 @@
     };
     Served servedBefore() const; ///< Before the first request with a crashing part.
     Served servedAfter() const; ///< From 6 s after the fifth crash, or the last if there are fewer.
+    /// Whether all VMs serve a sound request now.
+    bool soundAreServed();
     std::string summary() const;
     RouteFleet &fleet();
 
