--- a/src/forwarding/internal/forwardedrequestcrashes.cpp
+++ b/src/forwarding/internal/forwardedrequestcrashes.cpp
@@ -77,16 +77,14 @@
     }
 }
 
-// The last part is in later prompts of its session, where it is shared.
+// Says nothing of the last part: where it is the last, it can't have been the cause of a crash either.
 void ForwardedRequest::notePromptAnswered()
 {
     if (!tools_.suspects || request_.prompt.empty()) {
         return;
     }
     promptAnsweredAt_ = tools_.loop->now();
-    std::vector<suspects::PartKey> parts = sharedParts_;
-    parts.push_back(request_.prompt.back().key);
-    tools_.suspects->noteAnswered(parts);
+    tools_.suspects->noteAnswered(sharedParts_);
 }
 
 void ForwardedRequest::noteEvents()
