Count crashes of a part that come in one session after another

Callers would have seen servers end without bound: a request with a crashing part was let through as the parts of earlier sessions, absent from it, had been at all crashes before, each at three of them. Each new session cost three servers.

An absent part now explains crashes only if it was in flight at three quarters of their number.

--- a/src/suspects/internal/partevidence.cpp
+++ b/src/suspects/internal/partevidence.cpp
@@ -3,6 +3,7 @@
 #include "suspects/answeredparts.h"
 
 #include <algorithm>
+#include <ratio>
 #include <set>
 #include <vector>
 
@@ -10,6 +11,9 @@
 
 namespace {
 
+/// A part explains the crashes of another only if it was in flight at this share of their number: all but those with other causes.
+constexpr std::ratio<3, 4> ExplainingShare;
+
 bool contains(std::span<const PartKey> parts, PartKey part)
 {
     return std::find(parts.begin(), parts.end(), part) != parts.end();
@@ -45,13 +49,16 @@
            });
 }
 
-/// Whether each request with the part had another suspected one that the request to be judged lacks.
+/// Whether each request with the part had another suspected one that the request to be judged lacks, and that was in flight at nearly all crashes too.
 bool isDueToAbsentPart(const PartHistory &history, const CrashView &view, PartKey part, std::span<const PartKey> ofRequest)
 {
+    const auto mayExplain = [&](PartKey other) {
+        const std::size_t crashes = history.counts->ofPart(other);
+        const bool isAtNearlyAll = crashes * ExplainingShare.den >= history.counts->ofPart(part) * ExplainingShare.num;
+        return other != part && crashes >= MaxCrashes && isAtNearlyAll && !contains(ofRequest, other);
+    };
     return std::all_of(view.withPart.begin(), view.withPart.end(), [&](const InFlightRequest *request) {
-        return std::any_of(request->parts.begin(), request->parts.end(), [&](PartKey other) {
-            return other != part && history.counts->ofPart(other) >= MaxCrashes && !contains(ofRequest, other);
-        });
+        return std::any_of(request->parts.begin(), request->parts.end(), mayExplain);
     });
 }
 
--- a/src/suspects/tests/partsuspects_test.cpp
+++ b/src/suspects/tests/partsuspects_test.cpp
@@ -246,6 +246,18 @@
     EXPECT_EQ(vm_.stateOfParts({Own, Common}), SuspectState::Trusted);
 }
 
+// Guards against a crashing part that each new session takes to more servers, as the parts of the sessions before explain the crashes before.
+TEST_F(PartSuspects, APartThatCrashesServersInSeveralSessionsWaitsInTheNextOne)
+{
+    for (PartKey session = 1; session <= 2; session++) {
+        for (int i = 0; i < 3; i++) {
+            vm_.answer({Common});
+            crashNext(vm_, {Common, Bad, 1000 + session});
+        }
+    }
+    EXPECT_EQ(vm_.stateOfParts({Common, Bad, 2000}), SuspectState::Undecided);
+}
+
 // Guards against parts that all wait, so that no answer ever tells them apart.
 TEST_F(PartSuspects, PartsThatNothingTellsApartMayRunAgainAfterAWhile)
 {
