Do not take over the block of a part that has been answered since

A VM that had answered a part after another VM blocked it took the block over, and told it on: no request with the part ran anywhere, so no answer could end a wrong block before its ten minutes. Now it tells its answer instead, which lifts the block. Found by reading; AVmThatHasSeenAnAnswerSinceDoesNotTakeABlockOver was red before.

--- a/src/suspects/internal/routesuspecttracker.cpp
+++ b/src/suspects/internal/routesuspecttracker.cpp
@@ -360,6 +360,14 @@
     clearIfAnswered(report.inFlight, at);
 }
 
+// A part that crashes servers is in no answer, so one that came after the block had begun shows that it does not.
+bool RouteSuspectTracker::isRefuted(const CrashUpdate::BlockedPart &blocked) const
+{
+    const Duration blockedFor = std::max(Duration(0), FirstBlockLength - blocked.remaining);
+    const auto answeredAt = store_.lastAnswer(blocked.part);
+    return answeredAt && *answeredAt > tools_.loop->now() - blockedFor;
+}
+
 void RouteSuspectTracker::applyBlocks(const std::string &source, const CrashUpdate &update)
 {
     const TimePoint now = tools_.loop->now();
@@ -372,6 +380,10 @@
             Event::RequestBlocked, {{Attribute::Fingerprint, id}, {Attribute::Source, source}, {Attribute::LeftMs, toMilliseconds(request.remaining)}});
     }
     for (const CrashUpdate::BlockedPart &blocked : update.blockedParts) {
+        if (isRefuted(blocked)) {
+            shareAnswered(std::span(&blocked.part, 1));
+            continue;
+        }
         if (blocked.remaining < MinSharedBlock || !store_.partBlocks().block(blocked.part, now + std::min(blocked.remaining, MaxBlockLength))) {
             continue;
         }
--- a/src/suspects/routesuspecttracker.h
+++ b/src/suspects/routesuspecttracker.h
@@ -88,6 +88,7 @@
     void shareCrashes(CrashUpdate &update) const;
     void shareParts(CrashUpdate &update) const;
     void applyCrashReport(const std::string &source, const CrashUpdate::CrashReport &report);
+    bool isRefuted(const CrashUpdate::BlockedPart &blocked) const;
     void applyBlocks(const std::string &source, const CrashUpdate &update);
     void logCrash(eventlog::Event event, const std::string &instance, TimePoint at, std::string_view source) const;
 
--- a/src/suspects/tests/partsuspects_test.cpp
+++ b/src/suspects/tests/partsuspects_test.cpp
@@ -284,10 +284,24 @@
     exchange();
     EXPECT_EQ(peer_.stateOfParts({Own}), SuspectState::Blocked);
     advance(seconds(1));
+    vm_.answer({Own});
+    EXPECT_EQ(vm_.stateOfParts({Own}), SuspectState::Trusted);
+}
+
+// Guards against a wrong block that is told from VM to VM, so that no answer can end it any more.
+TEST_F(PartSuspects, AVmThatHasSeenAnAnswerSinceDoesNotTakeABlockOver)
+{
+    for (int i = 0; i < 3; i++) {
+        crashNext(vm_, {Own});
+    }
+    confirmCrashes();
+    EXPECT_EQ(vm_.stateOfParts({Own}), SuspectState::Blocked);
+    advance(seconds(1));
     TrackerVm other(*loop_);
     other.answer({Own});
-    other.breakRun("unlisted", 1, {Own});
-    vm_.tracker->noteAnswered(std::vector<PartKey>{Own});
+    other.tracker->applyPeerUpdate("vm", vm_.tracker->updateToShare());
+    EXPECT_EQ(other.stateOfParts({Own}), SuspectState::Trusted);
+    vm_.tracker->applyPeerUpdate("other", other.tracker->updateToShare());
     EXPECT_EQ(vm_.stateOfParts({Own}), SuspectState::Trusted);
 }
 
