Agree on the interfaces of pace, admission and late runs

Statuses can tell the pace of servers, sums for the time to the first byte, demand by priority and customer, and the lag of a VM's event loop. The forwarder notes events and answers at a pace tracker, which learns nothing yet, and asks an admission gate, which is not set: no decision changes.

--- a/src/balancing/balancingtypes.h
+++ b/src/balancing/balancingtypes.h
@@ -23,6 +23,7 @@
 struct Candidate {
     const directory::KnownServer *server = nullptr;
     ServerLoad load;
+    double pace = 1; ///< How long work takes there, relative to the mean of the service; see pace::PaceEstimate.
     bool isOutlier = false; ///< Its requests fail unusually often; see outliers::OutlierDetector.
     std::int64_t cachedTokens = 0; ///< Prompt tokens that are expected to be in its cache.
 };
@@ -32,6 +33,7 @@
     std::string_view zone; ///< This VM's failure domain.
     std::string_view affinity; ///< Key of requests that share much of their prompt; empty: none.
     std::int64_t promptTokens = 0;
+    double prefillTokensPerSecond = 0; ///< Prompt tokens that a server of the service prefills per second; 0: not known.
     std::int64_t fetchableTokens = 0; ///< The longest cached prefix of the prompt that another server can copy.
     std::uint64_t salt = 0; ///< Breaks ties, so that VMs that know the same loads don't all choose the same server.
 };
--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -22,9 +22,13 @@
     RequestRefused, ///< The entry VM answered with an error, and the request has not run.
     RequestFailed, ///< The entry VM answered with an error or cut the answer off, and the request may have run.
     RequestGone, ///< The caller disconnected before the answer was complete.
+    RequestAdmission, ///< A request was refused, or admitted after a wait, as its service has less room than is asked for; the line has the data behind the
+                      ///< decision.
+    AdmissionLevel, ///< The share of the requests of each priority that are admitted to a service has changed.
     RequestUnreadable, ///< The request could not be parsed.
     AttemptFailed, ///< An attempt on a backend server ended without a usable answer.
     StreamMoved, ///< A stream was moved with its KV cache to another server, as its server is being reclaimed.
+    RunBehind, ///< A run falls behind at its server; the line says what was decided, and the data behind it.
     AllowanceUsedUp, ///< A request was refused by the customer's allowance; the line has the data behind the decision.
     ManifestInForce,
     ManifestRejected,
@@ -33,6 +37,7 @@
     ServerUnreadable, ///< An entry of the server list could not be parsed; not only the servers can write there.
     ServerAvoided, ///< Too many of the server's requests failed: other servers are preferred while there are any.
     ServerTrusted, ///< The server is treated like the others again.
+    ServerPace, ///< A server has become clearly faster or slower than the mean of its service.
     ServerSilent, ///< A request has waited long, and nothing has been received from its server in the meantime.
     ServerBackoff, ///< The server turned a request away and accepts none from this VM for some time.
     ServersUnreachable, ///< This VM reaches no backend server; the line has the evidence.
@@ -62,6 +67,7 @@
     RolloutPaused, ///< This VM paused or resumed sending requests to the version on trial.
     RolloutStep, ///< A rollout step was decided; the line has the data behind the decision.
     RolloutUnreadable, ///< A rollout order or record could not be parsed.
+    VmBusy, ///< This VM can no longer keep up with its requests, or can again.
     Suspended, ///< The process was suspended for some time, for example with its VM.
     Count
 };
@@ -131,6 +137,18 @@
     Framing, ///< How the body of a backend server's answer is delimited.
     Unfinished, ///< Bytes of a stream that have not been passed on, as their event has not ended.
     RetriesLeft, ///< Retries that this VM may still send to the service, of the budget that all VMs share.
+    Priority, ///< Of a request: 0 is the most urgent.
+    SharePercent, ///< Admitted share of the requests, over all VMs.
+    Slots, ///< Of the servers in use.
+    DemandPerSecond, ///< Requests asked for at all VMs.
+    ServedPerSecond, ///< Requests answered at all VMs.
+    PacePercent, ///< How long work takes at a server, relative to the mean of its service: 100 as long.
+    LearntPercent, ///< The same, from observations alone.
+    AnnouncedPercent, ///< What the server says of this moment: 100 as usual; -1 if it said nothing lately.
+    AnnouncedAgeMs,
+    LagMs, ///< How late this VM's event loop runs.
+    GapMs, ///< Time between the last events of a stream.
+    GoalMs, ///< Within which the next event, or the first, should come.
     Count,
     Last
 };
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -19,9 +19,12 @@
     "request_refused",
     "request_failed",
     "request_gone",
+    "request_admission",
+    "admission_level",
     "request_unreadable",
     "attempt_failed",
     "stream_moved",
+    "run_behind",
     "allowance_used_up",
     "manifest_in_force",
     "manifest_rejected",
@@ -30,6 +33,7 @@
     "server_unreadable",
     "server_avoided",
     "server_trusted",
+    "server_pace",
     "server_silent",
     "server_backoff",
     "servers_unreachable",
@@ -59,6 +63,7 @@
     "rollout_paused",
     "rollout_step",
     "rollout_unreadable",
+    "vm_busy",
     "suspended"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Attribute::Last)> AttributeNames{"request",
@@ -124,6 +129,18 @@
     "framing",
     "unfinished",
     "retries_left",
+    "priority",
+    "share_percent",
+    "slots",
+    "demand_per_s",
+    "served_per_s",
+    "pace_percent",
+    "learnt_percent",
+    "announced_percent",
+    "announced_age_ms",
+    "lag_ms",
+    "gap_ms",
+    "goal_ms",
     "count"};
 
 } // namespace
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -3,6 +3,7 @@
 #include "backoff/backofftracker.h"
 #include "directory/directory.h"
 #include "eventlog/eventlog.h"
+#include "forwarding/admissiongate.h"
 #include "forwarding/customerhooks.h"
 #include "forwarding/forwardingtypes.h"
 #include "forwarding/peerbacklog.h"
@@ -21,6 +22,7 @@
 #include "origins/softwarehistory.h"
 #include "outliers/outlierdetector.h"
 #include "overload/overloadcontroller.h"
+#include "pace/pacetracker.h"
 #include "prefixindex/prefixindex.h"
 #include "reachability/reachabilitytracker.h"
 #include "relay/relaypool.h"
@@ -44,6 +46,7 @@
     std::shared_ptr<eventlog::EventLog> log;
     std::shared_ptr<metrics::Metrics> metrics;
     std::shared_ptr<AllowanceGate> allowances; ///< May be null: no allowance is enforced.
+    std::shared_ptr<AdmissionGate> admission; ///< May be null: requests are sent until servers refuse them.
     std::shared_ptr<UsageMeter> usage; ///< May be null.
     std::shared_ptr<VersionGate> versions; ///< May be null: all server versions are treated alike.
     std::shared_ptr<SuspectGate> suspects; ///< May be null: requests that crash servers are not found.
@@ -59,6 +62,7 @@
     std::shared_ptr<relay::RelayPool> relays; ///< May be null: no request is handed over to other entry VMs.
     std::shared_ptr<prefixindex::PrefixIndex> prefixes;
     std::shared_ptr<PeerBacklog> peerBacklog;
+    std::shared_ptr<pace::PaceTracker> pace; ///< May be null: all servers count as equally fast.
     WireFormat wire;
     ForwardingSettings settings;
 };
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -52,6 +52,7 @@
             "origins",
             "outliers",
             "overload",
+            "pace",
             "reachability",
             "relay",
             "prefixindex",
@@ -74,6 +75,7 @@
         tools.log = context.get<eventlog::EventLog>();
         tools.metrics = context.get<metrics::Metrics>();
         tools.allowances = context.find<AllowanceGate>();
+        tools.admission = context.find<AdmissionGate>();
         tools.usage = context.find<UsageMeter>();
         tools.versions = context.find<VersionGate>();
         tools.limits = context.find<ServerLimitGate>();
@@ -96,6 +98,7 @@
         tools.softwareHistory = context.get<origins::SoftwareHistory>();
         tools.outliers = context.get<outliers::OutlierDetector>();
         tools.reachability = context.get<reachability::ReachabilityTracker>();
+        tools.pace = context.get<pace::PaceTracker>();
         tools.overload = context.get<overload::OverloadController>();
         tools.relays = context.get<relay::RelayPool>();
         tools.prefixes = context.get<prefixindex::PrefixIndex>();
--- a/src/forwarding/forwardingtypes.h
+++ b/src/forwarding/forwardingtypes.h
@@ -32,6 +32,7 @@
     CutOff, ///< This VM reaches no backend server, and the request has been handed over to it by another VM.
     OriginUnknown, ///< It is not known which software began the stream that the caller resumes.
     OriginGone, ///< No server is left with the software that has begun the stream.
+    NoRoom, ///< The service has less room than is asked for, and more urgent requests, or other customers, get it.
     ManifestBehind, ///< The VM that has handed the request over has a newer manifest.
     Count
 };
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -241,7 +241,7 @@
         return;
     }
     countRequest();
-    if (!checkCrashes() || (shouldRelay() && startRelay()) || !admit()) {
+    if (!checkCrashes() || (shouldRelay() && startRelay()) || !admit() || !mayUseServers()) {
         return;
     }
     const Choice choice = chooseServer();
@@ -280,7 +280,7 @@
         return;
     }
     const FailureReason reason = sends_ == 0 ? FailureReason::NoServer : FailureReason::ServersFull;
-    refuse(StatusUnavailable, isOriginGone ? FailureReason::OriginGone : reason, ServersFullRetryAfter);
+    refuse(StatusUnavailable, isOriginGone ? FailureReason::OriginGone : reason, serversFullRetryAfter());
 }
 
 bool ForwardedRequest::waitForRoom(const Choice &choice)
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -44,13 +44,28 @@
         std::int64_t prefillTokens = 0; ///< Prompt tokens to prefill, as estimated when the request was sent.
         TimePoint firstByteAt;
         TimePoint lastByteAt; ///< The time of the send until a byte is received.
+        std::uint64_t eventsTimed = 0; ///< Events of this attempt whose pace has been noted.
+        TimePoint lastEventAt;
     };
 
+    /// How far the decision is whether the request may be sent to a server.
+    enum class AdmissionState { NotAsked, Asking, Waiting, Admitted, Refused };
+
     ForwardedRequest(Forwarder &forwarder, http1::ExchangePtr exchange, RequestSource source);
     /// Takes in what the VM says that has handed the request over. Ends the request if this VM can't serve it.
     bool checkRelay();
     /// Counts the request in its customer's allowance and the service's demand, once. Ends it if the allowance is used up.
     bool admit();
+    /// Whether the request may be sent to a server now. If not, it has been refused, or dispatch() is called again.
+    bool mayUseServers();
+    void onAdmission(const AdmissionVerdict &verdict);
+    AdmissionQuestion admissionQuestion() const;
+    void releaseAdmission();
+    void logAdmission(const AdmissionVerdict &verdict) const;
+    /// When the caller may come back if no server has room.
+    Duration serversFullRetryAfter() const;
+    /// 0 is the most urgent; the customer's goes before the route's.
+    int priority() const;
     bool checkRequest();
     bool findRoute();
     bool checkKey();
@@ -140,6 +155,9 @@
     void noteAnnouncements(const std::string &instance, const BackendAnswer &answer) const;
     void noteOverload();
     void noteServed();
+    void notePaceOfFirstByte();
+    void notePaceOfEvents();
+    void notePaceOfAnswer();
     void onBody(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
     void onComplete();
@@ -276,6 +294,8 @@
     const RequestSource source_;
     bool isCounted_ = false;
     bool isAdmitted_ = false;
+    AdmissionState admission_ = AdmissionState::NotAsked;
+    std::uint64_t admissionTicket_ = 0; ///< 0: none.
     bool allowanceTaken_ = false;
     bool headSent_ = false; ///< The head of a stream's answer has been sent to the caller.
     bool usageNoted_ = false;
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -30,6 +30,9 @@
     noteServerActive();
     if (attempt_->answer.load) {
         tools_.pool->noteLoadReport(instance, *attempt_->answer.load);
+        if (tools_.pace && attempt_->answer.load->pace) {
+            tools_.pace->noteAnnounced(instance, *attempt_->answer.load->pace);
+        }
     }
     if (tools_.limits) {
         tools_.limits->noteAnswer(instance, attempt_->answer.limit, attempt_->sentAt);
@@ -92,6 +95,7 @@
         observeStep("first_byte");
         tools_.demand->noteFirstByte(service_, tools_.loop->now() - exchange_->startedAt(), route_->latencyGoal, tools_.loop->now());
         tools_.pool->noteFirstByte(attempt_->server->server.instance, attempt_->prefillTokens);
+        notePaceOfFirstByte();
     }
     if (attempt_->isEventStream) {
         forwardEvents(bytes);
@@ -116,6 +120,7 @@
         beginStream(attempt_->head);
     }
     exchange_->send(events);
+    notePaceOfEvents();
     noteProgress(splitter_.eventCount());
     noteEvents();
 }
@@ -189,6 +194,9 @@
         return;
     }
     noteServed();
+    if (!isStream()) {
+        notePaceOfAnswer();
+    }
     noteProgress(suspects::CompleteAnswer);
     if (status >= StatusOk && status < StatusSuccessEnd) {
         notePromptAnswered();
@@ -226,6 +234,9 @@
 {
     logAttempt(why);
     wasRefusedByServer_ = true;
+    if (tools_.admission && admissionTicket_ != 0) {
+        tools_.admission->noteServerFull(admissionTicket_);
+    }
     tried_.insert(attempt_->server->server.instance);
     // The next server would be the next to refuse it.
     const bool isLastSend = isManaged();
@@ -248,7 +259,7 @@
         fail(StatusBadGateway, FailureReason::OutcomeUnknown);
         return;
     }
-    refuse(StatusUnavailable, FailureReason::ServersFull, ServersFullRetryAfter);
+    refuse(StatusUnavailable, FailureReason::ServersFull, serversFullRetryAfter());
 }
 
 void ForwardedRequest::onFailure(http1::CallFailure failure)
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -201,6 +201,9 @@
         candidate.load = entry->load;
     }
     candidate.load.peerWaitingTokens = tools_.peerBacklog->waitingTokens(known.hash, tools_.loop->now());
+    if (tools_.pace) {
+        candidate.pace = tools_.pace->paceOf(known.hash, service_).factor;
+    }
     candidate.isOutlier = tools_.outliers->isOutlier(known.hash, service_);
     candidate.cachedTokens = prefixindex::matchedTokens(matches, known.hash);
     return candidate;
@@ -222,6 +225,9 @@
     input.zone = tools_.settings.zone;
     input.affinity = sharedPart;
     input.promptTokens = request_.promptTokens;
+    if (const auto model = tools_.pace ? tools_.pace->firstByteModel(service_) : std::nullopt) {
+        input.prefillTokensPerSecond = model->tokensPerSecond;
+    }
     input.fetchableTokens = findBestCache(matches, {}).tokens;
     input.salt = salt();
     const auto chosen = balancing::choose(candidates, input, {}, tools_.loop->now());
--- a/src/forwarding/internal/forwardingtypes.cpp
+++ b/src/forwarding/internal/forwardingtypes.cpp
@@ -26,6 +26,7 @@
     "cut_off",
     "origin_unknown",
     "origin_gone",
+    "no_room",
     "manifest_behind"};
 
 } // namespace
--- a/src/forwarding/wireformat.h
+++ b/src/forwarding/wireformat.h
@@ -47,6 +47,7 @@
     int running = 0;
     int waiting = 0;
     int slots = 1;
+    std::optional<double> pace; ///< How long work takes there now: 1 as usual, 2 twice as long; empty if it does not say.
 };
 
 /// Rate limit that a backend server advertises in an answer.
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -7,6 +7,7 @@
 #include <zlib.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace cardamomlift::presence {
 
@@ -18,6 +19,8 @@
 /// that unpack to more than this are tried again with the maximum size.
 constexpr std::size_t ExpectedRatio = 10;
 
+constexpr double Percent = 100;
+
 /// Ages in a status are as of its arrival, so the time of writing is left out of its crash update.
 constexpr WallTime StatusSendTime{};
 
@@ -90,6 +93,62 @@
     }
 }
 
+void addPaces(wire::Status &out, const Status &status)
+{
+    for (const ServerPace &pace : status.paces) {
+        auto *entry = out.add_paces();
+        entry->set_server(pace.server);
+        entry->set_seconds(static_cast<float>(pace.work.seconds));
+        entry->set_units(static_cast<float>(pace.work.units));
+        if (pace.announced) {
+            entry->set_announced(static_cast<std::uint32_t>(std::lround(*pace.announced * Percent)));
+            entry->set_announced_age_ms(toMillis(pace.announcedAge));
+        }
+    }
+    for (const ServiceFirstByte &service : status.firstBytes) {
+        auto *entry = out.add_first_bytes();
+        entry->set_service(service.service);
+        entry->set_count(static_cast<float>(service.sums.count));
+        entry->set_tokens(service.sums.tokens);
+        entry->set_seconds(service.sums.seconds);
+        entry->set_tokens_squared(service.sums.tokensSquared);
+        entry->set_tokens_seconds(service.sums.tokensSeconds);
+    }
+}
+
+void readPaces(const wire::Status &in, Status &status)
+{
+    for (const auto &entry : in.paces()) {
+        ServerPace pace{entry.server(), {entry.seconds(), entry.units()}, {}, std::chrono::milliseconds(entry.announced_age_ms())};
+        if (entry.has_announced()) {
+            pace.announced = entry.announced() / Percent;
+        }
+        status.paces.push_back(pace);
+    }
+    for (const auto &entry : in.first_bytes()) {
+        status.firstBytes.push_back({entry.service(), {entry.count(), entry.tokens(), entry.seconds(), entry.tokens_squared(), entry.tokens_seconds()}});
+    }
+}
+
+void addClassDemands(wire::Status &out, const Status &status)
+{
+    for (const ClassDemand &demand : status.classDemands) {
+        auto *entry = out.add_class_demands();
+        entry->set_service(demand.service);
+        entry->set_customer(demand.customer);
+        entry->set_priority(demand.priority);
+        entry->set_per_second(static_cast<float>(demand.perSecond));
+        entry->set_admitted_per_second(static_cast<float>(demand.admittedPerSecond));
+    }
+}
+
+void readClassDemands(const wire::Status &in, Status &status)
+{
+    for (const auto &entry : in.class_demands()) {
+        status.classDemands.push_back({entry.service(), entry.customer(), entry.priority(), entry.per_second(), entry.admitted_per_second()});
+    }
+}
+
 void addRollout(wire::Status &out, const RolloutReport &report)
 {
     auto *entry = out.add_rollouts();
@@ -227,6 +286,11 @@
             entry->set_per_second(limit.perSecond);
         }
     }
+    addPaces(out, status);
+    addClassDemands(out, status);
+    if (status.loopLag) {
+        out.set_loop_lag_ms(toMillis(*status.loopLag));
+    }
     if (!status.crashUpdate.empty()) {
         out.set_crash_update(suspects::writeCrashUpdate(status.crashUpdate, StatusSendTime));
     }
@@ -301,6 +365,11 @@
     for (const auto &entry : in.limits()) {
         status.limits.push_back({entry.server(), entry.has_per_second(), entry.per_second(), std::chrono::milliseconds(entry.age_ms())});
     }
+    readPaces(in, status);
+    readClassDemands(in, status);
+    if (in.has_loop_lag_ms()) {
+        status.loopLag = std::chrono::milliseconds(in.loop_lag_ms());
+    }
     status.crashUpdate = suspects::readCrashUpdate(in.crash_update(), StatusSendTime).value_or(suspects::CrashUpdate());
     for (const auto &entry : in.rollouts()) {
         status.rollouts.push_back(readRollout(entry));
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -2,6 +2,7 @@
 
 #include "http1/http1types.h"
 #include "kernel/clock.h"
+#include "pace/pacetypes.h"
 #include "rows/rowtypes.h"
 #include "suspects/suspecttypes.h"
 
@@ -67,6 +68,29 @@
     Duration age{0}; ///< Time since the announcement was received.
 };
 
+/// How long work took at a backend server, as one entry VM has observed it.
+struct ServerPace {
+    std::uint64_t server = 0; ///< nameHash() of the instance.
+    pace::WorkSums work;
+    std::optional<double> announced; ///< What the server has announced last: 1 as usual, 2 twice as long.
+    Duration announcedAge{0};
+};
+
+/// The times to the first byte of a service's answers at one entry VM.
+struct ServiceFirstByte {
+    std::uint64_t service = 0; ///< nameHash() of the service.
+    pace::FirstByteSums sums;
+};
+
+/// Requests for a service at one entry VM, of one customer and priority.
+struct ClassDemand {
+    std::uint64_t service = 0; ///< nameHash() of the service.
+    std::uint64_t customer = 0; ///< nameHash() of the customer; 0: none.
+    int priority = 0;
+    double perSecond = 0; ///< Asked for.
+    double admittedPerSecond = 0;
+};
+
 /// Outcomes of one entry VM's requests on one route since a rollout was ordered, at one server or group of servers.
 struct RolloutCounts {
     std::uint64_t route = 0; ///< nameHash() of the route.
@@ -99,6 +123,9 @@
     std::vector<ServiceLoad> services;
     std::vector<PrefixUse> prefixes; ///< Used in the last seconds.
     std::vector<ServerWork> serverWork; ///< Only servers with waiting work.
+    std::vector<ServerPace> paces;
+    std::vector<ServiceFirstByte> firstBytes;
+    std::vector<ClassDemand> classDemands; ///< Only of services that are short of room.
     std::vector<ServerLimit> limits; ///< Only servers that have announced a limit, or the end of one.
     suspects::CrashUpdate crashUpdate; ///< Recent crashes of servers, and requests that are blocked as their cause.
     std::vector<RolloutReport> rollouts; ///< Rollouts in progress.
@@ -106,6 +133,7 @@
     bool isStoreUnavailable = false; ///< Its calls to the store for the lease fail, so it can't take the lease.
     bool isStoreReader = false; ///< It polls the store on behalf of other VMs, and sends them its table versions in each round.
     bool isDraining = false;
+    std::optional<Duration> loopLag; ///< How late its event loop runs; empty: not known. In a summary: the mean.
     bool lacksServerRoom = false; ///< It has just refused requests as servers' limits left it no room. In a summary: all VMs of the group have.
     bool reachesNoServer = false; ///< It is cut off from the backend servers. In a summary: all VMs of the group are.
     std::optional<Duration> sinceServerContact; ///< Time since it last heard from a backend server. In a summary: the shortest.
