Send the statuses of a round in slots where VMs are many

Cause: a VM sent the statuses and summary requests of a round at once, 17 datagrams of up to 13 KB at 88 VMs. While many servers crash or leave, the queue of a link of 10 Mbit/s overflowed: of 100 datagrams a second 55 to 65 arrived, and a third of the VMs heard nothing of some others for 1 to 10 s. VMs then took what others might have used of allowances as used: requests of all 16 customers were refused, 583 to 1,386 in a second, most of customers below half of their limits. The leader lacked 5,628 of 6,128 requests of a usage window.

Change: a round is divided into slots of three datagrams each, with a status of their own, so ages are those of the send. A fleet that forms a single group sends as before.

--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -25,6 +25,10 @@
 /// period, a customer that asks for seven times its usual rate gets up to 0.06 more than its limit in a window (allowance
 /// model with 288 VMs).
 constexpr Duration PeriodPerDatagram = std::chrono::microseconds(7500);
+/// Where VMs are divided into groups, a VM sends this many datagrams at once. A whole round would overflow the queue of a slow link, which
+/// drops the rest.
+constexpr std::size_t DatagramsPerSlot = 3;
+constexpr Duration MinSlot = std::chrono::milliseconds(25);
 /// Changes that arrive within this time are broadcast together.
 constexpr Duration BroadcastDelay = std::chrono::milliseconds(20);
 /// Number of sequences whose send time is kept: about four seconds of them. An older echo gives too early a bound to be useful.
@@ -94,7 +98,7 @@
     };
     raw->watch_ = rows::RowWatch::start({raw->tools_.loop, raw->tools_.store, raw->tools_.log}, TableName, LongPollWait, std::move(handlers));
     raw->writeRow();
-    raw->scheduleRound();
+    raw->scheduleSlot();
     return presence;
 }
 
@@ -184,12 +188,31 @@
     return RoundPeriod * roundsPerPeriod();
 }
 
-void Presence::scheduleRound()
+int Presence::slotsPerRound() const
 {
-    timer_ = tools_.loop->after(RoundPeriod, [this] {
-        sendRound();
-        logLivenessChanges();
-        scheduleRound();
+    if (groups_.empty()) {
+        return 1;
+    }
+    const std::size_t slots = (groupPeerCount_ + groups_.size()) / DatagramsPerSlot;
+    return std::clamp(static_cast<int>(slots), 1, static_cast<int>(RoundPeriod / MinSlot));
+}
+
+bool Presence::isInSlot(int index) const
+{
+    return index % slotsPerRound() == slot_;
+}
+
+void Presence::scheduleSlot()
+{
+    timer_ = tools_.loop->after(RoundPeriod / slotsPerRound(), [this] {
+        slot_++;
+        if (slot_ >= slotsPerRound()) {
+            slot_ = 0;
+            round_++;
+            logLivenessChanges();
+        }
+        sendSlot();
+        scheduleSlot();
     });
 }
 
@@ -248,17 +271,18 @@
     return entry->second;
 }
 
-void Presence::sendRound()
+void Presence::sendSlot()
 {
     packedDeltas_.clear();
     ownStatus_ = makeStatus();
     ownStatusAt_ = tools_.loop->now();
     summary_.reset();
-    round_++;
     const Status partial = makePartial(ownStatus_);
     sendToGroup(ownStatus_, partial);
     requestSummaries(partial);
-    reportToLeaseHolder(ownStatus_, partial);
+    if (slot_ == 0) {
+        reportToLeaseHolder(ownStatus_, partial);
+    }
 }
 
 // Each peer of the group gets a full status every few rounds. In the other rounds a partial status is sent only from store
@@ -273,6 +297,9 @@
             continue;
         }
         index++;
+        if (!isInSlot(index)) {
+            continue;
+        }
         if ((round_ + index) % rounds == 0) {
             sendTo(peer, full, full.isStoreReader);
         } else if (full.isStoreReader || (peer.status && peer.status->isStoreReader)) {
--- a/src/presence/internal/presencegroups.cpp
+++ b/src/presence/internal/presencegroups.cpp
@@ -87,10 +87,11 @@
     request.requestsSummary = true;
     const int rounds = roundsPerPeriod();
     std::vector<std::string> targets;
-    int index = 0;
+    // Counted on from the peers of the group, so that the slots of a round are equally full.
+    int index = static_cast<int>(groupPeerCount_);
     for (const auto &[name, members] : groupMembers_) {
         index++;
-        if ((round_ + index) % rounds == 0) {
+        if (isInSlot(index) && (round_ + index) % rounds == 0) {
             const auto chosen = peerSelector_.select(members, tools_.loop->now());
             targets.insert(targets.end(), chosen.begin(), chosen.end());
         }
--- a/src/presence/presence.h
+++ b/src/presence/presence.h
@@ -99,7 +99,10 @@
     void applySnapshot(const rows::TableSnapshot &snapshot);
     void regroup();
     void notifyRegrouped() const;
-    void sendRound();
+    /// The number of parts that a round is sent in.
+    int slotsPerRound() const;
+    bool isInSlot(int index) const;
+    void sendSlot();
     void sendToGroup(const Status &full, const Status &partial);
     void requestSummaries(const Status &partial);
     void reportToLeaseHolder(const Status &full, const Status &partial);
@@ -114,7 +117,7 @@
     Status makeSummary() const;
     std::size_t datagramsPerPeriod() const;
     std::uint64_t nextSequence();
-    void scheduleRound();
+    void scheduleSlot();
     void onDatagram(std::string_view bytes);
     void logLivenessChanges();
     void logLivenessChange(const std::string &name, const Peer &peer);
@@ -138,14 +141,15 @@
     TimePoint startedAt_;
     bool ownRowSeen_ = false;
     std::deque<TimePoint> sendTimes_; ///< When the newest sequences were sent, oldest first.
-    Status ownStatus_; ///< As of the last round.
+    Status ownStatus_; ///< As of the last slot.
     TimePoint ownStatusAt_;
-    std::optional<Status> summary_; ///< Of this VM's group; built at most once a round, when first requested.
+    std::optional<Status> summary_; ///< Of this VM's group; built at most once a slot, when first requested.
     std::function<bool()> isStoreReader_;
-    /// Deltas packed in this round, by table, version known to the receiver and newest version. An empty value means that the
+    /// Deltas packed in this slot, by table, version known to the receiver and newest version. An empty value means that the
     /// delta can't be sent: it is incomplete or too large.
     std::map<std::tuple<std::string, rows::StoreVersion, rows::StoreVersion>, std::optional<PackedDelta>> packedDeltas_;
     int round_ = 0; ///< Number of rounds so far.
+    int slot_ = 0; ///< Of the current round.
     std::optional<BroadcastScope> pendingBroadcast_; ///< Set while a broadcast of changes is scheduled.
     TimerId timer_ = 0;
 };
--- a/src/presence/tests/testnetwork.h
+++ b/src/presence/tests/testnetwork.h
@@ -69,6 +69,7 @@
     void send(const http1::Endpoint &to, std::string_view bytes) override
     {
         if (!isCut) {
+            sentCount++;
             network_.send(to, bytes);
         }
     }
@@ -82,6 +83,7 @@
         };
     }
 
+    std::size_t sentCount = 0;
     bool isCut = false; ///< This VM neither sends nor receives datagrams.
 
 private:
--- a/src/presence/tests/vmgroups_test.cpp
+++ b/src/presence/tests/vmgroups_test.cpp
@@ -29,12 +29,14 @@
         std::map<std::string, std::uint32_t> usage; ///< Counts received from the other VMs, by VM.
     };
 
-    void start(std::size_t count, std::size_t zones)
+    /// @p apart: time between the starts of two VMs.
+    void start(std::size_t count, std::size_t zones, Duration apart = Duration(0))
     {
         log_ = eventlog::EventLog::create(clock_, "test", [](std::string_view) { return true; });
         for (std::size_t i = 0; i < count; i++) {
             vms_.push_back(std::make_unique<Vm>());
             startVm(*vms_.back(), i, zones);
+            advance(apart);
         }
     }
 
@@ -191,6 +193,30 @@
     EXPECT_LT((network_.sentCount - before) / vms_.size() / 5, 90U) << "datagrams per VM and second";
 }
 
+// The load: 88 VMs on links that carry ten megabits a second, whose queues are short beside a round of large statuses.
+TEST_F(VmGroupsTest, DatagramsOfARoundAreNotSentAtOnce)
+{
+    network_.loop = loop_.get();
+    start(88, 4, milliseconds(10));
+    advance(seconds(4));
+    std::size_t most = 0;
+    std::size_t total = 0;
+    for (int step = 0; step < 200; step++) {
+        std::vector<std::size_t> before;
+        for (const auto &vm : vms_) {
+            before.push_back(vm->socket->sentCount);
+        }
+        advance(milliseconds(10));
+        for (std::size_t i = 0; i < vms_.size(); i++) {
+            const std::size_t sent = vms_[i]->socket->sentCount - before[i];
+            most = std::max(most, sent);
+            total += sent;
+        }
+    }
+    EXPECT_GT(total, 88U * 2 * 30) << "each VM tells the others three times a second";
+    EXPECT_LE(most, 12U) << "a slot of a round, with the answers to other groups that came together with it";
+}
+
 TEST_F(VmGroupsTest, SummariesAreRequestedFromAnotherVmWhenOneIsSilent)
 {
     start(90, 3);
