Give the stand-in worker slots, a queue, a work time and a pace

Tests of uneven servers need servers that run a few requests at once, let a few wait, refuse the rest as not run, and take a settable multiple of their time, announced or not. A worker without slots behaves as before and tells no load.

--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <deque>
 #include <map>
@@ -22,6 +23,7 @@
 constexpr int StatusMisdirected = 421;
 constexpr int StatusFailed = 500;
 constexpr int StatusUnavailable = 503;
+constexpr double Percent = 100;
 
 /// What comes in any span of this length, this long after the limit was first named, counts against it.
 constexpr Duration LimitWindow = std::chrono::seconds(4);
@@ -165,12 +167,38 @@
     }
 };
 
+/// The slots of a worker that runs few requests at once, and lets a few more wait.
+struct Room {
+    struct Waiting {
+        http1::ExchangePtr exchange;
+        std::string id;
+    };
+    std::size_t slots = 0; ///< 0: no bound, and the load is not told.
+    std::size_t queue = 0; ///< Maximum number of requests that wait for a slot.
+    std::size_t running = 0;
+    std::deque<Waiting> waiting;
+
+    bool hasSlot() const
+    {
+        return slots == 0 || running < slots;
+    }
+
+    bool isFull() const
+    {
+        return !hasSlot() && waiting.size() >= queue;
+    }
+};
+
 struct Worker {
     EventLoop *loop = nullptr;
     std::shared_ptr<http1::HttpServer> server;
     std::string instance;
     Duration eventGap{0};
     Duration delay{0};
+    Duration work{0}; ///< Of a plain request, at the usual pace.
+    double pace = 1; ///< Work, and the pause between events, take this many times as long.
+    bool announcesPace = false; ///< The load in answers has the pace as its fourth figure.
+    Room room;
     int events = 5;
     int breakAfter = -1; ///< Events after which a stream breaks off; -1: none.
     std::string brokenPart = "id"; ///< What is sent of the event in which a stream breaks off: "id", or whole "lines" without the last, empty one.
@@ -200,6 +228,7 @@
         head.fields.add("X-Attempt-Id", id);
         limit.addTo(head, loop->now());
         overload.addTo(head, loop->now());
+        addLoad(head);
         if (announcesLeaving) {
             head.fields.add("Server-Leaving", "1");
         }
@@ -207,6 +236,49 @@
         return head;
     }
 
+    void addLoad(http1::ResponseHead &head) const
+    {
+        if (room.slots == 0) {
+            return;
+        }
+        const std::string load = fmt::format("{},{},{}", room.running, room.waiting.size(), room.slots);
+        head.fields.add("X-Server-Load", announcesPace ? fmt::format("{},{}", load, std::lround(pace * Percent)) : load);
+    }
+
+    Duration atPace(Duration usual) const
+    {
+        return std::chrono::duration_cast<Duration>(usual * pace);
+    }
+
+    /// Takes a slot until what is returned, and all copies of it, are gone.
+    std::shared_ptr<bool> takeSlot()
+    {
+        room.running++;
+        return {new bool(false), [this](const bool *token) {
+                    delete token;
+                    room.running--;
+                    startWaiting();
+                }};
+    }
+
+    void startWaiting()
+    {
+        while (!room.waiting.empty() && room.hasSlot()) {
+            const Room::Waiting next = std::move(room.waiting.front());
+            room.waiting.pop_front();
+            execute(next.exchange, next.id);
+        }
+    }
+
+    void wait(const http1::ExchangePtr &exchange, const std::string &id)
+    {
+        room.waiting.push_back({exchange, id});
+        exchange->onDisconnected([this, id] {
+            std::erase_if(room.waiting, [&id](const Room::Waiting &entry) { return entry.id == id; });
+            cancelled++;
+        });
+    }
+
     /// Adds what an answer says of the worker to the last arrival of its request.
     void noteAnswered(const std::string &id, const http1::ResponseHead &head)
     {
@@ -274,6 +346,12 @@
         };
         eventGap = std::chrono::milliseconds(number("eventGapMs", std::chrono::duration_cast<std::chrono::milliseconds>(eventGap).count()));
         delay = std::chrono::milliseconds(number("delayMs", std::chrono::duration_cast<std::chrono::milliseconds>(delay).count()));
+        work = std::chrono::milliseconds(number("workMs", std::chrono::duration_cast<std::chrono::milliseconds>(work).count()));
+        pace = body.get("pace", pace).asDouble();
+        announcesPace = body.get("announcesPace", announcesPace).asBool();
+        room.slots = static_cast<std::size_t>(number("slots", static_cast<std::int64_t>(room.slots)));
+        room.queue = static_cast<std::size_t>(number("queue", static_cast<std::int64_t>(room.queue)));
+        startWaiting();
         events = static_cast<int>(number("events", events));
         breakAfter = static_cast<int>(number("breakAfter", breakAfter));
         brokenPart = body.get("brokenPart", brokenPart).asString();
@@ -330,7 +408,7 @@
             refuseForWantOfRoom(exchange, id);
             return;
         }
-        if (full) {
+        if (full || room.isFull()) {
             http1::ResponseHead refusal = head(StatusUnavailable, id);
             refusal.fields.add("X-Not-Executed", "1");
             if (!retryAfter.empty()) {
@@ -340,6 +418,15 @@
             exchange->answer(std::move(refusal), "");
             return;
         }
+        if (!room.hasSlot()) {
+            wait(exchange, id);
+            return;
+        }
+        execute(exchange, id);
+    }
+
+    void execute(const http1::ExchangePtr &exchange, const std::string &id)
+    {
         runs[id]++;
         if (exchange->head().target.ends_with(CrashingTarget)) {
             crash(id);
@@ -369,7 +456,7 @@
             return;
         }
         overload.running.push_back(exchange);
-        loop->after(delay, [this, exchange, id] {
+        loop->after(delay + atPace(work), [this, exchange, id, slot = takeSlot()] {
             std::erase(overload.running, exchange);
             exchange->answer(signedHead(id), fmt::format("{} {}", id, exchange->body()));
         });
@@ -385,7 +472,7 @@
 
     void startStream(const http1::ExchangePtr &exchange, const std::string &id)
     {
-        const auto gone = std::make_shared<bool>(false);
+        const auto gone = takeSlot();
         exchange->onDisconnected([this, gone] {
             *gone = true;
             cancelled++;
@@ -430,7 +517,7 @@
             return;
         }
         exchange->send(fmt::format("id: {}\ndata: {} {}{}\n\n", number, id, number, namesServer ? " " + instance : std::string()));
-        loop->after(eventGap, [this, exchange, gone, id, number, sent] { sendEvent(exchange, gone, id, number + 1, sent + 1); });
+        loop->after(atPace(eventGap), [this, exchange, gone, id, number, sent] { sendEvent(exchange, gone, id, number + 1, sent + 1); });
     }
 };
 
