Learn what each backend server can do, from what all VMs see

A VM sends a request to a given server in some ten seconds, so no VM learns alone how fast it works, and what servers announce of the moment was used by none. Each VM now keeps the time and amount of the work that it has observed at each server, and tells them in its status; summaries of groups carry those of the servers that are off the mean. Each VM adds them up into a factor relative to the mean of the service.

The statuses carry three lists in place of a message for each server, and the lower halves of hashes: 11 bytes a server in place of 28. Ruled out: means by group summaries (they carry only servers off the mean), a factor told ready made (sums can be added, factors cannot), and the announced figure in place of the learnt one (a server of half the speed that is as usual would look like the others).

--- a/src/pace/pacetypes.h
+++ b/src/pace/pacetypes.h
@@ -2,6 +2,7 @@
 
 #include "kernel/clock.h"
 
+#include <cstddef>
 #include <optional>
 
 namespace cardamomlift::pace {
@@ -9,6 +10,7 @@
 /// Work that was observed: its time and its amount, both decayed with age.
 struct WorkSums {
     double seconds = 0;
+    double usualSeconds = 0; ///< The time that the work would have taken had the server been as usual, by what it announced meanwhile.
     double units = 0; ///< Events of streams after the first, and plain answers.
 };
 
@@ -35,4 +37,10 @@
     Duration announcedAge{0};
 };
 
+/// Number of servers that are clearly off the mean of their service.
+struct PaceCounts {
+    std::size_t slower = 0;
+    std::size_t faster = 0;
+};
+
 } // namespace cardamomlift::pace
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -20,6 +20,10 @@
 constexpr std::size_t ExpectedRatio = 10;
 
 constexpr double Percent = 100;
+/// Units in which the pace of servers is written.
+constexpr double PaceTimesPerSecond = 10'000;
+constexpr double PaceUnitParts = 10;
+constexpr Duration PaceAgeUnit = std::chrono::milliseconds(10);
 
 /// Ages in a status are as of its arrival, so the time of writing is left out of its crash update.
 constexpr WallTime StatusSendTime{};
@@ -93,38 +97,87 @@
     }
 }
 
+std::uint32_t scaled(double value, double scale)
+{
+    return static_cast<std::uint32_t>(std::clamp(std::round(value * scale), 0.0, static_cast<double>(UINT32_MAX)));
+}
+
+void addPace(wire::ServicePaces &out, const ServerPace &pace)
+{
+    out.add_servers(pace.server);
+    out.add_times(scaled(pace.work.seconds, PaceTimesPerSecond));
+    out.add_units(scaled(pace.work.units, PaceUnitParts));
+    out.add_usual_percent(pace.work.seconds > 0 ? scaled(pace.work.usualSeconds / pace.work.seconds, Percent) : static_cast<std::uint32_t>(Percent));
+    out.add_announced_percent(scaled(pace.announced.value_or(0), Percent));
+    out.add_announced_age_10ms(pace.announced ? static_cast<std::uint32_t>(pace.announcedAge / PaceAgeUnit) : 0);
+}
+
+void leaveOutDefaults(wire::ServicePaces &out)
+{
+    if (std::ranges::all_of(out.usual_percent(), [](std::uint32_t percent) { return percent == Percent; })) {
+        out.clear_usual_percent();
+    }
+    if (std::ranges::all_of(out.announced_percent(), [](std::uint32_t percent) { return percent == 0; })) {
+        out.clear_announced_percent();
+        out.clear_announced_age_10ms();
+    }
+}
+
 void addPaces(wire::Status &out, const Status &status)
 {
+    std::map<std::uint32_t, wire::ServicePaces *> byService;
     for (const ServerPace &pace : status.paces) {
-        auto *entry = out.add_paces();
-        entry->set_server(pace.server);
-        entry->set_seconds(static_cast<float>(pace.work.seconds));
-        entry->set_units(static_cast<float>(pace.work.units));
-        if (pace.announced) {
-            entry->set_announced(static_cast<std::uint32_t>(std::lround(*pace.announced * Percent)));
-            entry->set_announced_age_ms(toMillis(pace.announcedAge));
+        wire::ServicePaces *&entry = byService[pace.service];
+        if (entry == nullptr) {
+            entry = out.add_paces();
+            entry->set_service(pace.service);
         }
+        addPace(*entry, pace);
+    }
+    for (const auto &[service, entry] : byService) {
+        leaveOutDefaults(*entry);
     }
+}
+
+void addFirstBytes(wire::Status &out, const Status &status)
+{
     for (const ServiceFirstByte &service : status.firstBytes) {
         auto *entry = out.add_first_bytes();
         entry->set_service(service.service);
         entry->set_count(static_cast<float>(service.sums.count));
-        entry->set_tokens(service.sums.tokens);
-        entry->set_seconds(service.sums.seconds);
-        entry->set_tokens_squared(service.sums.tokensSquared);
-        entry->set_tokens_seconds(service.sums.tokensSeconds);
+        entry->set_tokens(static_cast<float>(service.sums.tokens));
+        entry->set_seconds(static_cast<float>(service.sums.seconds));
+        entry->set_tokens_squared(static_cast<float>(service.sums.tokensSquared));
+        entry->set_tokens_seconds(static_cast<float>(service.sums.tokensSeconds));
     }
 }
 
-void readPaces(const wire::Status &in, Status &status)
+// Lists of other lengths can't be told apart by server.
+void readPacesOfService(const wire::ServicePaces &in, Status &status)
 {
-    for (const auto &entry : in.paces()) {
-        ServerPace pace{entry.server(), {entry.seconds(), entry.units()}, {}, std::chrono::milliseconds(entry.announced_age_ms())};
-        if (entry.has_announced()) {
-            pace.announced = entry.announced() / Percent;
+    const int count = in.servers_size();
+    if (in.times_size() != count || in.units_size() != count) {
+        return;
+    }
+    const bool hasUsual = in.usual_percent_size() == count;
+    const bool hasAnnounced = in.announced_percent_size() == count && in.announced_age_10ms_size() == count;
+    for (int i = 0; i < count; i++) {
+        const double seconds = in.times(i) / PaceTimesPerSecond;
+        const double usualSeconds = hasUsual ? seconds * in.usual_percent(i) / Percent : seconds;
+        ServerPace pace{in.servers(i), in.service(), {seconds, usualSeconds, in.units(i) / PaceUnitParts}, std::nullopt, Duration(0)};
+        if (hasAnnounced && in.announced_percent(i) != 0) {
+            pace.announced = in.announced_percent(i) / Percent;
+            pace.announcedAge = PaceAgeUnit * static_cast<std::int64_t>(in.announced_age_10ms(i));
         }
         status.paces.push_back(pace);
     }
+}
+
+void readPaces(const wire::Status &in, Status &status)
+{
+    for (const auto &entry : in.paces()) {
+        readPacesOfService(entry, status);
+    }
     for (const auto &entry : in.first_bytes()) {
         status.firstBytes.push_back({entry.service(), {entry.count(), entry.tokens(), entry.seconds(), entry.tokens_squared(), entry.tokens_seconds()}});
     }
@@ -184,6 +237,11 @@
     return XXH3_64bits(name.data(), name.size());
 }
 
+std::uint32_t shortHash(std::string_view name)
+{
+    return static_cast<std::uint32_t>(nameHash(name));
+}
+
 std::string packChanges(std::span<const rows::Row> changes)
 {
     wire::RowChanges list;
@@ -287,6 +345,7 @@
         }
     }
     addPaces(out, status);
+    addFirstBytes(out, status);
     addClassDemands(out, status);
     if (status.loopLag) {
         out.set_loop_lag_ms(toMillis(*status.loopLag));
--- a/src/presence/internal/statussummary.cpp
+++ b/src/presence/internal/statussummary.cpp
@@ -1,5 +1,7 @@
 #include "presence/statussummary.h"
 
+#include "pace/pacerules.h"
+
 #include <algorithm>
 #include <map>
 #include <set>
@@ -15,6 +17,10 @@
 /// Maximum number of server limits in a summary, the newest ones. A limit that is left out is reported again as long as some VM
 /// gets answers that name it.
 constexpr std::size_t MaxLimits = 64;
+/// Maximum number of servers whose pace is in a summary, some 11 bytes each: those that are farthest off the mean of their service.
+constexpr std::size_t MaxPaces = 24;
+/// Servers closer to the mean are left out.
+constexpr double MinPaceDeviation = 0.1;
 /// Maximum number of prefixes in a summary. A group of 24 VMs with five requests a second each uses about 100 new ones between
 /// two summaries.
 constexpr std::size_t MaxPrefixes = 96;
@@ -219,8 +225,64 @@
     keepLargest(sum.alive, MaxCrashReports, [](const auto &server) { return -server.age; });
 }
 
-template<typename Entry>
-void appendValues(std::vector<Entry> &values, const std::map<std::uint64_t, Entry> &entries)
+void addPaces(std::map<std::uint32_t, ServerPace> &sums, const MemberStatus &member)
+{
+    for (ServerPace pace : member.status->paces) {
+        pace::decay(pace.work, member.age);
+        pace.announcedAge += member.age;
+        const auto [entry, isNew] = sums.try_emplace(pace.server, pace);
+        if (isNew) {
+            continue;
+        }
+        ServerPace &sum = entry->second;
+        pace::add(sum.work, pace.work);
+        if (pace.announced && (!sum.announced || pace.announcedAge < sum.announcedAge)) {
+            sum.announced = pace.announced;
+            sum.announcedAge = pace.announcedAge;
+        }
+    }
+}
+
+// The mean of a service is that of the group.
+std::vector<ServerPace> deviatingPaces(const std::map<std::uint32_t, ServerPace> &sums)
+{
+    std::map<std::uint32_t, std::vector<pace::WorkSums>> works;
+    for (const auto &[server, pace] : sums) {
+        works[pace.service].push_back(pace.work);
+    }
+    std::map<std::uint32_t, double> means;
+    for (const auto &[service, servers] : works) {
+        means[service] = pace::meanTime(servers);
+    }
+    /// A server with its distance from the mean.
+    using Ranked = std::pair<double, const ServerPace *>;
+    std::vector<Ranked> ranked;
+    for (const auto &[server, pace] : sums) {
+        const double deviation = pace::deviation(pace::learntPace(pace.work, {}, means[pace.service]), pace.announced, pace.announcedAge);
+        if (deviation >= MinPaceDeviation) {
+            ranked.emplace_back(deviation, &pace);
+        }
+    }
+    keepLargest(ranked, MaxPaces, [](const Ranked &entry) { return entry.first; });
+    std::vector<ServerPace> deviating;
+    for (const auto &[deviation, pace] : ranked) {
+        deviating.push_back(*pace);
+    }
+    return deviating;
+}
+
+void addFirstBytes(std::map<std::uint32_t, ServiceFirstByte> &sums, const MemberStatus &member)
+{
+    for (ServiceFirstByte service : member.status->firstBytes) {
+        pace::decay(service.sums, member.age);
+        ServiceFirstByte &sum = sums[service.service];
+        sum.service = service.service;
+        pace::add(sum.sums, service.sums);
+    }
+}
+
+template<typename Key, typename Entry>
+void appendValues(std::vector<Entry> &values, const std::map<Key, Entry> &entries)
 {
     for (const auto &[key, entry] : entries) {
         values.push_back(entry);
@@ -242,6 +304,8 @@
     std::map<std::uint64_t, CombinedOutcomes> combined;
     std::map<std::uint64_t, ServerWork> serverWork;
     std::map<std::uint64_t, ServerLimit> limits;
+    std::map<std::uint32_t, ServerPace> paces;
+    std::map<std::uint32_t, ServiceFirstByte> firstBytes;
     std::set<std::pair<std::uint64_t, std::uint64_t>> prefixes;
     for (const MemberStatus &member : members) {
         const Status &status = *member.status;
@@ -252,6 +316,8 @@
         addLoads(loads, status);
         addOutcomes(combined, member);
         addLimits(limits, member);
+        addPaces(paces, member);
+        addFirstBytes(firstBytes, member);
         for (const ServerWork &work : status.serverWork) {
             serverWork[work.server].server = work.server;
             serverWork[work.server].waitingTokens += work.waitingTokens;
@@ -267,6 +333,8 @@
     keepLargest(summary.serverWork, MaxServers, [](const ServerWork &work) { return work.waitingTokens; });
     appendValues(summary.limits, limits);
     keepLargest(summary.limits, MaxLimits, [](const ServerLimit &limit) { return -limit.age; });
+    summary.paces = deviatingPaces(paces);
+    appendValues(summary.firstBytes, firstBytes);
     limitCrashUpdate(summary.crashUpdate);
     for (const auto &[server, view] : combined) {
         summary.outcomes.push_back(sumOutcomes(view));
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -70,7 +70,8 @@
 
 /// How long work took at a backend server, as one entry VM has observed it.
 struct ServerPace {
-    std::uint64_t server = 0; ///< nameHash() of the instance.
+    std::uint32_t server = 0; ///< shortHash() of the instance.
+    std::uint32_t service = 0; ///< shortHash() of the service.
     pace::WorkSums work;
     std::optional<double> announced; ///< What the server has announced last: 1 as usual, 2 twice as long.
     Duration announcedAge{0};
@@ -78,7 +79,7 @@
 
 /// The times to the first byte of a service's answers at one entry VM.
 struct ServiceFirstByte {
-    std::uint64_t service = 0; ///< nameHash() of the service.
+    std::uint32_t service = 0; ///< shortHash() of the service.
     pace::FirstByteSums sums;
 };
 
@@ -157,5 +158,7 @@
 
 /// A hash of @p name that is the same on all VMs and builds.
 std::uint64_t nameHash(std::string_view name);
+/// The lower half of nameHash(), for what is told of many servers and where mistaking one name for another does little harm.
+std::uint32_t shortHash(std::string_view name);
 
 } // namespace cardamomlift::presence
