--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -194,11 +194,9 @@
         return;
     }
     noteServed();
-    if (!isStream()) {
-        notePaceOfAnswer();
-    }
     noteProgress(suspects::CompleteAnswer);
     if (status >= StatusOk && status < StatusSuccessEnd) {
+        notePaceOfAnswer();
         notePromptAnswered();
     }
     noteOutcome(status >= StatusServerError ? outliers::Ending::ServerError : outliers::Ending::Answered);
--- a/src/forwarding/internal/forwardedrequestpace.cpp
+++ b/src/forwarding/internal/forwardedrequestpace.cpp
@@ -22,9 +22,10 @@
     attempt_->lastEventAt = now;
 }
 
+// A failure may come sooner than the work would have taken, and a whole stream in one part says nothing of its events.
 void ForwardedRequest::notePaceOfAnswer()
 {
-    if (tools_.pace) {
+    if (tools_.pace && !isStream()) {
         tools_.pace->noteAnswer(attempt_->server->server.instance, service_, tools_.loop->now() - attempt_->sentAt);
     }
 }
--- a/src/presence/internal/statussummary.cpp
+++ b/src/presence/internal/statussummary.cpp
@@ -265,6 +265,7 @@
     }
     keepLargest(ranked, MaxPaces, [](const Ranked &entry) { return entry.first; });
     std::vector<ServerPace> deviating;
+    deviating.reserve(ranked.size());
     for (const auto &[deviation, pace] : ranked) {
         deviating.push_back(*pace);
     }
--- a/src/presence/tests/presence_test.cpp
+++ b/src/presence/tests/presence_test.cpp
@@ -130,6 +130,35 @@
     network_.deliver({"10.0.0.1", 7600}, "no status");
 }
 
+TEST(StatusFormat, RoundTripKeepsThePaceOfServers)
+{
+    Status status;
+    status.instance = "vm";
+    status.paces = {{1, 5, {1.25, 0.5, 40}, 2.5, milliseconds(120)}, {2, 6, {0.3, 0.3, 10}, std::nullopt, Duration(0)}, {3, 5, {}, 0.7, milliseconds(0)}};
+    status.firstBytes = {{5, {20, 16'000, 4, 64'000'000, 3'200}}};
+    const auto read = decodeStatus(encodeStatus(status, 0, {}));
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->status.paces.size(), 3U);
+    std::map<std::uint32_t, ServerPace> paces;
+    for (const ServerPace &pace : read->status.paces) {
+        paces[pace.server] = pace;
+    }
+    EXPECT_EQ(paces[1].service, 5U);
+    EXPECT_NEAR(paces[1].work.seconds, 1.25, 1e-9);
+    EXPECT_NEAR(paces[1].work.usualSeconds, 0.5, 1e-9);
+    EXPECT_NEAR(paces[1].work.units, 40, 1e-9);
+    EXPECT_EQ(paces[1].announced, 2.5);
+    EXPECT_EQ(paces[1].announcedAge, milliseconds(120));
+    EXPECT_EQ(paces[2].service, 6U);
+    EXPECT_NEAR(paces[2].work.usualSeconds, 0.3, 1e-9);
+    EXPECT_FALSE(paces[2].announced);
+    EXPECT_EQ(paces[3].announced, 0.7);
+    ASSERT_EQ(read->status.firstBytes.size(), 1U);
+    EXPECT_EQ(read->status.firstBytes[0].service, 5U);
+    EXPECT_EQ(read->status.firstBytes[0].sums.tokensSquared, 64'000'000);
+    EXPECT_EQ(read->status.firstBytes[0].sums.tokensSeconds, 3'200);
+}
+
 TEST(StatusFormat, RoundTripKeepsAllFields)
 {
     StatusMessage message;
--- a/src/presence/tests/vmgroups_test.cpp
+++ b/src/presence/tests/vmgroups_test.cpp
@@ -167,6 +167,46 @@
     EXPECT_FALSE(second.limits.at(0).isLimited);
 }
 
+TEST(StatusSummary, SumsThePaceOfServersThatAreOffTheMean)
+{
+    const auto work = [](double factor) {
+        return pace::WorkSums{factor, factor, 50};
+    };
+    Status one;
+    for (std::uint32_t server = 1; server <= 16; server++) {
+        one.paces.push_back({server, 5, work(1), std::nullopt, Duration(0)});
+    }
+    one.paces[1].announced = 4;
+    one.paces[1].announcedAge = milliseconds(30);
+    one.paces[3].work = work(5);
+    one.paces.push_back({99, 6, work(20), std::nullopt, Duration(0)});
+    one.firstBytes = {{5, {10, 1000, 1, 200'000, 150}}};
+    Status two = one;
+    two.paces[1].announced = 2;
+    two.paces[1].announcedAge = milliseconds(60);
+    const Status sum = summarize("g", std::vector<MemberStatus>{{&one, milliseconds(100)}, {&two, milliseconds(0)}});
+    ASSERT_EQ(sum.paces.size(), 2U) << "only those off the mean of their service";
+    EXPECT_EQ(sum.paces[0].server, 4U);
+    EXPECT_LT(sum.paces[0].work.units, 100) << "observations fade on the way";
+    EXPECT_GT(sum.paces[0].work.units, 90);
+    EXPECT_EQ(sum.paces[1].server, 2U);
+    EXPECT_EQ(sum.paces[1].announced, 2);
+    EXPECT_EQ(sum.paces[1].announcedAge, milliseconds(60)) << "the youngest announcement";
+    ASSERT_EQ(sum.firstBytes.size(), 1U);
+    EXPECT_GT(sum.firstBytes[0].sums.count, 19);
+}
+
+TEST(StatusSummary, KeepsThePaceOfABoundedNumberOfServers)
+{
+    Status status;
+    for (std::uint32_t i = 1; i <= 200; i++) {
+        status.paces.push_back({i, 5, {i % 3 == 0 ? 1 + 0.02 * i : 1, 1, 50}, std::nullopt, Duration(0)});
+    }
+    const Status sum = summarize("g", std::vector<MemberStatus>{{&status, milliseconds(0)}});
+    ASSERT_EQ(sum.paces.size(), 24U);
+    EXPECT_EQ(sum.paces[0].server, 198U) << "the farthest off";
+}
+
 TEST(StatusSummary, OmitsTheLeaseOfASilentMember)
 {
     Status holder;
