Reckon servers to order by the measured prefill rate

Cause: the need for servers took each to answer 25,000 prompt tokens a second, which fits engines that prefill some 65,000. Engines that prefill twice as fast got twice the servers.

Change: one server is reckoned with the same share of the prefill rate that all VMs measure together, at least as before and at most four times that. The capacity in use approaches the measured one with a half-life of 3 s, and the recent demand is restated in servers of the new capacity, so that demand counted before the measurement is not kept for 40 s.

Ruled out: to count prompts net of their cached parts. The share already holds that half of the tokens are cached, and new servers have cold caches, so more servers would raise the need for more of them.

Red without: the five new tests with the rate ignored; one with the demand not restated; two without the smoothing.

--- a/src/duties/autoscaler.h
+++ b/src/duties/autoscaler.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 
@@ -28,6 +29,8 @@
     std::shared_ptr<presence::Presence> presence;
     std::shared_ptr<forwarding::VersionGate> versions; ///< May be null: then the servers' versions make no difference.
     std::function<std::vector<presence::ServiceLoad>()> ownLoads; ///< The loads that this VM reports to the others.
+    /// The measured time to the first byte of a service's answers; may be null.
+    std::function<std::optional<pace::FirstByteModel>(const std::string &service)> firstByteModel;
     std::vector<std::string> zones;
 };
 
@@ -51,12 +54,19 @@
 
     struct ServiceState {
         DemandHistory need;
+        ServerCapacity capacity;
+        FleetLoad load;
+        ServerNeed lastNeed;
+        std::optional<CapacityTarget> target;
         int maxOrdinary = 0; ///< The most ordinary servers that the list has had at one time.
         TimePoint listGrewAt;
     };
     explicit Autoscaler(AutoscalerTools tools);
     void tick();
     void planService(const manifest::Service &service);
+    void addGauges(const std::string &service);
+    ServerNeed updateNeed(ServiceState &state, const manifest::Service &service) const;
+    void noteTarget(ServiceState &state, const std::string &service, const CapacityTarget &target, const PresentServers &present);
     FleetLoad fleetLoad(const std::string &service) const;
     std::vector<ZoneServers> countServers(const manifest::Service &service) const;
     bool isDue(const SentOrder &sent, const ServerOrder &order, int present, const manifest::Scaling &scaling) const;
--- a/src/duties/capacitytarget.h
+++ b/src/duties/capacitytarget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "duties/orderplan.h"
+#include "duties/servercapacity.h"
 #include "manifest/manifesttypes.h"
 #include "presence/presencetypes.h"
 
@@ -19,8 +20,18 @@
 /// Sums the loads that the VMs report for @p service.
 FleetLoad sumLoads(std::span<const presence::ServiceLoad> loads, std::uint64_t service);
 
+/// The servers that a load needs, by each of its measures.
+struct ServerNeed {
+    double byTokens = 0;
+    double bySlots = 0;
+    double pressure = 1; ///< Factor by which late answers raise the need.
+
+    double servers() const;
+};
+
+ServerNeed assessNeed(const FleetLoad &load, const manifest::Service &service, const ServerCapacity &capacity);
 /// The number of servers that @p load needs now.
-double neededServers(const FleetLoad &load, const manifest::Service &service);
+double neededServers(const FleetLoad &load, const manifest::Service &service, const ServerCapacity &capacity = {});
 
 /// The recent demand for servers, which decays slowly: a server that was stopped interrupts what it runs, and its replacement
 /// needs time to start.
@@ -31,6 +42,9 @@
     int servers = 0; ///< The last target.
 };
 
+/// Restates the recent demand after one server's capacity has grown by @p growth: it was recorded in servers of the earlier capacity.
+void rescaleDemand(DemandHistory &history, double growth);
+
 /// The servers of one service that are running now, in all failure domains.
 struct PresentServers {
     int ordinary = 0;
--- a/src/duties/dutiesmodule.cpp
+++ b/src/duties/dutiesmodule.cpp
@@ -3,6 +3,7 @@
 #include "forwarding/servicedemand.h"
 #include "kernel/module.h"
 #include "kernel/runtime.h"
+#include "pace/pacetracker.h"
 #include "settings/settingstypes.h"
 
 namespace cardamomlift::duties {
@@ -24,7 +25,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"presence", "usage", "platform", "manifest", "directory", "eventlog", "forwarding"};
+        return {"presence", "usage", "platform", "manifest", "directory", "eventlog", "forwarding", "pace"};
     }
 
     Result<void> start(Context &context) override
@@ -85,6 +86,9 @@
         tools.ownLoads = [demand = context.get<forwarding::ServiceDemand>(), loop = tools.loop] {
             return demand->loads(loop->now());
         };
+        tools.firstByteModel = [pace = context.get<pace::PaceTracker>()](const std::string &service) {
+            return pace->firstByteModel(service);
+        };
         tools.zones = context.get<settings::Settings>()->routes->zones;
         context.set(Autoscaler::start(std::move(tools)));
     }
--- a/src/duties/internal/autoscaler.cpp
+++ b/src/duties/internal/autoscaler.cpp
@@ -1,6 +1,7 @@
 #include "duties/autoscaler.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cardamomlift::duties {
 
@@ -121,15 +122,68 @@
     return sumLoads(loads, presence::nameHash(service));
 }
 
+void Autoscaler::addGauges(const std::string &service)
+{
+    const auto add = [this, &service](std::string_view name, std::function<double(const ServiceState &)> read) {
+        const std::string labelled = std::string(name) + "{service=\"" + service + "\"}";
+        tools_.metrics->gauge(labelled, [weak = weak_from_this(), service, read = std::move(read)] {
+            const auto self = weak.lock();
+            if (!self || !self->tools_.lease->isHeld()) {
+                return 0.0;
+            }
+            const auto found = self->services_.find(service);
+            return found == self->services_.end() ? 0.0 : read(found->second);
+        });
+    };
+    add("capacity_servers_needed", [](const ServiceState &state) { return state.lastNeed.servers(); });
+    add("capacity_servers_target", [](const ServiceState &state) { return state.target ? state.target->servers : 0.0; });
+    add("capacity_prompt_tokens_per_second", [](const ServiceState &state) { return state.load.promptTokensPerSecond; });
+    add("capacity_tokens_per_server", [](const ServiceState &state) { return state.capacity.tokensPerSecond; });
+    add("capacity_requests_open", [](const ServiceState &state) { return state.load.open; });
+    add("capacity_pressure", [](const ServiceState &state) { return state.lastNeed.pressure; });
+}
+
+ServerNeed Autoscaler::updateNeed(ServiceState &state, const manifest::Service &service) const
+{
+    const auto measured = tools_.firstByteModel ? tools_.firstByteModel(service.name) : std::nullopt;
+    rescaleDemand(state.need, updateCapacity(state.capacity, measured, tools_.loop->now()));
+    state.load = fleetLoad(service.name);
+    state.lastNeed = assessNeed(state.load, service, state.capacity);
+    return state.lastNeed;
+}
+
+void Autoscaler::noteTarget(ServiceState &state, const std::string &service, const CapacityTarget &target, const PresentServers &present)
+{
+    if (state.target == target) {
+        return;
+    }
+    state.target = target;
+    tools_.log->write(Event::CapacityTarget,
+        {{Attribute::Service, service},
+            {Attribute::Wanted, std::int64_t(target.servers)},
+            {Attribute::Reclaimable, std::int64_t(target.reclaimablePerZone)},
+            {Attribute::Present, std::int64_t(present.ordinary + present.reclaimable)},
+            {Attribute::Need, std::lround(std::ceil(state.lastNeed.servers()))},
+            {Attribute::Tokens, std::llround(state.load.promptTokensPerSecond)},
+            {Attribute::TokensPerServer, std::llround(state.capacity.tokensPerSecond)},
+            {Attribute::Open, std::llround(state.load.open)},
+            {Attribute::PressurePercent, std::llround(state.lastNeed.pressure * 100)}});
+}
+
 void Autoscaler::planService(const manifest::Service &service)
 {
     const auto zones = countServers(service);
-    const double need = neededServers(fleetLoad(service.name), service);
+    const auto [entry, isNew] = services_.try_emplace(service.name);
+    if (isNew) {
+        addGauges(service.name);
+    }
+    ServiceState &state = entry->second;
+    const double need = updateNeed(state, service).servers();
     PresentServers present = presentServers(zones);
     present.isReclaimableUnavailable = isReclaimableUnavailable(service.name);
-    ServiceState &state = services_[service.name];
     const bool isSettling = isListSettling(state, present, need);
     const CapacityTarget target = updateTarget(state.need, need, present, zones.size(), *service.scaling, tools_.loop->now());
+    noteTarget(state, service.name, target, present);
     const bool isInRollout = isRollingOut(service.name);
     for (ServerOrder &order : planOrders(service.name, *service.scaling, zones, target)) {
         const auto zone = std::find_if(zones.begin(), zones.end(), [&](const ZoneServers &entry) { return entry.zone == order.zone; });
--- a/src/duties/internal/capacitytarget.cpp
+++ b/src/duties/internal/capacitytarget.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Prompt tokens per second at which one engine still gives first tokens well in time. Engines process some 65,000 a second
-/// when they do nothing else; half of the prompts' tokens are found in the cache, and generation takes its share.
-constexpr double TokensPerServer = 25'000;
 /// The fraction of an engine's slots that may be in use on average: requests arrive in bursts.
 constexpr double SlotUse = 0.5;
 /// The average time to the first byte may be this fraction of its goal; above it, more servers are needed.
@@ -65,15 +62,32 @@
     return sum;
 }
 
-double neededServers(const FleetLoad &load, const manifest::Service &service)
+double ServerNeed::servers() const
 {
-    const double byTokens = load.promptTokensPerSecond / TokensPerServer;
-    const double slots = service.engine ? std::max(1, service.engine->slots) : 1;
-    const double bySlots = load.open / (slots * SlotUse);
-    const double pressure = std::clamp(load.lateness / LatenessGoal, 1.0, MostPressure);
     return std::max(byTokens, bySlots) * pressure;
 }
 
+ServerNeed assessNeed(const FleetLoad &load, const manifest::Service &service, const ServerCapacity &capacity)
+{
+    const double slots = service.engine ? std::max(1, service.engine->slots) : 1;
+    ServerNeed need;
+    need.byTokens = load.promptTokensPerSecond / capacity.tokensPerSecond;
+    need.bySlots = load.open / (slots * SlotUse);
+    need.pressure = std::clamp(load.lateness / LatenessGoal, 1.0, MostPressure);
+    return need;
+}
+
+double neededServers(const FleetLoad &load, const manifest::Service &service, const ServerCapacity &capacity)
+{
+    return assessNeed(load, service, capacity).servers();
+}
+
+void rescaleDemand(DemandHistory &history, double growth)
+{
+    history.shortTerm /= growth;
+    history.longTerm /= growth;
+}
+
 CapacityTarget updateTarget(
     DemandHistory &history, double need, const PresentServers &present, std::size_t zones, const manifest::Scaling &scaling, TimePoint now)
 {
--- a/src/duties/orderplan.h
+++ b/src/duties/orderplan.h
@@ -24,6 +24,7 @@
     int servers = 0; ///< Servers of either kind that must be ready, in all failure domains together.
     int serversAfterReclaim = 0; ///< Servers that must remain when the failure domain with the most reclaimable ones loses them.
     int reclaimablePerZone = 0; ///< Reclaimable servers to keep while available: they are cheap, so more than @c servers needs.
+    bool operator==(const CapacityTarget &) const = default;
 };
 
 /// Plans the orders for one service: reclaimable servers in each failure domain, and as many ordinary ones as the target lacks
--- a/src/duties/tests/orders_test.cpp
+++ b/src/duties/tests/orders_test.cpp
@@ -3,6 +3,8 @@
 #include "duties/tests/dutiestest.h"
 #include "forwarding/tests/fakeversiongate.h"
 
+#include <gmock/gmock.h>
+
 namespace cardamomlift::duties {
 
 namespace {
@@ -130,6 +132,65 @@
     EXPECT_LE(neededServers(load, service), byTokens * 2);
 }
 
+pace::FirstByteModel prefilling(double tokensPerSecond)
+{
+    return {milliseconds(50), tokensPerSecond};
+}
+
+// Load: engines that prefill up to twice as fast as assumed, which then answer as many more prompts in time.
+TEST(ServerCapacity, EnginesThatPrefillFasterAreReckonedWithMoreTokens)
+{
+    EXPECT_DOUBLE_EQ(measuredTokensPerServer(std::nullopt), 25'000);
+    EXPECT_DOUBLE_EQ(measuredTokensPerServer(prefilling(65'000)), 25'000);
+    EXPECT_DOUBLE_EQ(measuredTokensPerServer(prefilling(130'000)), 50'000);
+}
+
+// Load: slow engines, and measurements that cannot be right. As many servers as without a measurement, or a bounded part of them.
+TEST(ServerCapacity, AMeasurementNeverLowersTheCapacityAndRaisesItWithinBounds)
+{
+    for (const double rate : {-1.0, 0.0, 1.0, 30'000.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
+        EXPECT_DOUBLE_EQ(measuredTokensPerServer(prefilling(rate)), 25'000) << rate;
+    }
+    EXPECT_DOUBLE_EQ(measuredTokensPerServer(prefilling(1e9)), 100'000);
+}
+
+// Load: steady, while the measured rate swings by half with each status of the other VMs.
+TEST(ServerCapacity, TheNeedHardlySwingsWithTheMeasurement)
+{
+    ServerCapacity capacity;
+    TimePoint now(seconds(100));
+    updateCapacity(capacity, prefilling(130'000), now);
+    for (int i = 0; i < 40; i++) {
+        now += milliseconds(250);
+        updateCapacity(capacity, prefilling(i % 2 == 0 ? 97'500 : 162'500), now);
+        EXPECT_NEAR(capacity.tokensPerSecond, 50'000, 2'500);
+    }
+}
+
+// Load: the first seconds of a day, in which nothing is measured yet, and the same load after that.
+TEST(CapacityTarget, ServersAreNotKeptForDemandThatWasCountedBeforeTheMeasurement)
+{
+    manifest::Service service;
+    service.engine = manifest::EngineProfile{16, 500'000, true, true};
+    manifest::Scaling settings = scaling();
+    settings.maxPerZone = 100;
+    FleetLoad load;
+    load.promptTokensPerSecond = 80 * 25'000;
+    DemandHistory history;
+    ServerCapacity capacity;
+    TimePoint now(seconds(100));
+    updateCapacity(capacity, std::nullopt, now);
+    EXPECT_EQ(updateTarget(history, neededServers(load, service, capacity), {80, 0}, 4, settings, now).reclaimablePerZone, 44);
+    CapacityTarget target;
+    for (int i = 0; i < 60; i++) {
+        now += milliseconds(250);
+        rescaleDemand(history, updateCapacity(capacity, prefilling(130'000), now));
+        target = updateTarget(history, neededServers(load, service, capacity), {0, 160}, 4, settings, now);
+    }
+    EXPECT_NEAR(target.servers, 42, 1);
+    EXPECT_NEAR(target.reclaimablePerZone, 22, 1);
+}
+
 class AutoscalerTest : public DutiesTest
 {
 protected:
@@ -154,11 +215,14 @@
         tools.directory = servers_;
         tools.manifests = manifests_;
         tools.log = log_;
-        tools.metrics = metrics::Metrics::create();
+        tools.metrics = metrics_;
         tools.presence = vm_.presence;
         tools.ownLoads = [promptTokensPerSecond] {
             return std::vector<presence::ServiceLoad>{{presence::nameHash("models"), promptTokensPerSecond, 0, 0, 0}};
         };
+        tools.firstByteModel = [this](const std::string &) {
+            return firstByteModel_;
+        };
         tools.zones = {"a", "b", "c", "d"};
         tools.versions = versions_;
         return Autoscaler::start(std::move(tools));
@@ -177,6 +241,8 @@
     }
 
     std::shared_ptr<forwarding::FakeVersionGate> versions_ = std::make_shared<forwarding::FakeVersionGate>();
+    std::shared_ptr<metrics::Metrics> metrics_ = metrics::Metrics::create();
+    std::optional<pace::FirstByteModel> firstByteModel_;
     Vm vm_ = start("1");
     std::shared_ptr<directory::Directory> servers_ = directory::Directory::create();
 };
@@ -232,6 +298,28 @@
     EXPECT_GE(sumOf(record_.orders, false), 8 + 4);
 }
 
+// Load: as much as 60 servers of the assumed capacity answer, at engines that are twice as fast.
+TEST_F(AutoscalerTest, HalfTheServersAreOrderedForEnginesThatAreMeasuredTwiceAsFast)
+{
+    constexpr double TokensOfSixtyServers = 60 * 25'000;
+    firstByteModel_ = prefilling(130'000);
+    for (int i = 0; i < 30; i++) {
+        addServer(i, std::string(1, static_cast<char>('a' + i % 4)), false);
+    }
+    const auto autoscaler = startAutoscaler(TokensOfSixtyServers);
+    pass(seconds(3));
+    std::map<std::string, int> reclaimable;
+    for (const ServerOrder &order : record_.orders) {
+        if (order.isReclaimable) {
+            reclaimable[order.zone] = order.wanted;
+        }
+    }
+    EXPECT_EQ(reclaimable, (std::map<std::string, int>{{"a", 17}, {"b", 17}, {"c", 17}, {"d", 17}}));
+    const std::string page = metrics_->page();
+    EXPECT_THAT(page, testing::HasSubstr("capacity_tokens_per_server{service=\"models\"} 50000"));
+    EXPECT_THAT(page, testing::HasSubstr("capacity_servers_needed{service=\"models\"} 30"));
+}
+
 // Two of four failure domains have lost their reclaimable servers. 30 are needed, and 30 are left in the other two.
 TEST_F(AutoscalerTest, OrdinaryServersAreOrderedForTheNextReclaimOnlyWhileReclaimableOnesAreUnavailable)
 {
--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -62,6 +62,7 @@
     UsageReported,
     OrderSent,
     OrderRefused,
+    CapacityTarget, ///< The number of servers that a service should have has changed; the line has the data behind it.
     RolloutOrdered, ///< The operator ordered a rollout of another software version of a service.
     RolloutPhase, ///< This VM switched to another phase of a rollout.
     RolloutPaused, ///< This VM paused or resumed sending requests to the version on trial.
@@ -149,6 +150,10 @@
     LagMs, ///< How late this VM's event loop runs.
     GapMs, ///< Time between the last events of a stream.
     GoalMs, ///< Within which the next event, or the first, should come.
+    Need, ///< Servers that the load needs now.
+    Reclaimable, ///< Reclaimable servers wanted in each failure domain.
+    TokensPerServer, ///< Prompt tokens per second that one server is reckoned with.
+    PressurePercent, ///< Factor by which late answers raise the need: 100 if they do not.
     Count,
     Last
 };
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -58,6 +58,7 @@
     "usage_reported",
     "order_sent",
     "order_refused",
+    "capacity_target",
     "rollout_ordered",
     "rollout_phase",
     "rollout_paused",
@@ -141,6 +142,10 @@
     "lag_ms",
     "gap_ms",
     "goal_ms",
+    "need",
+    "reclaimable",
+    "tokens_per_server",
+    "pressure_percent",
     "count"};
 
 } // namespace
