Build only what it starts in make run

Cause: make run built all tests and benches before it served one request. Change: it builds the daemon, the tool and the stand-ins that scripts/run.sh starts; make test builds the rest. scripts/run.sh passed on these targets.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,12 @@
 # Some minutes of fresh seeds: make soak SOAK_SEEDS="101 102" SOAK_SECONDS=20
 SOAK_SEEDS ?= $(shell shuf -i 1000-999999 -n 6)
 SOAK_SECONDS ?= 20
-.PHONY: soak run test build packages bench format format-check lint clean
+# What scripts/run.sh starts.
+RUN_TARGETS = cardamomliftd cardamomlift standin-platform standin-engine standin-service
+.PHONY: soak run test build configure packages bench format format-check lint clean
 
-run: packages build
+run: packages configure
+	ninja -C $(BUILD) -j $(JOBS) $(RUN_TARGETS)
 	BUILD=$(BUILD) scripts/run.sh
 
 test: packages build
@@ -19,8 +22,10 @@
 packages:
 	scripts/packages.sh
 
-build:
-	cmake -S . -B $(BUILD) -G Ninja 
+configure:
+	cmake -S . -B $(BUILD) -G Ninja
+
+build: configure
 	ninja -C $(BUILD) -j $(JOBS)
 
 soak: packages build
