--- a/src/duties/internal/autoscaler.cpp
+++ b/src/duties/internal/autoscaler.cpp
@@ -1,6 +1,7 @@
 #include "duties/autoscaler.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cardamomlift::duties {
 
@@ -15,6 +16,8 @@
 constexpr Duration RetryInterval = std::chrono::milliseconds(2000);
 /// An order whose servers are still missing this long after their usual startup time is sent again.
 constexpr Duration StartGrace = std::chrono::milliseconds(3000);
+/// Least time between two equal orders if servers have gone in between, as many may go one after the other.
+constexpr Duration LossInterval = std::chrono::milliseconds(1000);
 
 /// The last load that a VM reported counts for this long after it was heard: its callers reconnect to other VMs.
 constexpr Duration LoadReportLifetime = std::chrono::seconds(4);
@@ -121,15 +124,70 @@
     return sumLoads(loads, presence::nameHash(service));
 }
 
+void Autoscaler::addGauges(const std::string &service)
+{
+    const auto add = [this, &service](std::string_view name, std::function<double(const ServiceState &)> read) {
+        const std::string labelled = std::string(name) + "{service=\"" + service + "\"}";
+        tools_.metrics->gauge(labelled, [weak = weak_from_this(), service, read = std::move(read)] {
+            const auto self = weak.lock();
+            if (!self || !self->tools_.lease->isHeld()) {
+                return 0.0;
+            }
+            const auto found = self->services_.find(service);
+            return found == self->services_.end() ? 0.0 : read(found->second);
+        });
+    };
+    add("capacity_servers_needed", [](const ServiceState &state) { return state.lastNeed.servers(); });
+    add("capacity_servers_target", [](const ServiceState &state) { return state.target ? state.target->servers : 0.0; });
+    add("capacity_prompt_tokens_per_second", [](const ServiceState &state) { return state.load.promptTokensPerSecond; });
+    add("capacity_tokens_per_server", [](const ServiceState &state) { return state.capacity.tokensPerSecond; });
+    add("capacity_requests_open", [](const ServiceState &state) { return state.load.open; });
+    add("capacity_pressure", [](const ServiceState &state) { return state.lastNeed.pressure; });
+}
+
+ServerNeed Autoscaler::updateNeed(ServiceState &state, const manifest::Service &service) const
+{
+    const auto measured = tools_.firstByteModel ? tools_.firstByteModel(service.name) : std::nullopt;
+    rescaleDemand(state.need, updateCapacity(state.capacity, measured, tools_.loop->now()));
+    state.load = fleetLoad(service.name);
+    state.lastNeed = assessNeed(state.load, service, state.capacity);
+    return state.lastNeed;
+}
+
+void Autoscaler::noteTarget(ServiceState &state, const std::string &service, const CapacityTarget &target, const PresentServers &present)
+{
+    if (state.target == target) {
+        return;
+    }
+    state.target = target;
+    tools_.log->write(Event::CapacityTarget,
+        {{Attribute::Service, service},
+            {Attribute::Wanted, std::int64_t(target.servers)},
+            {Attribute::Reclaimable, std::int64_t(target.reclaimablePerZone)},
+            {Attribute::Present, std::int64_t(present.ordinary + present.reclaimable)},
+            {Attribute::Reclaims, std::int64_t(present.recentReclaims)},
+            {Attribute::Need, std::lround(std::ceil(state.lastNeed.servers()))},
+            {Attribute::Tokens, std::llround(state.load.promptTokensPerSecond)},
+            {Attribute::TokensPerServer, std::llround(state.capacity.tokensPerSecond)},
+            {Attribute::Open, std::llround(state.load.open)},
+            {Attribute::PressurePercent, std::llround(state.lastNeed.pressure * 100)}});
+}
+
 void Autoscaler::planService(const manifest::Service &service)
 {
     const auto zones = countServers(service);
-    const double need = neededServers(fleetLoad(service.name), service);
+    const auto [entry, isNew] = services_.try_emplace(service.name);
+    if (isNew) {
+        addGauges(service.name);
+    }
+    ServiceState &state = entry->second;
+    const double need = updateNeed(state, service).servers();
     PresentServers present = presentServers(zones);
     present.isReclaimableUnavailable = isReclaimableUnavailable(service.name);
-    ServiceState &state = services_[service.name];
+    present.recentReclaims = countRecentReclaims(state.reclaims, zones, tools_.loop->now());
     const bool isSettling = isListSettling(state, present, need);
     const CapacityTarget target = updateTarget(state.need, need, present, zones.size(), *service.scaling, tools_.loop->now());
+    noteTarget(state, service.name, target, present);
     const bool isInRollout = isRollingOut(service.name);
     for (ServerOrder &order : planOrders(service.name, *service.scaling, zones, target)) {
         const auto zone = std::find_if(zones.begin(), zones.end(), [&](const ZoneServers &entry) { return entry.zone == order.zone; });
@@ -173,7 +231,7 @@
     return isGrowing || now - leaderSince_ < ListSettleTime;
 }
 
-bool Autoscaler::isDue(const SentOrder &sent, const ServerOrder &order, int present, const manifest::Scaling &scaling) const
+bool Autoscaler::isDue(SentOrder &sent, const ServerOrder &order, int present, const manifest::Scaling &scaling) const
 {
     if (sent.isPending) {
         return false;
@@ -183,10 +241,13 @@
         return sent.wanted >= 0 || present != order.wanted;
     }
     const Duration since = tools_.loop->now() - sent.at;
+    sent.mostPresent = std::max(sent.mostPresent, present);
     if (sent.outcome != LeaderCallOutcome::Done) {
         return since >= RetryInterval;
     }
-    return present < order.wanted && since >= scaling.startup + StartGrace;
+    // Servers that have gone are replaced at once: only the answer tells whether new ones are to be had.
+    const bool hasLost = present < sent.mostPresent && since >= LossInterval;
+    return present < order.wanted && (hasLost || since >= scaling.startup + StartGrace);
 }
 
 void Autoscaler::send(const ServerOrder &order, int present)
@@ -194,6 +255,7 @@
     SentOrder &sent = sentOrders_[{order.service, order.zone, order.isReclaimable}];
     sent.wanted = order.wanted;
     sent.at = tools_.loop->now();
+    sent.mostPresent = present;
     if (!tools_.lease->isHeld()) {
         sent.outcome = LeaderCallOutcome::Failed;
         return;
--- a/src/duties/tests/orders_test.cpp
+++ b/src/duties/tests/orders_test.cpp
@@ -3,6 +3,8 @@
 #include "duties/tests/dutiestest.h"
 #include "forwarding/tests/fakeversiongate.h"
 
+#include <gmock/gmock.h>
+
 namespace cardamomlift::duties {
 
 namespace {
@@ -18,6 +20,13 @@
     return result;
 }
 
+manifest::Scaling bigScaling()
+{
+    manifest::Scaling result = scaling();
+    result.maxPerZone = 100;
+    return result;
+}
+
 int sumOf(std::span<const ServerOrder> orders, bool reclaimable)
 {
     int sum = 0;
@@ -115,6 +124,44 @@
     EXPECT_EQ(updateTarget(history, 40, {0, 52, true}, 4, scaling(), now).serversAfterReclaim, 30);
 }
 
+// Load: steady, while one failure domain after the other loses its reclaimable servers and no new ones are available.
+TEST(CapacityTarget, TheLossOfTwoMoreFailureDomainsIsAllowedForInASeriesOfReclaims)
+{
+    ReclaimHistory reclaims;
+    TimePoint now(seconds(100));
+    std::vector<ZoneServers> zones{{"a", 0, 20}, {"b", 0, 20}, {"c", 0, 20}, {"d", 0, 20}};
+    const auto plan = [&](bool isUnavailable) {
+        DemandHistory history;
+        PresentServers present{0, 0, isUnavailable};
+        present.recentReclaims = countRecentReclaims(reclaims, zones, now);
+        return sumOf(planOrders("s", bigScaling(), zones, updateTarget(history, 40, present, 4, bigScaling(), now)), false);
+    };
+    EXPECT_EQ(plan(false), 0);
+    zones[0].reclaimable = 0;
+    EXPECT_EQ(plan(true), 0) << "the 40 servers of two others are left after another reclaim";
+    now += seconds(2);
+    zones[1].reclaimable = 0;
+    EXPECT_EQ(plan(true), 30) << "none of the 40 servers is left after two more, and 30 must be";
+    EXPECT_EQ(plan(false), 0) << "new reclaimable servers are available";
+    now += seconds(11);
+    EXPECT_EQ(plan(true), 10) << "the series is over";
+}
+
+// Load: steady at 90 servers, with the usual swing of a few servers in the need over some seconds. Each change is a call for each failure domain.
+TEST(CapacityTarget, SmallSwingsOfTheNeedChangeNoOrders)
+{
+    DemandHistory history;
+    TimePoint now(seconds(100));
+    CapacityTarget target;
+    int changes = 0;
+    for (int i = 0; i < 240; i++) {
+        now += milliseconds(250);
+        const CapacityTarget before = std::exchange(target, updateTarget(history, 88 + (i % 30) * 0.2, {0, 94}, 4, bigScaling(), now));
+        changes += i > 0 && target != before ? 1 : 0;
+    }
+    EXPECT_LE(changes, 2);
+}
+
 TEST(CapacityTarget, CountsTokensSlotsAndLateness)
 {
     manifest::Service service;
@@ -130,6 +177,65 @@
     EXPECT_LE(neededServers(load, service), byTokens * 2);
 }
 
+pace::FirstByteModel prefilling(double tokensPerSecond)
+{
+    return {milliseconds(50), tokensPerSecond};
+}
+
+// Load: engines that prefill up to twice as fast as assumed, which then answer as many more prompts in time.
+TEST(ServerCapacity, EnginesThatPrefillFasterAreReckonedWithMoreTokens)
+{
+    EXPECT_DOUBLE_EQ(measuredTokensPerServer(std::nullopt), 25'000);
+    EXPECT_DOUBLE_EQ(measuredTokensPerServer(prefilling(65'000)), 25'000);
+    EXPECT_DOUBLE_EQ(measuredTokensPerServer(prefilling(130'000)), 50'000);
+}
+
+// Load: slow engines, and measurements that cannot be right. As many servers as without a measurement, or a bounded part of them.
+TEST(ServerCapacity, AMeasurementNeverLowersTheCapacityAndRaisesItWithinBounds)
+{
+    for (const double rate : {-1.0, 0.0, 1.0, 30'000.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
+        EXPECT_DOUBLE_EQ(measuredTokensPerServer(prefilling(rate)), 25'000) << rate;
+    }
+    EXPECT_DOUBLE_EQ(measuredTokensPerServer(prefilling(1e9)), 100'000);
+}
+
+// Load: steady, while the measured rate swings by half with each status of the other VMs.
+TEST(ServerCapacity, TheNeedHardlySwingsWithTheMeasurement)
+{
+    ServerCapacity capacity;
+    TimePoint now(seconds(100));
+    updateCapacity(capacity, prefilling(130'000), now);
+    for (int i = 0; i < 40; i++) {
+        now += milliseconds(250);
+        updateCapacity(capacity, prefilling(i % 2 == 0 ? 97'500 : 162'500), now);
+        EXPECT_NEAR(capacity.tokensPerSecond, 50'000, 2'500);
+    }
+}
+
+// Load: the first seconds of a day, in which nothing is measured yet, and the same load after that.
+TEST(CapacityTarget, ServersAreNotKeptForDemandThatWasCountedBeforeTheMeasurement)
+{
+    manifest::Service service;
+    service.engine = manifest::EngineProfile{16, 500'000, true, true};
+    FleetLoad load;
+    load.promptTokensPerSecond = 80 * 25'000;
+    DemandHistory history;
+    ServerCapacity capacity;
+    TimePoint now(seconds(100));
+    updateCapacity(capacity, std::nullopt, now);
+    EXPECT_EQ(updateTarget(history, neededServers(load, service, capacity), {80, 0}, 4, bigScaling(), now).reclaimablePerZone, 44);
+    CapacityTarget target;
+    for (int i = 0; i < 60; i++) {
+        now += milliseconds(250);
+        rescaleDemand(history, updateCapacity(capacity, prefilling(130'000), now));
+        target = updateTarget(history, neededServers(load, service, capacity), {0, 160}, 4, bigScaling(), now);
+    }
+    // 40 are needed, and a tenth of the target is not given back.
+    EXPECT_GE(target.servers, 40);
+    EXPECT_LE(target.servers, 45);
+    EXPECT_NEAR(target.reclaimablePerZone, 22, 1);
+}
+
 class AutoscalerTest : public DutiesTest
 {
 protected:
@@ -154,11 +260,14 @@
         tools.directory = servers_;
         tools.manifests = manifests_;
         tools.log = log_;
-        tools.metrics = metrics::Metrics::create();
+        tools.metrics = metrics_;
         tools.presence = vm_.presence;
         tools.ownLoads = [promptTokensPerSecond] {
             return std::vector<presence::ServiceLoad>{{presence::nameHash("models"), promptTokensPerSecond, 0, 0, 0}};
         };
+        tools.firstByteModel = [this](const std::string &) {
+            return firstByteModel_;
+        };
         tools.zones = {"a", "b", "c", "d"};
         tools.versions = versions_;
         return Autoscaler::start(std::move(tools));
@@ -177,6 +286,8 @@
     }
 
     std::shared_ptr<forwarding::FakeVersionGate> versions_ = std::make_shared<forwarding::FakeVersionGate>();
+    std::shared_ptr<metrics::Metrics> metrics_ = metrics::Metrics::create();
+    std::optional<pace::FirstByteModel> firstByteModel_;
     Vm vm_ = start("1");
     std::shared_ptr<directory::Directory> servers_ = directory::Directory::create();
 };
@@ -232,6 +343,53 @@
     EXPECT_GE(sumOf(record_.orders, false), 8 + 4);
 }
 
+// Load: steady, and the reclaimable servers of a failure domain go two seconds after their number was ordered.
+TEST_F(AutoscalerTest, LostServersAreOrderedAgainWithoutWaitingForTheLastOrder)
+{
+    constexpr double TokensOfTenServers = 10 * 25'000;
+    for (int i = 0; i < 20; i++) {
+        addServer(i, std::string(1, static_cast<char>('a' + i % 4)), true);
+    }
+    const auto autoscaler = startAutoscaler(TokensOfTenServers);
+    pass(seconds(3));
+    for (int i = 20; i < 24; i++) {
+        addServer(i, std::string(1, static_cast<char>('a' + i % 4)), true);
+    }
+    pass(seconds(1));
+    record_.orders.clear();
+    record_.isReclaimableUnavailable = true;
+    for (int i = 0; i < 24; i += 4) {
+        servers_->remove("server-" + std::to_string(i), clock_.now());
+    }
+    pass(milliseconds(500));
+    ASSERT_GT(sumOf(record_.orders, true), 0);
+    EXPECT_EQ(record_.orders.front().zone, "a");
+    pass(seconds(1));
+    EXPECT_LE(record_.orders.size(), 2U);
+}
+
+// Load: as much as 60 servers of the assumed capacity answer, at engines that are twice as fast.
+TEST_F(AutoscalerTest, HalfTheServersAreOrderedForEnginesThatAreMeasuredTwiceAsFast)
+{
+    constexpr double TokensOfSixtyServers = 60 * 25'000;
+    firstByteModel_ = prefilling(130'000);
+    for (int i = 0; i < 30; i++) {
+        addServer(i, std::string(1, static_cast<char>('a' + i % 4)), false);
+    }
+    const auto autoscaler = startAutoscaler(TokensOfSixtyServers);
+    pass(seconds(3));
+    std::map<std::string, int> reclaimable;
+    for (const ServerOrder &order : record_.orders) {
+        if (order.isReclaimable) {
+            reclaimable[order.zone] = order.wanted;
+        }
+    }
+    EXPECT_EQ(reclaimable, (std::map<std::string, int>{{"a", 17}, {"b", 17}, {"c", 17}, {"d", 17}}));
+    const std::string page = metrics_->page();
+    EXPECT_THAT(page, testing::HasSubstr("capacity_tokens_per_server{service=\"models\"} 50000"));
+    EXPECT_THAT(page, testing::HasSubstr("capacity_servers_needed{service=\"models\"} 30"));
+}
+
 // Two of four failure domains have lost their reclaimable servers. 30 are needed, and 30 are left in the other two.
 TEST_F(AutoscalerTest, OrdinaryServersAreOrderedForTheNextReclaimOnlyWhileReclaimableOnesAreUnavailable)
 {
