Choose servers by pace, and draw among the cheapest where paces differ

Cause: the choice counted open requests over slots and waiting tokens over one constant, so a server that takes four times as long was chosen like any other.

Change: where a server's pace differs from 1 by more than a tenth, the cost is the expected time, pace * (own work + load), and the server is the cheaper one of two drawn from the cheapest k. k is such that the load which the other VMs have sent and this VM does not know yet costs each of them at most a quarter of a full server. VMs tell their requests per second for it, five bytes a service and status. The tokens of a full server and the aging of peers' backlogs follow the prefill rate where it is known. A server that has the prompt cached and is the cheapest is still taken. With all paces near 1 and no rate known the choice is as before.

The test of outliers filled Candidate by position, which put the flag into the new member pace; it names the members now.

--- a/src/balancing/balancingtypes.h
+++ b/src/balancing/balancingtypes.h
@@ -34,6 +34,9 @@
     std::string_view affinity; ///< Key of requests that share much of their prompt; empty: none.
     std::int64_t promptTokens = 0;
     double prefillTokensPerSecond = 0; ///< Prompt tokens that a server of the service prefills per second; 0: not known.
+    double peerOpenRequests = 0; ///< Requests that the other VMs have in progress at the service's servers; 0: not known.
+    double peerRequestsPerSecond = 0; ///< Requests that the other VMs send to the service per second; 0: not known.
+    double peerTokensPerSecond = 0; ///< Tokens of their prompts; 0: not known.
     std::int64_t fetchableTokens = 0; ///< The longest cached prefix of the prompt that another server can copy.
     std::uint64_t salt = 0; ///< Breaks ties, so that VMs that know the same loads don't all choose the same server.
 };
@@ -55,6 +58,22 @@
     /// This many prompt tokens waiting for prefill cost as much as a server whose slots are all in use: about what an engine
     /// prefills in a second, which is the promised time to the first token.
     double tokensPerFullServer = 40'000;
+    /// Where the prefill rate is known, the tokens of this time take the place of tokensPerFullServer, within the bounds below.
+    double secondsPerFullServer = 0.615;
+    double minTokensPerFullServer = 10'000;
+    double maxTokensPerFullServer = 200'000;
+    /// A pace closer to 1 than this counts as 1.
+    double paceTolerance = 0.1;
+    /// Bounds of a server's pace, so that one that is wrongly taken for fast does not draw all requests.
+    double minPace = 0.4;
+    double maxPace = 8;
+    /// Where servers work at different paces: the cost of the request's own work at a server of pace 1.
+    double ownWorkCost = 0.5;
+    /// Where servers work at different paces, their costs seldom tie, and VMs that know the same would all choose the cheapest one.
+    /// Instead they draw from so many of the cheapest that the load of the other VMs that is not known yet costs each at most this.
+    double unknownCost = 0.25;
+    /// Prompt tokens that the other VMs have sent become known after this time.
+    Duration waitingTokensAge = std::chrono::milliseconds(200);
     /// Cost of copying a token from another server's cache relative to prefilling it. A copy takes a fiftieth of the time,
     /// but its traffic is billed.
     double copyCostRatio = 0.4;
--- a/src/balancing/tests/choose_test.cpp
+++ b/src/balancing/tests/choose_test.cpp
@@ -32,7 +32,7 @@
     {
         std::vector<Candidate> result;
         for (std::size_t i = 0; i < servers.size(); i++) {
-            result.push_back({&servers[i], loads[i], outliers.contains(i)});
+            result.push_back({.server = &servers[i], .load = loads[i], .isOutlier = outliers.contains(i)});
         }
         return result;
     }
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(500);
+/// How often the demand at the other VMs is summed up, and how old a status may be to count.
+constexpr Duration PeerDemandPeriod = std::chrono::milliseconds(250);
+constexpr Duration PeerDemandLifetime = std::chrono::seconds(3);
 
 /// Suspensions of the process shorter than this are not logged.
 constexpr Duration MinSuspension = std::chrono::milliseconds(500);
@@ -25,6 +28,15 @@
     });
 }
 
+std::vector<presence::ServiceLoad> peerLoads(const presence::Presence &presence)
+{
+    std::vector<presence::ServiceLoad> loads;
+    for (const presence::Peer *peer : presence.recentlyHeard(PeerDemandLifetime)) {
+        loads.insert(loads.end(), peer->status->services.begin(), peer->status->services.end());
+    }
+    return loads;
+}
+
 class ForwardingModule : public Module
 {
 public:
@@ -91,6 +103,8 @@
                 backlog->update(status.instance, status.serverWork, loop->now());
             }
         });
+        const auto peerDemand = std::make_shared<PeerDemand>();
+        tools.peerDemand = peerDemand;
         tools.vmCount = [presence = context.get<presence::Presence>()] {
             return presence->vmCount();
         };
@@ -115,6 +129,7 @@
         gatewayTools.metrics = tools.metrics;
         EventLoop *loop = tools.loop;
         const auto forwarder = Forwarder::create(std::move(tools));
+        loop->every(PeerDemandPeriod, [peerDemand, presence = context.get<presence::Presence>()] { peerDemand->replace(peerLoads(*presence)); });
         loop->every(TickPeriod, [pool, forwarder] {
             pool->tick();
             forwarder->tick();
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -118,7 +118,10 @@
     std::vector<directory::ServerPtr> shortList(std::span<const directory::ServerPtr> usable, std::span<const prefixindex::PrefixMatch> matches) const;
     Choice chooseAmong(std::span<const directory::ServerPtr> usable, VersionPick pick, std::span<const prefixindex::PrefixMatch> matches) const;
     std::uint64_t salt() const;
-    balancing::Candidate candidateOf(const directory::KnownServer &known, std::span<const prefixindex::PrefixMatch> matches) const;
+    /// @p sharedPart: the request's affinity, which must outlive the result.
+    balancing::ChoiceInput choiceInput(std::string_view sharedPart, std::span<const prefixindex::PrefixMatch> matches) const;
+    balancing::Candidate candidateOf(
+        const directory::KnownServer &known, std::span<const prefixindex::PrefixMatch> matches, double prefillTokensPerSecond) const;
     /// Whether the stream has begun with the software of @p server, or has not begun yet.
     bool isOfOrigin(const directory::BackendServer &server) const;
     bool skipIfBackingOff(const std::string &instance, Choice &choice) const;
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -193,34 +193,26 @@
     return {server.instance, server.service, server.slots};
 }
 
-balancing::Candidate ForwardedRequest::candidateOf(const directory::KnownServer &known, std::span<const prefixindex::PrefixMatch> matches) const
+balancing::Candidate ForwardedRequest::candidateOf(
+    const directory::KnownServer &known, std::span<const prefixindex::PrefixMatch> matches, double prefillTokensPerSecond) const
 {
     balancing::Candidate candidate;
     candidate.server = &known;
     if (const ServerEntry *entry = tools_.pool->find(known.server.instance)) {
         candidate.load = entry->load;
     }
-    candidate.load.peerWaitingTokens = tools_.peerBacklog->waitingTokens(known.hash, tools_.loop->now());
     if (tools_.pace) {
         candidate.pace = tools_.pace->paceOf(known.hash, service_).factor;
     }
+    const double ownTokensPerSecond = prefillTokensPerSecond / balancing::effectivePace(candidate.pace, {});
+    candidate.load.peerWaitingTokens = tools_.peerBacklog->waitingTokens(known.hash, ownTokensPerSecond, tools_.loop->now());
     candidate.isOutlier = tools_.outliers->isOutlier(known.hash, service_);
     candidate.cachedTokens = prefixindex::matchedTokens(matches, known.hash);
     return candidate;
 }
 
-ForwardedRequest::Choice ForwardedRequest::chooseAmong(
-    std::span<const directory::ServerPtr> usable, VersionPick pick, std::span<const prefixindex::PrefixMatch> matches) const
+balancing::ChoiceInput ForwardedRequest::choiceInput(std::string_view sharedPart, std::span<const prefixindex::PrefixMatch> matches) const
 {
-    Choice choice;
-    const std::vector<const directory::KnownServer *> servers = eligibleServers(usable, pick, choice);
-    std::vector<balancing::Candidate> candidates;
-    candidates.reserve(servers.size());
-    for (const directory::KnownServer *server : servers) {
-        candidates.push_back(candidateOf(*server, matches));
-        choice.outliers += candidates.back().isOutlier ? 1 : 0;
-    }
-    const std::string sharedPart = affinity();
     balancing::ChoiceInput input;
     input.zone = tools_.settings.zone;
     input.affinity = sharedPart;
@@ -228,8 +220,30 @@
     if (const auto model = tools_.pace ? tools_.pace->firstByteModel(service_) : std::nullopt) {
         input.prefillTokensPerSecond = model->tokensPerSecond;
     }
+    if (tools_.peerDemand) {
+        const presence::ServiceLoad peers = tools_.peerDemand->of(service_);
+        input.peerOpenRequests = peers.open;
+        input.peerRequestsPerSecond = peers.requestsPerSecond;
+        input.peerTokensPerSecond = peers.promptTokensPerSecond;
+    }
     input.fetchableTokens = findBestCache(matches, {}).tokens;
     input.salt = salt();
+    return input;
+}
+
+ForwardedRequest::Choice ForwardedRequest::chooseAmong(
+    std::span<const directory::ServerPtr> usable, VersionPick pick, std::span<const prefixindex::PrefixMatch> matches) const
+{
+    Choice choice;
+    const std::vector<const directory::KnownServer *> servers = eligibleServers(usable, pick, choice);
+    const std::string sharedPart = affinity();
+    const balancing::ChoiceInput input = choiceInput(sharedPart, matches);
+    std::vector<balancing::Candidate> candidates;
+    candidates.reserve(servers.size());
+    for (const directory::KnownServer *server : servers) {
+        candidates.push_back(candidateOf(*server, matches, input.prefillTokensPerSecond));
+        choice.outliers += candidates.back().isOutlier ? 1 : 0;
+    }
     const auto chosen = balancing::choose(candidates, input, {}, tools_.loop->now());
     choice.candidates = candidates.size();
     if (chosen) {
--- a/src/forwarding/internal/peerbacklog.cpp
+++ b/src/forwarding/internal/peerbacklog.cpp
@@ -1,15 +1,26 @@
 #include "forwarding/peerbacklog.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cardamomlift::forwarding {
 
 namespace {
 
-/// Prompt tokens that an engine prefills per second. Used only to age old reports.
-constexpr double PrefillTokensPerSecond = 40'000;
+/// Prompt tokens that an engine prefills per second, where its rate is not known, and the bounds of a known rate.
+constexpr double UsualTokensPerSecond = 40'000;
+constexpr double MinTokensPerSecond = 4'000;
+constexpr double MaxTokensPerSecond = 1'000'000;
 constexpr double MicrosecondsPerSecond = 1e6;
 
+double boundedRate(double tokensPerSecond)
+{
+    if (!std::isfinite(tokensPerSecond) || tokensPerSecond <= 0) {
+        return UsualTokensPerSecond;
+    }
+    return std::clamp(tokensPerSecond, MinTokensPerSecond, MaxTokensPerSecond);
+}
+
 } // namespace
 
 void PeerBacklog::dropReport(const std::string &vm)
@@ -36,15 +47,16 @@
     }
 }
 
-std::int64_t PeerBacklog::waitingTokens(std::uint64_t server, TimePoint now) const
+std::int64_t PeerBacklog::waitingTokens(std::uint64_t server, double prefillTokensPerSecond, TimePoint now) const
 {
     const auto found = servers_.find(server);
     if (found == servers_.end()) {
         return 0;
     }
+    const double tokensPerSecond = boundedRate(prefillTokensPerSecond);
     std::int64_t sum = 0;
     for (const auto &[vm, report] : found->second) {
-        const double prefilled = static_cast<double>((now - report.at).count()) / MicrosecondsPerSecond * PrefillTokensPerSecond;
+        const double prefilled = static_cast<double>((now - report.at).count()) / MicrosecondsPerSecond * tokensPerSecond;
         sum += std::max<std::int64_t>(0, report.tokens - static_cast<std::int64_t>(prefilled));
     }
     return sum;
--- a/src/forwarding/internal/servicedemand.cpp
+++ b/src/forwarding/internal/servicedemand.cpp
@@ -16,6 +16,7 @@
 void ServiceDemand::decay(Entry &entry, TimePoint now)
 {
     const double factor = std::exp(-static_cast<double>((now - entry.updatedAt).count()) / MicrosecondsPerSecond / AveragingSeconds);
+    entry.requestsPerSecond *= factor;
     entry.tokensPerSecond *= factor;
     entry.answersPerSecond *= factor;
     entry.latenessPerSecond *= factor;
@@ -26,6 +27,7 @@
 {
     Entry &entry = entries_[service];
     decay(entry, now);
+    entry.requestsPerSecond += 1 / AveragingSeconds;
     entry.tokensPerSecond += static_cast<double>(promptTokens) / AveragingSeconds;
     entry.open++;
 }
@@ -56,6 +58,7 @@
         load.service = presence::nameHash(service);
         load.promptTokensPerSecond = entry.tokensPerSecond;
         load.open = entry.open;
+        load.requestsPerSecond = entry.requestsPerSecond;
         load.answersPerSecond = entry.answersPerSecond;
         load.latencyRatio = entry.answersPerSecond > 0 ? entry.latenessPerSecond / entry.answersPerSecond : 0;
         loads.push_back(load);
--- a/src/forwarding/peerbacklog.h
+++ b/src/forwarding/peerbacklog.h
@@ -20,7 +20,8 @@
     /// Replaces the previous report of @p vm by @p serverWork.
     void update(const std::string &vm, std::span<const presence::ServerWork> serverWork, TimePoint now);
     /// Tokens waiting at the server with the hash @p server, less those that it has likely processed since the reports.
-    std::int64_t waitingTokens(std::uint64_t server, TimePoint now) const;
+    /// @p prefillTokensPerSecond: the rate of that server; 0 if it is not known.
+    std::int64_t waitingTokens(std::uint64_t server, double prefillTokensPerSecond, TimePoint now) const;
 
 private:
     struct Report {
--- a/src/forwarding/servicedemand.h
+++ b/src/forwarding/servicedemand.h
@@ -21,6 +21,7 @@
 
 private:
     struct Entry {
+        double requestsPerSecond = 0;
         double tokensPerSecond = 0;
         double answersPerSecond = 0;
         double latenessPerSecond = 0;
--- a/src/forwarding/tests/peerbacklog_test.cpp
+++ b/src/forwarding/tests/peerbacklog_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <random>
 
 namespace cardamomlift::forwarding {
@@ -24,10 +25,21 @@
     PeerBacklog backlog;
     backlog.update("a", report(30'000), Start);
     backlog.update("b", report(10'000), Start);
-    EXPECT_EQ(backlog.waitingTokens(Server, Start), 40'000);
-    EXPECT_EQ(backlog.waitingTokens(Server + 1, Start), 0);
-    EXPECT_EQ(backlog.waitingTokens(Server, Start + milliseconds(250)), 20'000) << "a server prefills about 40,000 tokens per second";
-    EXPECT_EQ(backlog.waitingTokens(Server, Start + std::chrono::seconds(5)), 0);
+    EXPECT_EQ(backlog.waitingTokens(Server, 0, Start), 40'000);
+    EXPECT_EQ(backlog.waitingTokens(Server + 1, 0, Start), 0);
+    EXPECT_EQ(backlog.waitingTokens(Server, 0, Start + milliseconds(250)), 20'000) << "a server prefills about 40,000 tokens per second";
+    EXPECT_EQ(backlog.waitingTokens(Server, 0, Start + std::chrono::seconds(5)), 0);
+}
+
+TEST(PeerBacklog, AgesReportsByTheRateOfTheServerWithinBounds)
+{
+    PeerBacklog backlog;
+    backlog.update("a", report(30'000), Start);
+    EXPECT_EQ(backlog.waitingTokens(Server, 100'000, Start + milliseconds(250)), 5'000);
+    EXPECT_EQ(backlog.waitingTokens(Server, -1, Start + milliseconds(250)), 20'000) << "as if it were not known";
+    EXPECT_EQ(backlog.waitingTokens(Server, NAN, Start + milliseconds(250)), 20'000);
+    EXPECT_GT(backlog.waitingTokens(Server, 1e12, Start + milliseconds(20)), 0) << "a server is not taken for infinitely fast";
+    EXPECT_EQ(backlog.waitingTokens(Server, 0.001, Start + std::chrono::seconds(8)), 0) << "nor for one that stands still";
 }
 
 TEST(PeerBacklog, ANewReportReplacesTheVmsPreviousOne)
@@ -35,9 +47,9 @@
     PeerBacklog backlog;
     backlog.update("a", report(30'000), Start);
     backlog.update("a", report(5'000), Start);
-    EXPECT_EQ(backlog.waitingTokens(Server, Start), 5'000);
+    EXPECT_EQ(backlog.waitingTokens(Server, 0, Start), 5'000);
     backlog.update("a", {}, Start);
-    EXPECT_EQ(backlog.waitingTokens(Server, Start), 0);
+    EXPECT_EQ(backlog.waitingTokens(Server, 0, Start), 0);
 }
 
 /// Six VMs send prompts of very uneven length to twelve engines that prefill one prompt after the other, at two fifths of
@@ -118,7 +130,7 @@
         for (std::size_t engine = 0; engine < Engines; engine++) {
             candidates[engine].server = &servers_[engine];
             candidates[engine].load.localWaitingTokens = waitingAt(vm, engine, now);
-            candidates[engine].load.peerWaitingTokens = backlogs_[vm].waitingTokens(engine, now);
+            candidates[engine].load.peerWaitingTokens = backlogs_[vm].waitingTokens(engine, 0, now);
         }
         balancing::ChoiceInput input;
         input.promptTokens = tokens;
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -267,6 +267,7 @@
         entry->set_open(load.open);
         entry->set_lateness(static_cast<float>(load.latencyRatio));
         entry->set_answers_per_second(static_cast<float>(load.answersPerSecond));
+        entry->set_requests_per_second(static_cast<float>(load.requestsPerSecond));
     }
     for (const PrefixUse &use : status.prefixes) {
         auto *entry = out.add_prefixes();
@@ -354,7 +355,7 @@
             entry.has_since_answer_ms() ? std::optional<Duration>(std::chrono::milliseconds(entry.since_answer_ms())) : std::nullopt});
     }
     for (const auto &entry : in.services()) {
-        status.services.push_back({entry.service(), entry.prompt_tokens_per_second(), entry.open(), entry.lateness(), entry.answers_per_second()});
+        status.services.push_back({entry.service(), entry.prompt_tokens_per_second(), entry.open(), entry.lateness(), entry.answers_per_second(), entry.requests_per_second()});
     }
     for (const auto &entry : in.prefixes()) {
         status.prefixes.push_back({entry.prefix(), entry.server()});
--- a/src/presence/internal/statussummary.cpp
+++ b/src/presence/internal/statussummary.cpp
@@ -48,6 +48,7 @@
         sum.service = load.service;
         sum.promptTokensPerSecond += load.promptTokensPerSecond;
         sum.open += load.open;
+        sum.requestsPerSecond += load.requestsPerSecond;
         const double answers = sum.answersPerSecond + load.answersPerSecond;
         if (answers > 0) {
             sum.latencyRatio = (sum.latencyRatio * sum.answersPerSecond + load.latencyRatio * load.answersPerSecond) / answers;
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -46,6 +46,7 @@
     std::uint32_t open = 0; ///< Requests in progress.
     double latencyRatio = 0; ///< Time to the first byte divided by the route's goal, averaged over the last answers.
     double answersPerSecond = 0;
+    double requestsPerSecond = 0;
 };
 
 /// A request whose prompt starts with a prefix was sent to a backend server.
