Tell others a use of a prompt prefix once in a while, and answers of parts for less time

Cause: 104 to 125 KB of statuses a second at 88 VMs, of which some 70 repeated uses of prompt prefixes: each use for 2.5 s, seven times, also where all VMs knew it. While many servers crash, 130 to 190 KB more told for 5 s which parts of prompts have been answered. A summary had room for 96 uses of some 500, always those of the lowest hashes.

Change: a use that this VM has told, or heard of, within 8 s is not told again (a server's prefix is forgotten after 30 s); it is repeated for 1.2 s. Answers that clear requests and parts are shared for 1.5 s. A summary that has no room for all uses begins with others each time.

--- a/src/prefixindex/internal/prefixindex.cpp
+++ b/src/prefixindex/internal/prefixindex.cpp
@@ -10,9 +10,10 @@
 /// A prefix that was not used for this long has probably been evicted: a cache of half a million tokens is overwritten in that
 /// time by a server that prefills some 15,000 a second.
 constexpr Duration CacheLifetime = std::chrono::seconds(30);
-/// A send is repeated in this VM's statuses for this long: with 90 VMs a peer receives a full status every 1.4 s, and one may
-/// be lost.
-constexpr Duration ShareDuration = std::chrono::milliseconds(2500);
+/// A send is repeated in this VM's statuses for this long: a peer receives one about every 350 ms, and two may be lost.
+constexpr Duration ShareDuration = std::chrono::milliseconds(1200);
+/// A use that this VM has told, or heard of, is told again after this time, well before the others forget it.
+constexpr Duration ShareAgainAfter = std::chrono::seconds(8);
 /// Enough for a full status at ten requests a second. At higher rates it limits the size in the datagram to half a kilobyte.
 constexpr std::size_t MaxSharedUses = 32;
 /// Some hundred prefixes are in use at a time. The limit bounds the memory to 2 MB when a caller sends a new one with each
@@ -33,23 +34,23 @@
     return std::shared_ptr<PrefixIndex>(new PrefixIndex(loop));
 }
 
-void PrefixIndex::note(std::uint64_t prefix, std::uint64_t server, TimePoint at)
+CachingServer *PrefixIndex::noteUse(std::uint64_t prefix, std::uint64_t server)
 {
     if (cachingServers_.size() >= MaxPrefixes && !cachingServers_.contains(prefix)) {
-        return;
+        return nullptr;
     }
     std::vector<CachingServer> &cachingServers = cachingServers_[prefix];
     const auto existing =
         std::find_if(cachingServers.begin(), cachingServers.end(), [server](const CachingServer &caching) { return caching.server == server; });
     if (existing != cachingServers.end()) {
-        existing->usedAt = std::max(existing->usedAt, at);
-        return;
+        existing->usedAt = loop_.now();
+        return &*existing;
     }
     if (cachingServers.size() >= MaxServersPerPrefix) {
         cachingServers.erase(
             std::min_element(cachingServers.begin(), cachingServers.end(), [](const CachingServer &a, const CachingServer &b) { return a.usedAt < b.usedAt; }));
     }
-    cachingServers.push_back({server, at});
+    return &cachingServers.emplace_back(CachingServer{server, loop_.now(), TimePoint()});
 }
 
 void PrefixIndex::noteSent(std::span<const Prefix> prefixes, std::string_view instance)
@@ -57,7 +58,14 @@
     const TimePoint now = loop_.now();
     const std::uint64_t server = presence::nameHash(instance);
     for (const Prefix &prefix : prefixes) {
-        note(prefix.hash, server, now);
+        CachingServer *caching = noteUse(prefix.hash, server);
+        const bool isKnownToOthers = caching && caching->toldAt != TimePoint() && now - caching->toldAt < ShareAgainAfter;
+        if (isKnownToOthers) {
+            continue;
+        }
+        if (caching) {
+            caching->toldAt = now;
+        }
         sent_.push_back({{prefix.hash, server}, now});
     }
     if (sent_.size() > MaxSharedUses) {
@@ -68,7 +76,9 @@
 void PrefixIndex::applyPeerUses(std::span<const presence::PrefixUse> uses)
 {
     for (const presence::PrefixUse &use : uses) {
-        note(use.prefix, use.server, loop_.now());
+        if (CachingServer *caching = noteUse(use.prefix, use.server)) {
+            caching->toldAt = loop_.now();
+        }
     }
 }
 
--- a/src/prefixindex/prefixindex.h
+++ b/src/prefixindex/prefixindex.h
@@ -32,7 +32,8 @@
 
 private:
     explicit PrefixIndex(EventLoop &loop);
-    void note(std::uint64_t prefix, std::uint64_t server, TimePoint at);
+    /// Notes a use now. Null if there is no room for another prefix.
+    CachingServer *noteUse(std::uint64_t prefix, std::uint64_t server);
     struct Sent {
         presence::PrefixUse use;
         TimePoint at;
--- a/src/prefixindex/prefixindextypes.h
+++ b/src/prefixindex/prefixindextypes.h
@@ -22,6 +22,7 @@
 struct CachingServer {
     std::uint64_t server = 0; ///< presence::nameHash() of the instance.
     TimePoint usedAt; ///< When a request with the prefix was last sent to it.
+    TimePoint toldAt; ///< When this VM last told the others of such a request, or heard of it from one.
 };
 
 } // namespace cardamomlift::prefixindex
--- a/src/prefixindex/tests/prefixindex_test.cpp
+++ b/src/prefixindex/tests/prefixindex_test.cpp
@@ -83,6 +83,24 @@
     EXPECT_TRUE(index_->usesToShare().empty()) << "uses received from a peer are not sent on";
 }
 
+// The load: prompts that share a part are sent to the same server many times a second, by all VMs.
+TEST_F(PrefixIndexTest, TellsAHotPrefixAgainOnlyBeforeOthersForgetIt)
+{
+    const auto other = PrefixIndex::create(*loop_);
+    std::size_t told = 0;
+    for (int second = 0; second < 32; second++) {
+        index_->noteSent(prefixes_, "a");
+        told += index_->usesToShare().empty() ? 0 : 1;
+        other->applyPeerUses(index_->usesToShare());
+        clock_.advance(std::chrono::seconds(1));
+        other->tick();
+        EXPECT_GT(other->size(), 0U) << second;
+    }
+    EXPECT_EQ(told, 8U) << "four times, each for two statuses of this test";
+    other->noteSent(prefixes_, "a");
+    EXPECT_TRUE(other->usesToShare().empty()) << "the first VM has told it";
+}
+
 TEST_F(PrefixIndexTest, ForgetsUnusedPrefixes)
 {
     index_->noteSent(prefixes_, "a");
--- a/src/presence/internal/statussummary.cpp
+++ b/src/presence/internal/statussummary.cpp
@@ -291,6 +291,18 @@
     }
 }
 
+/// Where there are too many uses, each summary begins with others of them: uses are repeated for several summaries.
+void addPrefixes(Status &summary, const std::set<std::pair<std::uint64_t, std::uint64_t>> &uses, std::uint64_t turn)
+{
+    const std::size_t skipped = uses.size() > MaxPrefixes ? turn * MaxPrefixes % uses.size() : 0;
+    auto use = std::next(uses.begin(), static_cast<std::ptrdiff_t>(skipped));
+    for (std::size_t i = 0; i < std::min(uses.size(), MaxPrefixes); i++) {
+        summary.prefixes.push_back({use->first, use->second});
+        use++;
+        use = use == uses.end() ? uses.begin() : use;
+    }
+}
+
 } // namespace
 
 Status summarize(std::string group, std::span<const MemberStatus> members)
@@ -342,11 +354,7 @@
         summary.outcomes.push_back(sumOutcomes(view));
     }
     keepLargest(summary.outcomes, MaxServers, [](const ServerOutcomes &outcomes) { return outcomes.failed; });
-    for (const auto &[prefix, server] : prefixes) {
-        if (summary.prefixes.size() < MaxPrefixes) {
-            summary.prefixes.push_back({prefix, server});
-        }
-    }
+    addPrefixes(summary, prefixes, members.empty() ? 0 : members.front().status->sequence);
     return summary;
 }
 
--- a/src/suspects/internal/routesuspecttracker.cpp
+++ b/src/suspects/internal/routesuspecttracker.cpp
@@ -13,6 +13,9 @@
 
 /// What a VM has seen is in its statuses for this long, so that others miss it only if all of these are lost.
 constexpr Duration ShareTime = std::chrono::seconds(5);
+/// Answers that clear requests and parts are shared for this long. They come in hundreds when many servers crash, and one that is missed only
+/// keeps a request waiting for the next answer.
+constexpr Duration AnswerShareTime = std::chrono::milliseconds(1500);
 /// Bytes received this long after a crash were not in transit when the server crashed: the server is alive.
 constexpr Duration AliveMargin = std::chrono::milliseconds(500);
 /// A request that was answered this short a time before a crash is not its cause.
@@ -424,9 +427,12 @@
     const auto isOld = [oldest](const auto &shared) {
         return shared.at < oldest;
     };
+    const auto isOldAnswer = [oldest = tools_.loop->now() - AnswerShareTime](const auto &shared) {
+        return shared.at < oldest;
+    };
     std::erase_if(brokenRuns_, isOld);
-    std::erase_if(cleared_, isOld);
-    std::erase_if(answered_, isOld);
+    std::erase_if(cleared_, isOldAnswer);
+    std::erase_if(answered_, isOldAnswer);
     std::erase_if(alive_, isOld);
     std::erase_if(heldAt_, [oldest](const auto &entry) { return entry.second < oldest; });
     std::erase_if(partsHeldAt_, [oldest](const auto &entry) { return entry.second < oldest; });
