Spread hot parts by their demand, log the pace, bench uneven servers

Cause: two servers held a part of the prompts whatever the demand for it, and VMs that know the same all chose the same holder.

Change: where servers work at different paces, a part's requests are spread over as many servers as its share of what this VM does not know needs; each VM counts the share of its own requests, in bounded lists. The dispatch line tells the pace of the server.

Ruled out: parting servers by the size of prompts.

--- a/src/balancing/balancingtypes.h
+++ b/src/balancing/balancingtypes.h
@@ -37,6 +37,7 @@
     double peerOpenRequests = 0; ///< Requests that the other VMs have in progress at the service's servers; 0: not known.
     double peerRequestsPerSecond = 0; ///< Requests that the other VMs send to the service per second; 0: not known.
     double peerTokensPerSecond = 0; ///< Tokens of their prompts; 0: not known.
+    double affinityShare = 0; ///< Fraction of the service's requests that have this affinity; 0: not known.
     std::int64_t fetchableTokens = 0; ///< The longest cached prefix of the prompt that another server can copy.
     std::uint64_t salt = 0; ///< Breaks ties, so that VMs that know the same loads don't all choose the same server.
 };
@@ -45,7 +46,7 @@
 struct ChoiceParameters {
     /// A load report is used for this long; an older one is ignored, and only this VM's own open requests count.
     Duration reportLifetime = std::chrono::milliseconds(1500);
-    /// Number of servers that requests with the same affinity prefer while no cached prefix is known. With two, a hot prompt
+    /// Least number of servers that requests with the same affinity prefer while no cached prefix is known. With two, a hot prompt
     /// does not depend on a single server, and a shared part is prefilled at most twice.
     std::size_t affinityServers = 2;
     /// An affinity server is skipped when its cost exceeds the lowest by more than this. A cache miss prefills some thousand
--- a/src/balancing/choose.h
+++ b/src/balancing/choose.h
@@ -31,7 +31,7 @@
 /// prompt is cached anywhere, or it has no affinity, this is the server with the lowest cost. Otherwise requests with the same
 /// affinity go to the same few servers from all VMs, with no communication between these, unless those servers cost more than
 /// the cheapest one by over affinityCostMargin. Where servers work at different paces, one of the cheapest takes the place of the
-/// cheapest one; see ChoiceParameters::unknownCost.
+/// cheapest one, and more servers serve an affinity that many requests have; see ChoiceParameters::unknownCost.
 std::optional<std::size_t> choose(std::span<const Candidate> candidates, const ChoiceInput &input, const ChoiceParameters &parameters, TimePoint now);
 
 } // namespace cardamomlift::balancing
--- a/src/balancing/internal/choose.cpp
+++ b/src/balancing/internal/choose.cpp
@@ -75,8 +75,8 @@
     return a.cost != b.cost ? a.cost < b.cost : a.hash > b.hash;
 }
 
-/// The number of the cheapest servers over which the load that this VM does not know of yet is spread.
-std::size_t serversToDrawFrom(std::span<const Candidate> candidates, const ChoiceInput &input, const ChoiceParameters &parameters, TimePoint now)
+/// The number of the cheapest servers over which @p share of the load that this VM does not know of yet is spread.
+std::size_t serversToDrawFrom(std::span<const Candidate> candidates, const ChoiceInput &input, double share, const ChoiceParameters &parameters, TimePoint now)
 {
     double age = 0;
     double slots = 0;
@@ -91,7 +91,7 @@
     const double requests = std::min(input.peerRequestsPerSecond * age / count, input.peerOpenRequests);
     const double tokens = input.peerTokensPerSecond * secondsOf(parameters.waitingTokensAge);
     const double unknown = requests * slotCost + tokens / tokensPerFullServer(input.prefillTokensPerSecond, parameters);
-    const double servers = std::ceil(unknown / std::max(slotCost, parameters.unknownCost));
+    const double servers = std::ceil(unknown * share / std::max(slotCost, parameters.unknownCost));
     return std::isfinite(servers) ? static_cast<std::size_t>(std::clamp(servers, 1.0, count)) : 1;
 }
 
@@ -103,14 +103,16 @@
     return ranked[std::min(salt % count, salt / count % count)].index;
 }
 
+bool isRankedHigher(const RankedCandidate &a, const RankedCandidate &b)
+{
+    return a.hash > b.hash;
+}
+
 /// The index of the highest-ranked affinity server that does not cost too much, if there is one.
 std::optional<std::size_t> cheapAffinityServer(std::vector<RankedCandidate> &ranked, double lowestCost, const ChoiceParameters &parameters)
 {
     const std::size_t affinityServers = std::min(parameters.affinityServers, ranked.size());
-    std::partial_sort(
-        ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(affinityServers), ranked.end(), [](const RankedCandidate &a, const RankedCandidate &b) {
-            return a.hash > b.hash;
-        });
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(affinityServers), ranked.end(), isRankedHigher);
     for (std::size_t i = 0; i < affinityServers; i++) {
         if (ranked[i].cost <= lowestCost + parameters.affinityCostMargin) {
             return ranked[i].index;
@@ -119,6 +121,16 @@
     return std::nullopt;
 }
 
+/// The index of the cheaper one of two servers that are drawn from the @p count highest-ranked affinity servers that cost at most
+/// @p maxCost. So a part of the prompts that many requests share is kept by as many servers as these requests need.
+std::size_t drawPartServer(std::vector<RankedCandidate> &ranked, std::size_t count, double maxCost, std::uint64_t salt)
+{
+    const auto cheapEnd = std::partition(ranked.begin(), ranked.end(), [maxCost](const RankedCandidate &candidate) { return candidate.cost <= maxCost; });
+    count = std::min(count, static_cast<std::size_t>(cheapEnd - ranked.begin()));
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), cheapEnd, isRankedHigher);
+    return std::min(ranked[salt % count], ranked[salt / count % count], isPreferred).index;
+}
+
 } // namespace
 
 RendezvousRanker::RendezvousRanker(std::string_view affinity)
@@ -173,14 +185,21 @@
     const auto cheapest = std::min_element(ranked.begin(), ranked.end(), isPreferred);
     const std::size_t cheapestIndex = cheapest->index;
     const double lowestCost = cheapest->cost;
-    const std::size_t drawnFrom = context.isUneven ? serversToDrawFrom(candidates, input, parameters, now) : 1;
+    const double share = std::clamp(input.affinityShare, 0.0, 1.0);
+    const std::size_t partServers = context.isUneven && !input.affinity.empty() ? serversToDrawFrom(candidates, input, share, parameters, now) : 1;
+    const bool isCached = candidates[cheapestIndex].cachedTokens > 0;
+    if (partServers > parameters.affinityServers && (isCached || input.fetchableTokens == 0)) {
+        return drawPartServer(ranked, partServers, lowestCost + parameters.affinityCostMargin, input.salt);
+    }
     if (!input.affinity.empty() && input.fetchableTokens == 0) {
         if (const auto index = cheapAffinityServer(ranked, lowestCost, parameters)) {
             return index;
         }
     }
-    const bool isCached = candidates[cheapestIndex].cachedTokens > 0;
-    return drawnFrom == 1 || isCached ? cheapestIndex : drawCheap(ranked, drawnFrom, input.salt);
+    if (!context.isUneven || isCached) {
+        return cheapestIndex;
+    }
+    return drawCheap(ranked, serversToDrawFrom(candidates, input, 1, parameters, now), input.salt);
 }
 
 } // namespace cardamomlift::balancing
--- a/src/balancing/tests/servermodel.h
+++ b/src/balancing/tests/servermodel.h
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <functional>
 #include <random>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -62,8 +64,8 @@
         return result;
     }
 
-    /// Sends @p request from a random VM at @p now; returns whether it keeps its goal.
-    bool send(const ModelRequest &request, double now, ChoiceInput input = {})
+    /// Sends @p request from a random VM at @p now; returns the time until it begins, or ends if it has no prompt.
+    double send(const ModelRequest &request, double now, ChoiceInput input = {})
     {
         const std::size_t vm = random_() % settings_.vms;
         input.salt = random_();
@@ -73,8 +75,9 @@
         for (std::size_t i = 0; i < servers_.size(); i++) {
             input.peerOpenRequests += openAt(i, now);
         }
-        const auto chosen = *choose(candidates(vm, now), input, parameters, timeOf(now));
-        return run(chosen, vm, request, now) <= request.goal;
+        const std::vector<Candidate> known = candidates(vm, now);
+        const std::size_t chosen = chooser ? chooser(known, input) : *choose(known, input, parameters, timeOf(now));
+        return run(chosen, vm, request, now);
     }
 
     /// Runs @p request at @p server; returns the time until it begins, or ends if it has no prompt.
@@ -167,6 +170,7 @@
     std::vector<double> toldPace;
     std::vector<double> truePace;
     ChoiceParameters parameters;
+    std::function<std::size_t(std::span<const Candidate>, const ChoiceInput &)> chooser; ///< Takes the place of choose().
 };
 
 } // namespace cardamomlift::balancing
--- a/src/balancing/tests/unevenservers_test.cpp
+++ b/src/balancing/tests/unevenservers_test.cpp
@@ -57,7 +57,7 @@
         if (beforeEach) {
             beforeEach(now);
         }
-        const bool keeps = model.send({load.work, 0, load.goal}, now);
+        const bool keeps = model.send({load.work, 0, load.goal}, now) <= load.goal;
         total += now > WarmUpSeconds ? 1 : 0;
         kept += now > WarmUpSeconds && keeps ? 1 : 0;
     }
@@ -170,7 +170,7 @@
     for (double now = 0; now < 6; now += gap(model.random())) {
         const double kind = std::uniform_real_distribution<double>(0, 1)(model.random());
         const ModelRequest request = kind < 0.3 ? ModelRequest{0.6, 8'000, 0.6} : kind < 0.6 ? ModelRequest{0.45, 600, 0.4} : ModelRequest{0.05, 1'800, 0.4};
-        const bool keeps = model.send(request, now, input);
+        const bool keeps = model.send(request, now, input) <= request.goal;
         total += now > WarmUpSeconds ? 1 : 0;
         outcome.onTime += now > WarmUpSeconds && keeps ? 1 : 0;
         if (now > sampledAt) {
@@ -211,6 +211,53 @@
     }
 }
 
+constexpr std::int64_t LongestPrompt = 54'600;
+
+// Load: prompts of up to 54,600 tokens beside short ones that are due in 400 ms, from 88 VMs with reports 350 ms old, at 90 engines of
+// which a third are 2.4 times as fast; the engines read one prompt after the other.
+TEST(UnevenServers, ShortPromptsBeginInTimeBesideLongOnes)
+{
+    const auto shortOnTime = [](const ChoiceParameters &parameters, bool isTold) {
+        ServerModel::Settings settings;
+        settings.reportAge = 0.35;
+        settings.requestsPerSecond = 670;
+        settings.promptTokensPerSecond = settings.requestsPerSecond * 4'000;
+        ServerModel model(settings);
+        model.parameters = parameters;
+        for (std::size_t i = 0; i < settings.servers; i++) {
+            model.truePace[i] = i % 3 == 0 ? 0.55 : 1.3;
+            model.toldPace[i] = isTold ? model.truePace[i] : 1;
+        }
+        ChoiceInput input;
+        input.prefillTokensPerSecond = settings.tokensPerSecond;
+        std::exponential_distribution<double> gap(settings.requestsPerSecond);
+        std::lognormal_distribution<double> longPrompt(9.2, 0.9);
+        double total = 0;
+        double kept = 0;
+        for (double now = 0; now < 8; now += gap(model.random())) {
+            const double kind = std::uniform_real_distribution<double>(0, 1)(model.random());
+            if (kind < 0.24) {
+                model.send({0.6, std::min(LongestPrompt, std::int64_t(longPrompt(model.random()))), 0.6}, now, input);
+                continue;
+            }
+            const ModelRequest request = kind < 0.52 ? ModelRequest{0.45, 628, 0.4} : ModelRequest{0.05, 1'800, 0.4};
+            const bool keeps = model.send(request, now, input) <= request.goal;
+            total += now > WarmUpSeconds ? 1 : 0;
+            kept += now > WarmUpSeconds && keeps ? 1 : 0;
+        }
+        return kept / total;
+    };
+    ChoiceParameters cheapestOnly;
+    cheapestOnly.unknownCost = std::numeric_limits<double>::infinity();
+    const double untold = shortOnTime({}, false);
+    const double cheapest = shortOnTime(cheapestOnly, true);
+    const double chosen = shortOnTime({}, true);
+    std::printf("short prompts in time: %.3f; %.3f always at the cheapest engine, %.3f without paces\n", chosen, cheapest, untold);
+    EXPECT_GE(chosen, 0.97);
+    EXPECT_GT(chosen, untold + 0.05);
+    EXPECT_GT(chosen, cheapest + 0.05);
+}
+
 // Load: eight servers, one of which says that it is ten times as fast as it is, or what cannot be true.
 TEST(UnevenServers, ALiarNeitherDrawsAllWorkNorEmptiesTheRest)
 {
@@ -324,6 +371,43 @@
     }
 }
 
+// Load: half of all requests share one part of their prompts, which one of 90 uneven servers has cached.
+TEST(UnevenServers, HowManyServersServeAHotPartFollowsItsDemand)
+{
+    ServerModel model({});
+    for (std::size_t i = 0; i < model.toldPace.size(); i++) {
+        model.toldPace[i] = i % 3 == 0 ? 0.55 : 1.3;
+    }
+    std::vector<Candidate> candidates = model.candidates(0, 1);
+    candidates[30].cachedTokens = 5'000;
+    const auto serversUsed = [&](double share, double perSecond) {
+        ChoiceInput input;
+        input.promptTokens = 6'000;
+        input.fetchableTokens = 5'000;
+        input.prefillTokensPerSecond = 100'000;
+        input.peerOpenRequests = perSecond / 2;
+        input.peerRequestsPerSecond = perSecond;
+        input.peerTokensPerSecond = perSecond * 2'000;
+        input.affinity = "part";
+        input.affinityShare = share;
+        std::set<std::size_t> used;
+        for (std::uint64_t i = 0; i < 500; i++) {
+            input.salt = model.random()();
+            used.insert(*choose(candidates, input, {}, TimePoint(std::chrono::hours(1))));
+        }
+        return used.size();
+    };
+    EXPECT_EQ(serversUsed(0, 1'000), 1U);
+    EXPECT_EQ(serversUsed(0.01, 1'000), 1U);
+    const std::size_t few = serversUsed(0.1, 1'000);
+    const std::size_t many = serversUsed(0.5, 1'000);
+    EXPECT_GT(few, 2U);
+    EXPECT_GT(many, 2 * few);
+    EXPECT_LT(many, candidates.size() * 3 / 4);
+    EXPECT_EQ(serversUsed(0.5, 10), 1U) << "one server is enough again when few ask for it";
+    EXPECT_EQ(serversUsed(NAN, 1'000), 1U);
+}
+
 } // namespace
 
 } // namespace cardamomlift::balancing
--- a/src/bench/routing/main.cpp
+++ b/src/bench/routing/main.cpp
@@ -1,6 +1,8 @@
 // Routing decisions beside their baselines, and the cost of one decision. --check compares with the checked-in bounds.
 
+#include "balancing/choose.h"
 #include "bench/routing/decisionbench.h"
+#include "bench/routing/unevenbench.h"
 #include "http/json.h"
 #include "kernel/clock.h"
 #include "routing/router.h"
@@ -48,6 +50,34 @@
 }
 BENCHMARK(oneDecision)->Arg(12)->Arg(120)->Arg(1100);
 
+/// A choice among servers of different paces, each at some load.
+void oneUnevenChoice(benchmark::State &state)
+{
+    const auto count = static_cast<std::size_t>(state.range(0));
+    const TimePoint now(std::chrono::hours(1));
+    std::vector<directory::KnownServer> servers(count);
+    std::vector<balancing::Candidate> candidates(count);
+    for (std::size_t i = 0; i < count; i++) {
+        servers[i].server.instance = fmt::format("engine-{}", i);
+        servers[i].server.slots = 16;
+        candidates[i].server = &servers[i];
+        candidates[i].pace = i % 3 == 0 ? 0.55 : 1.3;
+        candidates[i].load.reportedAt = now;
+        candidates[i].load.reportedRequests = static_cast<int>(i * 7 % 11);
+    }
+    balancing::ChoiceInput input;
+    input.promptTokens = 1'800;
+    input.prefillTokensPerSecond = 100'000;
+    input.peerOpenRequests = 300;
+    input.peerRequestsPerSecond = 1'000;
+    input.peerTokensPerSecond = 2'000'000;
+    for (auto _ : state) {
+        input.salt += 0x9E3779B97F4A7C15U;
+        benchmark::DoNotOptimize(balancing::choose(candidates, input, {}, now));
+    }
+}
+BENCHMARK(oneUnevenChoice)->Arg(100);
+
 /// Keeps the time of each run for the check, and prints as usual.
 class KeepingReporter : public benchmark::ConsoleReporter
 {
@@ -171,6 +201,9 @@
             figures[scenario.name + "." + name] = value;
         }
     }
+    for (const bench::UnevenScenario &scenario : bench::unevenScenarios()) {
+        bench::printUnevenScenario(scenario);
+    }
     fmt::print("\n");
     int one = 1;
     benchmark::Initialize(&one, argv);
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -6,6 +6,7 @@
 #include "forwarding/admissiongate.h"
 #include "forwarding/customerhooks.h"
 #include "forwarding/forwardingtypes.h"
+#include "forwarding/partdemand.h"
 #include "forwarding/peerbacklog.h"
 #include "forwarding/peerdemand.h"
 #include "forwarding/retrypacer.h"
@@ -63,6 +64,7 @@
     std::shared_ptr<relay::RelayPool> relays; ///< May be null: no request is handed over to other entry VMs.
     std::shared_ptr<prefixindex::PrefixIndex> prefixes;
     std::shared_ptr<PeerBacklog> peerBacklog;
+    std::shared_ptr<PartDemand> partDemand; ///< May be null: no part of the prompts counts as hot.
     std::shared_ptr<PeerDemand> peerDemand; ///< May be null: nothing is known of the other VMs' requests.
     std::shared_ptr<pace::PaceTracker> pace; ///< May be null: all servers count as equally fast.
     WireFormat wire;
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -105,6 +105,7 @@
         });
         const auto peerDemand = std::make_shared<PeerDemand>();
         tools.peerDemand = peerDemand;
+        tools.partDemand = std::make_shared<PartDemand>();
         tools.vmCount = [presence = context.get<presence::Presence>()] {
             return presence->vmCount();
         };
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -162,6 +162,9 @@
     }
     isAdmitted_ = true;
     tools_.demand->noteRequest(service_, request_.promptTokens, tools_.loop->now());
+    if (tools_.partDemand) {
+        tools_.partDemand->noteRequest(service_, affinity(), tools_.loop->now());
+    }
     demandNoted_ = true;
     if (tools_.versions) {
         pick_ = tools_.versions->pick(service_, route_->name);
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -110,6 +110,7 @@
         std::size_t limited = 0; ///< Servers skipped because their rate limits leave no room now.
         std::optional<Duration> roomIn; ///< When one of the skipped servers has room again, as far as that is known.
         double limitedPerSecond = 0; ///< Requests per second that this VM may send to the skipped servers.
+        double pace = 1; ///< The server's; see balancing::Candidate.
         std::int64_t cachedTokens = 0; ///< Prompt tokens believed to be in the server's cache.
         std::int64_t prefillTokens = 0; ///< Prompt tokens neither cached at the server nor to be copied to it.
         std::string kvFetchFrom; ///< "address:port" of a server to copy the KV cache of the prompt's prefix from; empty: none.
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -226,6 +226,9 @@
         input.peerRequestsPerSecond = peers.requestsPerSecond;
         input.peerTokensPerSecond = peers.promptTokensPerSecond;
     }
+    if (tools_.partDemand) {
+        input.affinityShare = tools_.partDemand->share(service_, sharedPart, tools_.loop->now());
+    }
     input.fetchableTokens = findBestCache(matches, {}).tokens;
     input.salt = salt();
     return input;
@@ -249,6 +252,7 @@
     if (chosen) {
         choice.server = tools_.directory->find(candidates[*chosen].server->server.instance);
         choice.cachedTokens = candidates[*chosen].cachedTokens;
+        choice.pace = candidates[*chosen].pace;
         planPrefill(choice, matches);
     }
     return choice;
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace cardamomlift::forwarding {
 
@@ -14,6 +15,8 @@
 using eventlog::Attribute;
 using eventlog::Event;
 
+constexpr double Percent = 100;
+
 std::string_view kindName(manifest::RouteKind kind)
 {
     switch (kind) {
@@ -240,6 +243,7 @@
             {Attribute::Era, static_cast<std::int64_t>(tools_.directory->listVersion().era)},
             {Attribute::ListVersion, static_cast<std::int64_t>(tools_.directory->listVersion().number)},
             {Attribute::ListAgeMs, listAge ? toMilliseconds(*listAge) : std::int64_t(-1)},
+            {Attribute::PacePercent, std::int64_t(std::lround(choice.pace * Percent))},
             {Attribute::LeftMs, toMilliseconds(timeLeft())}});
 }
 
