Bound what VMs tell of pace by the number of receivers

With 300 VMs a status goes to 24 others and a summary to 11 groups; 20 and 24 servers in each would have been 25 KB a second. Each VM now tells fewer servers to more receivers, which together hear of as many.

--- a/src/pace/internal/pacetracker.cpp
+++ b/src/pace/internal/pacetracker.cpp
@@ -19,10 +19,9 @@
 /// More servers of one status are passed over.
 constexpr std::size_t MaxServersOfPeer = 48;
 
-/// Maximum number of servers in one status, some 11 bytes each.
-constexpr std::size_t MaxSharedServers = 20;
-/// Of these, the servers that are farthest off the mean. The others have the most observations, from which other VMs learn the mean.
-constexpr std::size_t MaxSharedDeviating = 10;
+/// Maximum number of servers in one status, some 11 bytes each; fewer where it goes to many VMs, which then learn from as many more.
+constexpr std::size_t MaxSharedServers = 40;
+constexpr std::size_t MaxSharedServersTimesPeers = 220;
 constexpr Duration SharedWithin = std::chrono::seconds(2);
 /// Fewer units are not worth their bytes.
 constexpr double MinSharedUnits = 0.5;
@@ -208,6 +207,12 @@
     return counts_;
 }
 
+std::size_t PaceTracker::maxSharedServers() const
+{
+    const auto receivers = std::count_if(peers_.begin(), peers_.end(), [](const auto &entry) { return !entry.second.isGroup; });
+    return std::min(MaxSharedServers, MaxSharedServersTimesPeers / static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, receivers)));
+}
+
 std::vector<presence::ServerPace> PaceTracker::pacesToShare() const
 {
     /// A server with its distance from the mean.
@@ -234,9 +239,11 @@
         ranked.push_back(entry);
     }
     std::sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) { return a.deviation > b.deviation; });
-    const auto others = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(ranked.size(), MaxSharedDeviating));
+    // From the servers with the most observations other VMs learn the mean.
+    const std::size_t maxCount = maxSharedServers();
+    const auto others = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(ranked.size(), (maxCount + 1) / 2));
     std::sort(others, ranked.end(), [](const Ranked &a, const Ranked &b) { return a.pace.work.units > b.pace.work.units; });
-    ranked.resize(std::min(ranked.size(), MaxSharedServers));
+    ranked.resize(std::min(ranked.size(), maxCount));
     std::vector<presence::ServerPace> shared;
     shared.reserve(ranked.size());
     for (const Ranked &entry : ranked) {
@@ -267,13 +274,13 @@
     dropServersOf(key);
     Peer &peer = peers_[key];
     peer.heardAt = loop_.now();
-    const bool isGroup = !status.summaryOf.empty();
+    peer.isGroup = !status.summaryOf.empty();
     for (const presence::ServerPace &pace : status.paces) {
         if (peer.servers.size() >= MaxServersOfPeer) {
             break;
         }
         if (pace.service != 0 && isPlausible(pace.work) && serviceOf(pace.service) && serverOf(pace.server)) {
-            applyServer(key, isGroup, pace);
+            applyServer(key, peer.isGroup, pace);
             peer.servers.push_back(pace.server);
         }
     }
--- a/src/pace/pacetracker.h
+++ b/src/pace/pacetracker.h
@@ -88,6 +88,7 @@
         std::vector<std::uint32_t> servers; ///< In its last status.
         std::unordered_map<std::uint32_t, FirstByteSums> firstBytes; ///< By service.
         TimePoint heardAt;
+        bool isGroup = false;
     };
 
     /// Null if there is no room for another server.
@@ -98,6 +99,7 @@
     void noteWork(const std::string &instance, const std::string &service, double units, Duration time);
     void applyServer(std::uint64_t peer, bool isGroup, const presence::ServerPace &pace);
     void dropServersOf(std::uint64_t peer);
+    std::size_t maxSharedServers() const;
     /// Observations of this VM, and of the other VMs; those of groups only with @p withGroups.
     WorkSums combined(const Server &server, bool withGroups) const;
     const LearntPace &learntOf(const Server &server) const;
--- a/src/pace/tests/pacetracker_test.cpp
+++ b/src/pace/tests/pacetracker_test.cpp
@@ -102,7 +102,7 @@
         return error / static_cast<double>(size_.vms * servers_.size());
     }
 
-    /// The largest datagram of pace alone, and what a VM sends of it in a second.
+    /// The largest parts of datagrams that pace takes.
     std::size_t maxStatusBytes() const
     {
         return maxStatusBytes_;
@@ -113,6 +113,12 @@
         return maxSummaryBytes_;
     }
 
+    /// What a VM sends of it in the mean.
+    double bytesPerSecond() const
+    {
+        return static_cast<double>(sentBytes_) / static_cast<double>(size_.vms) / (static_cast<double>(steps_) * std::chrono::duration<double>(Step).count());
+    }
+
 private:
     struct Run {
         std::size_t vm = 0;
@@ -200,13 +206,15 @@
         return vm / size_.vmsPerGroup;
     }
 
-    static presence::Status sent(const presence::Status &status, std::size_t &maxBytes)
+    presence::Status sent(const presence::Status &status, std::size_t receivers, std::size_t &maxBytes)
     {
         const std::string bytes = presence::encodeStatus(status, 0, {});
         presence::Status empty;
         empty.instance = status.instance;
         empty.summaryOf = status.summaryOf;
-        maxBytes = std::max(maxBytes, bytes.size() - presence::encodeStatus(empty, 0, {}).size());
+        const std::size_t ofPace = bytes.size() - presence::encodeStatus(empty, 0, {}).size();
+        maxBytes = std::max(maxBytes, ofPace);
+        sentBytes_ += ofPace * receivers;
         return presence::decodeStatus(bytes)->status;
     }
 
@@ -216,7 +224,7 @@
         status.instance = fmt::format("vm-{}", vm);
         status.paces = trackers_[vm]->pacesToShare();
         status.firstBytes = trackers_[vm]->firstBytesToShare();
-        statuses_[vm] = sent(status, maxStatusBytes_);
+        statuses_[vm] = sent(status, size_.vmsPerGroup - 1, maxStatusBytes_);
         sentAt_[vm] = clock_.now();
         for (std::size_t other = 0; other < size_.vms; other++) {
             if (other != vm && groupOf(other) == groupOf(vm)) {
@@ -238,8 +246,9 @@
             }
         }
         presence::Status summary = presence::summarize(fmt::format("group-{}", group), members);
+        summary.membersHash = 0;
         summary.instance = fmt::format("group-{}", group);
-        summary = sent(summary, maxSummaryBytes_);
+        summary = sent(summary, size_.vms - size_.vmsPerGroup, maxSummaryBytes_);
         for (std::size_t vm = 0; vm < size_.vms; vm++) {
             if (groupOf(vm) != group) {
                 trackers_[vm]->applyPeer(summary);
@@ -259,6 +268,7 @@
     std::size_t steps_ = 0;
     std::size_t maxStatusBytes_ = 0;
     std::size_t maxSummaryBytes_ = 0;
+    std::size_t sentBytes_ = 0;
 };
 
 const Size ManyVms{88, 11, 90, 600, 24, milliseconds(30)};
@@ -394,8 +404,10 @@
             fleet.servers()[i].moment = i % 7 == 0 ? 2.5 : 1;
         }
         fleet.run(std::chrono::seconds(2));
+        RecordProperty(fmt::format("bytes_per_second_{}", size.vms), static_cast<int>(fleet.bytesPerSecond()));
         RecordProperty(fmt::format("status_bytes_{}", size.vms), static_cast<int>(fleet.maxStatusBytes()));
         RecordProperty(fmt::format("summary_bytes_{}", size.vms), static_cast<int>(fleet.maxSummaryBytes()));
+        EXPECT_LT(fleet.bytesPerSecond(), 12'000);
         EXPECT_LT(fleet.maxStatusBytes(), 300);
         EXPECT_LT(fleet.maxSummaryBytes(), 360);
     }
--- a/src/presence/internal/statussummary.cpp
+++ b/src/presence/internal/statussummary.cpp
@@ -18,7 +18,9 @@
 /// gets answers that name it.
 constexpr std::size_t MaxLimits = 64;
 /// Maximum number of servers whose pace is in a summary, some 11 bytes each: those that are farthest off the mean of their service.
+/// There are about as many groups as members of one, so it has fewer where it goes to many groups.
 constexpr std::size_t MaxPaces = 24;
+constexpr std::size_t MaxPacesTimesMembers = 264;
 /// Servers closer to the mean are left out.
 constexpr double MinPaceDeviation = 0.1;
 /// Maximum number of prefixes in a summary. A group of 24 VMs with five requests a second each uses about 100 new ones between
@@ -244,7 +246,7 @@
 }
 
 // The mean of a service is that of the group.
-std::vector<ServerPace> deviatingPaces(const std::map<std::uint32_t, ServerPace> &sums)
+std::vector<ServerPace> deviatingPaces(const std::map<std::uint32_t, ServerPace> &sums, std::size_t members)
 {
     std::map<std::uint32_t, std::vector<pace::WorkSums>> works;
     for (const auto &[server, pace] : sums) {
@@ -263,7 +265,7 @@
             ranked.emplace_back(deviation, &pace);
         }
     }
-    keepLargest(ranked, MaxPaces, [](const Ranked &entry) { return entry.first; });
+    keepLargest(ranked, std::min(MaxPaces, MaxPacesTimesMembers / std::max<std::size_t>(1, members)), [](const Ranked &entry) { return entry.first; });
     std::vector<ServerPace> deviating;
     deviating.reserve(ranked.size());
     for (const auto &[deviation, pace] : ranked) {
@@ -334,7 +336,7 @@
     keepLargest(summary.serverWork, MaxServers, [](const ServerWork &work) { return work.waitingTokens; });
     appendValues(summary.limits, limits);
     keepLargest(summary.limits, MaxLimits, [](const ServerLimit &limit) { return -limit.age; });
-    summary.paces = deviatingPaces(paces);
+    summary.paces = deviatingPaces(paces, members.size());
     appendValues(summary.firstBytes, firstBytes);
     limitCrashUpdate(summary.crashUpdate);
     for (const auto &[server, view] : combined) {
