Keep a VM that cannot keep up from making servers look slow

Such a VM notices all answers late, and what it told made the servers that it used look slow to all. It now compares its own observations with those of its peers at the same servers: the weighted median of the ratios is its own part, and is taken off before it uses or tells them. One server that has just slowed down does not move the median. Ruled out: a correction by each receiver for each peer (more state, and summaries of groups would keep the error).

--- a/src/pace/internal/pacerules.cpp
+++ b/src/pace/internal/pacerules.cpp
@@ -48,6 +48,12 @@
 constexpr double MaxUnitsOverMedian = 3;
 constexpr double MaxTimeOverMedian = 2.5;
 
+/// A VM sees servers as slow by itself from this ratio on, by at least so many servers with enough observations at both sides.
+constexpr double MinObserverFactor = 1.3;
+constexpr double MaxObserverFactor = 16;
+constexpr std::size_t MinObserverServers = 3;
+constexpr double MinObserverUnits = 1;
+
 /// Announcements change many times a second.
 constexpr Duration AnnouncementFresh = std::chrono::milliseconds(100);
 constexpr Duration AnnouncementOld = std::chrono::milliseconds(600);
@@ -95,7 +101,7 @@
     return std::abs(factor - 1) <= DeadBand ? 1 : factor;
 }
 
-/// The time of one unit of work at a server, and how much it counts.
+/// The time of one unit of work at a server, or its ratio to another, and how much it counts.
 struct UnitTime {
     double seconds = 0;
     double weight = 0;
@@ -240,6 +246,29 @@
     return sum / totalWeight;
 }
 
+double observerFactor(std::span<const SharedView> servers)
+{
+    std::vector<UnitTime> ratios;
+    double totalWeight = 0;
+    for (const SharedView &server : servers) {
+        const bool isSeenByBoth = server.own.units >= MinObserverUnits && server.others.units >= MinServerUnits;
+        if (isSeenByBoth && server.others.seconds > 0) {
+            ratios.push_back({server.own.seconds / server.own.units * server.others.units / server.others.seconds, server.own.units});
+            totalWeight += server.own.units;
+        }
+    }
+    if (ratios.size() < MinObserverServers) {
+        return 1;
+    }
+    const double factor = weightedMedian(ratios, totalWeight);
+    return factor < MinObserverFactor ? 1 : std::min(factor, MaxObserverFactor);
+}
+
+WorkSums withoutObserver(const WorkSums &sums, double observerFactor)
+{
+    return {sums.seconds / observerFactor, sums.usualSeconds / observerFactor, sums.units};
+}
+
 void addSteady(WorkSums &steady, const WorkSums &current, double meanTime, Duration elapsed)
 {
     scale(steady, decayFactor(elapsed, SteadyTimeConstantSeconds));
--- a/src/pace/internal/pacetracker.cpp
+++ b/src/pace/internal/pacetracker.cpp
@@ -160,10 +160,15 @@
     note(used->firstBytes, prefillTokens, time);
 }
 
-WorkSums PaceTracker::combined(const Server &server, bool withGroups) const
+WorkSums PaceTracker::ownWork(const Server &server) const
+{
+    return withoutObserver(decayed(server.work, loop_.now() - server.workAt), observerFactor_);
+}
+
+WorkSums PaceTracker::othersWork(const Server &server, bool withGroups) const
 {
     const TimePoint now = loop_.now();
-    WorkSums sum = decayed(server.work, now - server.workAt);
+    WorkSums sum;
     for (const PeerWork &entry : server.peers) {
         if (withGroups || !entry.isGroup) {
             add(sum, decayed(entry.work, now - entry.at));
@@ -172,6 +177,13 @@
     return sum;
 }
 
+WorkSums PaceTracker::combined(const Server &server, bool withGroups) const
+{
+    WorkSums sum = othersWork(server, withGroups);
+    add(sum, ownWork(server));
+    return sum;
+}
+
 const LearntPace &PaceTracker::learntOf(const Server &server) const
 {
     const TimePoint now = loop_.now();
@@ -227,7 +239,7 @@
         if (server.service == 0 || !isObserved) {
             continue;
         }
-        Ranked entry{{key, server.service, decayed(server.work, now - server.workAt), std::nullopt, Duration(0)}, 0};
+        Ranked entry{{key, server.service, ownWork(server), std::nullopt, Duration(0)}, 0};
         if (server.announcedHere && now - server.announcedHere->at <= AnnouncementRetention) {
             entry.pace.announced = server.announcedHere->factor;
             entry.pace.announcedAge = now - server.announcedHere->at;
@@ -324,12 +336,24 @@
 void PaceTracker::tick()
 {
     dropOld();
+    updateObserverFactor();
     updateMeans();
     updateSteady();
     updateFirstByteModels();
     updateSides();
 }
 
+void PaceTracker::updateObserverFactor()
+{
+    const TimePoint now = loop_.now();
+    std::vector<SharedView> servers;
+    servers.reserve(servers_.size());
+    for (const auto &[key, server] : servers_) {
+        servers.push_back({decayed(server.work, now - server.workAt), othersWork(server, false)});
+    }
+    observerFactor_ = observerFactor(servers);
+}
+
 // Groups tell only of servers that are off the mean, so they would distort it.
 void PaceTracker::updateMeans()
 {
--- a/src/pace/pacerules.h
+++ b/src/pace/pacerules.h
@@ -30,6 +30,18 @@
 /// moves it little, whatever was observed there.
 double meanTime(std::span<const WorkSums> servers);
 
+/// Work at one server, as this VM and as others have observed it.
+struct SharedView {
+    WorkSums own;
+    WorkSums others;
+};
+
+/// How much longer work seems to take at this VM than at others, at the same servers: a VM that can't keep up sees all of them as slow. 1 while it is no
+/// more than chance may cause, or few servers tell. Its observations count by that much less time.
+double observerFactor(std::span<const SharedView> servers);
+/// Divides the times of @p sums.
+WorkSums withoutObserver(const WorkSums &sums, double observerFactor);
+
 /// How long work takes at a server relative to the mean, by observations alone.
 struct LearntPace {
     double factor = 1;
--- a/src/pace/pacetracker.h
+++ b/src/pace/pacetracker.h
@@ -104,6 +104,11 @@
     WorkSums combined(const Server &server, bool withGroups) const;
     const LearntPace &learntOf(const Server &server) const;
     PaceEstimate estimateOf(const Server &server) const;
+    /// This VM's observations now, less what it adds to them itself.
+    WorkSums ownWork(const Server &server) const;
+    /// Those of other VMs; with @p withGroups also those of groups.
+    WorkSums othersWork(const Server &server, bool withGroups) const;
+    void updateObserverFactor();
     void updateMeans();
     void updateSteady();
     void updateFirstByteModels();
@@ -118,6 +123,7 @@
     std::unordered_map<std::uint32_t, Service> services_; ///< By presence::shortHash() of the name.
     std::unordered_map<std::uint64_t, Peer> peers_; ///< By presence::nameHash() of the VM or group.
     PaceCounts counts_;
+    double observerFactor_ = 1; ///< How much longer work seems to take at this VM than at others.
     TimePoint tickedAt_;
 };
 
--- a/src/pace/tests/pacerules_test.cpp
+++ b/src/pace/tests/pacerules_test.cpp
@@ -120,6 +120,17 @@
     EXPECT_LT(work.seconds / work.units, 1.2 * Usual);
 }
 
+TEST(PaceRules, AVmIsFoundSlowByMostServersNotByOne)
+{
+    const SharedView even{sums(10, 1), sums(30, 1)};
+    const SharedView slowHere{sums(10, 5), sums(30, 1)};
+    EXPECT_EQ(observerFactor(std::vector<SharedView>{even, even, even, slowHere}), 1) << "the server has just slowed down";
+    EXPECT_NEAR(observerFactor(std::vector<SharedView>{slowHere, slowHere, slowHere, even}), 5, 0.01);
+    EXPECT_EQ(observerFactor(std::vector<SharedView>{slowHere, slowHere}), 1) << "too few servers";
+    EXPECT_EQ(observerFactor(std::vector<SharedView>(8, {sums(10, 0.1), sums(30, 1)})), 1) << "no VM sees servers as too fast by itself";
+    EXPECT_EQ(observerFactor(std::vector<SharedView>(8, {sums(10, 1), {}})), 1);
+}
+
 TEST(PaceRules, SidesHaveHysteresis)
 {
     EXPECT_EQ(sideOf(1.4, PaceSide::Usual), PaceSide::Usual);
--- a/src/pace/tests/pacetracker_test.cpp
+++ b/src/pace/tests/pacetracker_test.cpp
@@ -63,6 +63,12 @@
         return servers_;
     }
 
+    /// Makes the first VM notice each answer late.
+    void delayFirstVm(milliseconds lag)
+    {
+        firstVmLag_ = lag;
+    }
+
     void run(milliseconds time)
     {
         for (milliseconds passed(0); passed < time; passed += Step) {
@@ -173,7 +179,7 @@
             trackers_[run.vm]->noteEvents(run.instance, Service, 1, run.endsAt - run.startedAt);
         } else {
             announce(run);
-            trackers_[run.vm]->noteAnswer(run.instance, Service, run.endsAt - run.startedAt);
+            trackers_[run.vm]->noteAnswer(run.instance, Service, run.endsAt - run.startedAt + (run.vm == 0 ? firstVmLag_ : milliseconds(0)));
         }
         run.unitsLeft--;
         run.startedAt = now;
@@ -269,6 +275,7 @@
     std::size_t maxStatusBytes_ = 0;
     std::size_t maxSummaryBytes_ = 0;
     std::size_t sentBytes_ = 0;
+    milliseconds firstVmLag_{0};
 };
 
 const Size ManyVms{88, 11, 90, 600, 24, milliseconds(30)};
@@ -382,6 +389,20 @@
     }
 }
 
+// One of 4 VMs can't keep up and notices each answer 240 ms late, at five times the time of the work. All servers are alike.
+TEST(PaceTracker, AVmThatCanNotKeepUpDoesNotMakeServersSlow)
+{
+    Fleet fleet({});
+    fleet.delayFirstVm(milliseconds(240));
+    fleet.run(std::chrono::seconds(3));
+    for (int i = 0; i < 20; i++) {
+        fleet.run(milliseconds(200));
+        for (std::size_t server = 0; server < 8; server++) {
+            EXPECT_EQ(fleet.shareWithin(server, 0.8, 1.3), 1);
+        }
+    }
+}
+
 // A slow server starts again; it has another instance then.
 TEST(PaceTracker, AServerThatStartsAnewIsUnknownAgain)
 {
