--- a/src/pace/tests/pacetracker_test.cpp
+++ b/src/pace/tests/pacetracker_test.cpp
@@ -303,6 +303,8 @@
     for (std::size_t i = 0; i < fleet.servers().size(); i++) {
         (i % 3 == 0 ? slow : fast) += i % 3 == 0 ? fleet.shareWithin(i, 1.3, 2.2) / 30 : fleet.shareWithin(i, 0.5, 0.85) / 60;
     }
+    RecordProperty("percent_of_slow_known", static_cast<int>(100 * slow));
+    RecordProperty("percent_of_fast_known", static_cast<int>(100 * fast));
     EXPECT_GT(slow, 0.95);
     EXPECT_GT(fast, 0.95);
 }
@@ -315,6 +317,7 @@
     EXPECT_EQ(fleet.shareWithin(0, 0.8, 1.2), 1);
     fleet.servers()[0].moment = 5;
     fleet.run(milliseconds(1200));
+    RecordProperty("percent_of_vms_after_1200_ms", static_cast<int>(100 * fleet.shareWithin(0, 1.3, 8)));
     EXPECT_GT(fleet.shareWithin(0, 1.3, 8), 0.9);
     fleet.run(milliseconds(1800));
     EXPECT_GT(fleet.shareWithin(0, 2, 8), 0.95);
@@ -358,6 +361,8 @@
     };
     const double told = errorWith(true);
     const double untold = errorWith(false);
+    RecordProperty("error_told_percent", static_cast<int>(100 * told));
+    RecordProperty("error_untold_percent", static_cast<int>(100 * untold));
     EXPECT_LT(told, 0.15);
     EXPECT_LT(told, 0.6 * untold);
 }
