--- a/src/pace/internal/pacetracker.cpp
+++ b/src/pace/internal/pacetracker.cpp
@@ -19,10 +19,9 @@
 /// More servers of one status are passed over.
 constexpr std::size_t MaxServersOfPeer = 48;
 
-/// Maximum number of servers in one status, some 11 bytes each.
-constexpr std::size_t MaxSharedServers = 20;
-/// Of these, the servers that are farthest off the mean. The others have the most observations, from which other VMs learn the mean.
-constexpr std::size_t MaxSharedDeviating = 10;
+/// Maximum number of servers in one status, some 11 bytes each; fewer where it goes to many VMs, which then learn from as many more.
+constexpr std::size_t MaxSharedServers = 40;
+constexpr std::size_t MaxSharedServersTimesPeers = 220;
 constexpr Duration SharedWithin = std::chrono::seconds(2);
 /// Fewer units are not worth their bytes.
 constexpr double MinSharedUnits = 0.5;
@@ -161,10 +160,15 @@
     note(used->firstBytes, prefillTokens, time);
 }
 
-WorkSums PaceTracker::combined(const Server &server, bool withGroups) const
+WorkSums PaceTracker::ownWork(const Server &server) const
+{
+    return withoutObserver(decayed(server.work, loop_.now() - server.workAt), observerFactor_);
+}
+
+WorkSums PaceTracker::othersWork(const Server &server, bool withGroups) const
 {
     const TimePoint now = loop_.now();
-    WorkSums sum = decayed(server.work, now - server.workAt);
+    WorkSums sum;
     for (const PeerWork &entry : server.peers) {
         if (withGroups || !entry.isGroup) {
             add(sum, decayed(entry.work, now - entry.at));
@@ -173,6 +177,13 @@
     return sum;
 }
 
+WorkSums PaceTracker::combined(const Server &server, bool withGroups) const
+{
+    WorkSums sum = othersWork(server, withGroups);
+    add(sum, ownWork(server));
+    return sum;
+}
+
 const LearntPace &PaceTracker::learntOf(const Server &server) const
 {
     const TimePoint now = loop_.now();
@@ -208,6 +219,12 @@
     return counts_;
 }
 
+std::size_t PaceTracker::maxSharedServers() const
+{
+    const auto receivers = std::count_if(peers_.begin(), peers_.end(), [](const auto &entry) { return !entry.second.isGroup; });
+    return std::min(MaxSharedServers, MaxSharedServersTimesPeers / static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, receivers)));
+}
+
 std::vector<presence::ServerPace> PaceTracker::pacesToShare() const
 {
     /// A server with its distance from the mean.
@@ -222,7 +239,7 @@
         if (server.service == 0 || !isObserved) {
             continue;
         }
-        Ranked entry{{key, server.service, decayed(server.work, now - server.workAt), std::nullopt, Duration(0)}, 0};
+        Ranked entry{{key, server.service, ownWork(server), std::nullopt, Duration(0)}, 0};
         if (server.announcedHere && now - server.announcedHere->at <= AnnouncementRetention) {
             entry.pace.announced = server.announcedHere->factor;
             entry.pace.announcedAge = now - server.announcedHere->at;
@@ -234,9 +251,11 @@
         ranked.push_back(entry);
     }
     std::sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) { return a.deviation > b.deviation; });
-    const auto others = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(ranked.size(), MaxSharedDeviating));
+    // From the servers with the most observations other VMs learn the mean.
+    const std::size_t maxCount = maxSharedServers();
+    const auto others = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(ranked.size(), (maxCount + 1) / 2));
     std::sort(others, ranked.end(), [](const Ranked &a, const Ranked &b) { return a.pace.work.units > b.pace.work.units; });
-    ranked.resize(std::min(ranked.size(), MaxSharedServers));
+    ranked.resize(std::min(ranked.size(), maxCount));
     std::vector<presence::ServerPace> shared;
     shared.reserve(ranked.size());
     for (const Ranked &entry : ranked) {
@@ -267,13 +286,13 @@
     dropServersOf(key);
     Peer &peer = peers_[key];
     peer.heardAt = loop_.now();
-    const bool isGroup = !status.summaryOf.empty();
+    peer.isGroup = !status.summaryOf.empty();
     for (const presence::ServerPace &pace : status.paces) {
         if (peer.servers.size() >= MaxServersOfPeer) {
             break;
         }
         if (pace.service != 0 && isPlausible(pace.work) && serviceOf(pace.service) && serverOf(pace.server)) {
-            applyServer(key, isGroup, pace);
+            applyServer(key, peer.isGroup, pace);
             peer.servers.push_back(pace.server);
         }
     }
@@ -317,12 +336,24 @@
 void PaceTracker::tick()
 {
     dropOld();
+    updateObserverFactor();
     updateMeans();
     updateSteady();
     updateFirstByteModels();
     updateSides();
 }
 
+void PaceTracker::updateObserverFactor()
+{
+    const TimePoint now = loop_.now();
+    std::vector<SharedView> servers;
+    servers.reserve(servers_.size());
+    for (const auto &[key, server] : servers_) {
+        servers.push_back({decayed(server.work, now - server.workAt), othersWork(server, false)});
+    }
+    observerFactor_ = observerFactor(servers);
+}
+
 // Groups tell only of servers that are off the mean, so they would distort it.
 void PaceTracker::updateMeans()
 {
--- a/src/pace/pacetracker.h
+++ b/src/pace/pacetracker.h
@@ -88,6 +88,7 @@
         std::vector<std::uint32_t> servers; ///< In its last status.
         std::unordered_map<std::uint32_t, FirstByteSums> firstBytes; ///< By service.
         TimePoint heardAt;
+        bool isGroup = false;
     };
 
     /// Null if there is no room for another server.
@@ -98,10 +99,16 @@
     void noteWork(const std::string &instance, const std::string &service, double units, Duration time);
     void applyServer(std::uint64_t peer, bool isGroup, const presence::ServerPace &pace);
     void dropServersOf(std::uint64_t peer);
+    std::size_t maxSharedServers() const;
     /// Observations of this VM, and of the other VMs; those of groups only with @p withGroups.
     WorkSums combined(const Server &server, bool withGroups) const;
     const LearntPace &learntOf(const Server &server) const;
     PaceEstimate estimateOf(const Server &server) const;
+    /// This VM's observations now, less what it adds to them itself.
+    WorkSums ownWork(const Server &server) const;
+    /// Those of other VMs; with @p withGroups also those of groups.
+    WorkSums othersWork(const Server &server, bool withGroups) const;
+    void updateObserverFactor();
     void updateMeans();
     void updateSteady();
     void updateFirstByteModels();
@@ -116,6 +123,7 @@
     std::unordered_map<std::uint32_t, Service> services_; ///< By presence::shortHash() of the name.
     std::unordered_map<std::uint64_t, Peer> peers_; ///< By presence::nameHash() of the VM or group.
     PaceCounts counts_;
+    double observerFactor_ = 1; ///< How much longer work seems to take at this VM than at others.
     TimePoint tickedAt_;
 };
 
