Leave polls of a store that is down for all to a few VMs

Cause: while the store is down, knowledge is too old at every VM, so each polled each table every 0.8 s, and refused calls are charged. In a model of 88 VMs with two tables, ten seconds of outage took 2,337 calls. A VM that was told of changes before its own next poll stayed unreachable in its own eyes, and so unfit as a store reader.

Change: a VM that hears three of its group, those before it by hash, say that they can't reach the store leaves its polls to them, but for one every 4 s. They poll as often as before, and all VMs are told when the store is back. A VM that could not reach the store polls once when it is told of changes, and every 4 s otherwise, until it reaches it.

Ruled out: fewer polls in a steady state, as the three store readers bound how long a removed key or a draining server is used; and a longer pause of all VMs, which would delay the end of the outage for callers.

Red without: FewVmsOfEachGroupPollTheStoreWhileItIsDown (2,337 calls) and AllVmsLearnOfAChangeSoonAfterTheOutage (one VM stays unreachable). Not seen red: OtherVmsPollWhenThoseThatDoAreCutOff, which guards the change itself.

--- a/src/presence/internal/tablerelay.cpp
+++ b/src/presence/internal/tablerelay.cpp
@@ -1,6 +1,7 @@
 #include "presence/tablerelay.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cardamomlift::presence {
 
@@ -26,6 +27,11 @@
 /// not missing because of it.
 constexpr Duration OutageReportedFor = std::chrono::seconds(4);
 
+/// Number of VMs of a group that poll the store as often as usual while it is unavailable for all of them. The others poll it seldom,
+/// and are told by these when it is back.
+constexpr std::size_t OutagePollers = 3;
+constexpr Duration OutagePollInterval = std::chrono::seconds(4);
+
 /// A VM for which the store is unavailable, or was less than this long ago, is not chosen as a store reader.
 constexpr Duration RecentOutage = std::chrono::milliseconds(500);
 
@@ -72,7 +78,8 @@
         }
         const auto confirmed = own->confirmedAt();
         const Duration bound = self->hearsStoreReader() ? maxAge : std::min(maxAge, MaxAgeWithoutStoreReader);
-        return !confirmed || self->loop_.now() - *confirmed > bound || self->isStoreReader();
+        const bool isDue = !confirmed || self->loop_.now() - *confirmed > bound || self->isStoreReader();
+        return self->mayPollNow(*own, isDue);
     });
     watch->onStoreChanges([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
@@ -82,6 +89,44 @@
     watches_.push_back({std::move(watch), maxAge});
 }
 
+bool TableRelay::mayPollNow(const rows::RowWatch &watch, bool isDue)
+{
+    const auto entry = std::find_if(watches_.begin(), watches_.end(), [&watch](const WatchEntry &entry) { return entry.watch.get() == &watch; });
+    const TimePoint now = loop_.now();
+    if (entry == watches_.end()) {
+        return isDue;
+    }
+    if (watch.lastUnreachableAt() != now) {
+        entry->isHeldUp = false;
+        return isDue;
+    }
+    const bool isLeftToOthers = leavesOutageToOthers();
+    entry->isHeldUp = entry->isHeldUp || isDue;
+    // When the outage ends, changes may come from other VMs first. The store is polled nevertheless, to learn that it is back.
+    const bool isOver = entry->isHeldUp && !isDue;
+    const bool isOverdue = now - entry->polledInOutageAt >= OutagePollInterval;
+    if (!isOverdue && (isLeftToOthers || !(isDue || isOver))) {
+        return false;
+    }
+    entry->isHeldUp = isDue;
+    entry->polledInOutageAt = now;
+    return true;
+}
+
+bool TableRelay::leavesOutageToOthers() const
+{
+    const std::uint64_t own = nameHash(presence_->instance());
+    const TimePoint now = loop_.now();
+    const auto &peers = presence_->peers();
+    const auto pollers = std::count_if(peers.begin(), peers.end(), [&](const auto &entry) {
+        const Peer &peer = entry.second;
+        const bool isHeard = peer.status && peer.heardAt && now - *peer.heardAt <= storeReaderTimeout();
+        const bool isInOutage = isHeard && !peer.status->isDraining && peer.status->sinceStoreOutage == Duration(0);
+        return isInOutage && peer.group == presence_->group() && nameHash(entry.first) < own;
+    });
+    return static_cast<std::size_t>(pollers) >= OutagePollers;
+}
+
 void TableRelay::onOutage(std::function<void(TimePoint backAt)> handler)
 {
     outageHandler_ = std::move(handler);
@@ -136,7 +181,8 @@
 
 void TableRelay::fill(Status &status) const
 {
-    for (const auto &[watch, maxAge, undeliveredVersion, undeliveredSince] : watches_) {
+    for (const WatchEntry &entry : watches_) {
+        const auto &watch = entry.watch;
         if (auto delta = watch->delta()) {
             status.tables[watch->table()] = std::move(*delta);
         }
--- a/src/presence/tablerelay.h
+++ b/src/presence/tablerelay.h
@@ -31,6 +31,8 @@
         /// Version of a change that another VM knows but has not sent; no longer missing once the watch has reached it.
         rows::StoreVersion undeliveredVersion;
         TimePoint undeliveredSince;
+        bool isHeldUp = false; ///< A poll is due, but this VM can't reach the store.
+        TimePoint polledInOutageAt; ///< When the store was last polled although it could not be reached before.
     };
     TableRelay(EventLoop &loop, std::shared_ptr<Presence> presence);
     /// True if a status of a store reader, or of a group that has one, was received recently.
@@ -38,6 +40,10 @@
     Duration storeReaderTimeout() const;
     /// True if @p peer, a VM or a group, can be a store reader.
     bool mayBeStoreReader(const Peer &peer) const;
+    /// Whether @p watch, whose poll is due or not, may poll the store now.
+    bool mayPollNow(const rows::RowWatch &watch, bool isDue);
+    /// True if enough other VMs of this group poll the store, which is unavailable for them too.
+    bool leavesOutageToOthers() const;
     bool isUsableSource(const Status &status) const;
     bool hasNewChanges(const Status &status) const;
     bool lacksUndeliveredChange(const rows::RowWatch &watch) const;
