--- a/tests/support/routefleet.cpp
+++ b/tests/support/routefleet.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <unistd.h>
 
 namespace cardamomlift::test {
@@ -374,17 +375,24 @@
 
 void RouteFleet::waitKnown()
 {
-    const std::string listed = fmt::format("cardamomlift_entry_vms_listed {}\n", entries_.size());
     for (const auto &[number, process] : entries_) {
-        http::ClientRequest request;
-        request.url = fmt::format("http://{}:{}/metrics", address(1 + number), MetricsPort);
-        const auto knows = [&] {
-            return caller.call(request)->body.find(listed) != std::string::npos;
+        const auto knows = [this, entry = number] {
+            return metric(entry, "entry_vms_listed") == static_cast<double>(entries_.size());
         };
         EXPECT_TRUE(caller.waitUntil(knows, fmt::format("entry {} knows the others", number)));
     }
 }
 
+double RouteFleet::metric(int entry, const std::string &name)
+{
+    http::ClientRequest request;
+    request.url = fmt::format("http://{}:{}/metrics", address(1 + entry), MetricsPort);
+    const std::string page = "\n" + caller.call(request)->body;
+    const std::string line = "\ncardamomlift_" + name + " ";
+    const auto found = page.find(line);
+    return found == std::string::npos ? 0 : std::strtod(page.c_str() + found + line.size(), nullptr);
+}
+
 http::ClientRequest RouteFleet::request(int entry, const std::string &path, const std::string &id, const std::string &key)
 {
     http::ClientRequest request;
--- a/tests/support/routefleet.h
+++ b/tests/support/routefleet.h
@@ -75,6 +75,8 @@
     void waitReady();
     /// Waits until each entry VM knows of all the others.
     void waitKnown();
+    /// A number of the metrics page of an entry VM; 0 if it is not there.
+    double metric(int entry, const std::string &name);
 
     /// Faults on the way of one entry VM to the store, or of all to a worker; members as standin-proxy knows them.
     void setStorePathFault(int entry, const Json::Value &faults);
