--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -40,6 +40,11 @@
     return costOf(parameters, {parameters.maxPromptTokens, parameters.maxOutputTokens, true});
 }
 
+int priorityOf(const AdmissionParameters &parameters)
+{
+    return static_cast<int>(parameters.serviceClass.priority);
+}
+
 bool isDeferrable(const AdmissionParameters &parameters)
 {
     return parameters.serviceClass.priority == contract::Priority::Deferrable;
@@ -108,7 +113,7 @@
     }
     const AdmissionParameters &parameters = request->parameters;
     Target &target = targetOf(parameters);
-    const std::size_t ahead = countAhead(target.queue, parameters.serviceClass.priority);
+    const std::size_t ahead = countAhead(target.queue, priorityOf(parameters));
     if (!isDeferrable(parameters)) {
         recordDemand(target.concurrency, ahead, tools_.loop->now());
     }
@@ -174,7 +179,7 @@
 void Admission::admitOrQueue(const RequestPtr &request)
 {
     Target &target = targetOf(request->parameters);
-    const std::size_t ahead = countAhead(target.queue, request->parameters.serviceClass.priority);
+    const std::size_t ahead = countAhead(target.queue, priorityOf(request->parameters));
     if (ahead == 0 && hasCapacity(target.concurrency, isDeferrable(request->parameters))) {
         admit(request);
         return;
@@ -187,7 +192,7 @@
     const AdmissionParameters &parameters = request->parameters;
     const TimePoint deadline = tools_.loop->now() + waitUpTo(parameters);
     const std::int64_t tokens = std::max<std::int64_t>(1, parameters.estimatedTokens);
-    request->entry = {request->ticket, parameters.contract->contract.customer, parameters.serviceClass.priority, deadline, tokens};
+    request->entry = {request->ticket, parameters.contract->contract.customer, priorityOf(parameters), deadline, tokens};
     waiting_[request->ticket] = request;
     enqueue(targetOf(parameters).queue, request->entry);
     const std::weak_ptr<Admission> weak = weak_from_this();
@@ -200,7 +205,7 @@
         removeEntry(target.queue, request->entry);
         self->waiting_.erase(request->ticket);
         self->returnReservations(request);
-        const Duration expected = expectedWait(target.concurrency, countAhead(target.queue, request->parameters.serviceClass.priority));
+        const Duration expected = expectedWait(target.concurrency, countAhead(target.queue, priorityOf(request->parameters)));
         self->refuse(request, metrics::RefusalReason::DeadlineImpossible, std::max(expected, OverloadedRetryAfter));
     });
 }
@@ -220,8 +225,8 @@
 void Admission::admitWaiting(Target &target)
 {
     while (target.queue.size > 0) {
-        const bool hasNonDeferrableCapacity = hasCapacity(target.concurrency, false);
-        const auto next = dequeue(target.queue, {hasNonDeferrableCapacity, hasNonDeferrableCapacity, hasCapacity(target.concurrency, true)});
+        const auto next = dequeue(target.queue,
+            [&target](int priority) { return hasCapacity(target.concurrency, priority == static_cast<int>(contract::Priority::Deferrable)); });
         if (!next) {
             return;
         }
--- a/src/admission/waitqueue.h
+++ b/src/admission/waitqueue.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "contract/contracttypes.h"
 #include "kernel/clock.h"
 
-#include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -15,13 +14,11 @@
 struct WaitEntry {
     std::uint64_t ticket = 0;
     std::string customer;
-    contract::Priority priority = contract::Priority::Normal;
+    int priority = 0; ///< The smallest is the most urgent.
     TimePoint deadline; ///< When it stops waiting.
     std::int64_t tokens = 1; ///< Its cost in fair queueing: estimated prompt and output tokens.
 };
 
-inline constexpr std::size_t PriorityCount = 3;
-
 /// The requests of one customer in one priority, earliest deadline first.
 struct CustomerQueue {
     std::multimap<TimePoint, WaitEntry> entries;
@@ -36,17 +33,19 @@
 
 /// The requests that wait for capacity at one model or service.
 struct WaitQueue {
-    std::array<FairQueue, PriorityCount> priorities;
+    std::map<int, FairQueue> priorities;
     std::size_t size = 0;
 };
 
 void enqueue(WaitQueue &queue, WaitEntry entry);
 /// Removes and returns the request to admit next: of the highest priority, of the customer with the smallest start tag,
 /// with the earliest deadline. Skips the priorities for which @p isAllowed is false.
-std::optional<WaitEntry> dequeue(WaitQueue &queue, const std::array<bool, PriorityCount> &isAllowed);
+std::optional<WaitEntry> dequeue(WaitQueue &queue, const std::function<bool(int priority)> &isAllowed);
+/// Removes and returns the request with the earliest deadline of one customer and priority.
+std::optional<WaitEntry> dequeueOf(WaitQueue &queue, int priority, const std::string &customer);
 /// Removes a request. Returns false if it was not waiting.
 bool removeEntry(WaitQueue &queue, const WaitEntry &entry);
 /// Returns the number of waiting requests that will be admitted before a new one of @p priority.
-std::size_t countAhead(const WaitQueue &queue, contract::Priority priority);
+std::size_t countAhead(const WaitQueue &queue, int priority);
 
 } // namespace cardamomlift::admission
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -57,6 +57,7 @@
             "relay",
             "prefixindex",
             "rollout",
+            "routeadmission",
             "serverlimits",
             "routesuspects"};
     }
--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -139,13 +139,25 @@
         entry->set_priority(demand.priority);
         entry->set_per_second(static_cast<float>(demand.perSecond));
         entry->set_admitted_per_second(static_cast<float>(demand.admittedPerSecond));
+        entry->set_served_per_second(static_cast<float>(demand.servedPerSecond));
+        entry->set_refused_per_second(static_cast<float>(demand.refusedPerSecond));
+        entry->set_waiting(demand.waiting);
     }
 }
 
 void readClassDemands(const wire::Status &in, Status &status)
 {
     for (const auto &entry : in.class_demands()) {
-        status.classDemands.push_back({entry.service(), entry.customer(), entry.priority(), entry.per_second(), entry.admitted_per_second()});
+        ClassDemand demand;
+        demand.service = entry.service();
+        demand.customer = entry.customer();
+        demand.priority = entry.priority();
+        demand.perSecond = entry.per_second();
+        demand.admittedPerSecond = entry.admitted_per_second();
+        demand.servedPerSecond = entry.served_per_second();
+        demand.refusedPerSecond = entry.refused_per_second();
+        demand.waiting = entry.waiting();
+        status.classDemands.push_back(demand);
     }
 }
 
--- a/src/presence/internal/statussummary.cpp
+++ b/src/presence/internal/statussummary.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace cardamomlift::presence {
@@ -15,6 +16,8 @@
 /// Maximum number of server limits in a summary, the newest ones. A limit that is left out is reported again as long as some VM
 /// gets answers that name it.
 constexpr std::size_t MaxLimits = 64;
+/// Maximum number of customers and priorities in a summary, those that ask for most.
+constexpr std::size_t MaxClassDemands = 32;
 /// Maximum number of prefixes in a summary. A group of 24 VMs with five requests a second each uses about 100 new ones between
 /// two summaries.
 constexpr std::size_t MaxPrefixes = 96;
@@ -56,6 +59,23 @@
     }
 }
 
+using ClassDemandKey = std::tuple<std::uint64_t, int, std::uint64_t>; // Service, priority, customer.
+
+void addClassDemands(std::map<ClassDemandKey, ClassDemand> &sums, const Status &status)
+{
+    for (const ClassDemand &demand : status.classDemands) {
+        ClassDemand &sum = sums[{demand.service, demand.priority, demand.customer}];
+        sum.service = demand.service;
+        sum.priority = demand.priority;
+        sum.customer = demand.customer;
+        sum.perSecond += demand.perSecond;
+        sum.admittedPerSecond += demand.admittedPerSecond;
+        sum.servedPerSecond += demand.servedPerSecond;
+        sum.refusedPerSecond += demand.refusedPerSecond;
+        sum.waiting += demand.waiting;
+    }
+}
+
 std::optional<Duration> shorter(std::optional<Duration> a, std::optional<Duration> b)
 {
     if (!a || !b) {
@@ -219,8 +239,8 @@
     keepLargest(sum.alive, MaxCrashReports, [](const auto &server) { return -server.age; });
 }
 
-template<typename Entry>
-void appendValues(std::vector<Entry> &values, const std::map<std::uint64_t, Entry> &entries)
+template<typename Key, typename Entry>
+void appendValues(std::vector<Entry> &values, const std::map<Key, Entry> &entries)
 {
     for (const auto &[key, entry] : entries) {
         values.push_back(entry);
@@ -239,6 +259,7 @@
     summary.lacksServerRoom = true;
     std::map<std::uint64_t, CustomerDemand> demands;
     std::map<std::uint64_t, ServiceLoad> loads;
+    std::map<ClassDemandKey, ClassDemand> classDemands;
     std::map<std::uint64_t, CombinedOutcomes> combined;
     std::map<std::uint64_t, ServerWork> serverWork;
     std::map<std::uint64_t, ServerLimit> limits;
@@ -250,6 +271,7 @@
         addServerContact(summary, member);
         addDemands(demands, status);
         addLoads(loads, status);
+        addClassDemands(classDemands, status);
         addOutcomes(combined, member);
         addLimits(limits, member);
         for (const ServerWork &work : status.serverWork) {
@@ -263,6 +285,8 @@
     }
     appendValues(summary.demands, demands);
     appendValues(summary.services, loads);
+    appendValues(summary.classDemands, classDemands);
+    keepLargest(summary.classDemands, MaxClassDemands, [](const ClassDemand &demand) { return demand.perSecond; });
     appendValues(summary.serverWork, serverWork);
     keepLargest(summary.serverWork, MaxServers, [](const ServerWork &work) { return work.waitingTokens; });
     appendValues(summary.limits, limits);
--- a/src/presence/presencetypes.h
+++ b/src/presence/presencetypes.h
@@ -89,6 +89,9 @@
     int priority = 0;
     double perSecond = 0; ///< Asked for.
     double admittedPerSecond = 0;
+    double servedPerSecond = 0; ///< Ended, without those that servers refused.
+    double refusedPerSecond = 0; ///< By servers, for want of room.
+    std::uint32_t waiting = 0; ///< For admission; counted in ServiceLoad::open.
 };
 
 /// Outcomes of one entry VM's requests on one route since a rollout was ordered, at one server or group of servers.
