--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -225,8 +225,8 @@
 void Admission::admitWaiting(Target &target)
 {
     while (target.queue.size > 0) {
-        const auto next = dequeue(target.queue,
-            [&target](int priority) { return hasCapacity(target.concurrency, priority == static_cast<int>(contract::Priority::Deferrable)); });
+        const auto next = dequeue(
+            target.queue, [&target](int priority) { return hasCapacity(target.concurrency, priority == static_cast<int>(contract::Priority::Deferrable)); });
         if (!next) {
             return;
         }
--- a/src/routeadmission/fleetlevel.h
+++ b/src/routeadmission/fleetlevel.h
@@ -33,6 +33,7 @@
     double servedPerSecond = 0;
     double refusedPerSecond = 0; ///< By servers, for want of room.
     Duration goal{0}; ///< The tightest latency goal of its requests; 0: none.
+    bool hasSummaries = false; ///< Some VMs are known by the summaries of their groups alone.
 };
 
 /// The admitted share of one class.
@@ -44,6 +45,8 @@
 
 /// Whether the service has less room than is asked for. @p demand: requests a second. @p wasShort: it was so a moment ago.
 bool isShort(const ServiceRoom &room, double demand, bool wasShort);
+/// Whether more requests wait in servers' queues than openTarget() allows: the VMs begin to tell their demand.
+bool isNearlyShort(const ServiceRoom &room);
 /// The open requests at which all slots are busy and the queues are as short as the tightest goal needs.
 double openTarget(const ServiceRoom &room);
 /// The requests a second to admit at all VMs together, so that the open requests reach openTarget().
--- a/src/routeadmission/internal/fleetlevel.cpp
+++ b/src/routeadmission/internal/fleetlevel.cpp
@@ -10,7 +10,7 @@
 constexpr double MicrosecondsPerSecond = 1e6;
 /// Parts of the tightest goal that requests may wait in servers' queues: beyond the first, a service counts as short of room;
 /// while it is, the queues are held at the second.
-constexpr double ShortQueueShare = 0.35;
+constexpr double ShortQueueShare = 0.45;
 constexpr double TargetQueueShare = 0.2;
 /// For a service without a goal.
 constexpr Duration DefaultGoal = std::chrono::seconds(1);
@@ -23,12 +23,15 @@
 constexpr double ToleratedRefusals = 0.03;
 constexpr double MinTargetShare = 0.6;
 /// Time in which the open requests are brought to their target: longer than the age of the reports.
-constexpr double SettleSeconds = 0.8;
+constexpr double SettleSeconds = 0.6;
+/// The same where part of the reports come as summaries, which are older.
+constexpr double SettleSecondsWithGroups = 1;
 /// Of the served rate that is admitted at least, however many requests are open.
 constexpr double MinRateShare = 0.25;
 /// A service stays short of room until it is asked for less than this part of what it can serve.
 constexpr double EnoughShare = 0.95;
-/// No class is admitted less often than this, unless a more urgent one is.
+/// Part of the rate that is kept for each priority that would get nothing, and the share of its requests that it covers at most.
+constexpr double ReserveShare = 0.02;
 constexpr double MinShare = 0.02;
 constexpr double MinCost = 0.7;
 constexpr double MaxCost = 1.4;
@@ -102,6 +105,11 @@
     return wasShort && demand > admissibleRate(room) * EnoughShare;
 }
 
+bool isNearlyShort(const ServiceRoom &room)
+{
+    return room.slots > 0 && room.open > openTarget(room);
+}
+
 double openTarget(const ServiceRoom &room)
 {
     const double queue = std::max(MinTargetQueue, room.servedPerSecond * goalSeconds(room) * TargetQueueShare);
@@ -111,7 +119,7 @@
 
 double admissibleRate(const ServiceRoom &room)
 {
-    const double rate = room.servedPerSecond + (openTarget(room) - room.open) / SettleSeconds;
+    const double rate = room.servedPerSecond + (openTarget(room) - room.open) / (room.hasSummaries ? SettleSecondsWithGroups : SettleSeconds);
     return std::max(rate, room.servedPerSecond * MinRateShare);
 }
 
@@ -136,8 +144,9 @@
         setWeightOfOthers(askers, shares);
         const double granted = std::clamp(left, 0.0, demand);
         fillWater(granted, std::move(askers), shares);
+        const double reserved = std::min({MinShare, mostUrgentShare, demand > 0 ? rate * ReserveShare / demand : 0});
         for (std::size_t i = first; i < end; i++) {
-            shares[i].share = std::max(shares[i].share, std::min(MinShare, mostUrgentShare));
+            shares[i].share = std::max(shares[i].share, reserved);
         }
         mostUrgentShare = std::min(mostUrgentShare, demand > 0 ? granted / demand : 1);
         left -= granted;
--- a/src/routeadmission/internal/routeadmission.cpp
+++ b/src/routeadmission/internal/routeadmission.cpp
@@ -17,14 +17,17 @@
 
 /// What a VM or a group has told is used for so long: some lost statuses.
 constexpr Duration MaxReportAge = std::chrono::milliseconds(1500);
-/// A service counts as short of room for so long after the last sign of it.
+/// After the last sign that a service is short of room, its demand is still told for so long.
 constexpr Duration ShortHold = std::chrono::milliseconds(1500);
+/// Within this time after the VMs have begun to tell their demand, all have told it.
+constexpr Duration ToldWithin = std::chrono::milliseconds(1000);
 /// Classes and services without a request for so long are forgotten.
 constexpr Duration IdleTime = std::chrono::seconds(10);
 constexpr std::size_t MaxClasses = 64;
 constexpr std::size_t MaxToldClasses = 6;
 constexpr double MinToldPerSecond = 0.05;
-constexpr double MaxCredit = 1.5;
+/// Unused credit that a class keeps for a burst of its requests.
+constexpr double MaxCredit = 3;
 constexpr std::size_t MaxWaiting = 64;
 /// A request waits no longer for its class's turn: a refusal would cost its caller more.
 constexpr Duration MaxWait = std::chrono::milliseconds(60);
@@ -110,13 +113,11 @@
     const double tokens = tokensOf(question);
     service.meanTokens += (tokens - service.meanTokens) * (service.meanTokens > 0 ? MeanTokensWeight : 1);
     const double share = service.isShort ? shareOf(service.shares, key) : 1;
+    admitWaitingOf(service, key, state);
     if (share >= 1) {
-        admitWaitingOf(service, key, state);
         return admit(service, key, handler, "admitted");
     }
     const double cost = costOf(tokens, service.meanTokens);
-    state.credit = std::min(state.credit + share, MaxCredit);
-    admitWaitingOf(service, key, state);
     if (state.waitingCost <= 0 && state.credit >= cost) {
         state.credit -= cost;
         return admit(service, key, handler, "admitted");
@@ -151,7 +152,6 @@
     handler(refusal);
 }
 
-// The credit of a class grows with its requests, so the next ones bring what this one lacks.
 std::optional<Duration> RouteAdmission::mayWait(
     const Service &service, const ClassState &state, const AdmissionQuestion &question, double cost, double share) const
 {
@@ -168,8 +168,7 @@
     return longest;
 }
 
-std::uint64_t RouteAdmission::wait(
-    Service &service, const ClassKey &key, const AdmissionQuestion &question, Handler handler, double cost, Duration longest)
+std::uint64_t RouteAdmission::wait(Service &service, const ClassKey &key, const AdmissionQuestion &question, Handler handler, double cost, Duration longest)
 {
     const std::uint64_t id = nextTicket_++;
     Ticket &ticket = tickets_[id];
@@ -207,7 +206,9 @@
 
 void RouteAdmission::admitWaitingOf(Service &service, const ClassKey &key, ClassState &state)
 {
-    const bool isUnlimited = !service.isShort || shareOf(service.shares, key) >= 1;
+    const double share = service.isShort ? shareOf(service.shares, key) : 1;
+    const bool isUnlimited = share >= 1;
+    state.credit = std::min(state.credit + share * state.demand.take(tools_.loop->now()), MaxCredit);
     while (state.waitingCost > 0 && (isUnlimited || state.credit >= 1)) {
         const auto next = admission::dequeueOf(service.queue, key.priority, std::to_string(key.customer));
         if (!next) {
@@ -310,7 +311,7 @@
     const TimePoint now = tools_.loop->now();
     std::vector<presence::ClassDemand> told;
     for (const auto &[name, service] : services_) {
-        if (!service->isShort && service->room.open <= service->room.slots) {
+        if (now >= service->shortUntil && !isNearlyShort(service->room)) {
             continue;
         }
         std::vector<presence::ClassDemand> entries;
@@ -408,18 +409,27 @@
     const double untold = static_cast<double>(sums.reporters) / static_cast<double>(sums.telling);
     // A VM that has heard less than half of the others takes the rest to be like those.
     const std::size_t expected = std::max<std::size_t>(1, tools_.reporterCount());
-    const double unheard = sums.reporters * 2 < expected ? static_cast<double>(expected) / static_cast<double>(sums.reporters) : 1;
+    sums.isMostlyUnheard = sums.reporters * 2 < expected;
+    const double unheard = sums.isMostlyUnheard ? static_cast<double>(expected) / static_cast<double>(sums.reporters) : 1;
     sums.room.open *= unheard;
     sums.room.servedPerSecond *= untold * unheard;
     sums.room.refusedPerSecond *= untold * unheard;
-    if (sums.telling * 2 < sums.reporters && sums.answersPerSecond > 0) {
-        sums.room.servedPerSecond = std::max(sums.room.servedPerSecond, sums.answersPerSecond);
-    }
+    double demandSum = 0;
     for (auto &[key, demand] : sums.demands) {
         demand *= untold * unheard;
+        demandSum += demand;
+    }
+    // Until all have told their demand, it is taken to be no less than what is answered.
+    if (!service.shortSince || now - *service.shortSince < ToldWithin) {
+        sums.room.servedPerSecond = std::max(sums.room.servedPerSecond, sums.answersPerSecond * unheard);
+        const double untoldDemand = demandSum > 0 ? std::max(1.0, sums.room.servedPerSecond / demandSum) : 1;
+        for (auto &[key, demand] : sums.demands) {
+            demand *= untoldDemand;
+        }
     }
     sums.room.slots = tools_.slots(service.name);
     sums.room.goal = tools_.goal(service.name);
+    sums.room.hasSummaries = tools_.vmCount() > expected;
     return sums;
 }
 
@@ -437,18 +447,32 @@
         service.demand += demand;
     }
     const bool wasShort = service.isShort;
-    if (routeadmission::isShort(service.room, service.demand, wasShort)) {
+    const bool wasShortLately = now < service.shortUntil;
+    // What a VM alone has open says little of the others, unless servers refuse it.
+    const bool isGuess = sums.isMostlyUnheard && !wasShortLately && service.refused.perSecond(now, startedAt_) < MinToldPerSecond;
+    // Without latency goals nobody tells what is answered, so that the queues can't be judged until the VMs have told more.
+    service.nearlyShortSince = isNearlyShort(service.room) ? service.nearlyShortSince.value_or(now) : std::optional<TimePoint>();
+    const bool isUntold = !wasShortLately && sums.answersPerSecond <= 0 && (!service.nearlyShortSince || now - *service.nearlyShortSince < ToldWithin);
+    service.isShort = !isGuess && !isUntold && routeadmission::isShort(service.room, service.demand, wasShortLately);
+    service.shortSince = service.isShort ? service.shortSince.value_or(now) : (wasShortLately ? service.shortSince : std::optional<TimePoint>());
+    service.shares = service.isShort ? distribute(admissibleRate(service.room), rates) : std::vector<ClassShare>();
+    if (service.isShort && !wasShort) {
+        for (auto &[key, state] : service.classes) {
+            state.credit = jitter();
+            state.demand.take(now);
+        }
+    }
+    if (service.isShort) {
         service.shortUntil = now + ShortHold;
+        for (auto &[key, state] : service.classes) {
+            admitWaitingOf(service, key, state);
+        }
+    } else {
+        admitAllWaiting(service);
     }
-    service.isShort = now < service.shortUntil;
-    const bool isIdle = service.room.open < service.room.slots / 2;
-    service.shares = service.isShort && !isIdle ? distribute(admissibleRate(service.room), rates) : std::vector<ClassShare>();
     if (wasShort || service.isShort) {
         logLevels(service, wasShort);
     }
-    if (!service.isShort || service.shares.empty()) {
-        admitAllWaiting(service);
-    }
 }
 
 void RouteAdmission::tick()
@@ -461,7 +485,7 @@
     }
     std::erase_if(services_, [now](const auto &entry) {
         const Service &service = *entry.second;
-        return now - service.askedAt > IdleTime && service.open == 0 && service.queue.size == 0 && !service.isShort;
+        return now - service.askedAt > IdleTime && service.open == 0 && service.queue.size == 0;
     });
 }
 
--- a/src/routeadmission/ratemeter.h
+++ b/src/routeadmission/ratemeter.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace cardamomlift::routeadmission {
 
@@ -17,6 +18,13 @@
         sum_ += amount;
     }
 
+    /// The number of events that the rate stood for since the last call. Over time it is the number of events, half a second later.
+    double take(TimePoint now)
+    {
+        decay(now);
+        return std::exchange(passed_, 0);
+    }
+
     /// @p startedAt: when counting began.
     double perSecond(TimePoint now, TimePoint startedAt) const
     {
@@ -36,11 +44,14 @@
 
     void decay(TimePoint now)
     {
-        sum_ *= std::exp(-seconds(now - updatedAt_) / AveragingSeconds);
+        const double left = sum_ * std::exp(-seconds(now - updatedAt_) / AveragingSeconds);
+        passed_ += sum_ - left;
+        sum_ = left;
         updatedAt_ = now;
     }
 
     double sum_ = 0;
+    double passed_ = 0;
     TimePoint updatedAt_;
 };
 
--- a/src/routeadmission/routeadmission.h
+++ b/src/routeadmission/routeadmission.h
@@ -65,7 +65,7 @@
 private:
     struct ClassState {
         RateMeter demand;
-        double credit = 0; ///< Each request adds the admitted share of its class; one that is admitted subtracts its cost.
+        double credit = 0; ///< Grows by the admitted share of the demand; a request that is admitted subtracts its cost.
         double waitingCost = 0;
         TimePoint askedAt; ///< When the last request came.
     };
@@ -85,7 +85,9 @@
         double demand = 0;
         Duration reportAge{0}; ///< Of the oldest status used.
         bool isShort = false;
-        TimePoint shortUntil;
+        TimePoint shortUntil; ///< Until then its demand is told.
+        std::optional<TimePoint> shortSince;
+        std::optional<TimePoint> nearlyShortSince;
         std::vector<ClassShare> shares;
         std::map<int, std::pair<double, TimePoint>> loggedShares; ///< By priority: the share, and when it was logged.
     };
@@ -113,6 +115,7 @@
         double answersPerSecond = 0;
         std::size_t reporters = 1;
         std::size_t telling = 1; ///< Reporters that have told their demand, or have none.
+        bool isMostlyUnheard = false; ///< Fewer than half of the others' statuses have come.
     };
 
     explicit RouteAdmission(RouteAdmissionTools tools);
@@ -120,7 +123,8 @@
     ClassState &classOf(Service &service, ClassKey &key);
     std::uint64_t admit(Service &service, const ClassKey &key, const Handler &handler, std::string_view outcome);
     void refuse(Service &service, const forwarding::AdmissionQuestion &question, const Handler &handler);
-    std::optional<Duration> mayWait(const Service &service, const ClassState &state, const forwarding::AdmissionQuestion &question, double cost, double share) const;
+    std::optional<Duration> mayWait(
+        const Service &service, const ClassState &state, const forwarding::AdmissionQuestion &question, double cost, double share) const;
     std::uint64_t wait(Service &service, const ClassKey &key, const forwarding::AdmissionQuestion &question, Handler handler, double cost, Duration longest);
     void admitWaitingOf(Service &service, const ClassKey &key, ClassState &state);
     void admitAllWaiting(Service &service);
