--- a/src/routeadmission/internal/fleetlevel.cpp
+++ b/src/routeadmission/internal/fleetlevel.cpp
@@ -11,13 +11,11 @@
 /// Parts of the tightest goal that requests may wait in servers' queues: beyond the first, a service counts as short of room;
 /// while it is, the queues are held at the second.
 constexpr double ShortQueueShare = 0.45;
-constexpr double TargetQueueShare = 0.2;
+constexpr double TargetQueueShare = 0.25;
 /// For a service without a goal.
 constexpr Duration DefaultGoal = std::chrono::seconds(1);
 constexpr double MinShortQueue = 2;
 constexpr double MinTargetQueue = 1;
-/// While fewer of the slots are taken, all requests are admitted.
-constexpr double IdleShare = 0.5;
 /// If servers refuse for want of room although fewer requests are open than they have slots.
 constexpr double RefusingShare = 0.8;
 constexpr double ToleratedRefusals = 0.03;
@@ -28,8 +26,10 @@
 constexpr double SettleSecondsWithGroups = 1;
 /// Of the served rate that is admitted at least, however many requests are open.
 constexpr double MinRateShare = 0.25;
-/// A service stays short of room until it is asked for less than this part of what it can serve.
+/// A service stays short of room until it is asked for less than this part of what it can serve; with slots free, for less than the
+/// second part: the sums are some tenths of a second old.
 constexpr double EnoughShare = 0.95;
+constexpr double EnoughShareWithRoom = 1.2;
 /// Part of the rate that is kept for each priority that would get nothing, and the share of its requests that it covers at most.
 constexpr double ReserveShare = 0.02;
 constexpr double MinShare = 0.02;
@@ -92,7 +92,7 @@
 
 bool isShort(const ServiceRoom &room, double demand, bool wasShort)
 {
-    if (room.slots <= 0 || room.open < room.slots * IdleShare) {
+    if (room.slots <= 0) {
         return false;
     }
     const double queue = std::max(MinShortQueue, room.servedPerSecond * goalSeconds(room) * ShortQueueShare);
@@ -102,7 +102,7 @@
     if (refusedShare(room) > ToleratedRefusals && room.open >= room.slots * RefusingShare) {
         return true;
     }
-    return wasShort && demand > admissibleRate(room) * EnoughShare;
+    return wasShort && demand > admissibleRate(room) * (room.open < room.slots ? EnoughShareWithRoom : EnoughShare);
 }
 
 bool isNearlyShort(const ServiceRoom &room)
--- a/src/routeadmission/tests/fleetmodel.h
+++ b/src/routeadmission/tests/fleetmodel.h
@@ -35,6 +35,7 @@
     int served = 0;
     int inTime = 0;
     int refused = 0; ///< By the gate or by servers.
+    int refusedIdle = 0; ///< While fewer than half of the slots were taken.
     int large = 0;
     int largeServed = 0;
     int returns = 0; ///< Requests that came back after a refusal.
@@ -292,6 +293,15 @@
         }
     }
 
+    std::size_t openAtServers() const
+    {
+        std::size_t open = 0;
+        for (const Server &server : servers_) {
+            open += server.running.size() + server.waiting.size();
+        }
+        return open;
+    }
+
     std::size_t anyVm()
     {
         std::size_t vm = random_() % vms_.size();
@@ -429,6 +439,7 @@
         Outcome &outcome = outcomes_[request.load];
         if (request.isMeasured) {
             outcome.refused += request.isReturn ? 0 : 1;
+            outcome.refusedIdle += openAtServers() * 2 < servers_.size() * static_cast<std::size_t>(layout_.slots) ? 1 : 0;
             outcome.longestRefusal = std::max(outcome.longestRefusal, clock_.now() - request.arrivedAt);
         }
         if (returns_ == Returns::AsTold) {
--- a/src/routeadmission/tests/routeadmission_test.cpp
+++ b/src/routeadmission/tests/routeadmission_test.cpp
@@ -23,7 +23,7 @@
 {
     for (std::size_t i = 0; i < outcomes.size(); i++) {
         const Outcome &o = outcomes[i];
-        std::printf("%s %zu: asked %d, served %.3f, in time %.3f, returns %d, of them served %d, longest refusal %lld ms\n",
+        std::printf("%s %zu: asked %d, served %.3f, in time %.3f, returns %d, of them served %d, refused %d (idle %d), longest refusal %lld ms\n",
             name,
             i,
             o.asked,
@@ -31,6 +31,8 @@
             o.inTimeShare(),
             o.returns,
             o.returnsServed,
+            o.refused,
+            o.refusedIdle,
             static_cast<long long>(toMilliseconds(o.longestRefusal)));
     }
 }
