--- a/tests/support/routefleet.cpp
+++ b/tests/support/routefleet.cpp
@@ -216,7 +216,7 @@
     entry["service"] = "service";
     entry["address"] = proxied_ ? workerProxies_.at(instance).endpoint : workerAddresses_.at(instance);
     entry["zone"] = "zone-0";
-    entry["slots"] = 16;
+    entry["slots"] = slots_;
     entry["state"] = state;
     if (workerVersions_.contains(instance)) {
         entry["version"] = workerVersions_.at(instance);
@@ -251,6 +251,24 @@
     put("PUT", storeUrl("/control/rows/op/config"), http::writeJson(manifest));
 }
 
+void RouteFleet::putManifest(int version, const Json::Value &routes, const Json::Value &customers)
+{
+    Json::Value manifest;
+    manifest["version"] = version;
+    manifest["routes"] = routes;
+    manifest["services"][0]["name"] = "service";
+    manifest["tenants"] = customers;
+    put("PUT", storeUrl("/control/rows/op/config"), http::writeJson(manifest));
+}
+
+void RouteFleet::listSlots(int slots)
+{
+    slots_ = slots;
+    for (const std::string &worker : workerNames()) {
+        listWorker(worker, "ready");
+    }
+}
+
 void RouteFleet::putUnreadableManifest(const std::string &bytes)
 {
     put("PUT", storeUrl("/control/rows/op/config"), bytes);
--- a/tests/support/routefleet.h
+++ b/tests/support/routefleet.h
@@ -48,6 +48,10 @@
     /// Writes the manifest: routes /safe/, /once/, /stream/ (resumable) and /single/ (a stream that may not be resumed).
     /// @p unusedRoutes: more of them, with names that can't be packed into less.
     void putManifest(int version, const std::vector<std::string> &keys, int unusedRoutes = 0);
+    /// Writes a manifest with these routes and customers, as the platform has them; their service is "service".
+    void putManifest(int version, const Json::Value &routes, const Json::Value &customers);
+    /// Lists all workers with so many slots.
+    void listSlots(int slots);
     /// Writes @p bytes where the manifest stands.
     void putUnreadableManifest(const std::string &bytes);
     /// @p startedAt: Unix milliseconds that the worker gives as its start; 0: it gives none.
@@ -114,6 +118,7 @@
     std::map<std::string, Json::Value> lastCounts_; ///< Of workers that have ended, by name and start.
     std::vector<Arrival> lastArrivals_; ///< At workers that have ended.
     int workerHosts_ = 0;
+    int slots_ = 16; ///< Of each worker, as listed.
     int base_; ///< Of the addresses: 127.(base / 256).(base % 256).host
     std::unique_ptr<Process> store_;
     std::string storeEndpoint_;
