--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -192,6 +192,8 @@
     void onDeadline();
     void onCallerGone();
     void forwardAnswer();
+    /// A server has answered a request that may run once only with a status that promises that it has not run, but not said so itself.
+    void failUnmarkedRefusal();
 
     /// A send to another entry VM, which takes the request over.
     struct Relay {
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -221,6 +221,10 @@
         fail(StatusBadGateway, FailureReason::StreamBroken);
         return;
     }
+    if (saysNotRun(attempt_->head.status) && !mayRepeat()) {
+        failUnmarkedRefusal();
+        return;
+    }
     exchange_->answer(tools_.wire.writeAnswer(attempt_->head), attempt_->body);
     logAttempt("answered");
     tools_.metrics->add("requests_answered_total");
@@ -228,6 +232,20 @@
     finish();
 }
 
+// A server that has not run a request marks its answer so. Without the mark the status must not promise it to the caller.
+void ForwardedRequest::failUnmarkedRefusal()
+{
+    runs_++;
+    if (attempt_) {
+        logAttempt("unmarked_refusal");
+        endAttempt(true);
+    } else {
+        logRelay("unmarked_refusal");
+        endRelay(true);
+    }
+    fail(StatusBadGateway, FailureReason::OutcomeUnknown);
+}
+
 void ForwardedRequest::onNotRun(std::string_view why)
 {
     logAttempt(why);
--- a/src/forwarding/internal/forwardedrequestrelay.cpp
+++ b/src/forwarding/internal/forwardedrequestrelay.cpp
@@ -4,7 +4,6 @@
 #include "relay/relayrules.h"
 
 #include <algorithm>
-#include <array>
 
 namespace cardamomlift::forwarding {
 
@@ -17,14 +16,6 @@
 constexpr int MaxConnectFailures = 2;
 constexpr Duration MinRelayCheck = std::chrono::milliseconds(50);
 
-/// Statuses that say that the request has not run and will not.
-constexpr std::array NotRunStatuses{StatusTimeout, StatusMisdirected, StatusTooManyRequests, StatusUnavailable};
-
-bool saysNotRun(int status)
-{
-    return std::find(NotRunStatuses.begin(), NotRunStatuses.end(), status) != NotRunStatuses.end();
-}
-
 } // namespace
 
 bool ForwardedRequest::checkRelay()
@@ -194,6 +185,10 @@
     if (hasFailed && retryRelayed()) {
         return;
     }
+    if (saysNotRun(status) && isSigned && !mayRepeat()) {
+        failUnmarkedRefusal();
+        return;
+    }
     if (isNotRun && allowanceTaken_) {
         tools_.allowances->refund(*customer_, cost());
     }
--- a/src/forwarding/internal/forwardingconstants.h
+++ b/src/forwarding/internal/forwardingconstants.h
@@ -19,6 +19,12 @@
 inline constexpr int StatusUnavailable = 503;
 inline constexpr int StatusGatewayTimeout = 504;
 
+/// Whether the status promises that the request has not run and will not.
+constexpr bool saysNotRun(int status)
+{
+    return status == StatusTimeout || status == StatusMisdirected || status == StatusTooManyRequests || status == StatusUnavailable;
+}
+
 /// A server or entry VM that accepts no connection within this time is skipped: many times the round trip between failure domains.
 inline constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 /// Retry-After when all servers are full or none is known: about the time in which a burst of requests is processed.
--- a/src/routeadmission/internal/routeadmission.cpp
+++ b/src/routeadmission/internal/routeadmission.cpp
@@ -31,7 +31,7 @@
 constexpr std::size_t MaxWaiting = 64;
 /// A request waits no longer for its class's turn: a refusal would cost its caller more.
 constexpr Duration MaxWait = std::chrono::milliseconds(60);
-constexpr int GoalPartsWaited = 6;
+constexpr int GoalPartsWaited = 8;
 constexpr int TimeLeftPartsWaited = 4;
 /// Callers honour a time to come back up to this part of the time they have left.
 constexpr int TimeLeftPartsToReturn = 3;
