--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -69,6 +69,7 @@
             "relay",
             "prefixindex",
             "rollout",
+            "routeadmission",
             "serverlimits",
             "routesuspects"};
     }
