Move runs that fall behind at slow servers

Streams ran at a slowed server until their callers' time was over: a run left its server only when that was reclaimed, or, if it might be resumed, when it was silent.

Four times a second each open stream is checked: its last pauses against the route's gap goal, what is expected to be left of it against the caller's time. One that has been behind in two or three checks goes on at a server that has room and takes at most 0.6 of the time, if the gain is twice the pause: with its KV cache, or resumed where the route allows it. At most once a run, two at a time a VM, one a second to each target; the retry comes from the shared budget.

The KV cache is copied while the run goes on, and only the rest when it has stopped: a target without room costs nothing. A run whose second copy fails, or whose target refuses it or is gone, goes on at the source, which keeps its memory.

Ruled out: one copy of a stopped run, as before a reclaim: a 503 then ends the run. The best server for all: VMs that know the same would all move their runs there.

--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -142,6 +142,8 @@
     Slots, ///< Of the servers in use.
     DemandPerSecond, ///< Requests asked for at all VMs.
     ServedPerSecond, ///< Requests answered at all VMs.
+    EventsLeft, ///< Events of a stream that are expected to come.
+    TargetPacePercent, ///< As PacePercent, of the server that a run may move to; -1 if there is none.
     PacePercent, ///< How long work takes at a server, relative to the mean of its service: 100 as long.
     LearntPercent, ///< The same, from observations alone.
     AnnouncedPercent, ///< What the server says of this moment: 100 as usual; -1 if it said nothing lately.
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -134,6 +134,8 @@
     "slots",
     "demand_per_s",
     "served_per_s",
+    "events_left",
+    "target_pace_percent",
     "pace_percent",
     "learnt_percent",
     "announced_percent",
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -27,6 +27,7 @@
 #include "reachability/reachabilitytracker.h"
 #include "relay/relaypool.h"
 #include "retry/retrybudget.h"
+#include "stragglers/stragglertracker.h"
 
 #include <functional>
 #include <map>
@@ -63,6 +64,8 @@
     std::shared_ptr<prefixindex::PrefixIndex> prefixes;
     std::shared_ptr<PeerBacklog> peerBacklog;
     std::shared_ptr<pace::PaceTracker> pace; ///< May be null: all servers count as equally fast.
+    /// How long work takes at a server, by the hash of its instance, relative to the mean of the service. May be null: no run counts as late.
+    std::function<double(std::uint64_t server, const std::string &service)> paceOf;
     WireFormat wire;
     ForwardingSettings settings;
 };
@@ -89,6 +92,8 @@
     bool lacksServerRoom() const;
     /// Adapts the retry budgets to the number of VMs and to the age of this process. Called a few times a second.
     void tick();
+    /// Moves runs that fall behind at slow servers. To be called a few times a second.
+    void checkStragglers();
     /// Announces that this process ends at @p end: after a transition period, requests whose deadline is later are refused.
     void beginDrain(TimePoint end);
     void setSettings(const ForwardingSettings &settings);
@@ -103,6 +108,7 @@
     void onServerLeaving(const directory::ServerPtr &server);
     explicit Forwarder(ForwarderTools tools);
     retry::RetryBudget &budget(const std::string &service);
+    stragglers::StragglerTracker &stragglers();
     void forget(ForwardedRequest *request);
     std::shared_ptr<ForwarderTools> tools_; ///< Shared with the requests, which the event loop may free after this object.
     /// True if a request that may last until @p deadline is still accepted.
@@ -120,6 +126,8 @@
     TimePoint startedAt_;
     std::map<std::string, ServiceBudget> budgets_; ///< By service.
     std::optional<TimePoint> roomLackedAt_; ///< When a request was last refused for want of room at servers.
+    std::shared_ptr<stragglers::StragglerTracker> stragglers_;
+    std::optional<TimePoint> stragglersCheckedAt_;
     RetryPacer retryPacer_; ///< For callers that are refused because of servers' rate limits.
     std::map<ForwardedRequest *, std::shared_ptr<ForwardedRequest>> open_;
 };
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(500);
+/// Half of the shortest pause that callers notice.
+constexpr Duration StragglerPeriod = std::chrono::milliseconds(250);
 
 /// Suspensions of the process shorter than this are not logged.
 constexpr Duration MinSuspension = std::chrono::milliseconds(500);
@@ -99,6 +101,9 @@
         tools.outliers = context.get<outliers::OutlierDetector>();
         tools.reachability = context.get<reachability::ReachabilityTracker>();
         tools.pace = context.get<pace::PaceTracker>();
+        tools.paceOf = [pace = tools.pace](std::uint64_t server, const std::string &service) {
+            return pace->paceOf(server, service).factor;
+        };
         tools.overload = context.get<overload::OverloadController>();
         tools.relays = context.get<relay::RelayPool>();
         tools.prefixes = context.get<prefixindex::PrefixIndex>();
@@ -119,6 +124,7 @@
             pool->tick();
             forwarder->tick();
         });
+        loop->every(StragglerPeriod, [forwarder] { forwarder->checkStragglers(); });
         context.get<presence::Presence>()->addStatusContributor(
             [forwarder](presence::Status &status) { status.lacksServerRoom = forwarder->lacksServerRoom(); });
         watchSuspensions(*loop, gatewayTools.log);
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -333,6 +333,9 @@
     const directory::ServerPtr &server = choice.server;
     sends_++;
     logDispatch(choice);
+    if (server == late_.returnTo) {
+        late_.returnTo.reset();
+    }
     attempt_ = Attempt();
     attempt_->server = server;
     attempt_->sentAt = tools_.loop->now();
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -6,6 +6,7 @@
 #include "origins/originstypes.h"
 #include "prefixindex/prefixrules.h"
 #include "relay/relaytypes.h"
+#include "stragglers/stragglertracker.h"
 #include "suspects/suspecttypes.h"
 
 #include <optional>
@@ -24,6 +25,10 @@
     void start();
     /// The backend server @p instance stops at @p endsAt: if the request runs there, its run is moved before that.
     void onServerReclaim(const std::string &instance, TimePoint endsAt);
+    /// Whether its run falls behind at its server; cheap. To be called a few times a second.
+    bool isBehind();
+    /// Moves a run that has been behind for some time to a faster server, if there is one and it still helps.
+    void leaveSlowServer();
     /// This VM reaches no server any more: a request that waits for a connection waits no longer.
     void onCutOff();
 
@@ -46,6 +51,7 @@
         TimePoint lastByteAt; ///< The time of the send until a byte is received.
         std::uint64_t eventsTimed = 0; ///< Events of this attempt whose pace has been noted.
         TimePoint lastEventAt;
+        stragglers::EventGaps gaps;
     };
 
     /// How far the decision is whether the request may be sent to a server.
@@ -180,8 +186,21 @@
     void noteOutcome(outliers::Ending ending);
     bool mayMove(const std::string &instance) const;
     void startMove();
-    void onMoved(const std::optional<std::string> &handle);
+    void callMove();
+    void onMoved(const std::optional<KvMoveAnswer> &answer);
+    void onLateRunMoved(const std::optional<KvMoveAnswer> &answer);
     void continueAtTarget();
+    /// Whether another server may go on with the current attempt's run, which this VM has not moved yet.
+    bool mayLeaveServer() const;
+    bool canMoveKv() const;
+    stragglers::RunProgress runProgress() const;
+    stragglers::MoveTarget moveTargetOf(const directory::KnownServer &known, const directory::BackendServer &source) const;
+    /// The pause of a stream that is resumed at another server without its KV cache.
+    Duration resumePause() const;
+    void moveLateRun(const directory::ServerPtr &to);
+    void resumeLateRun(const directory::ServerPtr &to);
+    void notePauseOfMove();
+    void logBehind(std::string_view decision, const stragglers::RunProgress &progress, double paceHere, const stragglers::MoveTarget *target) const;
     /// The request is idempotent, or a stream that may be resumed after the last event that the caller has received.
     bool mayRepeat() const;
     bool mayRunAgain() const;
@@ -283,13 +302,27 @@
     struct Move {
         directory::ServerPtr from;
         directory::ServerPtr to;
+        bool isOfLateRun = false; ///< The source stays, and goes on with the run if the target can't.
+        bool stopsRun = true; ///< False during the first copy of a late run, while which it goes on.
+        bool isFramed = false; ///< The end of the source's stream tells whether it is whole.
         std::shared_ptr<http1::HttpClient> client;
         std::string kvSource; ///< "address:port/handle" at the source of the copy; empty until the source has answered.
+        bool isAnswered = false; ///< The source has answered the last call, whatever it said.
         bool hasMoveAnswer = false; ///< The source has answered the call, with a handle or without.
         bool hasSourceStopped = false; ///< The source has stopped the run and ended its stream.
     };
     std::optional<Move> move_;
     std::string kvSource_; ///< For the next send.
+    /// Of a late run.
+    struct Lateness {
+        int checks = 0; ///< Times in a row that the run was behind.
+        TimePoint nextLookAt; ///< Not before, other servers are looked at.
+        bool hasLeft = false; ///< It has left a server, or tried to.
+        stragglers::StragglerTracker::Ticket ticket; ///< While it moves.
+        std::optional<TimePoint> lastEventAt; ///< At the server that it has left, until the next event.
+        directory::ServerPtr returnTo; ///< The source of the move, which has stopped the run and can go on with it.
+    };
+    Lateness late_;
     TimerId moveTimer_ = 0;
     const RequestSource source_;
     bool isCounted_ = false;
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -120,6 +120,7 @@
         beginStream(attempt_->head);
     }
     exchange_->send(events);
+    notePauseOfMove();
     notePaceOfEvents();
     noteProgress(splitter_.eventCount());
     noteEvents();
@@ -151,7 +152,7 @@
 {
     const bool isUnframed = http1::framingOf(attempt_->head) == http1::Framing::Connection;
     const bool isEmpty = !attempt_->hasFirstByte && exchange_->head().method != "HEAD";
-    return splitter_.isInsideEvent() || (isUnframed && (isEmpty || move_));
+    return splitter_.isInsideEvent() || (isUnframed && (isEmpty || (move_ && move_->stopsRun)));
 }
 
 void ForwardedRequest::onStreamEnd()
@@ -163,6 +164,9 @@
     noteServed();
     noteProgress(suspects::CompleteAnswer);
     notePromptAnswered();
+    if (source_ == RequestSource::Caller && request_.lastEventId.empty()) {
+        forwarder_.stragglers().noteWhole(service_, splitter_.eventCount(), request_.outputTokens);
+    }
     completeStream(attempt_->head);
     logAttempt("answered");
     tools_.metrics->add("requests_answered_total");
@@ -265,6 +269,10 @@
 void ForwardedRequest::onFailure(http1::CallFailure failure)
 {
     const std::string instance = attempt_->server->server.instance;
+    if (move_ && !move_->stopsRun) {
+        // The source has failed while the run went on there.
+        move_.reset();
+    }
     if (move_ && failure == http1::CallFailure::Broken) {
         // The source ends its stream when it stops the run. Whether the run continues at the target depends on the source's
         // answer to the move. In any case it has run, so the caller must not be told that it has not.
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -96,6 +96,12 @@
 
 ForwardedRequest::Choice ForwardedRequest::chooseServer() const
 {
+    if (late_.returnTo) {
+        Choice back;
+        back.server = late_.returnTo;
+        back.candidates = 1;
+        return back;
+    }
     const auto usable = tools_.directory->usable(service_);
     const std::vector<prefixindex::PrefixMatch> matches = tools_.prefixes->matches(prefixes_);
     // During a rollout all servers are considered: a sample could miss the few servers that run the new version.
--- a/src/forwarding/internal/forwardedrequestmove.cpp
+++ b/src/forwarding/internal/forwardedrequestmove.cpp
@@ -43,6 +43,11 @@
     if (finished_ || move_ || !attempt_ || !route_ || !isStream() || route_->isResumable || attempt_->server->server.instance != instance) {
         return false;
     }
+    return canMoveKv();
+}
+
+bool ForwardedRequest::canMoveKv() const
+{
     const manifest::Service *service = manifest_->service(service_);
     return service && service->engine && service->engine->canMigrateKv;
 }
@@ -57,19 +62,34 @@
     if (!to || !takeRetry()) {
         return;
     }
-    countSend(to->server.instance);
-    move_ = Move{attempt_->server, to, nullptr, {}, false, false};
-    move_->client = http1::HttpClient::create(*tools_.loop, attempt_->server->server.endpoint, {}, MoveAnswerLimits);
+    move_ = Move();
+    move_->from = attempt_->server;
+    move_->to = to;
+    callMove();
+}
+
+void ForwardedRequest::callMove()
+{
+    const directory::ServerPtr to = move_->to;
+    if (move_->stopsRun) {
+        countSend(to->server.instance);
+    }
+    if (!move_->client) {
+        move_->client = http1::HttpClient::create(*tools_.loop, move_->from->server.endpoint, {}, MoveAnswerLimits);
+    }
     std::string body;
-    http1::RequestHead head = tools_.wire.writeKvMove({request_.id, to->server.endpoint}, body);
+    http1::RequestHead head = tools_.wire.writeKvMove({request_.id, to->server.endpoint, move_->stopsRun}, body);
     tools_.log->write(Event::StreamMoved,
         {{Attribute::Request, request_.id},
-            {Attribute::Server, attempt_->server->server.instance},
+            {Attribute::Server, move_->from->server.instance},
             {Attribute::Holder, to->server.instance},
+            {Attribute::Reason, move_->isOfLateRun ? "behind" : "leaving"},
+            {Attribute::Outcome, move_->stopsRun ? "stops" : "goes_on"},
             {Attribute::Events, static_cast<std::int64_t>(splitter_.eventCount())}});
     move_->client->call(std::move(head), std::move(body), MoveTimeout, [weak = weak_from_this()](const http1::CallResult &result) {
         const auto self = weak.lock();
         if (self && !self->finished_ && self->move_) {
+            self->move_->isAnswered = result.isAnswered;
             if (result.isAnswered) {
                 self->noteAnnouncements(self->move_->from->server.instance, self->tools_.wire.readAnswer(result.response.head));
             }
@@ -78,14 +98,19 @@
     });
 }
 
-void ForwardedRequest::onMoved(const std::optional<std::string> &handle)
+void ForwardedRequest::onMoved(const std::optional<KvMoveAnswer> &answer)
 {
+    if (move_->isOfLateRun) {
+        onLateRunMoved(answer);
+        return;
+    }
+    const bool isCopied = answer && answer->isCopied;
     move_->hasMoveAnswer = true;
-    if (handle) {
-        move_->kvSource = http1::formatEndpoint(move_->from->server.endpoint) + "/" + *handle;
+    if (isCopied) {
+        move_->kvSource = http1::formatEndpoint(move_->from->server.endpoint) + "/" + answer->handle;
     }
-    tools_.metrics->add(handle ? "streams_moved_total" : "stream_moves_failed_total");
-    if (!handle && attempt_) {
+    tools_.metrics->add(isCopied ? "streams_moved_total" : "stream_moves_failed_total");
+    if (!isCopied && attempt_) {
         // The run continues at the source until that one stops.
         move_.reset();
         return;
@@ -93,6 +118,40 @@
     continueAtTarget();
 }
 
+// A late run has been copied twice: while it went on, and what was new when it had stopped. If the source has failed in between, or the second
+// answer is lost, the first copy serves. If there is none at the target after all, the source goes on.
+void ForwardedRequest::onLateRunMoved(const std::optional<KvMoveAnswer> &answer)
+{
+    const std::string handle = answer ? http1::formatEndpoint(move_->from->server.endpoint) + "/" + answer->handle : std::string();
+    const bool isCopied = answer && answer->isCopied;
+    if (!move_->stopsRun) {
+        if (!isCopied || !attempt_) {
+            tools_.metrics->add("stream_moves_failed_total");
+            late_.ticket.reset();
+            move_.reset();
+            return;
+        }
+        move_->kvSource = handle;
+        move_->stopsRun = true;
+        callMove();
+        return;
+    }
+    tools_.metrics->add(isCopied ? "streams_moved_total" : "stream_moves_failed_total");
+    move_->hasMoveAnswer = true;
+    if (answer) {
+        move_->kvSource = handle;
+        move_->to = isCopied ? move_->to : move_->from;
+    } else if (move_->isAnswered || !move_->isFramed) {
+        if (attempt_) {
+            late_.ticket.reset();
+            move_.reset();
+            return;
+        }
+        move_->kvSource.clear();
+    }
+    continueAtTarget();
+}
+
 // Two conditions must hold: the source has stopped, so that all its events have been forwarded, and it has answered the
 // move, so that the location of the KV cache is known.
 void ForwardedRequest::continueAtTarget()
@@ -107,13 +166,21 @@
         fail(StatusBadGateway, hasStreamStarted() ? FailureReason::StreamBroken : FailureReason::OutcomeUnknown);
         return;
     }
-    // The copy is at the target only, so the run can't continue anywhere else.
+    const bool goesBack = move.to == move.from;
+    if (goesBack && !takeRetry()) {
+        fail(StatusBadGateway, FailureReason::RetryBudget);
+        return;
+    }
+    // Only the target has the copy, and the source of a late run.
     if (!tools_.backoffs->takeException(move.to->server.instance)) {
         fail(StatusBadGateway, hasStreamStarted() ? FailureReason::StreamBroken : FailureReason::OutcomeUnknown);
         return;
     }
     kvSource_ = move.kvSource;
-    tools_.metrics->retried(metrics::RetryReason::ServerLeaving);
+    if (move.isOfLateRun && !goesBack) {
+        late_.returnTo = move.from;
+    }
+    tools_.metrics->retried(move.isOfLateRun ? metrics::RetryReason::ServerSlow : metrics::RetryReason::ServerLeaving);
     Choice choice;
     choice.server = move.to;
     choice.candidates = 1;
--- a/src/forwarding/internal/forwardedrequestpace.cpp
+++ b/src/forwarding/internal/forwardedrequestpace.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwardedrequest.h"
+#include "stragglers/stragglerrules.h"
 
 namespace cardamomlift::forwarding {
 
@@ -18,6 +19,9 @@
     if (tools_.pace && attempt_->eventsTimed > 0 && events > attempt_->eventsTimed) {
         tools_.pace->noteEvents(attempt_->server->server.instance, service_, events - attempt_->eventsTimed, now - attempt_->lastEventAt);
     }
+    if (attempt_->eventsTimed > 0 && events > attempt_->eventsTimed) {
+        stragglers::noteEvents(attempt_->gaps, events - attempt_->eventsTimed, now - attempt_->lastEventAt, route_->eventGapGoal);
+    }
     attempt_->eventsTimed = events;
     attempt_->lastEventAt = now;
 }
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -18,12 +18,17 @@
 
 /// A VM that has refused requests for want of room says so for this long. Other VMs hand none over to it meanwhile.
 constexpr Duration RoomLackedMemory = std::chrono::milliseconds(500);
+/// Looks at all servers of a service for late runs, in one check: each takes some 0.1 ms among a hundred servers.
+constexpr std::size_t MaxLooksPerCheck = 4;
+/// A check that comes so long after the one before shows that this VM itself was late: events may have come that it has not read yet.
+constexpr Duration MaxCheckGap = std::chrono::milliseconds(450);
 
 } // namespace
 
 Forwarder::Forwarder(ForwarderTools tools)
     : tools_(std::make_shared<ForwarderTools>(std::move(tools)))
     , startedAt_(tools_->loop->now())
+    , stragglers_(stragglers::StragglerTracker::create(*tools_->loop))
 {
 }
 
@@ -151,6 +156,30 @@
     }
 }
 
+stragglers::StragglerTracker &Forwarder::stragglers()
+{
+    return *stragglers_;
+}
+
+void Forwarder::checkStragglers()
+{
+    const TimePoint now = tools_->loop->now();
+    const bool wasLate = stragglersCheckedAt_ && now - *stragglersCheckedAt_ > MaxCheckGap;
+    stragglersCheckedAt_ = now;
+    if (wasLate) {
+        return;
+    }
+    std::vector<std::shared_ptr<ForwardedRequest>> late;
+    for (const auto &[key, request] : open_) {
+        if (request->isBehind() && late.size() < MaxLooksPerCheck) {
+            late.push_back(request);
+        }
+    }
+    for (const auto &request : late) {
+        request->leaveSlowServer();
+    }
+}
+
 void Forwarder::setSettings(const ForwardingSettings &settings)
 {
     tools_->settings = settings;
--- a/src/forwarding/wireformat.h
+++ b/src/forwarding/wireformat.h
@@ -73,10 +73,17 @@
     std::optional<Duration> backoff; ///< The server turned the request away and accepts none from this VM for this long.
 };
 
-/// Tells a backend server to copy a run's KV cache to another server and to stop the run.
+/// Tells a backend server to copy a run's KV cache to another server.
 struct KvMoveRequest {
     std::string requestId;
     http1::Endpoint to;
+    bool stopsRun = true; ///< The run stops first; otherwise it goes on meanwhile, and another call copies the rest.
+};
+
+/// What the server answers.
+struct KvMoveAnswer {
+    std::string handle; ///< Of the KV cache, at the server that answers.
+    bool isCopied = false; ///< If not, only that server has it.
 };
 
 /// Conversions between these types and HTTP messages, provided by the platform adapter.
@@ -93,8 +100,8 @@
     http1::ResponseHead (*writeAnswer)(const http1::ResponseHead &head) = nullptr;
     /// The head of the call that moves a KV cache; writes its body to @p body.
     http1::RequestHead (*writeKvMove)(const KvMoveRequest &request, std::string &body) = nullptr;
-    /// The handle of the copied KV cache; empty if the move failed.
-    std::optional<std::string> (*readKvMove)(const http1::Response &response) = nullptr;
+    /// Empty if the answer names no KV cache.
+    std::optional<KvMoveAnswer> (*readKvMove)(const http1::Response &response) = nullptr;
 };
 
 } // namespace cardamomlift::forwarding
--- a/src/metrics/internal/reasons.cpp
+++ b/src/metrics/internal/reasons.cpp
@@ -41,6 +41,7 @@
     "stream_broken",
     "server_leaving",
     "server_silent",
+    "server_slow",
     "table_conflict",
 };
 
--- a/src/metrics/reasons.h
+++ b/src/metrics/reasons.h
@@ -39,7 +39,7 @@
 };
 
 /// Why an attempt was repeated. One counter each (cardamomlift_retries_total).
-enum class RetryReason { ConnectFailed, ServerRefused, ServerFailed, StreamBroken, ServerLeaving, ServerSilent, TableConflict, Count };
+enum class RetryReason { ConnectFailed, ServerRefused, ServerFailed, StreamBroken, ServerLeaving, ServerSilent, ServerSlow, TableConflict, Count };
 
 std::string_view reasonName(RefusalReason reason);
 std::string_view reasonName(RetryReason reason);
