Tell how late a VM's event loop runs, and hand over what it can't do

VMs of 0.09 core stand beside others of 0.5 and get connections alike; nothing weighed a VM's own lag.

A timer measures how late the loop runs; statuses tell it, summaries the mean. A VM that lags counts as busier when one is chosen to take requests over.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -28,6 +28,7 @@
 #include "relay/relaypool.h"
 #include "retry/retrybudget.h"
 #include "stragglers/stragglertracker.h"
+#include "vmload/loopmonitor.h"
 
 #include <functional>
 #include <map>
@@ -66,6 +67,7 @@
     std::shared_ptr<pace::PaceTracker> pace; ///< May be null: all servers count as equally fast.
     /// How long work takes at a server, by the hash of its instance, relative to the mean of the service. May be null: no run counts as late.
     std::function<double(std::uint64_t server, const std::string &service)> paceOf;
+    std::shared_ptr<vmload::LoopMonitor> vmLoad; ///< May be null: this VM keeps up.
     WireFormat wire;
     ForwardingSettings settings;
 };
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -60,6 +60,7 @@
             "prefixindex",
             "rollout",
             "serverlimits",
+            "vmload",
             "routesuspects"};
     }
 
@@ -106,6 +107,7 @@
         };
         tools.overload = context.get<overload::OverloadController>();
         tools.relays = context.get<relay::RelayPool>();
+        tools.vmLoad = context.get<vmload::LoopMonitor>();
         tools.prefixes = context.get<prefixindex::PrefixIndex>();
         tools.wire = *context.get<WireFormat>();
         tools.settings = forwardingSettings(*settings->routes, settings->instance, settings->zone);
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -241,7 +241,7 @@
         return;
     }
     countRequest();
-    if (!checkCrashes() || (shouldRelay() && startRelay()) || !admit() || !mayUseServers()) {
+    if (!checkCrashes() || (shouldRelay() && startRelay()) || handOverIfBusy() || !admit() || !mayUseServers()) {
         return;
     }
     const Choice choice = chooseServer();
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -229,6 +229,8 @@
     bool startRelay();
     /// The same to one that may have room at servers that limit the requests of each VM.
     bool startRelayForRoom();
+    /// The same in part of the cases if this VM can't keep up and others can.
+    bool handOverIfBusy();
     void sendToPeer(const relay::RelayPeer &peer, std::string_view reason);
     relay::RelayFields relayFields() const;
     void onRelayHead(http1::ResponseHead head);
--- a/src/forwarding/internal/forwardedrequestlate.cpp
+++ b/src/forwarding/internal/forwardedrequestlate.cpp
@@ -89,13 +89,13 @@
 // stop the run. One that leaves is left in time.
 void ForwardedRequest::leaveSlowServer()
 {
-    if (!mayLeaveServer()) {
+    if (!mayLeaveServer() || !forwarder_.stragglers().mayMove()) {
         return;
     }
     const directory::KnownServer &source = *attempt_->server;
     const auto known = tools_.directory->find(source.server.instance);
     late_.nextLookAt = tools_.loop->now() + LookPeriod;
-    if (isServerSilent() || !known || known->isLeaving || !forwarder_.stragglers().mayMove()) {
+    if (isServerSilent() || !known || known->isLeaving) {
         return;
     }
     // What the run keeps in memory fits its own software only.
--- a/src/forwarding/internal/forwardedrequestrelay.cpp
+++ b/src/forwarding/internal/forwardedrequestrelay.cpp
@@ -63,7 +63,7 @@
 
 bool ForwardedRequest::startRelay()
 {
-    const auto peer = tools_.relays->choose(manifest_->manifest().version, triedPeers_, salt(), false);
+    const auto peer = tools_.relays->choose(manifest_->manifest().version, triedPeers_, salt(), {});
     if (!peer) {
         return false;
     }
@@ -76,7 +76,7 @@
     if (!mayRelay() || relays_ >= relay::MaxRelaysForRoom) {
         return false;
     }
-    const auto peer = tools_.relays->choose(manifest_->manifest().version, triedPeers_, salt(), true);
+    const auto peer = tools_.relays->choose(manifest_->manifest().version, triedPeers_, salt(), {.serverRoom = true});
     if (!peer) {
         return false;
     }
@@ -85,6 +85,22 @@
     return true;
 }
 
+// Plain requests only: the events of a stream would pass through both VMs, and cost as much here as before.
+bool ForwardedRequest::handOverIfBusy()
+{
+    const bool isNew = sends_ == 0 && relays_ == 0 && !isStream();
+    if (!tools_.vmLoad || !isNew || !mayRelay() || !tools_.vmLoad->shouldHandOver(salt())) {
+        return false;
+    }
+    const auto peer = tools_.relays->choose(manifest_->manifest().version, triedPeers_, salt(), {.maxLag = tools_.vmLoad->headroomLag()});
+    if (!peer) {
+        return false;
+    }
+    tools_.metrics->add("requests_handed_over_busy_total");
+    sendToPeer(*peer, "busy");
+    return true;
+}
+
 relay::RelayFields ForwardedRequest::relayFields() const
 {
     relay::RelayFields fields;
--- a/src/forwarding/tests/vmfleettest.h
+++ b/src/forwarding/tests/vmfleettest.h
@@ -164,6 +164,7 @@
     Status status;
     std::string zone = "zone-0";
     bool isDraining = false;
+    std::optional<Duration> loopLag; ///< As its statuses tell it.
 };
 
 /// A caller's request.
@@ -340,7 +341,9 @@
             candidates.push_back({{vm->name, vm->zone, vm->peerLink->endpoint()},
                 status.openRequests,
                 0,
-                since ? std::optional(*since + (loop_->now() - status.at)) : std::nullopt});
+                since ? std::optional(*since + (loop_->now() - status.at)) : std::nullopt,
+                false,
+                vm->loopLag});
         }
         return candidates;
     }
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -52,6 +52,7 @@
     partial.isDraining = status.isDraining;
     partial.reachesNoServer = status.reachesNoServer;
     partial.lacksServerRoom = status.lacksServerRoom;
+    partial.loopLag = status.loopLag;
     partial.sinceServerContact = status.sinceServerContact;
     partial.isPartial = true;
     return partial;
@@ -395,6 +396,7 @@
     peer.status->isDraining = status.isDraining;
     peer.status->reachesNoServer = status.reachesNoServer;
     peer.status->lacksServerRoom = status.lacksServerRoom;
+    peer.status->loopLag = status.loopLag;
     peer.status->sinceServerContact = status.sinceServerContact;
 }
 
--- a/src/presence/internal/statussummary.cpp
+++ b/src/presence/internal/statussummary.cpp
@@ -134,6 +134,19 @@
     }
 }
 
+std::optional<Duration> meanLag(std::span<const MemberStatus> members)
+{
+    Duration sum{0};
+    int count = 0;
+    for (const MemberStatus &member : members) {
+        if (member.age <= MemberAliveWithin && member.status->loopLag) {
+            sum += *member.status->loopLag;
+            count++;
+        }
+    }
+    return count == 0 ? std::nullopt : std::optional(sum / count);
+}
+
 // Adds the state by which the leader lease and the store readers are chosen.
 void addLeaseAndStoreState(Status &summary, const MemberStatus &member)
 {
@@ -237,6 +250,7 @@
     summary.isDraining = true;
     summary.reachesNoServer = true;
     summary.lacksServerRoom = true;
+    summary.loopLag = meanLag(members);
     std::map<std::uint64_t, CustomerDemand> demands;
     std::map<std::uint64_t, ServiceLoad> loads;
     std::map<std::uint64_t, CombinedOutcomes> combined;
--- a/src/presence/tests/vmgroups_test.cpp
+++ b/src/presence/tests/vmgroups_test.cpp
@@ -150,6 +150,20 @@
     EXPECT_NE(summarize("g", std::vector<MemberStatus>{{&one, milliseconds(0)}, {&two, milliseconds(0)}}).membersHash, sum.membersHash);
 }
 
+TEST(StatusSummary, TellsTheMeanLagOfTheMembersThatTellTheirs)
+{
+    Status first;
+    Status second;
+    Status silent;
+    first.loopLag = std::chrono::milliseconds(10);
+    second.loopLag = std::chrono::milliseconds(90);
+    silent.loopLag = std::chrono::milliseconds(900);
+    const Status untold;
+    const std::vector<MemberStatus> members{{&first, {}}, {&second, {}}, {&untold, {}}, {&silent, std::chrono::minutes(1)}};
+    EXPECT_EQ(summarize("group", members).loopLag, std::chrono::milliseconds(50));
+    EXPECT_EQ(summarize("group", {}).loopLag, std::nullopt);
+}
+
 TEST(StatusSummary, KeepsTheNewestLimitOfEachServer)
 {
     Status one;
--- a/src/relay/internal/relaypool.cpp
+++ b/src/relay/internal/relaypool.cpp
@@ -46,12 +46,19 @@
     return candidate.lacksRoom || (found != entries_.end() && loop_.now() < found->second.lacksRoomUntil);
 }
 
-std::optional<RelayPeer> RelayPool::choose(std::uint64_t manifestVersion, const std::set<std::string> &except, std::uint64_t salt, bool needsRoom) const
+bool RelayPool::meets(const RelayCandidate &candidate, const RelayNeeds &needs) const
+{
+    const bool hasHeadroom = !needs.maxLag || (candidate.loopLag && *candidate.loopLag <= *needs.maxLag);
+    return hasHeadroom && (!needs.serverRoom || !lacksRoom(candidate));
+}
+
+std::optional<RelayPeer> RelayPool::choose(
+    std::uint64_t manifestVersion, const std::set<std::string> &except, std::uint64_t salt, const RelayNeeds &needs) const
 {
     std::vector<RelayCandidate> candidates = candidates_(manifestVersion);
     std::erase_if(candidates, [&](const RelayCandidate &candidate) {
         const std::string &instance = candidate.peer.instance;
-        return except.contains(instance) || isAvoided(instance) || (needsRoom && lacksRoom(candidate));
+        return except.contains(instance) || isAvoided(instance) || !meets(candidate, needs);
     });
     for (RelayCandidate &candidate : candidates) {
         const auto found = entries_.find(candidate.peer.instance);
--- a/src/relay/relaymodule.cpp
+++ b/src/relay/relaymodule.cpp
@@ -43,7 +43,7 @@
     const std::size_t first = candidates.size();
     for (const auto &[instance, peer] : presence.peers()) {
         if (peer.group == group) {
-            candidates.push_back({{instance, peer.zone, peer.endpoint}, 0, 0, {}, summary.status->lacksServerRoom});
+            candidates.push_back({{instance, peer.zone, peer.endpoint}, 0, 0, {}, summary.status->lacksServerRoom, summary.status->loopLag});
         }
     }
     const auto members = static_cast<double>(candidates.size() - first);
@@ -57,8 +57,12 @@
     std::vector<RelayCandidate> candidates;
     for (const auto &[instance, peer] : presence.peers()) {
         if (presence.isInOwnGroup(instance) && canTakeOver(peer, manifestVersion, now)) {
-            candidates.push_back(
-                {{instance, peer.zone, peer.endpoint}, openRequests(*peer.status), 0, sinceServerContact(peer, now), peer.status->lacksServerRoom});
+            candidates.push_back({{instance, peer.zone, peer.endpoint},
+                openRequests(*peer.status),
+                0,
+                sinceServerContact(peer, now),
+                peer.status->lacksServerRoom,
+                peer.status->loopLag});
         }
     }
     for (const auto &[name, group] : presence.groups()) {
--- a/src/relay/relaypool.h
+++ b/src/relay/relaypool.h
@@ -24,9 +24,8 @@
 public:
     static std::shared_ptr<RelayPool> create(EventLoop &loop, std::string zone, CandidateSource candidates);
 
-    /// The VM to hand a request over to, other than those in @p except; empty if there is none. @p needsRoom: this VM has no room at servers that limit
-    /// the requests of each VM; not to one that lacks it too.
-    std::optional<RelayPeer> choose(std::uint64_t manifestVersion, const std::set<std::string> &except, std::uint64_t salt, bool needsRoom) const;
+    /// The VM to hand a request over to, other than those in @p except; empty if there is none.
+    std::optional<RelayPeer> choose(std::uint64_t manifestVersion, const std::set<std::string> &except, std::uint64_t salt, const RelayNeeds &needs) const;
     std::shared_ptr<http1::BackendChannel> acquire(const RelayPeer &peer);
     /// Ends a call on a channel of acquire(). @p isReusable: its answer was complete.
     void release(const std::string &instance, std::shared_ptr<http1::BackendChannel> channel, bool isReusable);
@@ -48,6 +47,7 @@
     RelayPool(EventLoop &loop, std::string zone, CandidateSource candidates);
     bool isAvoided(const std::string &instance) const;
     bool lacksRoom(const RelayCandidate &candidate) const;
+    bool meets(const RelayCandidate &candidate, const RelayNeeds &needs) const;
     EventLoop &loop_;
     std::string zone_;
     CandidateSource candidates_;
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -23,6 +23,13 @@
     int openRelays = 0; ///< Requests of this VM among them that were handed over.
     std::optional<Duration> sinceServerContact; ///< Time since it last heard from a backend server; empty if not known.
     bool lacksRoom = false; ///< It has just refused requests as servers' limits left it no room.
+    std::optional<Duration> loopLag; ///< How late its event loop runs; empty if not known.
+};
+
+/// What the VM that takes a request over must have, beside a way to servers.
+struct RelayNeeds {
+    bool serverRoom = false; ///< At servers that limit the requests of each VM.
+    std::optional<Duration> maxLag; ///< Its event loop runs no later than this.
 };
 
 /// What an entry VM says of a request that it hands over, beside the request itself.
--- a/src/relay/tests/relaypool_test.cpp
+++ b/src/relay/tests/relaypool_test.cpp
@@ -66,7 +66,7 @@
 
     std::string choose(const std::set<std::string> &except = {})
     {
-        const auto peer = pool_->choose(7, except, 0, false);
+        const auto peer = pool_->choose(7, except, 0, {});
         return peer ? peer->instance : std::string();
     }
 
@@ -112,7 +112,7 @@
 TEST_F(RelayPoolTest, AVmWithoutRoomGetsNoRequestThatNeedsIt)
 {
     const auto chooseForRoom = [this] {
-        const auto peer = pool_->choose(7, {}, 0, true);
+        const auto peer = pool_->choose(7, {}, 0, {.serverRoom = true});
         return peer ? peer->instance : std::string();
     };
     EXPECT_EQ(chooseForRoom(), "a");
@@ -125,6 +125,35 @@
     EXPECT_EQ(chooseForRoom(), "b");
 }
 
+// VMs of a fifth of the speed beside others: their loops run late with few open requests.
+TEST(RelayRules, AVmWhoseLoopRunsLateCountsAsBusier)
+{
+    std::vector<RelayCandidate> candidates{candidate("a", "here", 2), candidate("b", "here", 4)};
+    EXPECT_EQ(chooseRelay(candidates, "here", 0), 0U);
+    candidates[0].loopLag = milliseconds(100);
+    candidates[1].loopLag = milliseconds(2);
+    EXPECT_EQ(chooseRelay(candidates, "here", 0), 1U);
+    candidates[0].loopLag = std::chrono::hours(1);
+    candidates[1].openRequests = 1000;
+    EXPECT_EQ(chooseRelay(candidates, "here", 0), 0U) << "a lag that can't be true is bounded";
+}
+
+// A VM that can't keep up asks only those that can.
+TEST_F(RelayPoolTest, AVmWithoutHeadroomGetsNoRequestThatNeedsIt)
+{
+    const auto chooseHeadroom = [this] {
+        const auto peer = pool_->choose(7, {}, 0, {.maxLag = milliseconds(20)});
+        return peer ? peer->instance : std::string();
+    };
+    EXPECT_EQ(chooseHeadroom(), "") << "their lags are not known";
+    candidates_[0].loopLag = milliseconds(50);
+    candidates_[1].loopLag = milliseconds(10);
+    EXPECT_EQ(chooseHeadroom(), "b");
+    candidates_[1].loopLag = milliseconds(21);
+    EXPECT_EQ(chooseHeadroom(), "");
+    EXPECT_NE(choose(), "") << "it reaches servers";
+}
+
 } // namespace
 
 } // namespace cardamomlift::relay
