Free the copy of a late run that does not move after all

A caller that leaves, or a run that ends, between the two copies left the first one in a slot of the target until its time was over. And a reclaim notice during a move that then failed was forgotten: the run is moved now.

--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -188,6 +188,9 @@
     void startMove();
     void callMove();
     void onMoved(const std::optional<KvMoveAnswer> &answer);
+    /// A late run does not move after all: its copy is freed.
+    void abandonMove();
+    void leaveIfReclaimed();
     void onLateRunMoved(const std::optional<KvMoveAnswer> &answer);
     void continueAtTarget();
     /// Whether another server may go on with the current attempt's run, which this VM has not moved yet.
@@ -309,6 +312,7 @@
         bool isFramed = false; ///< The end of the source's stream tells whether it is whole.
         std::shared_ptr<http1::HttpClient> client;
         std::string kvSource; ///< "address:port/handle" at the source of the copy; empty until the source has answered.
+        std::string handle; ///< Of the KV cache at the source; empty as kvSource is.
         bool isAnswered = false; ///< The source has answered the last call, whatever it said.
         bool hasMoveAnswer = false; ///< The source has answered the call, with a handle or without.
         bool hasSourceStopped = false; ///< The source has stopped the run and ended its stream.
--- a/src/forwarding/internal/forwardedrequestanswer.cpp
+++ b/src/forwarding/internal/forwardedrequestanswer.cpp
@@ -271,7 +271,7 @@
     const std::string instance = attempt_->server->server.instance;
     if (move_ && !move_->stopsRun) {
         // The source has failed while the run went on there.
-        move_.reset();
+        abandonMove();
     }
     if (move_ && failure == http1::CallFailure::Broken) {
         // The source ends its stream when it stops the run. Whether the run continues at the target depends on the source's
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -161,7 +161,7 @@
     tools_.loop->cancel(roomTimer_);
     tools_.loop->cancel(moveTimer_);
     tools_.loop->cancel(relayTimer_);
-    late_.ticket.reset();
+    abandonMove();
     releaseAdmission();
     forwarder_.forget(this);
 }
--- a/src/forwarding/internal/forwardedrequestmove.cpp
+++ b/src/forwarding/internal/forwardedrequestmove.cpp
@@ -118,6 +118,25 @@
     continueAtTarget();
 }
 
+void ForwardedRequest::abandonMove()
+{
+    late_.ticket.reset();
+    if (move_ && !move_->handle.empty()) {
+        const auto client = move_->client;
+        client->call(tools_.wire.writeKvRelease(move_->handle), {}, MoveTimeout, [client](const http1::CallResult &) {});
+    }
+    move_.reset();
+}
+
+// A notice that comes during a move does not start another one.
+void ForwardedRequest::leaveIfReclaimed()
+{
+    const auto known = attempt_ ? tools_.directory->find(attempt_->server->server.instance) : nullptr;
+    if (known && known->isLeaving && known->server.isReclaimable && mayMove(known->server.instance)) {
+        startMove();
+    }
+}
+
 // A late run has been copied twice: while it went on, and what was new when it had stopped. If the source has failed in between, or the second
 // answer is lost, the first copy serves. If there is none at the target after all, the source goes on.
 void ForwardedRequest::onLateRunMoved(const std::optional<KvMoveAnswer> &answer)
@@ -127,10 +146,11 @@
     if (!move_->stopsRun) {
         if (!isCopied || !attempt_) {
             tools_.metrics->add("stream_moves_failed_total");
-            late_.ticket.reset();
-            move_.reset();
+            abandonMove();
+            leaveIfReclaimed();
             return;
         }
+        move_->handle = answer->handle;
         move_->kvSource = handle;
         move_->stopsRun = true;
         callMove();
@@ -143,8 +163,8 @@
         move_->to = isCopied ? move_->to : move_->from;
     } else if (move_->isAnswered || !move_->isFramed) {
         if (attempt_) {
-            late_.ticket.reset();
-            move_.reset();
+            abandonMove();
+            leaveIfReclaimed();
             return;
         }
         move_->kvSource.clear();
--- a/src/forwarding/tests/forwarderlateruns_test.cpp
+++ b/src/forwarding/tests/forwarderlateruns_test.cpp
@@ -185,6 +185,23 @@
     EXPECT_TRUE(runUntil([&] { return isWhole(); }));
 }
 
+// The source is reclaimed during the first copy, which then fails.
+TEST_F(LateRuns, ALateRunLeavesItsReclaimedServerThoughTheFirstCopyFailed)
+{
+    startStream("/stream/1");
+    check();
+    const auto copy = nextRequest();
+    reclaim(source_);
+    settle();
+    EXPECT_EQ(arrivals(), 2);
+    copy->answer(headOf(503), "{}");
+    const auto move = nextRequest();
+    EXPECT_NE(move->body().find("\"last\":true"), std::string::npos) << move->body();
+    run_->abort();
+    move->answer(headOf(200), R"({"handle":"h7","created":5})");
+    finishAt(nextRequest());
+}
+
 TEST_F(LateRuns, ARunThatEndsDuringTheFirstCopyIsWhole)
 {
     startStream("/stream/1");
@@ -208,7 +225,8 @@
     settle();
     run_->end();
     EXPECT_TRUE(runUntil([&] { return isWhole(); }));
-    EXPECT_EQ(arrivals(), 3);
+    EXPECT_EQ(nextRequest()->head().method, "DELETE");
+    EXPECT_EQ(arrivals(), 4);
 }
 
 // The source is killed during the first copy: nothing may be sent to a target that has no copy.
@@ -300,10 +318,13 @@
     const auto second = copyOnce();
     client_.reset();
     ASSERT_TRUE(runUntil([&] { return logLines_.find("request_gone") != std::string::npos; }));
+    const auto release = nextRequest();
+    EXPECT_EQ(release->head().method, "DELETE") << "the copy takes a slot at the target";
+    EXPECT_EQ(release->head().target, "/api/kv-handle/h7");
     run_->abort();
     second->answer(headOf(200), R"({"handle":"h7","created":5})");
     settle();
-    EXPECT_EQ(arrivals(), 3);
+    EXPECT_EQ(arrivals(), 4);
     EXPECT_EQ(forwarder_->openRequests(), 0U);
 }
 
--- a/src/forwarding/wireformat.h
+++ b/src/forwarding/wireformat.h
@@ -102,6 +102,8 @@
     http1::RequestHead (*writeKvMove)(const KvMoveRequest &request, std::string &body) = nullptr;
     /// Empty if the answer names no KV cache.
     std::optional<KvMoveAnswer> (*readKvMove)(const http1::Response &response) = nullptr;
+    /// The head of the call that frees a copied KV cache at both servers.
+    http1::RequestHead (*writeKvRelease)(const std::string &handle) = nullptr;
 };
 
 } // namespace cardamomlift::forwarding
