--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -11,6 +11,8 @@
 /// How often the demand at the other VMs is summed up, and how old a status may be to count.
 constexpr Duration PeerDemandPeriod = std::chrono::milliseconds(250);
 constexpr Duration PeerDemandLifetime = std::chrono::seconds(3);
+/// Half of the shortest pause that callers notice.
+constexpr Duration StragglerPeriod = std::chrono::milliseconds(250);
 
 /// Suspensions of the process shorter than this are not logged.
 constexpr Duration MinSuspension = std::chrono::milliseconds(500);
@@ -71,6 +73,7 @@
             "rollout",
             "routeadmission",
             "serverlimits",
+            "vmload",
             "routesuspects"};
     }
 
@@ -115,8 +118,12 @@
         tools.outliers = context.get<outliers::OutlierDetector>();
         tools.reachability = context.get<reachability::ReachabilityTracker>();
         tools.pace = context.get<pace::PaceTracker>();
+        tools.paceOf = [pace = tools.pace](std::uint64_t server, const std::string &service) {
+            return pace->paceOf(server, service).factor;
+        };
         tools.overload = context.get<overload::OverloadController>();
         tools.relays = context.get<relay::RelayPool>();
+        tools.vmLoad = context.get<vmload::LoopMonitor>();
         tools.prefixes = context.get<prefixindex::PrefixIndex>();
         tools.wire = *context.get<WireFormat>();
         tools.settings = forwardingSettings(*settings->routes, settings->instance, settings->zone);
@@ -136,6 +143,7 @@
             pool->tick();
             forwarder->tick();
         });
+        loop->every(StragglerPeriod, [forwarder] { forwarder->checkStragglers(); });
         context.get<presence::Presence>()->addStatusContributor(
             [forwarder](presence::Status &status) { status.lacksServerRoom = forwarder->lacksServerRoom(); });
         watchSuspensions(*loop, gatewayTools.log);
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -244,7 +244,7 @@
         return;
     }
     countRequest();
-    if (!checkCrashes() || (shouldRelay() && startRelay()) || !admit() || !mayUseServers()) {
+    if (!checkCrashes() || (shouldRelay() && startRelay()) || handOverIfBusy() || !admit() || !mayUseServers()) {
         return;
     }
     const Choice choice = chooseServer();
@@ -336,6 +336,9 @@
     const directory::ServerPtr &server = choice.server;
     sends_++;
     logDispatch(choice);
+    if (server == late_.returnTo) {
+        late_.returnTo.reset();
+    }
     attempt_ = Attempt();
     attempt_->server = server;
     attempt_->sentAt = tools_.loop->now();
--- a/src/presence/internal/presence.cpp
+++ b/src/presence/internal/presence.cpp
@@ -56,6 +56,7 @@
     partial.isDraining = status.isDraining;
     partial.reachesNoServer = status.reachesNoServer;
     partial.lacksServerRoom = status.lacksServerRoom;
+    partial.loopLag = status.loopLag;
     partial.sinceServerContact = status.sinceServerContact;
     partial.isPartial = true;
     return partial;
@@ -422,6 +423,7 @@
     peer.status->isDraining = status.isDraining;
     peer.status->reachesNoServer = status.reachesNoServer;
     peer.status->lacksServerRoom = status.lacksServerRoom;
+    peer.status->loopLag = status.loopLag;
     peer.status->sinceServerContact = status.sinceServerContact;
 }
 
