Tell engines the priority of requests where a service has several

Cause: all requests reached engines with the usual priority, so urgent ones waited behind prompts of other classes. Change: the customer's priority, or else the route's, is told to engines whose requests differ in it. Plain servers are told none.

--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -325,6 +325,7 @@
     if (customer_) {
         fields.customer = customer_->name;
     }
+    fields.priority = serverPriority();
     fields.kvSource = kvSource_;
     fields.kvFetch = choice.kvFetchFrom;
     fields.lastEventId = splitter_.lastId().empty() ? request_.lastEventId : splitter_.lastId();
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -72,6 +72,8 @@
     Duration serversFullRetryAfter() const;
     /// 0 is the most urgent; the customer's goes before the route's.
     int priority() const;
+    /// The priority that an engine is told; empty: none.
+    std::optional<int> serverPriority() const;
     bool checkRequest();
     bool findRoute();
     bool checkKey();
--- a/src/forwarding/internal/forwardedrequestadmission.cpp
+++ b/src/forwarding/internal/forwardedrequestadmission.cpp
@@ -1,6 +1,8 @@
 #include "forwarding/internal/forwardedrequest.h"
 #include "forwarding/internal/forwardingconstants.h"
 
+#include <algorithm>
+
 namespace cardamomlift::forwarding {
 
 namespace {
@@ -8,6 +10,9 @@
 using eventlog::Attribute;
 using eventlog::Event;
 
+/// The last of the priorities that engines know.
+constexpr int LowestServerPriority = 9;
+
 } // namespace
 
 int ForwardedRequest::priority() const
@@ -15,6 +20,16 @@
     return customer_ && customer_->priority ? *customer_->priority : route_->priority;
 }
 
+// A plain service has no order of its own, and one whose requests are all alike needs none.
+std::optional<int> ForwardedRequest::serverPriority() const
+{
+    const manifest::Service *service = manifest_->service(service_);
+    if (!service || !service->engine || !manifest_->hasPriorities(service_)) {
+        return std::nullopt;
+    }
+    return std::clamp(priority(), 0, LowestServerPriority);
+}
+
 AdmissionQuestion ForwardedRequest::admissionQuestion() const
 {
     AdmissionQuestion question;
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -207,8 +207,8 @@
     if (const ServerEntry *entry = tools_.pool->find(known.server.instance)) {
         candidate.load = entry->load;
     }
-    if (tools_.pace) {
-        candidate.pace = tools_.pace->paceOf(known.hash, service_).factor;
+    if (tools_.paceOf) {
+        candidate.pace = tools_.paceOf(known.hash, service_);
     }
     const double ownTokensPerSecond = prefillTokensPerSecond / balancing::effectivePace(candidate.pace, {});
     candidate.load.peerWaitingTokens = tools_.peerBacklog->waitingTokens(known.hash, ownTokensPerSecond, tools_.loop->now());
--- a/src/forwarding/internal/forwardedrequestlate.cpp
+++ b/src/forwarding/internal/forwardedrequestlate.cpp
@@ -72,7 +72,7 @@
 
 stragglers::MoveTarget ForwardedRequest::moveTargetOf(const directory::KnownServer &known, const directory::BackendServer &source) const
 {
-    const balancing::Candidate candidate = candidateOf(known, {});
+    const balancing::Candidate candidate = candidateOf(known, {}, 0);
     stragglers::MoveTarget target;
     target.server = known.hash;
     target.pace = tools_.paceOf(known.hash, service_);
--- a/src/manifest/internal/manifestindex.cpp
+++ b/src/manifest/internal/manifestindex.cpp
@@ -14,6 +14,20 @@
     return lower;
 }
 
+bool differsFrom(const Route &route, const Route &other, const std::string &service)
+{
+    return route.priority != other.priority
+        && std::any_of(other.shares.begin(), other.shares.end(), [&service](const ServiceShare &share) { return share.service == service; });
+}
+
+bool differInPriority(const std::vector<Route> &routes, const std::string &service)
+{
+    const auto first = std::find_if(routes.begin(), routes.end(), [&service](const Route &route) {
+        return std::any_of(route.shares.begin(), route.shares.end(), [&service](const ServiceShare &share) { return share.service == service; });
+    });
+    return std::any_of(first, routes.end(), [&](const Route &route) { return differsFrom(*first, route, service); });
+}
+
 } // namespace
 
 std::shared_ptr<const ManifestIndex> ManifestIndex::create(Manifest manifest)
@@ -28,8 +42,13 @@
             index->customersByKey_.emplace(key, &customer);
         }
     }
+    const std::vector<Customer> &customers = index->manifest_.customers;
+    const bool customersDiffer = std::any_of(customers.begin(), customers.end(), [](const Customer &customer) { return customer.priority.has_value(); });
     for (const Service &service : index->manifest_.services) {
         index->services_.emplace(service.name, &service);
+        if (customersDiffer || differInPriority(index->manifest_.routes, service.name)) {
+            index->servicesWithPriorities_.insert(service.name);
+        }
     }
     return index;
 }
@@ -66,6 +85,11 @@
     return found == customersByKey_.end() ? nullptr : found->second;
 }
 
+bool ManifestIndex::hasPriorities(std::string_view service) const
+{
+    return servicesWithPriorities_.contains(service);
+}
+
 const Service *ManifestIndex::service(std::string_view name) const
 {
     const auto found = services_.find(name);
--- a/src/manifest/manifestindex.h
+++ b/src/manifest/manifestindex.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace cardamomlift::manifest {
 
@@ -21,6 +22,8 @@
     /// The customer that the API key @p key belongs to; null if there is none.
     const Customer *customerByKey(std::string_view key) const;
     const Service *service(std::string_view name) const;
+    /// Whether requests for the service differ in priority: by their routes, or by customers that have one of their own.
+    bool hasPriorities(std::string_view service) const;
 
 private:
     ManifestIndex() = default;
@@ -28,6 +31,7 @@
     std::unordered_map<std::string, const Route *> routes_; ///< By lower-case host followed by the path prefix.
     std::unordered_map<std::string_view, const Customer *> customersByKey_;
     std::unordered_map<std::string_view, const Service *> services_;
+    std::unordered_set<std::string_view> servicesWithPriorities_;
 };
 
 using ManifestPtr = std::shared_ptr<const ManifestIndex>;
--- a/src/manifest/tests/manifest_test.cpp
+++ b/src/manifest/tests/manifest_test.cpp
@@ -60,6 +60,29 @@
     EXPECT_EQ(index->customerByKey("k"), nullptr);
 }
 
+Manifest twoRoutes(int firstPriority, int secondPriority)
+{
+    Manifest manifest;
+    manifest.routes = {route("first", "a", "/x/"), route("second", "a", "/y/")};
+    manifest.routes[0].priority = firstPriority;
+    manifest.routes[1].priority = secondPriority;
+    manifest.services.resize(2);
+    manifest.services[0].name = "service";
+    manifest.services[1].name = "unused";
+    return manifest;
+}
+
+TEST(ManifestIndex, KnowsWhereRequestsDifferInPriority)
+{
+    EXPECT_FALSE(ManifestIndex::create(twoRoutes(1, 1))->hasPriorities("service"));
+    EXPECT_TRUE(ManifestIndex::create(twoRoutes(0, 2))->hasPriorities("service"));
+    EXPECT_FALSE(ManifestIndex::create(twoRoutes(0, 2))->hasPriorities("unused"));
+    Manifest manifest = twoRoutes(1, 1);
+    manifest.customers.resize(1);
+    manifest.customers[0].priority = 0;
+    EXPECT_TRUE(ManifestIndex::create(std::move(manifest))->hasPriorities("service")) << "a customer's priority goes before its routes'";
+}
+
 TEST(ManifestCache, NeverGoesBackToAnOlderVersion)
 {
     const auto cache = ManifestCache::create();
