--- a/src/duties/tests/fleetmodel_test.cpp
+++ b/src/duties/tests/fleetmodel_test.cpp
@@ -32,14 +32,14 @@
         sum.mostServers = std::max(sum.mostServers, result.mostServers);
         sum.orders = std::max(sum.orders, result.orders);
     }
-
     return sum;
 }
 
-/// Of the server seconds, at the price of reclaimable servers on two deployments.
+/// Price of the server seconds, where an ordinary one costs 1.
 double cost(const ModelResult &result)
 {
-    return result.ordinarySeconds + 0.18 * result.reclaimableSeconds;
+    constexpr double ReclaimablePrice = 0.18;
+    return result.ordinarySeconds + ReclaimablePrice * result.reclaimableSeconds;
 }
 
 void print(const char *what, const ModelResult &result)
