--- a/src/forwarding/tests/forwarderlateruns_test.cpp
+++ b/src/forwarding/tests/forwarderlateruns_test.cpp
@@ -53,6 +53,14 @@
         }
     }
 
+    /// Servers that know nothing of the run.
+    void addOthers()
+    {
+        for (const char *name : {"three", "four", "five", "six"}) {
+            addBackend(name);
+        }
+    }
+
     static http1::ResponseHead headOf(int status)
     {
         http1::ResponseHead head;
@@ -275,6 +283,7 @@
 {
     startStream("/stream/1");
     check();
+    addOthers();
     moveToTarget()->answer(notRunHead(), {});
     const auto back = nextRequest();
     EXPECT_EQ(back->head().fields.get("X-Expect-Instance"), source_);
@@ -287,6 +296,7 @@
 {
     startStream("/stream/1");
     check();
+    addOthers();
     const auto second = copyOnce();
     backends_[target_].server.reset();
     run_->abort();
