--- a/src/presence/internal/tablerelay.cpp
+++ b/src/presence/internal/tablerelay.cpp
@@ -93,7 +93,8 @@
 {
     const auto entry = std::find_if(watches_.begin(), watches_.end(), [&watch](const WatchEntry &entry) { return entry.watch.get() == &watch; });
     const TimePoint now = loop_.now();
-    if (entry == watches_.end()) {
+    // A few VMs make few calls, also while the store is unavailable.
+    if (entry == watches_.end() || presence_->groups().empty()) {
         return isDue;
     }
     if (watch.lastUnreachableAt() != now) {
