--- a/src/routeadmission/internal/fleetlevel.cpp
+++ b/src/routeadmission/internal/fleetlevel.cpp
@@ -11,7 +11,7 @@
 /// Parts of the tightest goal that requests may wait in servers' queues: beyond the first, a service counts as short of room;
 /// while it is, the queues are held at the second.
 constexpr double ShortQueueShare = 0.45;
-constexpr double TargetQueueShare = 0.25;
+constexpr double TargetQueueShare = 0.22;
 /// For a service without a goal.
 constexpr Duration DefaultGoal = std::chrono::seconds(1);
 constexpr double MinShortQueue = 2;
@@ -23,7 +23,7 @@
 /// Time in which the open requests are brought to their target: longer than the age of the reports.
 constexpr double SettleSeconds = 0.6;
 /// The same where part of the reports come as summaries, which are older.
-constexpr double SettleSecondsWithGroups = 1;
+constexpr double SettleSecondsWithGroups = 0.8;
 /// Of the served rate that is admitted at least, however many requests are open.
 constexpr double MinRateShare = 0.25;
 /// A service stays short of room until it is asked for less than this part of what it can serve; with slots free, for less than the
