--- a/src/routeadmission/internal/fleetlevel.cpp
+++ b/src/routeadmission/internal/fleetlevel.cpp
@@ -12,6 +12,8 @@
 /// while it is, the queues are held at the second.
 constexpr double ShortQueueShare = 0.45;
 constexpr double TargetQueueShare = 0.22;
+/// The same where part of the reports come as summaries: the open requests vary more, and must not fall below the slots.
+constexpr double TargetQueueShareWithGroups = 0.25;
 /// For a service without a goal.
 constexpr Duration DefaultGoal = std::chrono::seconds(1);
 constexpr double MinShortQueue = 2;
@@ -112,7 +114,7 @@
 
 double openTarget(const ServiceRoom &room)
 {
-    const double queue = std::max(MinTargetQueue, room.servedPerSecond * goalSeconds(room) * TargetQueueShare);
+    const double queue = std::max(MinTargetQueue, room.servedPerSecond * goalSeconds(room) * (room.hasSummaries ? TargetQueueShareWithGroups : TargetQueueShare));
     const double excess = std::max(0.0, refusedShare(room) - ToleratedRefusals);
     return (room.slots + queue) * std::max(MinTargetShare, 1 - excess);
 }
@@ -148,7 +150,7 @@
         for (std::size_t i = first; i < end; i++) {
             shares[i].share = std::max(shares[i].share, reserved);
         }
-        mostUrgentShare = std::min(mostUrgentShare, demand > 0 ? granted / demand : 1);
+        mostUrgentShare = std::min(mostUrgentShare, demand > 0 ? std::max(granted / demand, reserved) : 1);
         left -= granted;
         first = end;
     }
