--- a/src/routeadmission/internal/fleetlevel.cpp
+++ b/src/routeadmission/internal/fleetlevel.cpp
@@ -114,7 +114,8 @@
 
 double openTarget(const ServiceRoom &room)
 {
-    const double queue = std::max(MinTargetQueue, room.servedPerSecond * goalSeconds(room) * (room.hasSummaries ? TargetQueueShareWithGroups : TargetQueueShare));
+    const double queue =
+        std::max(MinTargetQueue, room.servedPerSecond * goalSeconds(room) * (room.hasSummaries ? TargetQueueShareWithGroups : TargetQueueShare));
     const double excess = std::max(0.0, refusedShare(room) - ToleratedRefusals);
     return (room.slots + queue) * std::max(MinTargetShare, 1 - excess);
 }
