--- a/src/routeadmission/internal/fleetlevel.cpp
+++ b/src/routeadmission/internal/fleetlevel.cpp
@@ -11,7 +11,9 @@
 /// Parts of the tightest goal that requests may wait in servers' queues: beyond the first, a service counts as short of room;
 /// while it is, the queues are held at the second.
 constexpr double ShortQueueShare = 0.45;
-constexpr double TargetQueueShare = 0.25;
+constexpr double TargetQueueShare = 0.22;
+/// The same where part of the reports come as summaries: the open requests vary more, and must not fall below the slots.
+constexpr double TargetQueueShareWithGroups = 0.25;
 /// For a service without a goal.
 constexpr Duration DefaultGoal = std::chrono::seconds(1);
 constexpr double MinShortQueue = 2;
@@ -23,7 +25,7 @@
 /// Time in which the open requests are brought to their target: longer than the age of the reports.
 constexpr double SettleSeconds = 0.6;
 /// The same where part of the reports come as summaries, which are older.
-constexpr double SettleSecondsWithGroups = 1;
+constexpr double SettleSecondsWithGroups = 0.8;
 /// Of the served rate that is admitted at least, however many requests are open.
 constexpr double MinRateShare = 0.25;
 /// A service stays short of room until it is asked for less than this part of what it can serve; with slots free, for less than the
@@ -112,7 +114,8 @@
 
 double openTarget(const ServiceRoom &room)
 {
-    const double queue = std::max(MinTargetQueue, room.servedPerSecond * goalSeconds(room) * TargetQueueShare);
+    const double queue =
+        std::max(MinTargetQueue, room.servedPerSecond * goalSeconds(room) * (room.hasSummaries ? TargetQueueShareWithGroups : TargetQueueShare));
     const double excess = std::max(0.0, refusedShare(room) - ToleratedRefusals);
     return (room.slots + queue) * std::max(MinTargetShare, 1 - excess);
 }
@@ -148,7 +151,7 @@
         for (std::size_t i = first; i < end; i++) {
             shares[i].share = std::max(shares[i].share, reserved);
         }
-        mostUrgentShare = std::min(mostUrgentShare, demand > 0 ? granted / demand : 1);
+        mostUrgentShare = std::min(mostUrgentShare, demand > 0 ? std::max(granted / demand, reserved) : 1);
         left -= granted;
         first = end;
     }
