--- a/src/presence/internal/statusformat.cpp
+++ b/src/presence/internal/statusformat.cpp
@@ -426,7 +426,8 @@
             entry.has_since_answer_ms() ? std::optional<Duration>(std::chrono::milliseconds(entry.since_answer_ms())) : std::nullopt});
     }
     for (const auto &entry : in.services()) {
-        status.services.push_back({entry.service(), entry.prompt_tokens_per_second(), entry.open(), entry.lateness(), entry.answers_per_second(), entry.requests_per_second()});
+        status.services.push_back(
+            {entry.service(), entry.prompt_tokens_per_second(), entry.open(), entry.lateness(), entry.answers_per_second(), entry.requests_per_second()});
     }
     for (const auto &entry : in.prefixes()) {
         status.prefixes.push_back({entry.prefix(), entry.server()});
