Follow the pace of servers only where it is clearly uneven

Cause: at servers of equal speed the observed pace is a matter of load, a second late. Change: a pace within 1.7 of the mean counts as 1 for requests with a prompt, within 1.4 for others.

--- a/src/balancing/balancingtypes.h
+++ b/src/balancing/balancingtypes.h
@@ -63,8 +63,10 @@
     double secondsPerFullServer = 0.615;
     double minTokensPerFullServer = 10'000;
     double maxTokensPerFullServer = 200'000;
-    /// A pace closer to 1 than this counts as 1.
-    double paceTolerance = 0.1;
+    /// A pace within this factor of 1 counts as 1, either way: at servers of equal speed the load alone makes such differences.
+    double evenPaceRatio = 1.4;
+    /// The same for requests with a prompt, which lose what is cached of it when they follow small differences.
+    double evenPaceRatioOfPrompts = 1.7;
     /// Bounds of a server's pace, so that one that is wrongly taken for fast does not draw all requests.
     double minPace = 0.4;
     double maxPace = 8;
--- a/src/balancing/choose.h
+++ b/src/balancing/choose.h
@@ -11,7 +11,7 @@
 double estimatedOpenRequests(const ServerLoad &load, const ChoiceParameters &parameters, TimePoint now);
 
 /// The pace that the choice goes by: bounded, and 1 if it can't be true or is close to 1.
-double effectivePace(double pace, const ChoiceParameters &parameters);
+double effectivePace(double pace, bool hasPrompt, const ChoiceParameters &parameters);
 
 /// The number of waiting prompt tokens that cost as much as a server whose slots are all in use. @p prefillTokensPerSecond: 0 if not known.
 double tokensPerFullServer(double prefillTokensPerSecond, const ChoiceParameters &parameters);
--- a/src/balancing/internal/choose.cpp
+++ b/src/balancing/internal/choose.cpp
@@ -46,7 +46,7 @@
     cost += tokensBeforeFirstToken(candidate, input, parameters) / context.tokensPerFullServer;
     if (context.isUneven) {
         // The expected time of the request, less that at an idle server of pace 1.
-        cost = effectivePace(candidate.pace, parameters) * (parameters.ownWorkCost + cost) - parameters.ownWorkCost;
+        cost = effectivePace(candidate.pace, input.promptTokens > 0, parameters) * (parameters.ownWorkCost + cost) - parameters.ownWorkCost;
     }
     if (candidate.isOutlier) {
         cost += parameters.outlierPenalty;
@@ -65,8 +65,9 @@
 {
     CostContext context;
     context.tokensPerFullServer = tokensPerFullServer(input.prefillTokensPerSecond, parameters);
-    context.isUneven =
-        std::any_of(candidates.begin(), candidates.end(), [&](const Candidate &candidate) { return effectivePace(candidate.pace, parameters) != 1; });
+    context.isUneven = std::any_of(candidates.begin(), candidates.end(), [&](const Candidate &candidate) {
+        return effectivePace(candidate.pace, input.promptTokens > 0, parameters) != 1;
+    });
     return context;
 }
 
@@ -143,9 +144,10 @@
     return XXH3_64bits_withSeed(instance.data(), instance.size(), seed_);
 }
 
-double effectivePace(double pace, const ChoiceParameters &parameters)
+double effectivePace(double pace, bool hasPrompt, const ChoiceParameters &parameters)
 {
-    if (!std::isfinite(pace) || pace <= 0 || std::abs(pace - 1) < parameters.paceTolerance) {
+    const double evenRatio = hasPrompt ? parameters.evenPaceRatioOfPrompts : parameters.evenPaceRatio;
+    if (!std::isfinite(pace) || pace <= 0 || std::abs(std::log(pace)) < std::log(evenRatio)) {
         return 1;
     }
     return std::clamp(pace, parameters.minPace, parameters.maxPace);
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -210,7 +210,7 @@
     if (tools_.paceOf) {
         candidate.pace = tools_.paceOf(known.hash, service_);
     }
-    const double ownTokensPerSecond = prefillTokensPerSecond / balancing::effectivePace(candidate.pace, {});
+    const double ownTokensPerSecond = prefillTokensPerSecond / balancing::effectivePace(candidate.pace, true, {});
     candidate.load.peerWaitingTokens = tools_.peerBacklog->waitingTokens(known.hash, ownTokensPerSecond, tools_.loop->now());
     candidate.isOutlier = tools_.outliers->isOutlier(known.hash, service_);
     candidate.cachedTokens = prefixindex::matchedTokens(matches, known.hash);
