--- a/review/kit/kit.h
+++ b/review/kit/kit.h
@@ -402,12 +402,12 @@
         return server_.endpoint();
     }
 
-    /// Connections that are open now deliver nothing to the client for @p ms.
-    void hold(int ms)
+    /// Connections that were opened before @p openedBefore deliver nothing to the client for @p ms.
+    void hold(Clock::time_point openedBefore, int ms)
     {
         const std::lock_guard lock(mutex_);
-        heldAt_ = Clock::now();
-        heldUntil_ = heldAt_ + milliseconds(ms);
+        openedBefore_ = openedBefore;
+        heldUntil_ = Clock::now() + milliseconds(ms);
     }
 
 private:
@@ -447,14 +447,14 @@
         Clock::time_point until;
         {
             const std::lock_guard lock(mutex_);
-            until = openedAt < heldAt_ ? heldUntil_ : Clock::time_point();
+            until = openedAt < openedBefore_ ? heldUntil_ : Clock::time_point();
         }
         std::this_thread::sleep_until(until);
     }
 
     int targetPort_;
     std::mutex mutex_;
-    Clock::time_point heldAt_;
+    Clock::time_point openedBefore_;
     Clock::time_point heldUntil_;
     Server server_;
 };
