--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -145,9 +145,10 @@
     Engine second("server 2", loopback(11));
     Path toFirst(loopback(10), first.server().port());
     Path toSecond(loopback(11), second.server().port());
-    first.onMoveAsked = [&toFirst] {
+    Clock::time_point streamOpen;
+    first.onMoveAsked = [&toFirst, &streamOpen] {
         if (hasTrouble()) {
-            toFirst.hold(ResendMs);
+            toFirst.hold(streamOpen, ResendMs);
             RECORD("path: the end of the stream is lost and sent again after %d ms", ResendMs);
         }
     };
@@ -171,6 +172,7 @@
         "X-Prompt-Prefix: 5c1e07a2:400,91bd3f06:400\r\nX-Deadline-Ms: 15000\r\nX-Credential: key-1\r\nContent-Length: 6\r\n\r\nprompt");
     RECORD("caller: sent s1");
     sleepMs(300);
+    streamOpen = Clock::now();
     store.put("servers", "i-2", entryOf(toSecond, "ready"));
     sleepMs(300);
     store.put("servers", "i-1", entryOf(toFirst, "draining"));
