--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -109,7 +109,8 @@
         // The end of the stream has time to arrive first, unless it is held back.
         sleepMs(50);
         const std::string answer = R"({"handle":"h-1","created":)" + std::to_string(run->sent) + "}";
-        sendAll(fd, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(answer.size()) + "\r\n\r\n" + answer);
+        sendAll(
+            fd, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(answer.size()) + "\r\n\r\n" + answer);
         RECORD("%s: answers 503 with the handle of %s", name_.c_str(), id.c_str());
     }
 
@@ -187,8 +188,13 @@
         received++;
     }
     // readMessage() drops the chunks of an answer that has no last chunk; then it is not complete in any case.
-    RECORD("caller: status %d, %s, %d of %d events", answer.status(),
-        answer.isComplete ? "complete" : reader.timedOut() ? "silent" : "broken off", received, Events);
+    RECORD("caller: status %d, %s, %d of %d events",
+        answer.status(),
+        answer.isComplete       ? "complete"
+            : reader.timedOut() ? "silent"
+                                : "broken off",
+        received,
+        Events);
     const bool isBroken = answer.isComplete && received < Events;
     RECORD("result: %s", isBroken ? "a stream ends as complete before its last event" : "held");
     if (answer.status() != 200 || first.started() == 0) {
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -66,8 +66,9 @@
         }
         const int after = atoi(request.get("Last-Event-Id").c_str());
         RECORD("model server: runs %s from event %d %s", id.c_str(), after + 1, request.get("Kv-From").c_str());
-        bool isOpen = sendAll(fd, "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s-" + id
-            + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        bool isOpen = sendAll(fd,
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s-" + id
+                + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         for (int i = after + 1; i <= Events && isOpen; i++) {
             if (after == 0 && hasStopped) {
                 break;
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -20,8 +20,8 @@
         const std::string id = request.get("X-Attempt-Id");
         RECORD("server: runs %s", id.c_str());
         const std::string body(AnswerBytes, 'x');
-        const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s-" + id + "\r\nContent-Type: text/plain\r\nContent-Length: "
-            + std::to_string(body.size()) + "\r\n\r\n";
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s-" + id
+            + "\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
         if (!sendAll(fd, head + body)) {
             break;
         }
@@ -39,8 +39,8 @@
 void call(const Entry &entry, const std::string &id, Outcome &outcome)
 {
     const int fd = connectTo(entry.ip(), entry.front(), ReceiveBuffer);
-    const std::string request = "GET /order-status/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: " + id + "\r\nX-Deadline-Ms: " + std::to_string(TimeLimitMs)
-        + "\r\nX-Credential: key-1\r\n\r\n";
+    const std::string request = "GET /order-status/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: " + id
+        + "\r\nX-Deadline-Ms: " + std::to_string(TimeLimitMs) + "\r\nX-Credential: key-1\r\n\r\n";
     sendAll(fd, request);
     RECORD("caller: %s sent", id.c_str());
     const auto start = Clock::now();
--- a/review/kit/kit.h
+++ b/review/kit/kit.h
@@ -419,9 +419,7 @@
             closeWithReset(client);
             return;
         }
-        std::thread upstream([this, client, target] {
-            pump(client, target, [] {});
-        });
+        std::thread upstream([this, client, target] { pump(client, target, [] {}); });
         pump(target, client, [this, openedAt] { awaitRelease(openedAt); });
         upstream.join();
         close(client);
