--- a/review/kit/kit.h
+++ b/review/kit/kit.h
@@ -868,38 +868,6 @@
     pid_t pid_ = -1;
 };
 
-/// Whether the process @p pid holds the client end of the accepted connection @p fd.
-inline bool isFrom(int fd, pid_t pid)
-{
-    sockaddr_in peer{};
-    socklen_t size = sizeof peer;
-    if (getpeername(fd, reinterpret_cast<sockaddr *>(&peer), &size) != 0) {
-        return false;
-    }
-    char wanted[40];
-    snprintf(wanted, sizeof wanted, "%08X:%04X", peer.sin_addr.s_addr, ntohs(peer.sin_port));
-    std::ifstream table("/proc/" + std::to_string(pid) + "/net/tcp");
-    std::string line;
-    std::getline(table, line);
-    while (std::getline(table, line)) {
-        std::istringstream words(line);
-        std::string number, local, remote, state, queues, timer, retransmits, uid, timeout, inode;
-        words >> number >> local >> remote >> state >> queues >> timer >> retransmits >> uid >> timeout >> inode;
-        if (local != wanted) {
-            continue;
-        }
-        const std::string link = "socket:[" + inode + "]";
-        for (int descriptor = 0; descriptor < 1024; descriptor++) {
-            char target[64] = {};
-            const std::string path = "/proc/" + std::to_string(pid) + "/fd/" + std::to_string(descriptor);
-            if (readlink(path.c_str(), target, sizeof target - 1) > 0 && link == target) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
 /// A folder for settings and logs, removed at the end unless KEEP is set.
 class Folder
 {
