--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,5 @@
-// A reclaimable backend server leaves, and names the handle of a moved run by a 64-bit number. The VM must go on, and callers whose requests are at
-// another, sound server must get their answers.
+// A reclaimable backend server leaves, and spoils its answer to the move of a run: digits of the handle's number come again and again. The VM must go on,
+// and callers whose requests are at another, sound server must get their answers.
 #include "kit/kit.h"
 
 using namespace kit;
@@ -11,7 +11,8 @@
 constexpr int NoticeMs = 2500;
 constexpr int Callers = 8;
 constexpr int WorkMs = 400;
-constexpr char Handle[] = "9813270185543211007"; // Fits an unsigned 64-bit number.
+constexpr char Handle[] = "71";
+constexpr char SpoiltHandle[] = "7171717171717171717171";
 
 std::atomic<bool> hasStopped = false;
 
@@ -55,7 +56,7 @@
             RECORD("model server: asked to move a run");
             hasStopped = true;
             sleepMs(30);
-            const std::string answer = std::string(R"({"handle":)") + Handle + R"(,"created":80})";
+            const std::string answer = std::string(R"({"handle":)") + (hasTrouble() ? SpoiltHandle : Handle) + R"(,"created":80})";
             RECORD("model server: answers 200 %s", answer.c_str());
             answerPlain(fd, 200, "", answer);
             continue;
@@ -167,10 +168,8 @@
     sleepMs(300);
     store.put("servers", "i-2", modelEntry(second, "ready"));
     sleepMs(300);
-    if (hasTrouble()) {
-        store.put("servers", "i-1", modelEntry(first, "draining"));
-        RECORD("store: server i-1 is draining, %d ms left", NoticeMs);
-    }
+    store.put("servers", "i-1", modelEntry(first, "draining"));
+    RECORD("store: server i-1 is draining, %d ms left", NoticeMs);
     setReadTimeout(fd, 5000);
     Reader reader(fd);
     Message answer;
