Take a stream that may have been stopped for a move for broken off

Cause: the answer to a move was read as copied or not, and "not copied" was taken for "goes on", so the move was forgotten and the end that followed looked like that of a whole stream. A 503 with a handle says that the run has stopped; a lost or unreadable answer leaves it open.

Change: the reader names one of four outcomes (copied, stopped, not stopped, unknown), and only a refusal (404, 409) lets the move be forgotten. The second copy of a late run had the same fault. stream_move_answered logs the outcome, which the log did not tell.

Ruled out: the time limit of the call (the 503 is read before the stream ends), and the answer after the stream's end, which was right.

Tests red before: Moves/StoppedRun (503 with and without a handle), BrokenOffMove.AStreamThatEndsAfterALostAnswerIsNotWhole, Moves/BrokenOffLateRun (503 without a handle).

--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -28,6 +28,7 @@
     RequestUnreadable, ///< The request could not be parsed.
     AttemptFailed, ///< An attempt on a backend server ended without a usable answer.
     StreamMoved, ///< A stream was moved with its KV cache to another server, as its server is being reclaimed.
+    StreamMoveAnswered, ///< What has become of it, as the source says.
     RunBehind, ///< A run falls behind at its server; the line says what was decided, and the data behind it.
     AllowanceUsedUp, ///< A request was refused by the customer's allowance; the line has the data behind the decision.
     ManifestInForce,
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -24,6 +24,7 @@
     "request_unreadable",
     "attempt_failed",
     "stream_moved",
+    "stream_move_answered",
     "run_behind",
     "allowance_used_up",
     "manifest_in_force",
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -201,11 +201,14 @@
     bool mayMove(const std::string &instance) const;
     void startMove();
     void callMove();
-    void onMoved(const std::optional<KvMoveAnswer> &answer);
+    void onMoved(const KvMoveAnswer &answer);
+    /// Where the KV cache of the run that is moved can be used from: "address:port/handle" at its source.
+    std::string kvSourceOf(const KvMoveAnswer &answer) const;
+    void logMove(KvMoveOutcome outcome) const;
     /// A late run does not move after all: its copy is freed.
     void abandonMove();
     void leaveIfReclaimed();
-    void onLateRunMoved(const std::optional<KvMoveAnswer> &answer);
+    void onLateRunMoved(const KvMoveAnswer &answer);
     void continueAtTarget();
     /// Whether another server may go on with the current attempt's run, which this VM has not moved yet.
     bool mayLeaveServer() const;
--- a/src/forwarding/internal/forwardedrequestmove.cpp
+++ b/src/forwarding/internal/forwardedrequestmove.cpp
@@ -19,6 +19,21 @@
 constexpr Duration MoveTimeout = std::chrono::milliseconds(1500);
 constexpr http1::ReadLimits MoveAnswerLimits{16384, 1u << 16};
 
+std::string_view moveOutcomeName(KvMoveOutcome outcome)
+{
+    switch (outcome) {
+    case KvMoveOutcome::Copied:
+        return "copied";
+    case KvMoveOutcome::Stopped:
+        return "stopped";
+    case KvMoveOutcome::NotStopped:
+        return "not_stopped";
+    case KvMoveOutcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
 } // namespace
 
 void ForwardedRequest::onServerReclaim(const std::string &instance, TimePoint endsAt)
@@ -93,31 +108,46 @@
             if (result.isAnswered) {
                 self->noteAnnouncements(self->move_->from->server.instance, self->tools_.wire.readAnswer(result.response.head));
             }
-            self->onMoved(result.isAnswered ? self->tools_.wire.readKvMove(result.response) : std::nullopt);
+            self->onMoved(result.isAnswered ? self->tools_.wire.readKvMove(result.response) : KvMoveAnswer());
         }
     });
 }
 
-void ForwardedRequest::onMoved(const std::optional<KvMoveAnswer> &answer)
+void ForwardedRequest::onMoved(const KvMoveAnswer &answer)
 {
+    logMove(answer.outcome);
     if (move_->isOfLateRun) {
         onLateRunMoved(answer);
         return;
     }
-    const bool isCopied = answer && answer->isCopied;
-    move_->hasMoveAnswer = true;
-    if (isCopied) {
-        move_->kvSource = http1::formatEndpoint(move_->from->server.endpoint) + "/" + answer->handle;
-    }
+    const bool isCopied = answer.outcome == KvMoveOutcome::Copied;
     tools_.metrics->add(isCopied ? "streams_moved_total" : "stream_moves_failed_total");
-    if (!isCopied && attempt_) {
+    if (answer.outcome == KvMoveOutcome::NotStopped && attempt_) {
         // The run continues at the source until that one stops.
         move_.reset();
         return;
     }
+    move_->hasMoveAnswer = true;
+    if (isCopied) {
+        move_->kvSource = kvSourceOf(answer);
+    }
     continueAtTarget();
 }
 
+std::string ForwardedRequest::kvSourceOf(const KvMoveAnswer &answer) const
+{
+    return http1::formatEndpoint(move_->from->server.endpoint) + "/" + answer.handle;
+}
+
+void ForwardedRequest::logMove(KvMoveOutcome outcome) const
+{
+    tools_.log->write(Event::StreamMoveAnswered,
+        {{Attribute::Request, request_.id},
+            {Attribute::Server, move_->from->server.instance},
+            {Attribute::Outcome, moveOutcomeName(outcome)},
+            {Attribute::Events, static_cast<std::int64_t>(splitter_.eventCount())}});
+}
+
 void ForwardedRequest::abandonMove()
 {
     late_.ticket.reset();
@@ -139,10 +169,9 @@
 
 // A late run has been copied twice: while it went on, and what was new when it had stopped. If the source has failed in between, or the second
 // answer is lost, the first copy serves. If there is none at the target after all, the source goes on.
-void ForwardedRequest::onLateRunMoved(const std::optional<KvMoveAnswer> &answer)
+void ForwardedRequest::onLateRunMoved(const KvMoveAnswer &answer)
 {
-    const std::string handle = answer ? http1::formatEndpoint(move_->from->server.endpoint) + "/" + answer->handle : std::string();
-    const bool isCopied = answer && answer->isCopied;
+    const bool isCopied = answer.outcome == KvMoveOutcome::Copied;
     if (!move_->stopsRun) {
         if (!isCopied || !attempt_) {
             tools_.metrics->add("stream_moves_failed_total");
@@ -150,23 +179,23 @@
             leaveIfReclaimed();
             return;
         }
-        move_->handle = answer->handle;
-        move_->kvSource = handle;
+        move_->handle = answer.handle;
+        move_->kvSource = kvSourceOf(answer);
         move_->stopsRun = true;
         callMove();
         return;
     }
     tools_.metrics->add(isCopied ? "streams_moved_total" : "stream_moves_failed_total");
+    if (answer.outcome == KvMoveOutcome::NotStopped && attempt_) {
+        abandonMove();
+        leaveIfReclaimed();
+        return;
+    }
     move_->hasMoveAnswer = true;
-    if (answer) {
-        move_->kvSource = handle;
+    if (isCopied || answer.outcome == KvMoveOutcome::Stopped) {
+        move_->kvSource = kvSourceOf(answer);
         move_->to = isCopied ? move_->to : move_->from;
     } else if (move_->isAnswered || !move_->isFramed) {
-        if (attempt_) {
-            abandonMove();
-            leaveIfReclaimed();
-            return;
-        }
         move_->kvSource.clear();
     }
     continueAtTarget();
--- a/src/forwarding/tests/forwarderbrokenoff_test.cpp
+++ b/src/forwarding/tests/forwarderbrokenoff_test.cpp
@@ -316,6 +316,137 @@
     EXPECT_EQ(client_->received().find("id: 3"), std::string::npos);
 }
 
+/// An answer to a move.
+struct MoveAnswer {
+    const char *name;
+    const char *status;
+    const char *body;
+};
+
+std::ostream &operator<<(std::ostream &stream, const MoveAnswer &answer)
+{
+    return stream << answer.status << " " << answer.body;
+}
+
+std::string nameOf(const testing::TestParamInfo<MoveAnswer> &info)
+{
+    return info.param.name;
+}
+
+constexpr MoveAnswer StoppedAnswers[] = {
+    {"WithoutRoom", "503 Service Unavailable", R"({"handle":"h1","created":1})"},
+    {"WithoutHandle", "503 Service Unavailable", "{}"},
+};
+constexpr MoveAnswer RefusedAnswers[] = {{"NoSuchRun", "404 Not Found", "{}"}, {"CallInProgress", "409 Conflict", "{}"}};
+
+/// The source answers the move before the end of its stream arrives.
+class EarlyMoveAnswer : public BrokenOffMove, public testing::WithParamInterface<MoveAnswer>
+{
+protected:
+    void answerMoveEarly()
+    {
+        answerMove(GetParam().status, GetParam().body);
+        ASSERT_TRUE(runUntil([&] { return tools_.metrics->counter("stream_moves_failed_total") > 0; }));
+        source_.connection->send(SecondEvent);
+        source_.connection->close();
+        ASSERT_TRUE(runUntil([&] { return client_->hasEnded() || isWhole(*client_); }));
+        EXPECT_EQ(client_->received().find("503"), std::string::npos);
+    }
+};
+
+using StoppedRun = EarlyMoveAnswer;
+using RefusedMove = EarlyMoveAnswer;
+
+// Guards against a run that was stopped for a move and reaches its caller as a complete stream, as the answer to the move comes first.
+TEST_P(StoppedRun, IsNotWholeThoughTheMoveIsAnsweredFirst)
+{
+    answerMoveEarly();
+    EXPECT_FALSE(isWhole(*client_));
+}
+
+INSTANTIATE_TEST_SUITE_P(Moves, StoppedRun, testing::ValuesIn(StoppedAnswers), nameOf);
+
+TEST_P(RefusedMove, LeavesTheStreamWhole)
+{
+    answerMoveEarly();
+    EXPECT_TRUE(isWhole(*client_));
+    EXPECT_EQ(eventsOf(*client_), std::string(FirstEvent) + SecondEvent);
+}
+
+INSTANTIATE_TEST_SUITE_P(Moves, RefusedMove, testing::ValuesIn(RefusedAnswers), nameOf);
+
+// Guards against a run that may have been stopped for a move whose answer is lost, and counts as complete.
+TEST_F(BrokenOffMove, AStreamThatEndsAfterALostAnswerIsNotWhole)
+{
+    move_.connection->reset();
+    ASSERT_TRUE(runUntil([&] { return tools_.metrics->counter("stream_moves_failed_total") > 0; }));
+    source_.connection->close();
+    ASSERT_TRUE(runUntil([&] { return client_->hasEnded() || isWhole(*client_); }));
+    EXPECT_FALSE(isWhole(*client_));
+}
+
+/// A stream without a length at a slow server, which has been told to stop it after a first copy to a faster one.
+class BrokenOffLateRun : public BrokenOff, public testing::WithParamInterface<MoveAnswer>
+{
+protected:
+    static constexpr int Events = 6;
+    /// A pause below the goal of all routes, but near it.
+    static constexpr Duration LatePause = milliseconds(800);
+    static constexpr Duration CheckPeriod = milliseconds(250);
+    static constexpr int Checks = 3;
+
+    BrokenOffLateRun()
+    {
+        tools_.paceOf = [this](std::uint64_t server, const std::string &) {
+            return server == presence::nameHash(source_.server) ? 5.0 : 1.0;
+        };
+        restartForwarder();
+        clock_.advance(ForwardingSettings().retryWindow);
+        forwarder_->tick();
+        manifests_->confirm(loop_->now());
+        client_ = call(request("/stream/1"));
+        source_ = nextSend();
+        source_.connection->send(std::string(SignedHead) + "\r\n");
+        for (int i = 1; i <= Events; i++) {
+            const std::string data = "data: event-" + std::to_string(i);
+            source_.connection->send("id: " + std::to_string(i) + "\n" + data + "\n\n");
+            EXPECT_TRUE(runUntil([&] { return client_->received().find(data) != std::string::npos; }));
+            clock_.advance(LatePause);
+        }
+        for (int i = 0; i < Checks; i++) {
+            forwarder_->checkStragglers();
+            loop_->runDue();
+            clock_.advance(CheckPeriod);
+        }
+        move_ = nextSend();
+        answerMove({"Copied", "200 OK", R"({"handle":"h1","created":5})"});
+        EXPECT_TRUE(runUntil([&] { return move_.connection->received().find("\"last\":true") != std::string::npos; }));
+    }
+
+    void answerMove(const MoveAnswer &answer) const
+    {
+        const std::string body = answer.body;
+        move_.connection->send("HTTP/1.1 " + std::string(answer.status) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+
+    std::unique_ptr<http1::RawClient> client_;
+    Send source_;
+    Send move_;
+};
+
+// Guards against a late run that was stopped for its second copy and reaches its caller as a complete stream.
+TEST_P(BrokenOffLateRun, IsNotWholeThoughTheMoveIsAnsweredFirst)
+{
+    answerMove(GetParam());
+    ASSERT_TRUE(runUntil([&] { return tools_.metrics->counter("stream_moves_failed_total") > 0; }));
+    const std::size_t before = sends();
+    source_.connection->close();
+    ASSERT_TRUE(runUntil([&] { return client_->hasEnded() || isWhole(*client_) || sends() > before; }));
+    EXPECT_FALSE(isWhole(*client_));
+}
+
+INSTANTIATE_TEST_SUITE_P(Moves, BrokenOffLateRun, testing::ValuesIn(StoppedAnswers), nameOf);
+
 // Guards against an event that is sent twice, in part and then whole, since its start had been passed on when the run broke.
 TEST_F(BrokenOff, AStreamIsNotResumedInsideAnEvent)
 {
--- a/src/forwarding/wireformat.h
+++ b/src/forwarding/wireformat.h
@@ -80,10 +80,18 @@
     bool stopsRun = true; ///< The run stops first; otherwise it goes on meanwhile, and another call copies the rest.
 };
 
+/// What has become of a run whose server was asked to move it.
+enum class KvMoveOutcome {
+    Copied, ///< Its KV cache is at the target. The run has stopped, if that was asked for.
+    Stopped, ///< The run has stopped, and only the source has its KV cache.
+    NotStopped, ///< The source has refused the call; the run goes on or has ended by itself.
+    Unknown, ///< No answer, or one that can't be read: the run may have stopped.
+};
+
 /// What the server answers.
 struct KvMoveAnswer {
-    std::string handle; ///< Of the KV cache, at the server that answers.
-    bool isCopied = false; ///< If not, only that server has it.
+    KvMoveOutcome outcome = KvMoveOutcome::Unknown;
+    std::string handle; ///< Of the KV cache, at the server that answers. Empty unless Copied or Stopped.
 };
 
 /// Conversions between these types and HTTP messages, provided by the platform adapter.
@@ -101,7 +109,7 @@
     /// The head of the call that moves a KV cache; writes its body to @p body.
     http1::RequestHead (*writeKvMove)(const KvMoveRequest &request, std::string &body) = nullptr;
     /// Empty if the answer names no KV cache.
-    std::optional<KvMoveAnswer> (*readKvMove)(const http1::Response &response) = nullptr;
+    KvMoveAnswer (*readKvMove)(const http1::Response &response) = nullptr;
     /// The head of the call that frees a copied KV cache at both servers.
     http1::RequestHead (*writeKvRelease)(const std::string &handle) = nullptr;
 };
