Read values from outside of the process without exceptions

Cause: jsoncpp throws if a value is read as a type that it has not or a number that is out of range; the handle was read as int64 for any number, and nothing below the event loop catches. Each reader checked types by itself.

Change: readers use functions of http/json.h that never throw. The same cause is mended in the readers of the store's answers, the lease, rollout records, engines' events, the VM list, the cloud API and the table.

Ruled out: the parser (deep nesting is caught, a test stands beside), entries of servers, manifests and rollout orders, whose readers check all types.

--- a/src/duties/internal/dutytypes.cpp
+++ b/src/duties/internal/dutytypes.cpp
@@ -34,21 +34,21 @@
     if (!json || !json->isObject() || !(*json)["holder"].isString() || !(*json)["fence"].isUInt64() || !(*json)["incarnation"].isUInt64()) {
         return false;
     }
-    row.holder = (*json)["holder"].asString();
-    row.incarnation = (*json)["incarnation"].asUInt64();
-    row.fence = (*json)["fence"].asUInt64();
-    row.era = (*json)["era"].isUInt64() ? (*json)["era"].asUInt64() : 0;
-    row.lacksReports = (*json)["lacksReports"].isBool() && (*json)["lacksReports"].asBool();
-    row.isReleased = (*json)["released"].isBool() && (*json)["released"].asBool();
-    row.reportedWindow = (*json)["reportedWindow"].isInt64() ? (*json)["reportedWindow"].asInt64() : 0;
-    row.arrivedWindow = (*json)["arrivedWindow"].isInt64() ? (*json)["arrivedWindow"].asInt64() : 0;
+    row.holder = http::jsonText(*json, "holder");
+    row.incarnation = http::jsonUnsigned(*json, "incarnation");
+    row.fence = http::jsonUnsigned(*json, "fence");
+    row.era = http::jsonUnsigned(*json, "era");
+    row.lacksReports = http::jsonFlag(*json, "lacksReports");
+    row.isReleased = http::jsonFlag(*json, "released");
+    row.reportedWindow = http::jsonInteger(*json, "reportedWindow");
+    row.arrivedWindow = http::jsonInteger(*json, "arrivedWindow");
     row.reports.clear();
     for (const Json::Value &entry : (*json)["reports"]) {
         UsageReport report;
-        report.window = entry["window"].isInt64() ? entry["window"].asInt64() : 0;
-        const Json::Value &counts = entry["counts"];
+        report.window = http::jsonInteger(entry, "window");
+        const Json::Value &counts = http::jsonMember(entry, "counts");
         for (const std::string &customer : counts.isObject() ? counts.getMemberNames() : Json::Value::Members()) {
-            report.counts[customer] = counts[customer].isUInt64() ? counts[customer].asUInt64() : 0;
+            report.counts[customer] = http::jsonUnsigned(counts, customer.c_str());
         }
         row.reports.push_back(std::move(report));
     }
--- a/src/duties/tests/restoredlease_test.cpp
+++ b/src/duties/tests/restoredlease_test.cpp
@@ -1,4 +1,5 @@
 #include "duties/tests/dutiestest.h"
+#include "http/tests/spoiltjson.h"
 
 #include <algorithm>
 #include <random>
@@ -233,6 +234,19 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RestoredLeaseSeeds, testing::Range(1U, 31U));
 
+// Guards against a value of an unexpected type in the row of the lease that ends the process.
+TEST(LeaseRow, OddValuesAreSurvived)
+{
+    LeaseRow row;
+    row.holder = "front-1";
+    row.reports.push_back({7, {{"customer", 3}}});
+    const std::string text = encodeLease(row);
+    LeaseRow read;
+    ASSERT_TRUE(decodeLease(text, read));
+    EXPECT_EQ(read.reports[0].counts.at("customer"), 3U);
+    http::forEachSpoiltText(text, [&read](const std::string &spoilt) { decodeLease(spoilt, read); });
+}
+
 } // namespace
 
 } // namespace cardamomlift::duties
--- a/src/engine/internal/engineclient.cpp
+++ b/src/engine/internal/engineclient.cpp
@@ -58,11 +58,10 @@
         }
         bytesSinceEvent = 0;
         readUsage((*json)["usage"]);
-        const Json::Value &choice = (*json)["choices"][0];
-        if (choice["finish_reason"].isString()) {
-            result.finishReason = choice["finish_reason"].asString();
-        }
-        const Json::Value &content = choice["delta"]["content"];
+        const Json::Value &choices = (*json)["choices"];
+        const Json::Value &choice = choices.isArray() && !choices.empty() ? choices[0] : Json::Value::nullSingleton();
+        result.finishReason = http::jsonText(choice, "finish_reason", result.finishReason);
+        const Json::Value &content = http::jsonMember(http::jsonMember(choice, "delta"), "content");
         if (content.isString() && !event.id.empty()) {
             hooks.onToken(Token{std::strtoull(event.id.c_str(), nullptr, 10), content.asString()});
         }
@@ -73,8 +72,8 @@
         if (!usage.isObject()) {
             return;
         }
-        result.promptTokens = usage.get("prompt_tokens", 0).asInt64();
-        result.cachedTokens = usage["prompt_tokens_details"].get("cached_tokens", 0).asInt64();
+        result.promptTokens = http::jsonInteger(usage, "prompt_tokens");
+        result.cachedTokens = http::jsonInteger(http::jsonMember(usage, "prompt_tokens_details"), "cached_tokens");
         if (hooks.onUsage && !hasReportedUsage) {
             hasReportedUsage = true;
             hooks.onUsage(result.promptTokens, result.cachedTokens);
--- a/src/engine/tests/engineclient_test.cpp
+++ b/src/engine/tests/engineclient_test.cpp
@@ -1,5 +1,8 @@
 #include "engine/engineclient.h"
+#include "http/tests/spoiltjson.h"
 #include "http1/tests/endlessbytes.h"
+#include "http1/tests/looptest.h"
+#include "http1/tests/rawserver.h"
 
 #include <ev.h>
 #include <gtest/gtest.h>
@@ -69,4 +72,44 @@
         EndlessStream{{"failure", "HTTP/1.1 500 Internal Server Error\r\n\r\n", "x"}, StreamEnd::Broken}),
     [](const auto &info) { return std::string(info.param.bytes.name); });
 
+class SpoiltEngineEvents : public http1::LoopTest
+{
+};
+
+// Guards against a value of an unexpected type in an engine's event that ends the process.
+TEST_F(SpoiltEngineEvents, AreSurvived)
+{
+    std::string events;
+    http::forEachSpoiltText(R"({"id":"request-1","choices":[{"finish_reason":"stop","delta":{"content":"a"}}],)"
+                            R"("usage":{"prompt_tokens":5,"prompt_tokens_details":{"cached_tokens":3}}})",
+        [&events](const std::string &text) {
+            // An event with another id ends the stream.
+            if (text.find("request-1") != std::string::npos) {
+                events += "id: 1\ndata: " + text + "\n\n";
+            }
+        });
+    const auto client = EngineClient::create(std::move(http::Client::create(*loop_).value()), nullptr);
+    http1::RawServer server;
+    membership::Vm engine;
+    engine.instance = "engine";
+    engine.address = "127.0.0.1";
+    engine.port = server.port();
+    EngineRequest request;
+    request.requestId = "request-1";
+    request.messagesJson = "[]";
+    std::optional<EngineResult> result;
+    EngineHooks hooks;
+    hooks.onToken = [](const Token &) {
+    };
+    hooks.onEnd = [&result](const EngineResult &ended) {
+        result = ended;
+    };
+    client->start(engine, request, std::move(hooks));
+    ASSERT_TRUE(runUntil([&server] { return !server.connections().empty() && !server.connections().front().received().empty(); }));
+    server.connections().front().send(StreamHead + events + "data: [DONE]\n\n");
+    server.connections().front().close();
+    ASSERT_TRUE(runUntil([&result] { return result.has_value(); }));
+    EXPECT_EQ(result->end, StreamEnd::Finished);
+}
+
 } // namespace cardamomlift::engine
--- a/src/fleet/internal/cloudformat.cpp
+++ b/src/fleet/internal/cloudformat.cpp
@@ -1,5 +1,7 @@
 #include "fleet/cloudformat.h"
 
+#include "http/json.h"
+
 namespace cardamomlift::fleet {
 
 namespace {
@@ -54,9 +56,9 @@
     vm.name = json["name"].asString();
     vm.offer.zone = json["zone"].asString();
     vm.offer.machineClass = json["machineType"].asString();
-    vm.offer.reclaimable = json["scheduling"].get("provisioningModel", "").asString() == Spot;
-    vm.model = json["labels"].get("model", "").asString();
-    vm.state = stateFromStatus(json.get("status", "").asString());
+    vm.offer.reclaimable = http::jsonText(json["scheduling"], "provisioningModel") == Spot;
+    vm.model = http::jsonText(json["labels"], "model");
+    vm.state = stateFromStatus(http::jsonText(json, "status"));
     return vm;
 }
 
@@ -79,7 +81,7 @@
     }
     return Offer{json["zone"].asString(),
         json["machineType"].asString(),
-        json.get("provisioningModel", "").asString() == Spot,
+        http::jsonText(json, "provisioningModel") == Spot,
         json["microsPerHour"].asInt64(),
         json["tokensPerSecond"].asInt64()};
 }
--- a/src/fleet/tests/fleet_test.cpp
+++ b/src/fleet/tests/fleet_test.cpp
@@ -1,6 +1,8 @@
+#include "fleet/cloudformat.h"
 #include "fleet/fleetcontroller.h"
 #include "fleet/fleetplan.h"
 #include "fleet/leasedecision.h"
+#include "http/tests/spoiltjson.h"
 #include "table/memorytable.h"
 
 #include <gtest/gtest.h>
@@ -256,3 +258,14 @@
     EXPECT_EQ(two.cloud->vms.size(), 5U);
     EXPECT_EQ(two.controllers[next]->counters().deleted, 3U);
 }
+
+// Guards against a value of an unexpected type in an answer of the cloud API that ends the process.
+TEST(CloudFormat, OddValuesAreSurvived)
+{
+    const std::string vm = R"({"name":"n","zone":"z","machineType":"m","status":"RUNNING","scheduling":{"provisioningModel":"SPOT"},"labels":{"model":"a"}})";
+    const std::string offer = R"({"zone":"z","machineType":"m","provisioningModel":"SPOT","microsPerHour":5,"tokensPerSecond":7})";
+    ASSERT_TRUE(instanceFromJson(*http::parseJson(vm)));
+    ASSERT_TRUE(offerFromJson(*http::parseJson(offer)));
+    http::forEachSpoiltText(vm, [](const std::string &text) { instanceFromJson(*http::parseJson("[" + text + "]")->begin()); });
+    http::forEachSpoiltText(offer, [](const std::string &text) { offerFromJson(*http::parseJson("[" + text + "]")->begin()); });
+}
--- a/src/forwarding/tests/forwarderbrokenoff_test.cpp
+++ b/src/forwarding/tests/forwarderbrokenoff_test.cpp
@@ -336,6 +336,7 @@
 constexpr MoveAnswer StoppedAnswers[] = {
     {"WithoutRoom", "503 Service Unavailable", R"({"handle":"h1","created":1})"},
     {"WithoutHandle", "503 Service Unavailable", "{}"},
+    {"Spoilt", "200 OK", R"({"handle":7171717171717171717171,"created":1})"},
 };
 constexpr MoveAnswer RefusedAnswers[] = {{"NoSuchRun", "404 Not Found", "{}"}, {"CallInProgress", "409 Conflict", "{}"}};
 
--- a/src/http/internal/json.cpp
+++ b/src/http/internal/json.cpp
@@ -48,6 +48,35 @@
     return value;
 }
 
+const Json::Value &jsonMember(const Json::Value &object, const char *name)
+{
+    return object.isObject() ? object[name] : Json::Value::nullSingleton();
+}
+
+std::string jsonText(const Json::Value &object, const char *name, const std::string &fallback)
+{
+    const Json::Value &value = jsonMember(object, name);
+    return value.isString() ? value.asString() : fallback;
+}
+
+std::int64_t jsonInteger(const Json::Value &object, const char *name, std::int64_t fallback)
+{
+    const Json::Value &value = jsonMember(object, name);
+    return value.isInt64() ? value.asInt64() : fallback;
+}
+
+std::uint64_t jsonUnsigned(const Json::Value &object, const char *name, std::uint64_t fallback)
+{
+    const Json::Value &value = jsonMember(object, name);
+    return value.isUInt64() ? value.asUInt64() : fallback;
+}
+
+bool jsonFlag(const Json::Value &object, const char *name, bool fallback)
+{
+    const Json::Value &value = jsonMember(object, name);
+    return value.isBool() ? value.asBool() : fallback;
+}
+
 std::string writeJson(const Json::Value &value)
 {
     std::ostringstream text;
--- a/src/membership/internal/vmlist.cpp
+++ b/src/membership/internal/vmlist.cpp
@@ -42,7 +42,8 @@
 
 std::uint16_t portOf(const Json::Value &json, const char *name)
 {
-    return json[name].isUInt() ? static_cast<std::uint16_t>(json[name].asUInt()) : std::uint16_t{0};
+    const std::uint64_t port = http::jsonUnsigned(json, name);
+    return port <= UINT16_MAX ? static_cast<std::uint16_t>(port) : std::uint16_t{0};
 }
 
 } // namespace
@@ -68,8 +69,8 @@
     if (!json.isObject() || !json["instance"].isString() || !json["address"].isString() || !json["zone"].isString()) {
         return std::nullopt;
     }
-    const auto role = byName(RoleNames, json.get("role", "").asString());
-    const auto state = byName(StateNames, json.get("state", "live").asString());
+    const auto role = byName(RoleNames, http::jsonText(json, "role"));
+    const auto state = byName(StateNames, http::jsonText(json, "state", "live"));
     if (!role || !state) {
         return std::nullopt;
     }
@@ -77,17 +78,19 @@
     vm.instance = json["instance"].asString();
     vm.address = json["address"].asString();
     vm.zone = json["zone"].asString();
-    vm.region = json.get("region", "default").asString();
+    vm.region = http::jsonText(json, "region", "default");
     vm.role = *role;
     vm.state = *state;
     vm.port = portOf(json, "port");
     vm.peerPort = portOf(json, "peerPort");
-    vm.machineClass = json.get("machineClass", "").asString();
-    vm.microsPerHour = json.get("microsPerHour", 0).asInt64();
-    vm.reclaimable = json.get("reclaimable", true).asBool();
-    vm.checksFencing = json.get("checksFencing", false).asBool();
+    vm.machineClass = http::jsonText(json, "machineClass");
+    vm.microsPerHour = http::jsonInteger(json, "microsPerHour");
+    vm.reclaimable = http::jsonFlag(json, "reclaimable", true);
+    vm.checksFencing = http::jsonFlag(json, "checksFencing");
     for (const Json::Value &name : json["serves"]) {
-        vm.serves.push_back(name.asString());
+        if (name.isString()) {
+            vm.serves.push_back(name.asString());
+        }
     }
     return vm;
 }
@@ -163,13 +166,14 @@
         counters_.bytesSent += result.bytesSent;
         counters_.bytesReceived += result.bytesReceived;
         const auto json = result.status == 200 ? http::parseJson(result.body) : std::nullopt;
-        if (!json || !(*json)["vms"].isArray()) {
+        const Json::Value &vms = json ? http::jsonMember(*json, "vms") : Json::Value::nullSingleton();
+        if (!vms.isArray()) {
             partLogger("membership")->warn("The platform's VM list can't be read. error={}", result.error);
             scheduleRead();
             return;
         }
         std::vector<Vm> list;
-        for (const Json::Value &entry : (*json)["vms"]) {
+        for (const Json::Value &entry : vms) {
             if (auto vm = vmFromJson(entry)) {
                 list.push_back(std::move(*vm));
             }
--- a/src/membership/tests/members_test.cpp
+++ b/src/membership/tests/members_test.cpp
@@ -1,3 +1,4 @@
+#include "http/tests/spoiltjson.h"
 #include "memberfleet.h"
 #include "membership/health.h"
 #include "membership/vmlist.h"
@@ -97,6 +98,15 @@
     EXPECT_EQ(members->markCount(), 0U);
 }
 
+// Guards against a value of an unexpected type in one VM's entry that ends the process of each VM that reads the list.
+TEST(Members, OddValuesInAListAreSurvived)
+{
+    const std::string entry = R"({"instance":"engine-1","address":"127.0.0.1","zone":"z","region":"r","role":"model","state":"live","port":80,"peerPort":81,)"
+                              R"("machineClass":"m","microsPerHour":5,"reclaimable":true,"checksFencing":false,"serves":["a","b"]})";
+    ASSERT_TRUE(vmFromJson(*http::parseJson(entry)));
+    http::forEachSpoiltText(entry, [](const std::string &text) { vmFromJson(*http::parseJson("[" + text + "]")->begin()); });
+}
+
 TEST(Members, ReadingTheSameListTwiceIsNoChange)
 {
     const auto members = Members::create("entry-1");
--- a/src/operatorapi/internal/operatorjson.cpp
+++ b/src/operatorapi/internal/operatorjson.cpp
@@ -20,13 +20,13 @@
 contract::ContractVersion versionFromJson(const Json::Value &json)
 {
     contract::ContractVersion version;
-    version.customer = json["customer"].asString();
-    version.version = json["version"].asUInt64();
-    version.revision = json["revision"].asUInt64();
-    version.text = json["text"].asString();
-    version.author = json["author"].asString();
-    version.editId = json["editId"].asString();
-    version.acceptedAtMs = json["acceptedAtMs"].asInt64();
+    version.customer = http::jsonText(json, "customer");
+    version.version = http::jsonUnsigned(json, "version");
+    version.revision = http::jsonUnsigned(json, "revision");
+    version.text = http::jsonText(json, "text");
+    version.author = http::jsonText(json, "author");
+    version.editId = http::jsonText(json, "editId");
+    version.acceptedAtMs = http::jsonInteger(json, "acceptedAtMs");
     return version;
 }
 
@@ -50,9 +50,13 @@
 {
     Findings findings;
     for (const Json::Value &entry : json) {
-        const Severity severity = entry["severity"].asString() == "danger" ? Severity::Danger : Severity::Error;
-        findings.push_back(
-            {entry["file"].asString(), entry["line"].asInt(), entry["column"].asInt(), entry["message"].asString(), entry["remedy"].asString(), severity});
+        const Severity severity = http::jsonText(entry, "severity") == "danger" ? Severity::Danger : Severity::Error;
+        findings.push_back({http::jsonText(entry, "file"),
+            static_cast<int>(http::jsonInteger(entry, "line")),
+            static_cast<int>(http::jsonInteger(entry, "column")),
+            http::jsonText(entry, "message"),
+            http::jsonText(entry, "remedy"),
+            severity});
     }
     return findings;
 }
--- a/src/reclaim/internal/reclaimwatch.cpp
+++ b/src/reclaim/internal/reclaimwatch.cpp
@@ -13,6 +13,8 @@
 constexpr Duration HandoverReserve = std::chrono::milliseconds(1500);
 /// Assumed when this VM is only marked as leaving in the membership list, which does not say how much time is left.
 constexpr Duration DefaultTimeLeft = std::chrono::seconds(10);
+/// One hour; more is a mistake of the platform.
+constexpr double MaxSecondsLeft = 3600;
 
 } // namespace
 
@@ -68,7 +70,8 @@
         const auto json = result.status == 200 ? http::parseJson(result.body) : std::nullopt;
         if (json && json->isObject() && (*json)["secondsLeft"].isNumeric()) {
             self->hasNotice_ = true;
-            self->onNotice(std::chrono::milliseconds(static_cast<std::int64_t>((*json)["secondsLeft"].asDouble() * 1000)));
+            const double seconds = std::clamp((*json)["secondsLeft"].asDouble(), 0.0, MaxSecondsLeft);
+            self->onNotice(std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000)));
         }
     };
     client_->start(std::move(request), std::move(hooks));
--- a/src/rollout/internal/rollouttypes.cpp
+++ b/src/rollout/internal/rollouttypes.cpp
@@ -101,6 +101,9 @@
     record.phaseStartedAt = Duration((*json)["phaseAtUs"].asInt64());
     record.excluded.clear();
     for (const Json::Value &version : (*json)["excluded"]) {
+        if (!version.isString()) {
+            return false;
+        }
         record.excluded.push_back(version.asString());
     }
     return true;
--- a/src/rollout/tests/rolloutrules_test.cpp
+++ b/src/rollout/tests/rolloutrules_test.cpp
@@ -1,3 +1,4 @@
+#include "http/tests/spoiltjson.h"
 #include "rollout/ordercache.h"
 #include "rollout/rolloutplan.h"
 #include "rollout/trialslice.h"
@@ -218,6 +219,18 @@
     EXPECT_NE(trialSlice(seconds(4), 4, 0.1).number, trialSlice(seconds(6), 4, 0.1).number);
 }
 
+// Guards against a value of an unexpected type in the record of a rollout that ends the process.
+TEST(RolloutRecord, OddValuesAreSurvived)
+{
+    Record written = record(Phase::Trial);
+    written.excluded = {"v1"};
+    const std::string text = encodeRecord(written);
+    Record read;
+    ASSERT_TRUE(decodeRecord(text, read));
+    EXPECT_EQ(read.excluded, written.excluded);
+    http::forEachSpoiltText(text, [&read](const std::string &spoilt) { decodeRecord(spoilt, read); });
+}
+
 } // namespace
 
 } // namespace cardamomlift::rollout
--- a/src/table/internal/dynamodbtable.cpp
+++ b/src/table/internal/dynamodbtable.cpp
@@ -45,8 +45,8 @@
 std::vector<bool> failedConditions(const Json::Value &body)
 {
     std::vector<bool> failed;
-    for (const Json::Value &reason : body["CancellationReasons"]) {
-        failed.push_back(reason.get("Code", "None").asString() == "ConditionalCheckFailed");
+    for (const Json::Value &reason : http::jsonMember(body, "CancellationReasons")) {
+        failed.push_back(http::jsonText(reason, "Code") == "ConditionalCheckFailed");
     }
     return failed;
 }
@@ -169,7 +169,7 @@
         }
         std::vector<Item> items;
         const Json::Value answer = parsedBody(result);
-        for (const Json::Value &json : answer["Items"]) {
+        for (const Json::Value &json : http::jsonMember(answer, "Items")) {
             if (auto item = itemFromJson(json)) {
                 items.push_back(std::move(*item));
             }
