Begin resumable streams at a version only once the store names it

Cause: the row that says which single version serves was written by one VM, after the version was in use. Its first writer claimed that no other version had ever been there, having seen only what was listed at that moment; while that VM stood still nobody wrote for three seconds; and a VM that resumed a stream took a reading of up to a second before the question.

Requests that find only servers of unrecorded versions wait for the record, some hundred milliseconds. If the store does not answer for a second, streams begin without it. software_recorded logs it.

Ruled out: VMs that find each other too late after the start (the log says "unknown", not "unanswered").

--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -18,6 +18,7 @@
     RequestRelayed, ///< The request was handed over to another entry VM, as this one reaches no backend server.
     RequestTakenOver, ///< Another entry VM has handed the request over to this one.
     StreamOrigin, ///< A caller resumes a stream: with which software it began, and how that is known.
+    SoftwareRecorded, ///< Streams may begin at a version of a service's servers, or the store no longer names several.
     RequestAnswered, ///< The answer of the backend server was passed to the caller.
     RequestRefused, ///< The entry VM answered with an error, and the request has not run.
     RequestFailed, ///< The entry VM answered with an error or cut the answer off, and the request may have run.
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -15,6 +15,7 @@
     "request_relayed",
     "request_taken_over",
     "stream_origin",
+    "software_recorded",
     "request_answered",
     "request_refused",
     "request_failed",
--- a/src/forwarding/internal/forwardedrequest.cpp
+++ b/src/forwarding/internal/forwardedrequest.cpp
@@ -24,6 +24,9 @@
 constexpr Duration MinTimeForSend = std::chrono::milliseconds(20);
 /// A request waits no longer for room at a server: a refusal would cost its caller more.
 constexpr Duration MaxRoomWait = std::chrono::milliseconds(100);
+/// A version that has just joined is recorded within some hundred milliseconds, or used without a record after a second.
+constexpr Duration MaxRecordWait = std::chrono::milliseconds(1200);
+constexpr Duration RecordCheckPeriod = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -46,7 +49,7 @@
     tools_.loop->cancel(deadlineTimer_);
     tools_.loop->cancel(connectTimer_);
     tools_.loop->cancel(silenceTimer_);
-    tools_.loop->cancel(roomTimer_);
+    tools_.loop->cancel(dispatchTimer_);
     tools_.loop->cancel(moveTimer_);
     tools_.loop->cancel(relayTimer_);
 }
@@ -267,6 +270,9 @@
         return;
     }
     const bool isOriginGone = origin_ && choice.ofOrigin == 0;
+    if (waitForRecord(choice)) {
+        return;
+    }
     if (runs_ > 0) {
         fail(StatusBadGateway, isOriginGone ? FailureReason::OriginGone : FailureReason::OutcomeUnknown);
         return;
@@ -292,13 +298,29 @@
         return false;
     }
     hasWaitedForRoom_ = true;
-    roomTimer_ = tools_.loop->after(*choice.roomIn, [weak = weak_from_this()] {
+    dispatchAfter(*choice.roomIn);
+    return true;
+}
+
+bool ForwardedRequest::waitForRecord(const Choice &choice)
+{
+    const bool isLate = millisecondsSince(exchange_->startedAt()) >= toMilliseconds(MaxRecordWait);
+    if (choice.unrecorded == 0 || isLate || timeLeft() < RecordCheckPeriod + MinTimeForSend) {
+        return false;
+    }
+    dispatchAfter(RecordCheckPeriod);
+    return true;
+}
+
+void ForwardedRequest::dispatchAfter(Duration wait)
+{
+    tools_.loop->cancel(dispatchTimer_);
+    dispatchTimer_ = tools_.loop->after(wait, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && !self->finished_) {
             self->dispatch();
         }
     });
-    return true;
 }
 
 void ForwardedRequest::refuseForWantOfRoom(double requestsPerSecond)
--- a/src/forwarding/internal/forwardedrequest.h
+++ b/src/forwarding/internal/forwardedrequest.h
@@ -119,6 +119,7 @@
         std::size_t candidates = 0;
         std::size_t outliers = 0; ///< Among the candidates.
         std::size_t ofOrigin = 0; ///< Servers whose software may go on with the stream; all if it has not begun.
+        std::size_t unrecorded = 0; ///< Servers skipped because the store does not know of their version yet.
         std::size_t tried = 0; ///< Servers skipped because this request has failed or was refused there.
         std::size_t backingOff = 0; ///< Servers skipped because they accept no requests of this VM for some time.
         TimePoint backoffEndsAt = TimePoint::max(); ///< The earliest end of their backoffs.
@@ -141,6 +142,8 @@
         const directory::KnownServer &known, std::span<const prefixindex::PrefixMatch> matches, double prefillTokensPerSecond) const;
     /// Whether the stream has begun with the software of @p server, or has not begun yet.
     bool isOfOrigin(const directory::BackendServer &server) const;
+    /// Whether other VMs could tell with which software the stream has begun, if it begins at @p server.
+    bool mayBeginAt(const directory::BackendServer &server) const;
     bool skipIfBackingOff(const std::string &instance, Choice &choice) const;
     bool skipIfLimited(const std::string &instance, Choice &choice) const;
     bool skipIfNoSlot(const directory::BackendServer &server, Choice &choice) const;
@@ -153,6 +156,9 @@
     void endWithoutServer(const Choice &choice);
     /// Chooses a server again in a moment, when this VM has room at one. Returns false if that is not known, too late, or has been done before.
     bool waitForRoom(const Choice &choice);
+    /// Chooses a server again when the store may know of the versions of those that were skipped. Returns false if it is too late for that.
+    bool waitForRecord(const Choice &choice);
+    void dispatchAfter(Duration wait);
     /// @p requestsPerSecond: what this VM may send to the servers that have no room now.
     void refuseForWantOfRoom(double requestsPerSecond);
     /// The servers of @p usable that may get the request now. Counts in @p choice those that are skipped, by cause.
@@ -304,7 +310,7 @@
     TimerId deadlineTimer_ = 0;
     TimerId connectTimer_ = 0;
     TimerId silenceTimer_ = 0;
-    TimerId roomTimer_ = 0;
+    TimerId dispatchTimer_ = 0;
     bool hasWaitedForRoom_ = false;
     TimePoint silenceDueAt_;
     std::vector<suspects::PartKey> sharedParts_; ///< Of the prompt; see sharedParts().
--- a/src/forwarding/internal/forwardedrequestchoice.cpp
+++ b/src/forwarding/internal/forwardedrequestchoice.cpp
@@ -68,6 +68,10 @@
             continue;
         }
         choice.ofOrigin++;
+        if (!mayBeginAt(server->server)) {
+            choice.unrecorded++;
+            continue;
+        }
         const Eligibility eligibility = tools_.versions ? tools_.versions->eligibility(server->server, pick) : Eligibility::Preferred;
         if (eligibility == Eligibility::None || skipIfBackingOff(instance, choice)) {
             continue;
@@ -145,6 +149,12 @@
     return !origin_ || origins::softwareId(server.service, server.version) == *origin_;
 }
 
+bool ForwardedRequest::mayBeginAt(const directory::BackendServer &server) const
+{
+    const bool mayBeResumed = isStream() && route_->isResumable;
+    return origin_ || !mayBeResumed || !tools_.softwareHistory || tools_.softwareHistory->mayBegin(server);
+}
+
 bool ForwardedRequest::skipIfBackingOff(const std::string &instance, Choice &choice) const
 {
     const auto end = tools_.backoffs->endsAt(instance);
--- a/src/forwarding/internal/forwardedrequestend.cpp
+++ b/src/forwarding/internal/forwardedrequestend.cpp
@@ -163,7 +163,7 @@
     tools_.loop->cancel(deadlineTimer_);
     tools_.loop->cancel(connectTimer_);
     tools_.loop->cancel(silenceTimer_);
-    tools_.loop->cancel(roomTimer_);
+    tools_.loop->cancel(dispatchTimer_);
     tools_.loop->cancel(moveTimer_);
     tools_.loop->cancel(relayTimer_);
     abandonMove();
--- a/src/forwarding/tests/forwarderorigins_test.cpp
+++ b/src/forwarding/tests/forwarderorigins_test.cpp
@@ -4,6 +4,7 @@
 #include "forwarding/tests/forwardertest.h"
 #include "forwarding/tests/vmfleettest.h"
 #include "origins/tests/fakenetwork.h"
+#include "rows/memoryrowstore.h"
 
 #include <set>
 
@@ -208,6 +209,49 @@
     EXPECT_NE(logLines_.find("\"event\":\"stream_origin\""), std::string::npos);
 }
 
+/// As above; the store knows with which versions streams may have begun.
+class RecordedOrigins : public KnownOrigins
+{
+protected:
+    RecordedOrigins()
+    {
+        store_ = rows::MemoryRowStore::create(*loop_, std::make_shared<rows::MemoryRows>());
+        tools_.softwareHistory = origins::SoftwareHistory::create({loop_.get(), directory_, store_});
+        restart();
+    }
+
+    std::shared_ptr<rows::MemoryRowStore> store_;
+};
+
+// Guards against a stream that begins at a version of which the store does not know: a VM that missed the version would resume it at another.
+TEST_F(RecordedOrigins, AStreamBeginsOnceItsVersionIsRecorded)
+{
+    store_->faults.down = true;
+    const auto client = call(request("/resumed/1"));
+    int rounds = 0;
+    ASSERT_TRUE(runUntil([&rounds] { return ++rounds > 30; }));
+    EXPECT_EQ(arrivals(), 0);
+    EXPECT_EQ(client->received(), "") << "it waits";
+    store_->faults.down = false;
+    EXPECT_TRUE(runUntil([this] {
+        clock_.advance(milliseconds(5));
+        tools_.softwareHistory->tick();
+        return arrivals() > 0;
+    }));
+}
+
+// Requests that are not resumed need no record.
+TEST_F(RecordedOrigins, OtherRequestsDoNotWait)
+{
+    store_->faults.down = true;
+    const auto stream = call(request("/stream/1"));
+    nextRequest()->answer(signedHead(), "id: 1\ndata: a\n\n");
+    EXPECT_TRUE(runUntil([&] { return hasStatus(*stream, "200"); }));
+    const auto plain = call(request("/safe/1"));
+    nextRequest()->answer(signedHead(), "a");
+    EXPECT_TRUE(runUntil([&] { return hasStatus(*plain, "200"); }));
+}
+
 /// Five entry VMs and servers of two versions.
 class OriginsOfFleet : public VmFleetTest
 {
--- a/src/origins/originsmodule.cpp
+++ b/src/origins/originsmodule.cpp
@@ -64,7 +64,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"directory", "metrics", "platform", "presence"};
+        return {"directory", "eventlog", "metrics", "platform", "presence"};
     }
 
     Result<void> start(Context &context) override
@@ -83,14 +83,17 @@
         tools.socket = socket;
         const auto tracker = OriginTracker::create(std::move(tools));
         context.set(tracker);
-        const auto history = SoftwareHistory::create({loop, context.get<directory::Directory>(), context.get<rows::RowStore>()});
+        const auto history =
+            SoftwareHistory::create({loop, context.get<directory::Directory>(), context.get<rows::RowStore>(), context.get<eventlog::EventLog>()});
         history->setRecorderCheck([presence, loop] { return isRecorder(*presence, loop->now()); });
         context.set(history);
         loop->every(TickPeriod, [tracker, history] {
             tracker->tick();
             history->tick();
         });
-        context.get<metrics::Metrics>()->gauge("stream_origins", [tracker] { return static_cast<double>(tracker->size()); });
+        const auto metrics = context.get<metrics::Metrics>();
+        metrics->gauge("stream_origins", [tracker] { return static_cast<double>(tracker->size()); });
+        metrics->gauge("recorded_versions", [history] { return static_cast<double>(history->recordedVersions()); });
         return success();
     }
 };
