--- a/tests/routes_test.cpp
+++ b/tests/routes_test.cpp
@@ -267,6 +267,56 @@
     EXPECT_TRUE(fleet.caller.waitUntil([&] { return !isOut(); }, "its own entry brings it back"));
 }
 
+std::vector<std::string> oddEntries()
+{
+    const auto entry = [](const std::string &address, const std::string &slots, const std::string &more) {
+        return R"({"service":"service","zone":"zone-0","state":"ready","address":")" + address + R"(","slots":)" + slots + more + "}";
+    };
+    constexpr std::size_t Depth = 20'000;
+    const std::string nested = std::string(Depth, '[') + std::string(Depth, ']');
+    return {nested,
+        entry("127.0.0.1:1", "16", ",\"sequence\":" + nested),
+        entry("127.0.0.1:1", "7171717171717171717171", ""),
+        entry("127.0.0.1:1", "1e999", ""),
+        entry("127.0.0.1:1", "16", ",\"born\":7171717171717171717171"),
+        entry("127.0.0.1:1", "16", ",\"leaves_ms\":-1e300"),
+        entry("127.0.0.1:0", "16", ""),
+        entry("127.0.0.1:65536", "16", ""),
+        entry("127.0.0.1:71717171717171717171", "16", ""),
+        entry("127.0.0.1:-1", "16", "")};
+}
+
+// Guards against one odd entry of another writer that ends the processes that read the list, or stops them from following it.
+TEST(Routes, OddEntriesStopNoVmFromFollowingTheList)
+{
+    RouteFleet fleet(2, 1);
+    fleet.waitReady();
+    const std::vector<std::string> entries = oddEntries();
+    for (std::size_t i = 0; i < entries.size(); i++) {
+        fleet.listUnreadable(fmt::format("odd-{}", i), entries[i]);
+    }
+    // The first reads the entries as changes, the second with the whole list.
+    fleet.entry(2).signal(SIGKILL);
+    fleet.entry(2).wait();
+    fleet.addEntry(2);
+    fleet.waitReady();
+    fleet.addWorker("worker-2");
+    for (int vm = 1; vm <= 2; vm++) {
+        int probes = 0;
+        const auto isUsed = [&] {
+            const auto call = fleet.caller.call(fleet.request(vm, "/once/1", fmt::format("probe-{}-{}", vm, probes++)));
+            return http::headerValue(call->headers, "X-Response-Signature").starts_with("worker-2");
+        };
+        EXPECT_TRUE(fleet.caller.waitUntil(isUsed, "a worker that is listed later is used"));
+        for (int i = 0; i < 20; i++) {
+            const auto call = fleet.caller.call(fleet.request(vm, "/once/1", fmt::format("vm-{}-{}", vm, i)));
+            EXPECT_EQ(call->status, 200) << "no odd entry gets a request";
+        }
+        EXPECT_TRUE(fleet.entry(vm).isRunning());
+        EXPECT_EQ(fleet.metric(vm, "servers_known"), 2) << "odd entries name no server";
+    }
+}
+
 TEST(Routes, HangUpReloadsAndTheProcessGoesOn)
 {
     RouteFleet fleet(1, 1);
