Let streams begin without the store also while it is silent

A VM whose calls to the store get no answer waited for the end of a call before it used a version without a record, longer than requests wait. It now uses one a second after it was first listed, whatever became of the call.

Test: SoftwareHistoryTest.StreamsBeginAtANewVersionWhileTheStoreIsDown, now also with a store that does not answer. Not seen red.

--- a/src/origins/internal/softwarehistory.cpp
+++ b/src/origins/internal/softwarehistory.cpp
@@ -275,9 +275,6 @@
 // Else nothing could be served at a new version while the store is down.
 void SoftwareHistory::admitWithoutStore()
 {
-    if (!hasCallFailed_) {
-        return;
-    }
     for (auto &[software, listed] : listed_) {
         if (!listed.mayBegin && tools_.loop->now() - listed.firstSeenAt >= MaxWaitForStore) {
             listed.mayBegin = true;
@@ -403,7 +400,6 @@
 void SoftwareHistory::endRecording(bool hasFailed)
 {
     isRecording_ = false;
-    hasCallFailed_ = hasFailed;
     if (hasFailed) {
         recordsAgainAt_ = tools_.loop->now() + RetryDelay;
     }
--- a/src/origins/softwarehistory.h
+++ b/src/origins/softwarehistory.h
@@ -122,7 +122,6 @@
     TimePoint readsAgainAt_;
     TimerId readTimer_ = 0;
     bool isRecording_ = false;
-    bool hasCallFailed_ = false; ///< The last attempt to record.
     TimePoint recordsAgainAt_; ///< After a call that has failed.
 };
 
--- a/src/origins/tests/softwarehistory_test.cpp
+++ b/src/origins/tests/softwarehistory_test.cpp
@@ -226,15 +226,20 @@
 // Guards against servers that stand idle while the store does not answer.
 TEST_F(SoftwareHistoryTest, StreamsBeginAtANewVersionWhileTheStoreIsDown)
 {
-    list("one", "v1");
-    store_->faults.down = true;
-    pass(std::chrono::milliseconds(500));
-    EXPECT_FALSE(history_->mayBegin(server("one", "v1")));
-    pass(std::chrono::seconds(1));
-    EXPECT_TRUE(history_->mayBegin(server("one", "v1")));
-    store_->faults.down = false;
-    pass(std::chrono::seconds(3));
-    EXPECT_TRUE(findOnly()) << "it is recorded later";
+    for (const auto fault : {&rows::MemoryRowFaults::down, &rows::MemoryRowFaults::silent}) {
+        rows_ = std::make_shared<rows::MemoryRows>();
+        store_ = rows::MemoryRowStore::create(*loop_, rows_);
+        store_->faults.*fault = true;
+        start();
+        list("one", "v1");
+        pass(std::chrono::milliseconds(500));
+        EXPECT_FALSE(history_->mayBegin(server("one", "v1")));
+        pass(std::chrono::seconds(1));
+        EXPECT_TRUE(history_->mayBegin(server("one", "v1")));
+        store_->faults = {};
+        pass(std::chrono::seconds(4));
+        EXPECT_TRUE(findOnly()) << "it is recorded later";
+    }
 }
 
 // Guards against a first row that is written after a version has gone, and claims that none was there before.
