--- a/tests/streamversions_test.cpp
+++ b/tests/streamversions_test.cpp
@@ -27,6 +27,11 @@
 class StreamVersions : public testing::Test
 {
 protected:
+    explicit StreamVersions(bool proxied = false)
+        : fleet_(Entries, 0, proxied)
+    {
+    }
+
     void addWorkers(const std::string &version)
     {
         versions_++;
@@ -40,18 +45,24 @@
         fleet_.waitReady();
         fleet_.waitKnown();
         waitRecorded();
+        startReadersAt(1);
+    }
+
+    /// At the VMs from @p firstEntry on.
+    void startReadersAt(int firstEntry)
+    {
         for (int i = 0; i < Streams; i++) {
-            readers_.start(i % Entries + 1);
+            readers_.start(i % (Entries - firstEntry + 1) + firstEntry);
         }
         pass(TroubleAfter);
     }
 
-    /// Waits until streams may begin at all versions.
-    void waitRecorded()
+    /// Waits until streams may begin at all versions, at the VMs from @p firstEntry on.
+    void waitRecorded(int firstEntry = 1)
     {
         fleet_.caller.waitUntil(
-            [this] {
-                for (int entry = 1; entry <= Entries; entry++) {
+            [this, firstEntry] {
+                for (int entry = firstEntry; entry <= Entries; entry++) {
                     if (fleet_.metric(entry, "recorded_versions") < versions_) {
                         return false;
                     }
@@ -103,7 +114,7 @@
     }
 
     int versions_ = 0;
-    RouteFleet fleet_{Entries, 0};
+    RouteFleet fleet_;
     test::StreamReaders readers_{fleet_, Entries, Events, EventGapMs};
 };
 
@@ -165,6 +176,46 @@
     check(Streams / 4);
 }
 
+/// The VMs reach the store through proxies.
+class StreamVersionsOfCutOffVms : public StreamVersions
+{
+protected:
+    StreamVersionsOfCutOffVms()
+        : StreamVersions(true)
+    {
+    }
+
+    void setStoreCut(int entry, bool isCut)
+    {
+        Json::Value faults;
+        faults["refuse"] = isCut;
+        faults["closeAll"] = isCut;
+        fleet_.setStorePathFault(entry, faults);
+    }
+};
+
+// Guards against a version that nobody records, as the VM that should do so does not reach the store while the others still hear it.
+TEST_F(StreamVersionsOfCutOffVms, AreKeptWhenAllVmsAreKilledAndOneLeaves)
+{
+    addWorkers("v1");
+    fleet_.waitReady();
+    fleet_.waitKnown();
+    waitRecorded();
+    setStoreCut(1, true);
+    addWorkers("v2");
+    waitRecorded(2);
+    startReadersAt(2);
+    for (int entry = 1; entry <= Entries; entry++) {
+        fleet_.entry(entry).signal(SIGKILL);
+    }
+    for (int i = 0; i < WorkersOfVersion; i++) {
+        fleet_.unlistWorker(fmt::format("v2-{}", i));
+    }
+    setStoreCut(1, false);
+    restartEntries(Entries);
+    check(Streams / 4);
+}
+
 // Guards against streams that began before another version joined, and which nobody wrote down.
 TEST_F(StreamVersions, AreKeptWhenAllVmsAreKilledAfterAnotherHasCome)
 {
