Keep one copy of the store's present time

Three classes computed it from the store's last reading; RowStore::timeAt() does so now. A time in a row of service-software that does not fit Duration names no single version, instead of overflowing. The tests of the engine client share their start of a request.

Test: SoftwareRow.IsReadAsItWasWritten, with a time out of range and odd values; not seen red.

--- a/src/engine/tests/engineclient_test.cpp
+++ b/src/engine/tests/engineclient_test.cpp
@@ -25,6 +25,23 @@
 constexpr std::size_t MostBytesRead = 32u << 20;
 constexpr char StreamHead[] = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
 
+/// Starts "request-1" at an engine on loopback.
+void startRequest(EngineClient &client, std::uint16_t port, std::function<void(const EngineResult &result)> onEnd)
+{
+    membership::Vm engine;
+    engine.instance = "engine";
+    engine.address = "127.0.0.1";
+    engine.port = port;
+    EngineRequest request;
+    request.requestId = "request-1";
+    request.messagesJson = "[]";
+    EngineHooks hooks;
+    hooks.onToken = [](const Token &) {
+    };
+    hooks.onEnd = std::move(onEnd);
+    client.start(engine, request, std::move(hooks));
+}
+
 } // namespace
 
 // Guards against an engine in trouble whose bytes hold the request of a chat until its caller gives up.
@@ -40,22 +57,11 @@
             ev_break(loop->raw(), EVBREAK_ALL);
         }
     });
-    membership::Vm engine;
-    engine.instance = "engine";
-    engine.address = "127.0.0.1";
-    engine.port = server.port();
-    EngineRequest request;
-    request.requestId = "request-1";
-    request.messagesJson = "[]";
     std::optional<EngineResult> result;
-    EngineHooks hooks;
-    hooks.onToken = [](const Token &) {
-    };
-    hooks.onEnd = [&](const EngineResult &ended) {
+    startRequest(*client, server.port(), [&](const EngineResult &ended) {
         result = ended;
         ev_break(loop->raw(), EVBREAK_ALL);
-    };
-    client->start(engine, request, std::move(hooks));
+    });
     loop->run();
     loop->cancel(sending);
     ASSERT_TRUE(result) << server.sentBytes() << " bytes were sent";
@@ -90,21 +96,8 @@
         });
     const auto client = EngineClient::create(std::move(http::Client::create(*loop_).value()), nullptr);
     http1::RawServer server;
-    membership::Vm engine;
-    engine.instance = "engine";
-    engine.address = "127.0.0.1";
-    engine.port = server.port();
-    EngineRequest request;
-    request.requestId = "request-1";
-    request.messagesJson = "[]";
     std::optional<EngineResult> result;
-    EngineHooks hooks;
-    hooks.onToken = [](const Token &) {
-    };
-    hooks.onEnd = [&result](const EngineResult &ended) {
-        result = ended;
-    };
-    client->start(engine, request, std::move(hooks));
+    startRequest(*client, server.port(), [&result](const EngineResult &ended) { result = ended; });
     ASSERT_TRUE(runUntil([&server] { return !server.connections().empty() && !server.connections().front().received().empty(); }));
     server.connections().front().send(StreamHead + events + "data: [DONE]\n\n");
     server.connections().front().close();
--- a/src/origins/internal/softwarehistory.cpp
+++ b/src/origins/internal/softwarehistory.cpp
@@ -21,6 +21,8 @@
 /// The recorder takes a version that is gone out of the row; other VMs learn of it by reading.
 constexpr Duration RereadPeriod = std::chrono::seconds(20);
 constexpr Duration RetryDelay = std::chrono::seconds(2);
+/// A later time is not one of the store's, and does not fit Duration.
+constexpr std::int64_t MaxStoreMs = 1'000'000'000'000'000;
 /// An older list of servers may lack a version.
 constexpr Duration MaxListAge = std::chrono::seconds(3);
 
@@ -44,9 +46,10 @@
         return std::nullopt;
     }
     SoftwareRow row;
-    if ((*json)["version"].isString() && (*json)["since_ms"].isInt64()) {
+    const std::int64_t since = http::jsonInteger(*json, "since_ms", -1);
+    if ((*json)["version"].isString() && since >= 0 && since <= MaxStoreMs) {
         row.version = (*json)["version"].asString();
-        row.since = std::chrono::milliseconds((*json)["since_ms"].asInt64());
+        row.since = std::chrono::milliseconds(since);
     }
     row.era = http::jsonUnsigned(*json, "era");
     return row;
@@ -107,8 +110,7 @@
 
 std::optional<Duration> SoftwareHistory::storeTime() const
 {
-    const auto clock = tools_.store->clock();
-    return clock ? std::optional(clock->storeTime + (tools_.loop->now() - clock->readAt)) : std::nullopt;
+    return tools_.store->timeAt(tools_.loop->now());
 }
 
 const SoftwareHistory::KnownRow *SoftwareHistory::findRow(const std::string &service) const
--- a/src/origins/internal/storedorigins.cpp
+++ b/src/origins/internal/storedorigins.cpp
@@ -67,8 +67,7 @@
 
 std::optional<Duration> StoredOrigins::storeTime() const
 {
-    const auto clock = tools_.store->clock();
-    return clock ? std::optional(clock->storeTime + (tools_.loop->now() - clock->readAt)) : std::nullopt;
+    return tools_.store->timeAt(tools_.loop->now());
 }
 
 void StoredOrigins::add(const StreamOrigin &origin)
--- a/src/origins/tests/softwarehistory_test.cpp
+++ b/src/origins/tests/softwarehistory_test.cpp
@@ -1,5 +1,6 @@
 #include "origins/softwarehistory.h"
 
+#include "http/tests/spoiltjson.h"
 #include "http1/tests/looptest.h"
 #include "rows/memoryrowstore.h"
 
@@ -302,6 +303,8 @@
     ASSERT_TRUE(several);
     EXPECT_FALSE(several->version);
     EXPECT_FALSE(parseSoftwareRow("{"));
+    EXPECT_FALSE(parseSoftwareRow(R"({"version":"v1","since_ms":9000000000000000000})")->version) << "no time of the store";
+    http::forEachSpoiltText(formatSoftwareRow({"v1", std::chrono::seconds(5), 3}), [](const std::string &text) { parseSoftwareRow(text); });
 }
 
 } // namespace
--- a/src/presence/internal/clusterclock.cpp
+++ b/src/presence/internal/clusterclock.cpp
@@ -41,11 +41,7 @@
 
 std::optional<Duration> ClusterClock::storeNow() const
 {
-    const auto clock = store_->clock();
-    if (!clock) {
-        return std::nullopt;
-    }
-    return clock->storeTime + (loop_.now() - clock->readAt);
+    return store_->timeAt(loop_.now());
 }
 
 std::optional<Duration> ClusterClock::ownOffset() const
--- a/src/rows/rowstore.h
+++ b/src/rows/rowstore.h
@@ -29,6 +29,12 @@
     virtual void write(std::vector<RowWrite> writes, WriteHandler handler) = 0;
     /// The latest reading of the store's clock; empty before the first response.
     virtual std::optional<StoreClock> clock() const = 0;
+    /// The store's clock at @p now; empty before the first response.
+    std::optional<Duration> timeAt(TimePoint now) const
+    {
+        const auto reading = clock();
+        return reading ? std::optional(reading->storeTime + (now - reading->readAt)) : std::nullopt;
+    }
     EraTracker &eras()
     {
         return eras_;
