Read numbers of contracts in the table without exceptions

An item with a number that can't be read, by another writer of the table, would have ended the process of each VM that reads it (chats).

Now read by http1::parseNumber().

Test: ContractStore.ItemsWithOddNumbersAreRead, red before ("stoull").

--- a/src/contract/internal/contractstore.cpp
+++ b/src/contract/internal/contractstore.cpp
@@ -1,5 +1,6 @@
 #include "contract/contractstore.h"
 
+#include "http1/http1types.h"
 #include "text/digest.h"
 
 #include <fmt/format.h>
@@ -21,9 +22,10 @@
     return fmt::format("{:020}", number);
 }
 
+/// 0 if @p text is no whole number.
 std::uint64_t parseNumber(const std::string &text)
 {
-    return text.empty() ? 0 : std::stoull(text);
+    return static_cast<std::uint64_t>(http1::parseNumber(text).value_or(0));
 }
 
 table::Item toItem(const ContractVersion &version, table::Key key)
--- a/src/contract/tests/contractstore_test.cpp
+++ b/src/contract/tests/contractstore_test.cpp
@@ -351,3 +351,26 @@
     }
     EXPECT_EQ(replaced, (std::vector<std::string>{"", "text 1", "text 2"}));
 }
+
+// Guards against an item with a number that can't be read that ends the process of each VM that reads it.
+TEST(ContractStore, ItemsWithOddNumbersAreRead)
+{
+    ManualClock clock;
+    const auto loop = std::move(EventLoop::create(clock).value());
+    table::MemoryRows rows;
+    const auto store = ContractStore::create(*loop, std::make_shared<ScheduledTable>(rows));
+    for (const char *number : {"", "x", "7x", "-1", "7.5", "99999999999999999999999"}) {
+        table::Item item;
+        item.key = {"contracts-log", "00000000000000000001"};
+        item.attributes = {{"customer", "c"}, {"version", number}, {"revision", number}, {"acceptedAtMs", number}};
+        const table::Write write{table::WriteKind::Put, item, {}};
+        rows.transact({&write, 1}, {});
+        bool isRead = false;
+        store->changesAfter(0, [&](const Result<std::vector<ContractVersion>> &versions) {
+            isRead = true;
+            ASSERT_TRUE(versions);
+            EXPECT_EQ(versions.value().at(0).version, 0U) << number;
+        });
+        EXPECT_TRUE(isRead);
+    }
+}
