Check the packages of libraries on each kind of machine

check_packages.sh looked for headers of libraries under the folder of x86-64 only, so on arm64 it passed over those of libcurl and others. It asks the compiler for the name of the folder now. Passes on arm64; not run on x86-64, where the name is the one that stood there.

--- a/scripts/check_packages.sh
+++ b/scripts/check_packages.sh
@@ -41,8 +41,9 @@
     [ -n "$folder" ] || { report "pkg-config does not know $module"; continue; }
     owner_is_listed "pkg-config module $module" "$folder/$module.pc"
 done
+multiarch=$(g++ -print-multiarch)
 for header in $(git ls-files '*.cpp' '*.h' '*.cc' | xargs sed -nE 's/^#include <([a-z0-9_+]+\/[^>]+|ev\.h|xxhash\.h|microhttpd\.h)>.*/\1/p' | sort -u); do
-    for folder in /usr/include /usr/include/x86_64-linux-gnu /usr/include/jsoncpp; do
+    for folder in /usr/include "/usr/include/$multiarch" /usr/include/jsoncpp; do
         [ -e "$folder/$header" ] || continue
         case $header in sys/* | netinet/* | arpa/* | linux/*) continue 2 ;; esac
         owner_is_listed "header $header" "$folder/$header"
