Test streams where a VM stood still or hears no other

A VM that started again and is cut off from the others goes on with streams by the store; without the store each is refused (the test red then).

--- a/src/forwarding/tests/forwarderorigins_test.cpp
+++ b/src/forwarding/tests/forwarderorigins_test.cpp
@@ -273,9 +273,10 @@
         tick();
     }
 
-    std::shared_ptr<origins::OriginTracker> createTracker(std::size_t index)
+    std::shared_ptr<origins::OriginTracker> createTracker(std::size_t index, std::shared_ptr<origins::StoredOrigins> stored = nullptr)
     {
         origins::OriginTools tools;
+        tools.stored = std::move(stored);
         tools.loop = loop_.get();
         tools.self = originVms_[index];
         tools.socket = std::make_shared<origins::FakeSocket>(network_, tools.self.endpoint);
@@ -407,6 +408,66 @@
     }
 }
 
+/// The VMs write down what begins their streams, and which versions serve.
+class StoredOriginsOfFleet : public OriginsOfFleet
+{
+protected:
+    StoredOriginsOfFleet()
+    {
+        for (std::size_t i = 0; i < vms_.size(); i++) {
+            startWithStore(i);
+        }
+        passWithHistories(milliseconds(2000));
+    }
+
+    /// Also as after a restart: the VM remembers nothing.
+    void startWithStore(std::size_t index)
+    {
+        TestVm &vm = *vms_[index];
+        const auto store = rows::MemoryRowStore::create(*loop_, rows_);
+        trackers_[index].reset();
+        vm.tools.origins.reset();
+        trackers_[index] = createTracker(index, origins::StoredOrigins::create({loop_.get(), store, vm.name}));
+        vm.tools.origins = trackers_[index];
+        vm.tools.softwareHistory = origins::SoftwareHistory::create({loop_.get(), vm.directory, store});
+        start(vm);
+    }
+
+    void passWithHistories(Duration time)
+    {
+        constexpr Duration Step = milliseconds(250);
+        for (Duration passed{0}; passed < time; passed += Step) {
+            for (const auto &vm : vms_) {
+                vm->tools.softwareHistory->tick();
+            }
+            pass(Step);
+        }
+    }
+
+    std::shared_ptr<rows::MemoryRows> rows_ = std::make_shared<rows::MemoryRows>();
+};
+
+// Guards against streams that a VM refuses, or takes for those of another version, while it hears no other VM.
+TEST_F(StoredOriginsOfFleet, AStreamThatIsTakenUpAtAVmThatIsCutOffGoesOnAtItsVersion)
+{
+    setEventGap(milliseconds(50));
+    for (int i = 0; i < 6; i++) {
+        TestRequest &first = send(0, "/resumed/");
+        passWithHistories(milliseconds(750));
+        first.client->close();
+        const std::string firstId = first.id;
+        startWithStore(1);
+        passWithHistories(milliseconds(500));
+        network_->cutOff.insert(originVms_[1].endpoint);
+        TestRequest &second = send(1, "/resumed/", "Last-Event-Id: 2\r\nResumes: " + firstId + "\r\n");
+        passWithHistories(milliseconds(3000));
+        EXPECT_TRUE(second.isServed()) << second.client->received();
+        EXPECT_EQ(versionsOf({firstId, second.id}).size(), 1U);
+        network_->cutOff.clear();
+    }
+    EXPECT_GT(vms_[1]->tools.metrics->counter("streams_resumed_total{origin=\"store\"}"), 0U);
+}
+
 // Guards against a stream that is guessed at: its id is another's, or never was.
 TEST_F(OriginsOfFleet, AStreamThatNobodyKnowsIsRefusedAtOnce)
 {
--- a/tests/streamversions_test.cpp
+++ b/tests/streamversions_test.cpp
@@ -176,6 +176,24 @@
     check(Streams / 4);
 }
 
+// Guards against a version that nobody records, as the VM that should do so stands still while the others begin streams at it.
+TEST_F(StreamVersions, AreKeptWhenTheVmThatRecordsStoodStill)
+{
+    addWorkers("v1");
+    fleet_.waitReady();
+    fleet_.waitKnown();
+    waitRecorded();
+    fleet_.entry(1).signal(SIGSTOP);
+    addWorkers("v2");
+    waitRecorded(2);
+    startReadersAt(2);
+    for (int i = 0; i < WorkersOfVersion; i++) {
+        fleet_.unlistWorker(fmt::format("v2-{}", i));
+    }
+    restartEntries(Entries);
+    check(Streams / 4);
+}
+
 /// The VMs reach the store through proxies.
 class StreamVersionsOfCutOffVms : public StreamVersions
 {
