--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -205,6 +205,8 @@
     bool announcesPace = false; ///< The load in answers has the pace as its fourth figure.
     Room room;
     int events = 5;
+    std::size_t eventBytes = 0; ///< Added to each event.
+    std::size_t answerBytes = 0; ///< Added to each plain answer.
     int breakAfter = -1; ///< Events after which a stream breaks off; -1: none.
     std::string brokenPart = "id"; ///< What is sent of the event in which a stream breaks off: "id", or whole "lines" without the last, empty one.
     bool breaksInOrder = false; ///< The body of a stream that breaks off ends as that of a whole one.
@@ -360,6 +362,8 @@
         room.queue = static_cast<std::size_t>(number("queue", static_cast<std::int64_t>(room.queue)));
         startWaiting();
         events = static_cast<int>(number("events", events));
+        eventBytes = static_cast<std::size_t>(number("eventBytes", static_cast<std::int64_t>(eventBytes)));
+        answerBytes = static_cast<std::size_t>(number("answerBytes", static_cast<std::int64_t>(answerBytes)));
         breakAfter = static_cast<int>(number("breakAfter", breakAfter));
         brokenPart = body.get("brokenPart", brokenPart).asString();
         breaksInOrder = body.get("breaksInOrder", breaksInOrder).asBool();
@@ -485,7 +489,7 @@
         overload.running.push_back(exchange);
         loop->after(delay + atPace(work), [this, exchange, id, slot = takeSlot()] {
             std::erase(overload.running, exchange);
-            exchange->answer(signedHead(id), fmt::format("{} {}", id, exchange->body()));
+            exchange->answer(signedHead(id), fmt::format("{} {}{}", id, exchange->body(), std::string(answerBytes, 'x')));
         });
     }
 
@@ -543,7 +547,8 @@
             breakOff(exchange, id, number);
             return;
         }
-        exchange->send(fmt::format("id: {}\ndata: {} {}{}\n\n", number, id, number, namesServer ? " " + instance : std::string()));
+        const std::string padding(eventBytes, 'x');
+        exchange->send(fmt::format("id: {}\ndata: {} {}{}{}\n\n", number, id, number, namesServer ? " " + instance : std::string(), padding));
         loop->after(atPace(eventGap), [this, exchange, gone, id, number, sent] { sendEvent(exchange, gone, id, number + 1, sent + 1); });
     }
 };
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -28,11 +28,11 @@
 
 } // namespace
 
-Fleet::Fleet(int entries)
+Fleet::Fleet(int entries, const std::function<void(Json::Value &settings)> &changeSettings)
 {
     platform = Process::start("standin-platform", {});
     for (int i = 1; i <= entries; i++) {
-        addEntry(fmt::format("entry-{}", i), fmt::format("zone-{}", (i - 1) % Zones + 1));
+        addEntry(fmt::format("entry-{}", i), fmt::format("zone-{}", (i - 1) % Zones + 1), changeSettings);
     }
     if (entries > 0) {
         applyExamples();
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -21,7 +21,8 @@
 {
 public:
     /// Starts the platform and lets @p entries daemons run with the two example contracts applied.
-    explicit Fleet(int entries);
+    /// @p changeSettings may change the settings of each of them.
+    explicit Fleet(int entries, const std::function<void(Json::Value &settings)> &changeSettings = {});
 
     /// Starts a daemon called @p instance. @p changeSettings may change its settings before the start.
     Process &addEntry(const std::string &instance, const std::string &zone, const std::function<void(Json::Value &settings)> &changeSettings = {});
--- a/tests/support/routefleet.cpp
+++ b/tests/support/routefleet.cpp
@@ -15,11 +15,7 @@
 namespace {
 
 constexpr int StorePort = 8225;
-constexpr int CallersPort = 8221;
-constexpr int ReadinessPort = 8224;
 constexpr int WorkerPort = 8080;
-constexpr int PeerPort = 7600;
-constexpr int MetricsPort = 9464;
 constexpr int StoreHost = 1;
 constexpr int FirstWorkerHost = 100;
 /// Keeps clear of 127.0.x.x, which other tests use.
@@ -82,22 +78,40 @@
     return call;
 }
 
+void RouteFleet::setEntryLimits(const EntryLimits &limits)
+{
+    entryLimits_ = limits;
+}
+
+void RouteFleet::setCallerLimits(const Json::Value &limits)
+{
+    callerLimits_ = limits;
+    putManifest(1, {"key-1", "key-2"});
+}
+
+std::string RouteFleet::entryAddress(int number) const
+{
+    return address(1 + number);
+}
+
 void RouteFleet::addEntry(int number)
 {
-    const std::string own = address(1 + number);
+    const std::string own = entryAddress(number);
     Json::Value deployment;
     deployment["node_name"] = fmt::format("entry-{}", number);
     deployment["zone"] = fmt::format("zone-{}", number % 3);
     deployment["region"] = "region";
     deployment["ip"] = own;
-    deployment["internal_ports"].append(PeerPort);
-    deployment["listen_addrs"]["front"] = fmt::format("{}:{}", own, CallersPort);
-    deployment["listen_addrs"]["ready_addr"] = fmt::format("{}:{}", own, ReadinessPort);
+    deployment["internal_ports"].append(entryport::Peers);
+    deployment["listen_addrs"]["front"] = fmt::format("{}:{}", own, entryport::Callers);
+    deployment["listen_addrs"]["ready_addr"] = fmt::format("{}:{}", own, entryport::Readiness);
     if (proxied_ && !storeProxies_.contains(number)) {
         storeProxies_[number] = addProxy(store_->port());
     }
     deployment["platform"]["address"] = proxied_ ? storeProxies_.at(number).endpoint : storeEndpoint_;
     deployment["zones"]["zone-0"] = "region";
+    deployment["limits"]["memory_mb"] = entryLimits_.memoryMegabytes;
+    deployment["limits"]["max_fds"] = entryLimits_.fileDescriptors;
     deployment["bounds"]["strict_revoke"] = true;
     deployment["bounds"]["revoke_ms"] = 5000;
     deployment["bounds"]["grace_s"] = 8;
@@ -244,6 +258,7 @@
     for (int i = 0; i < unusedRoutes; i++) {
         manifest["routes"].append(routeJson(text::randomHex(16), "safe", 1, false));
     }
+    manifest["limits"] = callerLimits_;
     manifest["services"][0]["name"] = "service";
     manifest["tenants"][0]["name"] = "customer";
     for (const std::string &key : keys) {
@@ -380,7 +395,7 @@
 void RouteFleet::waitReady()
 {
     for (const auto &[number, process] : entries_) {
-        const std::string url = fmt::format("http://{}:{}/api/readyz", address(1 + number), ReadinessPort);
+        const std::string url = fmt::format("http://{}:{}/api/readyz", address(1 + number), entryport::Readiness);
         int status = 0;
         for (int i = 0; i < 200 && status != StatusOk; i++) {
             http::ClientRequest request;
@@ -404,7 +419,7 @@
 double RouteFleet::metric(int entry, const std::string &name)
 {
     http::ClientRequest request;
-    request.url = fmt::format("http://{}:{}/metrics", address(1 + entry), MetricsPort);
+    request.url = fmt::format("http://{}:{}/metrics", address(1 + entry), entryport::Metrics);
     const std::string page = "\n" + caller.call(request)->body;
     const std::string line = "\ncardamomlift_" + name + " ";
     const auto found = page.find(line);
@@ -415,7 +430,7 @@
 {
     http::ClientRequest request;
     request.method = "POST";
-    request.url = fmt::format("http://{}:{}{}", address(1 + entry), CallersPort, path);
+    request.url = fmt::format("http://{}:{}{}", address(1 + entry), entryport::Callers, path);
     request.headers = {{"Host", "test"}, {"X-Attempt-Id", id}, {"X-Credential", key}, {"X-Deadline-Ms", "15000"}};
     request.body = "body of " + id;
     request.freshConnection = true;
--- a/tests/support/routefleet.h
+++ b/tests/support/routefleet.h
@@ -29,6 +29,20 @@
     std::string backoff; ///< Retry-After of the answer; empty if it has none.
 };
 
+/// Ports of an entry VM.
+namespace entryport {
+inline constexpr int Callers = 8221;
+inline constexpr int Readiness = 8224;
+inline constexpr int Metrics = 9464;
+inline constexpr int Peers = 7600;
+} // namespace entryport
+
+/// Limits that the platform sets for an entry VM.
+struct EntryLimits {
+    int memoryMegabytes = 256;
+    int fileDescriptors = 4096;
+};
+
 /// A small deployment that serves routes, on loopback: the store, workers and daemons, each a process of its own. Every
 /// process has an address of its own in 127.0.0.0/8, drawn from this test's process id, so ports are fixed and free.
 class RouteFleet
@@ -38,6 +52,11 @@
     RouteFleet(int entries, int workers, bool proxied = false);
 
     void addEntry(int number);
+    /// Applies to entry VMs that are added later.
+    void setEntryLimits(const EntryLimits &limits);
+    /// Limits on callers' requests, as in the platform's manifest. Writes the manifest again.
+    void setCallerLimits(const Json::Value &limits);
+    std::string entryAddress(int number) const;
     void addWorker(const std::string &instance);
     /// A worker whose software has this version.
     void addWorker(const std::string &instance, const std::string &version);
@@ -115,6 +134,8 @@
     };
     Proxied addProxy(int port);
     bool proxied_;
+    EntryLimits entryLimits_;
+    Json::Value callerLimits_;
     std::map<int, Proxied> storeProxies_; ///< By entry VM.
     std::map<std::string, Proxied> workerProxies_;
     std::map<std::string, Json::Value> lastCounts_; ///< Of workers that have ended, by name and start.
