Account for what the clients of all HTTP/1 ports hold, and make room for those who complete their requests

Seen: clients inside all limits ended the daemon's room: 171 MB where 64 were allowed by 700 heads of many small fields, 700 and more descriptors where 600 were allowed, and ordinary callers got 503, or no connection, for as long as the crowd stayed.

Cause: each port counted the bodies of its own requests and its own connections, and nothing else: no heads, no bytes read ahead, no unread answers, no spare capacity of buffers. When a count was full, whoever came next was refused, so that a crowd that stood still kept out all others.

Now one account holds the memory and the descriptors of all connections. When it is used up, the connections that have held most for longest without completing a request or reading an answer yield, and for descriptors those that are idle for longest; requests that are being served come last. A part of the memory is left to small requests. Sent bytes and buffers that were large are freed, a next request waits until most of the last answer has been read, and a listener without descriptors pauses instead of asking again at once.

Ruled out: a bound for each part and port, which the next part not thought of would pass.

--- a/src/eventlog/eventtypes.h
+++ b/src/eventlog/eventtypes.h
@@ -27,6 +27,7 @@
                       ///< decision.
     AdmissionLevel, ///< The share of the requests of each priority that are admitted to a service has changed.
     RequestUnreadable, ///< The request could not be parsed.
+    ClientEvicted, ///< A client's connection was closed, or its incomplete request refused, in favour of other clients.
     AttemptFailed, ///< An attempt on a backend server ended without a usable answer.
     StreamMoved, ///< A stream was moved with its KV cache to another server, as its server is being reclaimed.
     StreamMoveAnswered, ///< What has become of it, as the source says.
@@ -81,6 +82,8 @@
 /// Key of a value in a log line. Each has a name, see attributeName().
 enum class Attribute {
     Request,
+    Activity, ///< What a client's connection was doing.
+    Bytes, ///< Memory that a client's connection held.
     Route,
     Customer,
     Service,
--- a/src/eventlog/internal/eventtypes.cpp
+++ b/src/eventlog/internal/eventtypes.cpp
@@ -23,6 +23,7 @@
     "request_admission",
     "admission_level",
     "request_unreadable",
+    "client_evicted",
     "attempt_failed",
     "stream_moved",
     "stream_move_answered",
@@ -73,6 +74,8 @@
     "suspended"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Attribute::Last)> AttributeNames{"request",
+    "activity",
+    "bytes",
     "route",
     "customer",
     "service",
--- a/src/forwarding/forwardingmodule.cpp
+++ b/src/forwarding/forwardingmodule.cpp
@@ -54,7 +54,8 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"manifest",
+        return {"clientbudget",
+            "manifest",
             "directory",
             "backoff",
             "eventlog",
@@ -132,6 +133,7 @@
         gatewayTools.settings = *settings->routes;
         gatewayTools.instance = settings->instance;
         gatewayTools.zone = settings->zone;
+        gatewayTools.budget = context.get<clientbudget::ClientBudget>();
         gatewayTools.manifests = tools.manifests;
         gatewayTools.directory = tools.directory;
         gatewayTools.log = tools.log;
--- a/src/forwarding/internal/routegateway.cpp
+++ b/src/forwarding/internal/routegateway.cpp
@@ -21,10 +21,25 @@
 /// The process ends, together with answers that are still open, this long before it would be killed.
 constexpr Duration GraceMargin = std::chrono::milliseconds(700);
 constexpr Duration DrainCheckPeriod = std::chrono::milliseconds(100);
-/// File descriptors reserved for channels to backend servers, the store, listeners and files.
+/// File descriptors reserved for idle channels to backend servers, the store, listeners and files; at most half of all.
 constexpr std::size_t ReservedDescriptors = 1000;
-/// Request bodies may use the memory of the process divided by this; the program and its channels need the rest.
-constexpr std::size_t BodyMemoryDivisor = 4;
+/// Clients may hold the memory of the process divided by this; the program, its tables and its channels need the rest.
+constexpr std::size_t ClientMemoryDivisor = 4;
+/// A connection to the caller and one to the backend server.
+constexpr std::size_t DescriptorsPerRequest = 2;
+
+clientbudget::ClientLimits clientLimits(const settings::RouteGatewaySettings &settings)
+{
+    clientbudget::ClientLimits limits;
+    limits.bytes = settings.memoryMegabytes * (1u << 20) / ClientMemoryDivisor;
+    limits.descriptors = settings.maxFileDescriptors - std::min(ReservedDescriptors, settings.maxFileDescriptors / 2);
+    return limits;
+}
+
+std::string_view shortageName(clientbudget::Shortage shortage)
+{
+    return shortage == clientbudget::Shortage::Memory ? "memory" : "descriptors";
+}
 
 http1::ResponseHead statusHead(int status)
 {
@@ -75,23 +90,25 @@
         tools_.log->write(Event::RequestUnreadable, {{Attribute::Status, std::int64_t(status)}});
     };
     const http1::ServerLimits limits;
-    BOOST_OUTCOME_TRY(callers, http1::HttpServer::listen(*tools_.loop, tools_.settings.callers, limits, handlers));
+    BOOST_OUTCOME_TRY(callers, http1::HttpServer::listen(*tools_.loop, tools_.settings.callers, limits, handlers, tools_.budget));
     callers_ = callers;
     if (tools_.settings.firstPeerPort != 0) {
         handlers.onRequest = [forwarder = tools_.forwarder](http1::ExchangePtr exchange) {
             forwarder->handleRelayed(std::move(exchange));
         };
-        BOOST_OUTCOME_TRY(peers, http1::HttpServer::listen(*tools_.loop, {tools_.settings.address, tools_.settings.firstPeerPort}, limits, handlers));
+        BOOST_OUTCOME_TRY(
+            peers, http1::HttpServer::listen(*tools_.loop, {tools_.settings.address, tools_.settings.firstPeerPort}, limits, handlers, tools_.budget));
         peers_ = peers;
     }
     applyLimits();
+    watchEvictions();
     tools_.manifests->onChange([this](const manifest::ManifestPtr &) { applyLimits(); });
     handlers.onRejected = [](int) {
     };
     handlers.onRequest = [this](const http1::ExchangePtr &exchange) {
         answerReadiness(exchange);
     };
-    BOOST_OUTCOME_TRY(readiness, http1::HttpServer::listen(*tools_.loop, tools_.settings.readiness, limits, handlers));
+    BOOST_OUTCOME_TRY(readiness, http1::HttpServer::listen(*tools_.loop, tools_.settings.readiness, limits, handlers, tools_.budget));
     readiness_ = readiness;
     if (tools_.settings.metrics.port == 0) {
         return success();
@@ -99,11 +116,21 @@
     handlers.onRequest = [this](const http1::ExchangePtr &exchange) {
         answerMetrics(exchange);
     };
-    BOOST_OUTCOME_TRY(metricsServer, http1::HttpServer::listen(*tools_.loop, tools_.settings.metrics, limits, handlers));
+    BOOST_OUTCOME_TRY(metricsServer, http1::HttpServer::listen(*tools_.loop, tools_.settings.metrics, limits, handlers, tools_.budget));
     metrics_ = metricsServer;
     return success();
 }
 
+void RouteGateway::watchEvictions()
+{
+    tools_.budget->onEviction([log = tools_.log](const clientbudget::ConnectionUse &use, clientbudget::Shortage shortage) {
+        log->write(Event::ClientEvicted,
+            {{Attribute::Reason, shortageName(shortage)},
+                {Attribute::Activity, clientbudget::activityName(use.activity)},
+                {Attribute::Bytes, static_cast<std::int64_t>(use.bytes)}});
+    });
+}
+
 std::vector<std::shared_ptr<http1::HttpServer>> RouteGateway::requestServers() const
 {
     std::vector<std::shared_ptr<http1::HttpServer>> servers{callers_};
@@ -120,10 +147,9 @@
 
 void RouteGateway::applyLimits()
 {
+    tools_.budget->setLimits(clientLimits(tools_.settings));
     http1::ServerLimits limits;
-    limits.maxConnections =
-        tools_.settings.maxFileDescriptors > ReservedDescriptors * 2 ? tools_.settings.maxFileDescriptors - ReservedDescriptors : ReservedDescriptors;
-    limits.maxBufferedBodyBytes = tools_.settings.memoryMegabytes * (1u << 20) / BodyMemoryDivisor;
+    limits.descriptorsPerRequest = DescriptorsPerRequest;
     if (const auto current = tools_.manifests->current()) {
         const manifest::CallerLimits &declared = current->manifest().limits;
         limits.read = {declared.headerBytes, declared.bodyBytes};
--- a/src/forwarding/routegateway.h
+++ b/src/forwarding/routegateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clientbudget/clientbudget.h"
 #include "eventlog/eventlog.h"
 #include "forwarding/forwarder.h"
 #include "http1/httpserver.h"
@@ -22,6 +23,7 @@
     settings::RouteGatewaySettings settings;
     std::string instance;
     std::string zone;
+    std::shared_ptr<clientbudget::ClientBudget> budget;
     std::shared_ptr<Forwarder> forwarder;
     std::shared_ptr<manifest::ManifestCache> manifests;
     std::shared_ptr<directory::Directory> directory;
@@ -49,6 +51,7 @@
     void answerReadiness(const http1::ExchangePtr &exchange) const;
     void answerMetrics(const http1::ExchangePtr &exchange) const;
     void applyLimits();
+    void watchEvictions();
     /// The listeners that take requests.
     std::vector<std::shared_ptr<http1::HttpServer>> requestServers() const;
     /// Requests that are being read or answered, also those of other VMs.
--- a/src/http1/http1types.h
+++ b/src/http1/http1types.h
@@ -41,9 +41,12 @@
     bool has(std::string_view name) const;
     std::size_t count(std::string_view name) const;
     const std::vector<Field> &list() const;
+    /// Memory that the fields take, in bytes.
+    std::size_t heldBytes() const;
 
 private:
     std::vector<Field> list_;
+    std::size_t textBytes_ = 0; ///< Memory of the names and values that were added.
 };
 
 /// Compares header names, tokens and host names, which are case-insensitive.
--- a/src/http1/httpserver.h
+++ b/src/http1/httpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clientbudget/clientbudget.h"
 #include "http1/messagereader.h"
 #include "kernel/eventloop.h"
 #include "kernel/result.h"
@@ -10,14 +11,13 @@
 
 namespace cardamomlift::http1 {
 
-/// Timeouts and memory limits of client connections.
+/// Timeouts and limits of single client connections. Those of all together are the ClientBudget's.
 struct ServerLimits {
     ReadLimits read;
     Duration headerTimeout = std::chrono::seconds(10); ///< From the first byte of a request to the end of its header.
     Duration idleTimeout = std::chrono::seconds(60); ///< Between requests; also the longest pause within a request body.
-    std::size_t maxConnections = 3000; ///< Open at once; further ones are closed when they are accepted.
     std::size_t maxUnsentResponseBytes = 1048576; ///< A client that reads a response sent in parts too slowly is disconnected.
-    std::size_t maxBufferedBodyBytes = 64u << 20; ///< Request bodies of all connections together.
+    std::size_t descriptorsPerRequest = 1; ///< Of a connection while its request is being answered: its own, and those that the handler needs.
 };
 
 /// One request and the means to respond to it. One of these must follow: answer(); begin() or beginUnframed(), any number of send(), and
@@ -41,6 +41,8 @@
     virtual void send(std::string_view part) = 0;
     /// Ends the body and thus completes the response.
     virtual void end() = 0;
+    /// Tells how much memory the handler keeps for this request besides the exchange itself.
+    virtual void setHandlerBytes(std::size_t bytes) = 0;
     /// Closes the connection without completing the response, so that the client sees that it is incomplete.
     virtual void abort() = 0;
 };
@@ -51,7 +53,7 @@
 struct ServerHandlers {
     std::function<void(ExchangePtr exchange)> onRequest;
     /// A request was refused with @p status and its connection is being closed: it is malformed or too large, it timed out, or
-    /// the memory for request bodies is used up.
+    /// the memory or the descriptors for clients are used up.
     std::function<void(int status)> onRejected;
 };
 
@@ -59,7 +61,9 @@
 class HttpServer
 {
 public:
-    static Result<std::shared_ptr<HttpServer>> listen(EventLoop &loop, const Endpoint &at, const ServerLimits &limits, ServerHandlers handlers);
+    /// @p budget: shared with the other servers of the process; null: this server has its own, with the default limits.
+    static Result<std::shared_ptr<HttpServer>> listen(
+        EventLoop &loop, const Endpoint &at, const ServerLimits &limits, ServerHandlers handlers, std::shared_ptr<clientbudget::ClientBudget> budget = nullptr);
     virtual ~HttpServer() = default;
     virtual void setLimits(const ServerLimits &limits) = 0;
     /// From now on each response closes its connection. New connections are still accepted.
--- a/src/http1/internal/http1types.cpp
+++ b/src/http1/internal/http1types.cpp
@@ -37,6 +37,13 @@
     }
 }
 
+/// Memory that a text takes besides its object.
+std::size_t separateBytes(const std::string &text)
+{
+    static const std::size_t InlineCapacity = std::string().capacity();
+    return text.capacity() > InlineCapacity ? text.capacity() + 1 : 0;
+}
+
 bool mayHaveBody(std::string_view method)
 {
     return method != "GET" && method != "HEAD" && method != "DELETE";
@@ -105,6 +112,7 @@
 void Fields::add(std::string_view name, std::string_view value)
 {
     list_.push_back({std::string(name), std::string(value)});
+    textBytes_ += separateBytes(list_.back().name) + separateBytes(list_.back().value);
 }
 
 void Fields::set(std::string_view name, std::string_view value)
@@ -139,6 +147,11 @@
     return list_;
 }
 
+std::size_t Fields::heldBytes() const
+{
+    return list_.capacity() * sizeof(Field) + textBytes_;
+}
+
 std::string_view reasonPhrase(int status)
 {
     const auto text = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
--- a/src/http1/internal/httpserver.cpp
+++ b/src/http1/internal/httpserver.cpp
@@ -19,17 +19,20 @@
 constexpr Duration TimeoutCheckPeriod = std::chrono::milliseconds(500);
 /// Connections accepted per round of the loop, so that other sockets are served in between.
 constexpr int AcceptBatch = 64;
+/// How long no connection is accepted after the process had no descriptor for one.
+constexpr Duration AcceptPause = std::chrono::milliseconds(50);
 
 class HttpServerImpl : public HttpServer
 {
 public:
-    HttpServerImpl(EventLoop &loop, const ServerLimits &limits, ServerHandlers handlers)
+    HttpServerImpl(EventLoop &loop, const ServerLimits &limits, ServerHandlers handlers, std::shared_ptr<clientbudget::ClientBudget> budget)
         : loop_(loop)
         , state_(std::make_shared<ServerState>())
     {
         state_->loop = &loop;
         state_->limits = limits;
         state_->handlers = std::move(handlers);
+        state_->budget = std::move(budget);
         state_->removeConnection = [this](ServerConnection *connection) {
             removeConnection(connection);
         };
@@ -38,6 +41,7 @@
     ~HttpServerImpl() override
     {
         loop_.cancel(timeoutCheckTimer_);
+        loop_.cancel(acceptTimer_);
         state_->removeConnection = [](ServerConnection *) {
         };
         if (descriptor_ >= 0) {
@@ -81,6 +85,7 @@
 
     void stopReading() override
     {
+        loop_.cancel(acceptTimer_);
         ev_io_stop(loop_.raw(), &watcher_);
         for (const auto &[key, connection] : connections_) {
             connection->stopReading();
@@ -108,17 +113,26 @@
         for (int i = 0; i < AcceptBatch; i++) {
             const int descriptor = ::accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (descriptor < 0) {
+                checkDescriptorsExhausted(errno);
                 return;
             }
-            if (connections_.size() >= state_->limits.maxConnections) {
-                ::close(descriptor);
-                continue;
+            if (auto connection = ServerConnection::create(state_, descriptor)) {
+                connections_[connection.get()] = std::move(connection);
             }
-            auto connection = ServerConnection::create(state_, descriptor);
-            connections_[connection.get()] = std::move(connection);
         }
     }
 
+    // NOTE A listener with a waiting connection stays readable: without a pause, the loop would do nothing but fail to accept it.
+    void checkDescriptorsExhausted(int error)
+    {
+        if (error != EMFILE && error != ENFILE && error != ENOBUFS && error != ENOMEM) {
+            return;
+        }
+        state_->budget->noteDescriptorsExhausted();
+        ev_io_stop(loop_.raw(), &watcher_);
+        acceptTimer_ = loop_.after(AcceptPause, [this] { ev_io_start(loop_.raw(), &watcher_); });
+    }
+
     // Destroyed by the loop later, as this may be called from a member function of the connection.
     void removeConnection(ServerConnection *connection)
     {
@@ -149,14 +163,19 @@
     int descriptor_ = -1;
     std::uint16_t port_ = 0;
     TimerId timeoutCheckTimer_ = 0;
+    TimerId acceptTimer_ = 0;
     std::unordered_map<ServerConnection *, std::shared_ptr<ServerConnection>> connections_;
 };
 
 } // namespace
 
-Result<std::shared_ptr<HttpServer>> HttpServer::listen(EventLoop &loop, const Endpoint &at, const ServerLimits &limits, ServerHandlers handlers)
+Result<std::shared_ptr<HttpServer>> HttpServer::listen(
+    EventLoop &loop, const Endpoint &at, const ServerLimits &limits, ServerHandlers handlers, std::shared_ptr<clientbudget::ClientBudget> budget)
 {
-    auto server = std::make_shared<HttpServerImpl>(loop, limits, std::move(handlers));
+    if (!budget) {
+        budget = clientbudget::ClientBudget::create(loop.clock(), {});
+    }
+    auto server = std::make_shared<HttpServerImpl>(loop, limits, std::move(handlers), std::move(budget));
     BOOST_OUTCOME_TRY(server->open(at));
     return std::shared_ptr<HttpServer>(server);
 }
--- a/src/http1/internal/messagereader.cpp
+++ b/src/http1/internal/messagereader.cpp
@@ -124,6 +124,7 @@
             return bytes.size();
         }
         pending_.clear();
+        pending_.shrink_to_fit();
         return used > before ? used - before : 0;
     }
 
@@ -168,6 +169,12 @@
         return std::exchange(parser_.body, {});
     }
 
+    std::size_t heldBytes() const override
+    {
+        const Fields &fields = isRequest ? parser_.request.fields : parser_.response.fields;
+        return sizeof(*this) + fields.heldBytes() + pending_.capacity() + parser_.body.capacity() + parser_.request.target.capacity();
+    }
+
     bool keepsAlive() const override
     {
         return parser_.keep_alive();
--- a/src/http1/internal/serverconnection.cpp
+++ b/src/http1/internal/serverconnection.cpp
@@ -1,5 +1,7 @@
 #include "http1/internal/serverconnection.h"
 
+#include <algorithm>
+#include <unistd.h>
 #include <utility>
 
 namespace cardamomlift::http1 {
@@ -8,6 +10,14 @@
 
 /// Bytes of further requests that are read ahead while one is answered; above it, reading is paused.
 constexpr std::size_t MaxPipelinedBytes = 65536;
+/// While more of an answer is unread, the next request on the connection is not read.
+constexpr std::size_t MaxUnsentBeforeNextRequest = 65536;
+/// Memory of a connection besides its buffers.
+constexpr std::size_t ConnectionBytes = 2048;
+/// A body above this is not copied behind its head, but sent on its own.
+constexpr std::size_t LargeBodyBytes = 16384;
+/// A head that takes more is freed once its request has been answered.
+constexpr std::size_t KeptHeadBytes = 8192;
 /// How long a connection is still read after its last response: closing it with unread bytes would send a reset, which may
 /// destroy the response on its way.
 constexpr Duration LingerTime = std::chrono::seconds(2);
@@ -46,6 +56,16 @@
 {
     std::shared_ptr<ServerConnection> connection(new ServerConnection(std::move(server)));
     ServerConnection *raw = connection.get();
+    const auto onEvicted = [weak = connection->weak_from_this()](const clientbudget::ConnectionUse &, clientbudget::Shortage shortage) {
+        if (const auto self = weak.lock()) {
+            self->onEvicted(shortage);
+        }
+    };
+    connection->account_ = raw->server_->budget->open(onEvicted);
+    if (!connection->account_) {
+        ::close(descriptor);
+        return nullptr;
+    }
     SocketHandlers handlers;
     handlers.onData = [raw](std::string_view bytes) {
         raw->onData(bytes);
@@ -53,6 +73,9 @@
     handlers.onEnd = [raw](SocketEnd) {
         raw->onEnd();
     };
+    handlers.onDrained = [raw] {
+        raw->onDrained();
+    };
     SocketOptions options;
     options.unackedTimeout = UnackedTimeout;
     connection->socket_ = Socket::adopt(*raw->server_->loop, descriptor, options, std::move(handlers));
@@ -69,7 +92,8 @@
 
 const RequestHead &ServerConnection::head() const
 {
-    return reader_->head();
+    static const RequestHead None;
+    return reader_ ? reader_->head() : None;
 }
 
 const std::string &ServerConnection::body() const
@@ -98,12 +122,80 @@
         if (pipelinedBytes_.size() > MaxPipelinedBytes) {
             socket_->setReading(false);
         }
+        updateAccount();
         return;
     }
     const auto self = shared_from_this();
+    if (isWaitingForDrain_) {
+        pipelinedBytes_ += bytes;
+        updateAccount();
+        return;
+    }
     readRequest(bytes);
 }
 
+// Grows up to the announced length, not beyond it.
+void ServerConnection::appendBody(const std::string &part)
+{
+    const std::size_t size = body_.size() + part.size();
+    if (size > body_.capacity()) {
+        const auto announced = parseNumber(reader_->head().fields.get("Content-Length"));
+        const std::size_t doubled = std::max(size, body_.capacity() * 2);
+        body_.reserve(announced ? std::clamp(static_cast<std::size_t>(*announced), size, doubled) : doubled);
+    }
+    body_ += part;
+}
+
+clientbudget::Activity ServerConnection::activity() const
+{
+    using clientbudget::Activity;
+    if (phase_ == Phase::Reading) {
+        return Activity::Receiving;
+    }
+    if (socket_->unsentBytes() > 0) {
+        return Activity::Sending;
+    }
+    return phase_ == Phase::Answering ? Activity::Serving : Activity::Waiting;
+}
+
+void ServerConnection::updateAccount()
+{
+    if (!account_) {
+        return;
+    }
+    account_->setActivity(activity());
+    account_->setBytes(
+        ConnectionBytes + (reader_ ? reader_->heldBytes() : 0) + body_.capacity() + pipelinedBytes_.capacity() + socket_->heldBytes() + handlerBytes_);
+}
+
+void ServerConnection::setHandlerBytes(std::size_t bytes)
+{
+    if (phase_ == Phase::Answering) {
+        handlerBytes_ = bytes;
+        updateAccount();
+    }
+}
+
+void ServerConnection::onEvicted(clientbudget::Shortage shortage)
+{
+    const auto self = shared_from_this();
+    if (phase_ == Phase::Reading && shortage == clientbudget::Shortage::Memory) {
+        reject(StatusUnavailable);
+        return;
+    }
+    if (phase_ != Phase::Answering) {
+        closeConnection();
+        return;
+    }
+    // NOTE The handler may be at work on this request now, so it is told later, and the request is kept until then.
+    socket_->close();
+    server_->loop->post([self] {
+        if (self->phase_ != Phase::Ended) {
+            self->onEnd();
+        }
+    });
+}
+
 void ServerConnection::startRequest()
 {
     phase_ = Phase::Reading;
@@ -121,15 +213,13 @@
         startRequest();
     }
     const std::size_t used = reader_->feed(bytes);
-    std::string part = reader_->takeBody();
-    server_->bufferedBodyBytes += part.size();
-    body_ += part;
+    appendBody(reader_->takeBody());
     if (reader_->error() != ReadError::None) {
         reject(statusFor(reader_->error()));
         return;
     }
-    if (server_->bufferedBodyBytes > server_->limits.maxBufferedBodyBytes) {
-        reject(StatusUnavailable);
+    updateAccount();
+    if (phase_ != Phase::Reading) {
         return;
     }
     if (!reader_->isComplete()) {
@@ -153,6 +243,11 @@
 {
     phase_ = Phase::Answering;
     closeAfterResponse_ = !reader_->keepsAlive();
+    account_->setActivity(activity());
+    if (!account_->trySetDescriptors(server_->limits.descriptorsPerRequest)) {
+        reject(StatusUnavailable);
+        return;
+    }
     server_->handlers.onRequest(shared_from_this());
 }
 
@@ -167,6 +262,8 @@
         head.fields.add("Retry-After", "1");
     }
     answer(std::move(head), {});
+    reader_.reset();
+    updateAccount();
 }
 
 void ServerConnection::answer(ResponseHead head, std::string_view body)
@@ -177,10 +274,15 @@
     headSent_ = true;
     closeAfterResponse_ = closeAfterResponse_ || server_->keepAliveDisabled;
     std::string bytes = encodeHead(head, Framing::Length, body.size(), closeAfterResponse_);
-    if (!reader_->isHeadComplete() || reader_->head().method != "HEAD") {
+    const bool hasBody = !reader_->isHeadComplete() || reader_->head().method != "HEAD";
+    const bool isLarge = body.size() > LargeBodyBytes;
+    if (hasBody && !isLarge) {
         bytes += body;
     }
     socket_->write(bytes);
+    if (hasBody && isLarge) {
+        socket_->write(body);
+    }
     finishResponse();
 }
 
@@ -218,7 +320,9 @@
     socket_->write(framing_ == Framing::Chunked ? encodeChunk(part) : std::string(part));
     if (socket_->unsentBytes() > server_->limits.maxUnsentResponseBytes) {
         onEnd();
+        return;
     }
+    updateAccount();
 }
 
 void ServerConnection::end()
@@ -252,28 +356,60 @@
         return;
     }
     phase_ = Phase::Idle;
-    socket_->setReading(true);
-    if (pipelinedBytes_.empty()) {
+    account_->trySetDescriptors(1);
+    updateAccount();
+    if (phase_ != Phase::Idle) {
         return;
     }
-    // NOTE Posted to the loop, as a handler that answers at once would otherwise recurse once per pipelined request.
+    isWaitingForDrain_ = socket_->unsentBytes() > MaxUnsentBeforeNextRequest;
+    socket_->setReading(!isWaitingForDrain_);
+    const bool holdsLargeHead = reader_ && reader_->heldBytes() > KeptHeadBytes;
+    if (isWaitingForDrain_ || (pipelinedBytes_.empty() && !holdsLargeHead)) {
+        return;
+    }
+    readNextRequest();
+}
+
+// NOTE Posted to the loop: a handler that answers at once would otherwise recurse once per pipelined request, and it may still look at the head.
+void ServerConnection::readNextRequest()
+{
     server_->loop->post([weak = weak_from_this()] {
         const auto connection = weak.lock();
         if (!connection || connection->phase_ != Phase::Idle) {
             return;
         }
-        connection->readRequest(std::exchange(connection->pipelinedBytes_, {}));
+        connection->reader_.reset();
+        if (!connection->pipelinedBytes_.empty()) {
+            connection->readRequest(std::exchange(connection->pipelinedBytes_, {}));
+            return;
+        }
+        connection->updateAccount();
     });
 }
 
+void ServerConnection::onDrained()
+{
+    updateAccount();
+    if (phase_ != Phase::Idle || !std::exchange(isWaitingForDrain_, false)) {
+        return;
+    }
+    socket_->setReading(true);
+    readNextRequest();
+}
+
 void ServerConnection::startLingering()
 {
     phase_ = Phase::Lingering;
     lastReceivedAt_ = server_->loop->now();
     startedAt_ = lastReceivedAt_;
     pipelinedBytes_.clear();
+    pipelinedBytes_.shrink_to_fit();
     socket_->shutdownAfterWrite();
     socket_->setReading(true);
+    if (account_) {
+        account_->trySetDescriptors(1);
+    }
+    updateAccount();
 }
 
 void ServerConnection::onEnd()
@@ -292,7 +428,10 @@
     const auto self = shared_from_this();
     releaseRequest();
     phase_ = Phase::Ended;
+    pipelinedBytes_.clear();
+    pipelinedBytes_.shrink_to_fit();
     socket_->close();
+    account_.reset();
     server_->removeConnection(this);
 }
 
@@ -301,7 +440,7 @@
     if (phase_ == Phase::Reading || phase_ == Phase::Answering) {
         server_->openExchanges--;
     }
-    server_->bufferedBodyBytes -= body_.size();
+    handlerBytes_ = 0;
     body_.clear();
     body_.shrink_to_fit();
     onDisconnected_ = nullptr;
--- a/src/http1/internal/serverconnection.h
+++ b/src/http1/internal/serverconnection.h
@@ -14,7 +14,7 @@
     ServerHandlers handlers;
     bool keepAliveDisabled = false;
     std::size_t openExchanges = 0;
-    std::size_t bufferedBodyBytes = 0;
+    std::shared_ptr<clientbudget::ClientBudget> budget;
     /// Removes a closed connection from the server.
     std::function<void(ServerConnection *connection)> removeConnection;
 };
@@ -23,6 +23,7 @@
 class ServerConnection : public Exchange, public std::enable_shared_from_this<ServerConnection>
 {
 public:
+    /// Takes ownership of the descriptor. Null if the budget has no room for another connection.
     static std::shared_ptr<ServerConnection> create(std::shared_ptr<ServerState> server, int descriptor);
     ~ServerConnection() override;
 
@@ -36,6 +37,7 @@
     void send(std::string_view part) override;
     void end() override;
     void abort() override;
+    void setHandlerBytes(std::size_t bytes) override;
 
     /// Rejects a request that is received too slowly, and closes a connection that has been idle or lingering for too long.
     void checkTimeouts(TimePoint now);
@@ -47,6 +49,13 @@
     explicit ServerConnection(std::shared_ptr<ServerState> server);
     void onData(std::string_view bytes);
     void onEnd();
+    void onDrained();
+    void onEvicted(clientbudget::Shortage shortage);
+    void appendBody(const std::string &part);
+    clientbudget::Activity activity() const;
+    /// Tells the budget what the connection holds now, which may end it or its request.
+    void updateAccount();
+    void readNextRequest();
     void readRequest(std::string_view bytes);
     void startRequest();
     void sendContinueIfExpected();
@@ -58,6 +67,7 @@
     void closeConnection();
     void releaseRequest();
     std::shared_ptr<ServerState> server_;
+    std::unique_ptr<clientbudget::ConnectionAccount> account_; ///< Null once the connection is closed.
     std::shared_ptr<Socket> socket_;
     Phase phase_ = Phase::Idle;
     std::unique_ptr<RequestReader> reader_;
@@ -68,6 +78,8 @@
     bool continueSent_ = false;
     bool closeAfterResponse_ = false;
     bool headSent_ = false;
+    bool isWaitingForDrain_ = false; ///< The next request is read once the client has read the last answer.
+    std::size_t handlerBytes_ = 0;
     Framing framing_ = Framing::Chunked; ///< Of a response whose body is sent in parts.
     std::function<void()> onDisconnected_;
 };
--- a/src/http1/internal/socket.cpp
+++ b/src/http1/internal/socket.cpp
@@ -19,6 +19,8 @@
 /// Unanswered probes after which the system ends an idle connection.
 constexpr int KeepAliveProbes = 2;
 constexpr int KeepAliveIntervalSeconds = 1;
+/// A send buffer that was larger is freed once it is empty.
+constexpr std::size_t KeptBufferBytes = 16384;
 
 void setOption(int descriptor, int level, int name, int value)
 {
@@ -170,39 +172,79 @@
 
 void Socket::write(std::string_view bytes)
 {
-    if (descriptor_ < 0) {
+    if (descriptor_ < 0 || bytes.empty()) {
         return;
     }
-    output_ += bytes;
-    if (connecting_) {
+    if (connecting_ || !output_.empty()) {
+        buffer(bytes);
+        if (!connecting_ && flush()) {
+            updateWatcher();
+        }
         return;
     }
-    if (flush()) {
+    const auto sent = sendSome(bytes);
+    buffer(bytes.substr(sent.value_or(0)));
+    if (!sent) {
+        return;
+    }
+    if (!output_.empty() || onAllSent()) {
         updateWatcher();
     }
 }
 
-// Sends what the system accepts. False if the connection has ended meanwhile.
-bool Socket::flush()
+void Socket::buffer(std::string_view bytes)
 {
-    while (descriptor_ >= 0 && outputSent_ < output_.size()) {
-        const ssize_t count = ::send(descriptor_, output_.data() + outputSent_, output_.size() - outputSent_, MSG_NOSIGNAL);
+    if (outputSent_ > 0 && outputSent_ >= output_.size() / 2) {
+        output_.erase(0, std::exchange(outputSent_, 0));
+    }
+    output_ += bytes;
+}
+
+// Returns how many bytes the system has accepted; empty if the connection has failed.
+std::optional<std::size_t> Socket::sendSome(std::string_view bytes)
+{
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        const ssize_t count = ::send(descriptor_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
         if (count > 0) {
             sent_ = true;
-            outputSent_ += static_cast<std::size_t>(count);
+            sent += static_cast<std::size_t>(count);
             continue;
         }
         if (wouldBlock()) {
             break;
         }
         postEnd(SocketEnd::Reset);
-        return false;
+        return std::nullopt;
     }
-    if (outputSent_ < output_.size() || output_.empty()) {
+    return sent;
+}
+
+// Sends what the system accepts. False if the connection has ended meanwhile.
+bool Socket::flush()
+{
+    if (descriptor_ < 0 || output_.empty()) {
         return descriptor_ >= 0;
     }
+    const auto sent = sendSome(std::string_view(output_).substr(outputSent_));
+    if (!sent) {
+        return false;
+    }
+    outputSent_ += *sent;
+    if (outputSent_ < output_.size()) {
+        return true;
+    }
     output_.clear();
     outputSent_ = 0;
+    if (output_.capacity() > KeptBufferBytes) {
+        output_.shrink_to_fit();
+    }
+    return onAllSent();
+}
+
+// False if the connection has ended meanwhile.
+bool Socket::onAllSent()
+{
     if (shutdownPending_) {
         ::shutdown(descriptor_, SHUT_WR);
     }
@@ -217,6 +259,11 @@
     return output_.size() - outputSent_;
 }
 
+std::size_t Socket::heldBytes() const
+{
+    return output_.capacity();
+}
+
 bool Socket::hasSent() const
 {
     return sent_;
@@ -261,6 +308,9 @@
     ev_io_stop(loop_.raw(), &watcher_);
     ::close(descriptor_);
     descriptor_ = -1;
+    output_.clear();
+    output_.shrink_to_fit();
+    outputSent_ = 0;
 }
 
 void Socket::end(SocketEnd end)
--- a/src/http1/messagereader.h
+++ b/src/http1/messagereader.h
@@ -39,6 +39,8 @@
     virtual bool hasStarted() const = 0;
     /// Returns and removes the body bytes received since the last call.
     virtual std::string takeBody() = 0;
+    /// Memory that the reader takes for the head and for bytes that it has not parsed yet.
+    virtual std::size_t heldBytes() const = 0;
     /// True if the sender keeps the connection open after this message.
     virtual bool keepsAlive() const = 0;
 };
--- a/src/http1/socket.h
+++ b/src/http1/socket.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -52,6 +53,8 @@
     void write(std::string_view bytes);
     /// Buffered bytes that the system has not accepted yet.
     std::size_t unsentBytes() const;
+    /// Memory that the send buffer takes.
+    std::size_t heldBytes() const;
     /// True once the system has accepted a byte, which may thus have left this machine.
     bool hasSent() const;
     bool isOpen() const;
@@ -71,7 +74,10 @@
     void onReady(int events);
     void finishConnect();
     void readAvailable();
+    std::optional<std::size_t> sendSome(std::string_view bytes);
+    void buffer(std::string_view bytes);
     bool flush();
+    bool onAllSent();
     void closeDescriptor();
     void end(SocketEnd end);
     void postEnd(SocketEnd end);
--- a/src/standinkit/internal/standinmain.cpp
+++ b/src/standinkit/internal/standinmain.cpp
@@ -53,4 +53,11 @@
     std::_Exit(0);
 }
 
+std::shared_ptr<clientbudget::ClientBudget> ampleBudget(EventLoop &loop)
+{
+    constexpr std::size_t Bytes = 1u << 30;
+    constexpr std::size_t Descriptors = 20000;
+    return clientbudget::ClientBudget::create(loop.clock(), {Bytes, Descriptors});
+}
+
 } // namespace cardamomlift::standinkit
--- a/src/standinkit/standinmain.h
+++ b/src/standinkit/standinmain.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clientbudget/clientbudget.h"
 #include "http/server.h"
 #include "kernel/eventloop.h"
 
@@ -18,4 +19,7 @@
     boost::program_options::options_description options,
     const std::function<Result<void>(EventLoop &loop, const boost::program_options::variables_map &values, Json::Value &ready)> &start);
 
+/// A budget that the clients of a stand-in do not use up.
+std::shared_ptr<clientbudget::ClientBudget> ampleBudget(EventLoop &loop);
+
 } // namespace cardamomlift::standinkit
--- a/src/standins/rowstore/main.cpp
+++ b/src/standins/rowstore/main.cpp
@@ -222,7 +222,7 @@
         handlers.onRejected = [](int) {
         };
         const http1::Endpoint at{values["address"].template as<std::string>(), values["port"].template as<std::uint16_t>()};
-        BOOST_OUTCOME_TRY(server, http1::HttpServer::listen(loop, at, {}, std::move(handlers)));
+        BOOST_OUTCOME_TRY(server, http1::HttpServer::listen(loop, at, {}, std::move(handlers), standinkit::ampleBudget(loop)));
         store.server = server;
         ready["port"] = server->port();
         return success();
