Count what clients of the callers' and the operators' port hold in the account of all clients

Seen: 120 clients with bodies of 1 MB, one byte short of their end, took up to 184 MB where 112 are allowed, at the operators' port also without a token; ordinary callers got 503 while they stayed. 700 connections that send nothing, or a part of a head, left ordinary callers without an answer.

Cause: the server of these ports bounds one body, not their sum, and MemoryGuard asks only whether a new request may begin: those begun went on growing, and all new ones paid. At its limit of connections libmicrohttpd accepts no more, so that those that stand still keep out all others. Answers were copied once more for clients that do not read them.

Both ports now have accounts in the one budget of the process: header, body, copies that handlers keep, and the answer until it has been sent. Who yields is decided there. The limit of libmicrohttpd is a little above the budget's.

A connection that is closed promises nothing, so no refusal is untrue.

--- a/src/clientbudget/clientbudgettypes.h
+++ b/src/clientbudget/clientbudgettypes.h
@@ -34,4 +34,6 @@
 /// What is used up, and why a connection is therefore closed.
 enum class Shortage { Memory, Descriptors };
 
+std::string_view shortageName(Shortage shortage);
+
 } // namespace cardamomlift::clientbudget
--- a/src/clientbudget/internal/clientbudgettypes.cpp
+++ b/src/clientbudget/internal/clientbudgettypes.cpp
@@ -17,4 +17,9 @@
     return "unknown";
 }
 
+std::string_view shortageName(Shortage shortage)
+{
+    return shortage == Shortage::Memory ? "memory" : "descriptors";
+}
+
 } // namespace cardamomlift::clientbudget
--- a/src/forwarding/internal/routegateway.cpp
+++ b/src/forwarding/internal/routegateway.cpp
@@ -36,11 +36,6 @@
     return limits;
 }
 
-std::string_view shortageName(clientbudget::Shortage shortage)
-{
-    return shortage == clientbudget::Shortage::Memory ? "memory" : "descriptors";
-}
-
 http1::ResponseHead statusHead(int status)
 {
     http1::ResponseHead head;
@@ -125,7 +120,7 @@
 {
     tools_.budget->onEviction([log = tools_.log](const clientbudget::ConnectionUse &use, clientbudget::Shortage shortage) {
         log->write(Event::ClientEvicted,
-            {{Attribute::Reason, shortageName(shortage)},
+            {{Attribute::Reason, clientbudget::shortageName(shortage)},
                 {Attribute::Activity, clientbudget::activityName(use.activity)},
                 {Attribute::Bytes, static_cast<std::int64_t>(use.bytes)}});
     });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,7 +14,7 @@
 class Gateway
 {
 public:
-    static Result<std::shared_ptr<Gateway>> create(GatewayTools tools, http::ServerOptions options);
+    static Result<std::shared_ptr<Gateway>> create(GatewayTools tools, http::ServerOptions options, std::shared_ptr<clientbudget::ClientBudget> budget);
 
     std::uint16_t port() const;
     void stopListening();
--- a/src/gateway/gatewaymodule.cpp
+++ b/src/gateway/gatewaymodule.cpp
@@ -1,4 +1,5 @@
 #include "gateway/gateway.h"
+#include "kernel/log.h"
 #include "kernel/module.h"
 #include "kernel/runtime.h"
 #include "settings/settingstypes.h"
@@ -10,6 +11,10 @@
 
 constexpr std::size_t BytesPerKilobyte = 1024;
 constexpr std::size_t BytesPerMegabyte = 1024 * BytesPerKilobyte;
+/// Clients may hold the memory of the process divided by this.
+constexpr std::size_t ClientMemoryDivisor = 4;
+/// Connections that are accepted beyond the limit, until others have been closed for them.
+constexpr unsigned AcceptMargin = 64;
 
 class GatewayModule : public Module
 {
@@ -24,6 +29,7 @@
         return {"admission",
             "chatreachability",
             "claims",
+            "clientbudget",
             "contract",
             "engine",
             "fleet",
@@ -64,8 +70,16 @@
         tools.metrics->gauge("resident_memory_bytes", [guard = tools.memory] { return static_cast<double>(guard->residentBytes()); });
         BOOST_OUTCOME_TRY(options, settings::serverOptions(settings->callers));
         options.maxBodyBytes = settings->limits.bodyKilobytes * BytesPerKilobyte;
-        options.maxConnections = static_cast<unsigned>(settings->limits.openRequests);
-        auto gateway = Gateway::create(std::move(tools), std::move(options));
+        options.maxConnections = static_cast<unsigned>(settings->limits.openRequests) + AcceptMargin;
+        const auto budget = context.get<clientbudget::ClientBudget>();
+        budget->setLimits({settings->limits.memoryMegabytes * BytesPerMegabyte / ClientMemoryDivisor, settings->limits.openRequests});
+        budget->onEviction([](const clientbudget::ConnectionUse &use, clientbudget::Shortage shortage) {
+            partLogger("gateway")->debug("Closed a client's connection in favour of others. shortage={} activity={} bytes={}",
+                clientbudget::shortageName(shortage),
+                clientbudget::activityName(use.activity),
+                use.bytes);
+        });
+        auto gateway = Gateway::create(std::move(tools), std::move(options), budget);
         if (!gateway) {
             return gateway.error();
         }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-Result<std::shared_ptr<Gateway>> Gateway::create(GatewayTools tools, http::ServerOptions options)
+Result<std::shared_ptr<Gateway>> Gateway::create(GatewayTools tools, http::ServerOptions options, std::shared_ptr<clientbudget::ClientBudget> budget)
 {
     std::shared_ptr<Gateway> gateway(new Gateway);
     gateway->tools_ = tools;
@@ -49,9 +49,11 @@
     gateway->resume_ = ResumeHandler::create(tools);
     gateway->services_ = ServiceHandler::create(tools);
     gateway->relay_ = PeerRelay::create(tools);
-    auto server = http::Server::create(*tools.loop,
+    auto server = http::Server::create(
+        *tools.loop,
         std::move(options),
-        [raw = gateway.get()](http::Request request, std::shared_ptr<http::Responder> responder) { raw->onRequest(std::move(request), std::move(responder)); });
+        [raw = gateway.get()](http::Request request, std::shared_ptr<http::Responder> responder) { raw->onRequest(std::move(request), std::move(responder)); },
+        std::move(budget));
     if (!server) {
         return server.error();
     }
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -46,7 +46,7 @@
     std::uint16_t port = 0; ///< 0: the system picks one; see Server::port().
     std::size_t maxBodyBytes = 1 << 20;
     std::size_t maxHeaderBytes = 32 * 1024; ///< Memory pool of one connection; a longer header is refused with 431.
-    unsigned maxConnections = 2000;
+    unsigned maxConnections = 2000; ///< Beyond it connections wait to be accepted; the budget closes others before that.
     unsigned idleSeconds = 30; ///< A connection silent for so long is closed; also bounds a header that never ends.
     std::string certificatePem; ///< With privateKeyPem: serve TLS. Both empty: plaintext.
     std::string privateKeyPem;
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -13,6 +13,20 @@
 constexpr std::size_t StreamBlockBytes = 4096;
 /// A body without announced length is read up to so many times the limit, so that its sender sees the refusal.
 constexpr std::size_t TolerancePastBodyLimit = 4;
+/// Handlers keep a body while they serve it, as received, as parsed, for the server and for another try.
+constexpr std::size_t CopiesOfBody = 4;
+
+/// Memory of a map of texts: of each entry its texts and its node.
+template<class Map>
+std::size_t memoryOf(const Map &texts)
+{
+    constexpr std::size_t NodeBytes = sizeof(typename Map::value_type) + 4 * sizeof(void *);
+    std::size_t bytes = 0;
+    for (const auto &[name, value] : texts) {
+        bytes += NodeBytes + name.capacity() + value.capacity();
+    }
+    return bytes;
+}
 
 } // namespace
 
@@ -32,6 +46,7 @@
     hasHead_ = true;
     finished_ = true;
     head_ = std::move(response);
+    updateAccount();
     wakeUp();
 }
 
@@ -53,6 +68,7 @@
         return;
     }
     pending_.append(bytes);
+    updateAccount();
     wakeUp();
 }
 
@@ -94,15 +110,57 @@
 {
     const std::size_t most = server_->options.maxBodyBytes;
     bodyBytes_ += bytes.size();
+    if (givenUp_) {
+        return false;
+    }
     if (bodyBytes_ <= most) {
         request.body.append(bytes);
-        return true;
+        updateAccount();
+        return !givenUp_;
     }
     bodyTooLarge = true;
-    request.body = {};
+    dropBody();
     return bodyBytes_ <= most * TolerancePastBodyLimit;
 }
 
+void Exchange::dropBody()
+{
+    request.body.clear();
+    request.body.shrink_to_fit();
+}
+
+void Exchange::giveUp()
+{
+    givenUp_ = true;
+    if (!handled) {
+        dropBody();
+        return;
+    }
+    // NOTE The handler may be at work on this request now.
+    server_->loop->post([weak = weak_from_this()] {
+        if (const auto exchange = weak.lock()) {
+            exchange->abort();
+        }
+    });
+}
+
+void Exchange::updateAccount()
+{
+    using clientbudget::Activity;
+    if (ended_) {
+        return;
+    }
+    if (!handled) {
+        headerBytes_ = headerBytes_ == 0 ? memoryOf(request.headers) + memoryOf(request.query) : headerBytes_;
+        server_->updateAccount(connection_, Activity::Receiving, headerBytes_ + request.body.capacity());
+        return;
+    }
+    const bool isSending = finished_ || bufferedBytes() > 0;
+    const std::size_t requestBytes = headerBytes_ + bodyBytes_ * CopiesOfBody;
+    const std::size_t answerBytes = pending_.capacity() + head_.body.capacity();
+    server_->updateAccount(connection_, isSending ? Activity::Sending : Activity::Serving, (isSending ? headerBytes_ : requestBytes) + answerBytes);
+}
+
 bool Exchange::announcesTooLarge() const
 {
     const std::string_view length = headerValue(request.headers, "Content-Length");
@@ -125,7 +183,7 @@
     if (streaming_) {
         response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, StreamBlockBytes, &Exchange::readMore, this, nullptr);
     } else {
-        response = MHD_create_response_from_buffer(head_.body.size(), head_.body.data(), MHD_RESPMEM_MUST_COPY);
+        response = MHD_create_response_from_buffer(head_.body.size(), head_.body.data(), MHD_RESPMEM_PERSISTENT);
     }
     for (const auto &[name, value] : head_.headers) {
         MHD_add_response_header(response, name.c_str(), value.c_str());
@@ -190,7 +248,9 @@
     exchange->taken_ += size;
     if (exchange->taken_ == exchange->pending_.size()) {
         exchange->pending_.clear();
+        exchange->pending_.shrink_to_fit();
         exchange->taken_ = 0;
+        exchange->updateAccount();
     }
     return static_cast<ssize_t>(size);
 }
--- a/src/http/internal/exchange.h
+++ b/src/http/internal/exchange.h
@@ -43,9 +43,14 @@
     /// MHD has ended the request; @p whole: the answer went out to its end.
     void end(bool whole);
     void resumeForShutdown();
+    /// Frees what was received of an incomplete request; ends the answer to a complete one, from the loop.
+    void giveUp();
+    /// Tells the budget what the exchange holds now.
+    void updateAccount();
 
 private:
     static ssize_t readMore(void *context, std::uint64_t, char *buffer, std::size_t capacity);
+    void dropBody();
     void wakeUp();
     void watchSocket();
     void stopWatching();
@@ -57,6 +62,7 @@
     std::string pending_;
     std::size_t taken_ = 0;
     std::size_t bodyBytes_ = 0;
+    std::size_t headerBytes_ = 0; ///< Memory of the header's fields.
     std::function<void()> closedHandler_;
     ev_io socketWatcher_{};
     bool watching_ = false;
@@ -64,6 +70,7 @@
     bool streaming_ = false;
     bool finished_ = false;
     bool aborted_ = false;
+    bool givenUp_ = false;
     bool ended_ = false;
     bool suspended_ = false;
 };
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr unsigned StallMarginSeconds = 5;
+/// Memory of a connection in MHD, without a request and with one of usual size.
+constexpr std::size_t IdleConnectionBytes = 2048;
+constexpr std::size_t BusyConnectionBytes = 8192;
 constexpr int HttpRequestTimeout = 408;
 constexpr int HttpContentTooLarge = 413;
 constexpr int HttpHeaderTooLarge = 431;
@@ -46,7 +49,10 @@
         MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &created->request.headers);
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery, &created->request.query);
         *slot = created.get();
-        impl->reading[connection].inHeader = false;
+        ConnectionState &state = impl->connections[connection];
+        state.inHeader = false;
+        state.exchange = created.get();
+        created->updateAccount();
         if (!created->announcesTooLarge()) {
             return MHD_YES;
         }
@@ -61,6 +67,7 @@
     }
     if (!exchange->handled) {
         exchange->handled = true;
+        exchange->updateAccount();
         impl->stopReading(connection);
         if (exchange->bodyTooLarge) {
             impl->refused(HttpContentTooLarge);
@@ -84,9 +91,11 @@
     }
     *slot = nullptr;
     const bool whole = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
+    auto *impl = static_cast<Server::Impl *>(context);
+    impl->connections[connection].exchange = nullptr;
+    impl->updateAccount(connection, clientbudget::Activity::Waiting, 0);
     if (whole) {
-        auto *impl = static_cast<Server::Impl *>(context);
-        impl->reading[connection].hasServed = true;
+        impl->connections[connection].hasServed = true;
         impl->startReading(connection);
     }
     exchange->end(whole);
@@ -94,7 +103,9 @@
 
 void *onRequestLine(void *context, const char *, MHD_Connection *connection)
 {
-    static_cast<Server::Impl *>(context)->reading[connection].inHeader = true;
+    auto *impl = static_cast<Server::Impl *>(context);
+    impl->connections[connection].inHeader = true;
+    impl->updateAccount(connection, clientbudget::Activity::Receiving, 0);
     return nullptr;
 }
 
@@ -102,15 +113,23 @@
 {
     auto *impl = static_cast<Server::Impl *>(context);
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-        impl->startReading(connection);
+        if (impl->openAccount(connection)) {
+            impl->startReading(connection);
+        }
         return;
     }
     // MHD itself answered 431, or the caller left in the middle of a header.
-    if (impl->reading[connection].inHeader) {
+    if (impl->connections[connection].inHeader) {
         impl->refused(HttpHeaderTooLarge);
     }
     impl->stopReading(connection);
-    impl->reading.erase(connection);
+    impl->connections.erase(connection);
+}
+
+void shutDown(MHD_Connection *connection)
+{
+    const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    shutdown(info->connect_fd, SHUT_RDWR);
 }
 
 Response plainError(int status)
@@ -143,25 +162,64 @@
     if (options.idleSeconds == 0) {
         return;
     }
-    reading[connection].timer = loop->after(std::chrono::seconds(options.idleSeconds), [this, connection] { onReadingTooSlow(connection); });
+    connections[connection].timer = loop->after(std::chrono::seconds(options.idleSeconds), [this, connection] { onReadingTooSlow(connection); });
 }
 
 void Server::Impl::stopReading(MHD_Connection *connection)
 {
-    ReadingState &state = reading[connection];
+    ConnectionState &state = connections[connection];
     loop->cancel(state.timer);
     state.timer = 0;
 }
 
 void Server::Impl::onReadingTooSlow(MHD_Connection *connection)
 {
-    ReadingState &state = reading[connection];
+    ConnectionState &state = connections[connection];
     if (state.inHeader || !state.hasServed) {
         refused(HttpRequestTimeout);
     }
     state.inHeader = false;
-    const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    shutdown(info->connect_fd, SHUT_RDWR);
+    shutDown(connection);
+}
+
+bool Server::Impl::openAccount(MHD_Connection *connection)
+{
+    if (!budget) {
+        return true;
+    }
+    auto account = budget->open([this, connection](const clientbudget::ConnectionUse &, clientbudget::Shortage) { onEvicted(connection); });
+    if (!account) {
+        shutDown(connection);
+        return false;
+    }
+    connections[connection].account = std::move(account);
+    return true;
+}
+
+void Server::Impl::updateAccount(MHD_Connection *connection, clientbudget::Activity activity, std::size_t bytes)
+{
+    const auto found = connections.find(connection);
+    if (found == connections.end() || !found->second.account) {
+        return;
+    }
+    const std::size_t bufferBytes = activity == clientbudget::Activity::Waiting ? IdleConnectionBytes : BusyConnectionBytes;
+    found->second.account->setActivity(activity);
+    found->second.account->setBytes(bufferBytes + bytes);
+}
+
+// MHD closes a connection that has been shut down when it runs the next time.
+void Server::Impl::onEvicted(MHD_Connection *connection)
+{
+    const auto found = connections.find(connection);
+    if (found == connections.end()) {
+        return;
+    }
+    found->second.inHeader = false;
+    if (found->second.exchange) {
+        found->second.exchange->giveUp();
+    }
+    shutDown(connection);
+    scheduleRun();
 }
 
 void Server::Impl::refused(int status) const
@@ -261,13 +319,14 @@
     }
 }
 
-Result<std::unique_ptr<Server>> Server::create(EventLoop &loop, ServerOptions options, Handler handler)
+Result<std::unique_ptr<Server>> Server::create(EventLoop &loop, ServerOptions options, Handler handler, std::shared_ptr<clientbudget::ClientBudget> budget)
 {
     std::unique_ptr<Server> server(new Server);
     server->impl_ = std::make_unique<Impl>();
     server->impl_->loop = &loop;
     server->impl_->options = std::move(options);
     server->impl_->handler = std::move(handler);
+    server->impl_->budget = std::move(budget);
     server->impl_->errorBody = &plainError;
     BOOST_OUTCOME_TRYV(server->impl_->start());
     return server;
--- a/src/http/internal/serverimpl.h
+++ b/src/http/internal/serverimpl.h
@@ -12,14 +12,16 @@
 
 class Exchange;
 
-/// How far a connection is with its next request, until that request is whole.
-struct ReadingState {
+/// One connection, and how far it is with its next request.
+struct ConnectionState {
+    std::unique_ptr<clientbudget::ConnectionAccount> account; ///< Null if the server has no budget.
+    Exchange *exchange = nullptr; ///< The request whose header is whole, until it has been answered.
     TimerId timer = 0; ///< Ends the connection; 0: the request is whole.
     bool inHeader = false; ///< The request line has come, the end of the header has not.
     bool hasServed = false; ///< An earlier request was answered: silence is no refusal.
 };
 
-/// The server's side of libmicrohttpd: its daemon on the loop, and the connections that are sending a request.
+/// The server's side of libmicrohttpd: its daemon on the loop, and its connections.
 struct Server::Impl {
     EventLoop *loop = nullptr;
     ServerOptions options;
@@ -36,7 +38,8 @@
     bool stopping = false;
     int listenSocket = -1;
     std::unordered_set<Exchange *> exchanges;
-    std::unordered_map<MHD_Connection *, ReadingState> reading;
+    std::unordered_map<MHD_Connection *, ConnectionState> connections;
+    std::shared_ptr<clientbudget::ClientBudget> budget; ///< May be null.
 
     void run();
     void scheduleRun();
@@ -46,6 +49,11 @@
     void stopReading(MHD_Connection *connection);
     void onReadingTooSlow(MHD_Connection *connection);
     void refused(int status) const;
+    /// Opens the account of a new connection. False if the budget has no room for it.
+    bool openAccount(MHD_Connection *connection);
+    /// Tells the budget what a connection holds besides MHD's buffers.
+    void updateAccount(MHD_Connection *connection, clientbudget::Activity activity, std::size_t bytes);
+    void onEvicted(MHD_Connection *connection);
 };
 
 } // namespace cardamomlift::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clientbudget/clientbudget.h"
 #include "http/httptypes.h"
 #include "kernel/eventloop.h"
 #include "kernel/result.h"
@@ -39,7 +40,9 @@
 class Server
 {
 public:
-    static Result<std::unique_ptr<Server>> create(EventLoop &loop, ServerOptions options, Handler handler);
+    /// @p budget: shared with the other servers of the process; null: none, only the options bound what clients hold.
+    static Result<std::unique_ptr<Server>> create(
+        EventLoop &loop, ServerOptions options, Handler handler, std::shared_ptr<clientbudget::ClientBudget> budget = nullptr);
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
--- a/src/operatorapi/internal/operatorapi.cpp
+++ b/src/operatorapi/internal/operatorapi.cpp
@@ -28,13 +28,14 @@
 
 } // namespace
 
-Result<std::shared_ptr<OperatorApi>> OperatorApi::create(OperatorTools tools, http::ServerOptions options)
+Result<std::shared_ptr<OperatorApi>> OperatorApi::create(OperatorTools tools, http::ServerOptions options, std::shared_ptr<clientbudget::ClientBudget> budget)
 {
     std::shared_ptr<OperatorApi> api(new OperatorApi);
     api->tools_ = std::move(tools);
-    auto server = http::Server::create(*api->tools_.loop, std::move(options), [raw = api.get()](http::Request request, ResponderPtr responder) {
+    const auto onRequest = [raw = api.get()](http::Request request, ResponderPtr responder) {
         raw->onRequest(std::move(request), std::move(responder));
-    });
+    };
+    auto server = http::Server::create(*api->tools_.loop, std::move(options), onRequest, std::move(budget));
     if (!server) {
         return server.error();
     }
--- a/src/operatorapi/operatorapi.h
+++ b/src/operatorapi/operatorapi.h
@@ -36,7 +36,7 @@
 class OperatorApi
 {
 public:
-    static Result<std::shared_ptr<OperatorApi>> create(OperatorTools tools, http::ServerOptions options);
+    static Result<std::shared_ptr<OperatorApi>> create(OperatorTools tools, http::ServerOptions options, std::shared_ptr<clientbudget::ClientBudget> budget);
     std::uint16_t port() const;
 
 private:
--- a/src/operatorapi/operatorapimodule.cpp
+++ b/src/operatorapi/operatorapimodule.cpp
@@ -18,7 +18,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"contract", "lifecycle", "membership", "metrics"};
+        return {"clientbudget", "contract", "lifecycle", "membership", "metrics"};
     }
 
     Result<void> start(Context &context) override
@@ -36,7 +36,7 @@
         tools.metrics = context.get<metrics::Metrics>();
         tools.lifecycle = context.get<lifecycle::Lifecycle>();
         BOOST_OUTCOME_TRY(options, settings::serverOptions(settings->operators));
-        auto api = OperatorApi::create(std::move(tools), std::move(options));
+        auto api = OperatorApi::create(std::move(tools), std::move(options), context.get<clientbudget::ClientBudget>());
         if (!api) {
             return api.error();
         }
