Bound what strangers hold at the port between VMs

Seen: 700 connections that send nothing, or one byte, to the peers' port took 725 descriptors where 600 are allowed; 60 callers without the token, each with a message of 4 MB that does not end, took 252 MB where 112 are allowed.

Cause: gRPC knows no bound on connections, and its calls with one message read that message before the handler sees the caller's metadata.

Connections are now accepted in the budget of all clients and handed over to gRPC by descriptor; one that is not used for longest yields, peers in use are told apart by when data last came. A call's message is read only once its token has been checked. The messages on the wire are the same.

--- a/src/clientbudget/clientbudget.h
+++ b/src/clientbudget/clientbudget.h
@@ -29,6 +29,8 @@
     void setBytes(std::size_t bytes);
     /// As setBytes(), for a changed activity, which begins now.
     void setActivity(Activity activity);
+    /// The activity began anew just now.
+    void touch();
     /// False if there is no room for so many descriptors although other connections were closed; the account is unchanged then.
     bool trySetDescriptors(std::size_t descriptors);
 
--- a/src/clientbudget/internal/clientbudget.cpp
+++ b/src/clientbudget/internal/clientbudget.cpp
@@ -58,6 +58,11 @@
     }
 }
 
+void ConnectionAccount::touch()
+{
+    use_.since = budget_->clock_.now();
+}
+
 bool ConnectionAccount::trySetDescriptors(std::size_t descriptors)
 {
     if (isClosed_) {
--- a/src/peers/grpctransport.h
+++ b/src/peers/grpctransport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clientbudget/clientbudget.h"
 #include "kernel/eventloop.h"
 #include "peers/peertransport.h"
 
@@ -18,6 +19,7 @@
     std::string certificatePem; ///< If set, calls use TLS and peers must present a certificate signed by the same authority.
     std::string privateKeyPem;
     std::string authorityPem;
+    std::shared_ptr<clientbudget::ClientBudget> budget; ///< Of all clients of the process; null: the number of connections has no bound.
     /// Called on the event loop's thread when an outgoing call has ended, with its payload bytes in both directions. May
     /// be empty.
     std::function<void(std::string_view topic, std::size_t bytes)> onCallEnded;
--- a/src/peers/internal/grpctransport.cpp
+++ b/src/peers/internal/grpctransport.cpp
@@ -1,6 +1,7 @@
 #include "peers/grpctransport.h"
 
 #include "peers/internal/opencalls.h"
+#include "peers/peerlistener.h"
 
 #include <grpcpp/grpcpp.h>
 
@@ -13,7 +14,11 @@
 namespace {
 
 constexpr char TokenMetadata[] = "x-peer-token";
+/// Of the service in peers.proto.
+constexpr char SendMethod[] = "/cardamomlift.peers.wire.Peers/Send";
 constexpr int ShutdownGraceMs = 200;
+/// Until a new connection has said in HTTP/2, and TLS if it is used, who it is.
+constexpr int HandshakeTimeoutMs = 10000;
 
 using Deadline = std::chrono::system_clock::time_point;
 
@@ -38,9 +43,11 @@
 
 } // namespace
 
-struct GrpcTransport::Impl : public wire::Peers::CallbackService {
+struct GrpcTransport::Impl : public grpc::CallbackGenericService {
     std::shared_ptr<OpenCalls> calls;
     GrpcOptions options;
+    std::unique_ptr<PeerListener> listener; ///< Null without a budget: gRPC listens by itself.
+    std::unique_ptr<grpc::experimental::ExternalConnectionAcceptor> acceptor; ///< Takes over the listener's connections.
     std::unique_ptr<grpc::Server> server;
     int boundPort = 0;
     /// Shared with the callbacks that answer calls, which may outlive the transport.
@@ -48,25 +55,29 @@
     std::unordered_map<std::string, TopicHandler> handlers;
     std::map<std::string, std::shared_ptr<grpc::Channel>> channels;
 
-    grpc::ServerUnaryReactor *Send(grpc::CallbackServerContext *context, const wire::Envelope *request, wire::EnvelopeReply *reply) override;
+    grpc::ServerGenericBidiReactor *CreateReactor(grpc::GenericCallbackServerContext *context) override;
     void dispatch(const std::shared_ptr<ReceivedCall> &call);
     void stop();
+    /// Starts the listener that passes connections on to gRPC.
+    Result<void> listen(EventLoop &loop);
     std::shared_ptr<grpc::Channel> channelTo(const PeerAddress &peer);
     std::shared_ptr<grpc::ServerCredentials> serverCredentials() const;
     std::shared_ptr<grpc::ChannelCredentials> channelCredentials() const;
 };
 
-grpc::ServerUnaryReactor *GrpcTransport::Impl::Send(grpc::CallbackServerContext *context, const wire::Envelope *request, wire::EnvelopeReply *reply)
+grpc::ServerGenericBidiReactor *GrpcTransport::Impl::CreateReactor(grpc::GenericCallbackServerContext *context)
 {
-    auto *reactor = context->DefaultReactor();
+    if (context->method() != SendMethod) {
+        return ReceivedCall::refuse({grpc::StatusCode::UNIMPLEMENTED, "unknown method"});
+    }
     const auto &metadata = context->client_metadata();
     const auto token = metadata.find(TokenMetadata);
     if (token == metadata.end() || token->second != options.token) {
-        reactor->Finish(grpc::Status(grpc::StatusCode::UNAUTHENTICATED, "wrong peer token"));
-        return reactor;
+        return ReceivedCall::refuse({grpc::StatusCode::UNAUTHENTICATED, "wrong peer token"});
     }
-    calls->addReceived(std::make_shared<ReceivedCall>(reactor, request, reply), [this](const std::shared_ptr<ReceivedCall> &call) { dispatch(call); });
-    return reactor;
+    return ReceivedCall::read([this, open = calls](const std::shared_ptr<ReceivedCall> &call) {
+        open->addReceived(call, [this](const std::shared_ptr<ReceivedCall> &received) { dispatch(received); });
+    });
 }
 
 void GrpcTransport::Impl::dispatch(const std::shared_ptr<ReceivedCall> &call)
@@ -96,9 +107,24 @@
     });
 }
 
+Result<void> GrpcTransport::Impl::listen(EventLoop &loop)
+{
+    const auto handOver = [this](int listenerDescriptor, int descriptor) {
+        grpc::experimental::ExternalConnectionAcceptor::NewConnectionParameters connection;
+        connection.listener_fd = listenerDescriptor;
+        connection.fd = descriptor;
+        acceptor->HandleNewConnection(&connection);
+    };
+    BOOST_OUTCOME_TRY(opened, PeerListener::listen(loop, options.address, options.port, options.budget, handOver));
+    listener = std::move(opened);
+    boundPort = listener->port();
+    return success();
+}
+
 void GrpcTransport::Impl::stop()
 {
     calls->close();
+    listener.reset();
     if (server) {
         server->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(ShutdownGraceMs));
     }
@@ -153,9 +179,18 @@
     grpc::ServerBuilder builder;
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
-    builder.AddListeningPort(impl.options.address + ":" + std::to_string(impl.options.port), impl.serverCredentials(), &impl.boundPort);
-    builder.RegisterService(&impl);
+    builder.AddChannelArgument(GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS, HandshakeTimeoutMs);
+    if (impl.options.budget) {
+        using Acceptor = grpc::ServerBuilder::experimental_type::ExternalConnectionType;
+        impl.acceptor = builder.experimental().AddExternalConnectionAcceptor(Acceptor::FROM_FD, impl.serverCredentials());
+    } else {
+        builder.AddListeningPort(impl.options.address + ":" + std::to_string(impl.options.port), impl.serverCredentials(), &impl.boundPort);
+    }
+    builder.RegisterCallbackGenericService(&impl);
     impl.server = builder.BuildAndStart();
+    if (impl.server && impl.acceptor) {
+        BOOST_OUTCOME_TRY(impl.listen(loop));
+    }
     if (!impl.server || impl.boundPort == 0) {
         return failure(ErrorKind::Unavailable, "can't listen for peers on " + impl.options.address + ":" + std::to_string(impl.options.port));
     }
--- a/src/peers/internal/opencalls.cpp
+++ b/src/peers/internal/opencalls.cpp
@@ -15,35 +15,6 @@
 
 } // namespace
 
-ReceivedCall::ReceivedCall(grpc::ServerUnaryReactor *reactor, const wire::Envelope *request, wire::EnvelopeReply *reply)
-    : reactor_(reactor)
-    , request_(request)
-    , reply_(reply)
-{
-}
-
-bool ReceivedCall::hasEnded() const
-{
-    return reactor_ == nullptr;
-}
-
-const wire::Envelope &ReceivedCall::request() const
-{
-    return *request_;
-}
-
-wire::EnvelopeReply &ReceivedCall::reply()
-{
-    return *reply_;
-}
-
-void ReceivedCall::end(const grpc::Status &status)
-{
-    if (auto *reactor = std::exchange(reactor_, nullptr)) {
-        reactor->Finish(status);
-    }
-}
-
 OpenCalls::OpenCalls(EventLoop &loop)
     : loop_(&loop)
 {
--- a/src/peers/internal/opencalls.h
+++ b/src/peers/internal/opencalls.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/eventloop.h"
+#include "peers/internal/receivedcall.h"
 #include "peers/peers.grpc.pb.h"
 #include "peers/peertransport.h"
 
@@ -12,27 +13,6 @@
 
 namespace cardamomlift::peers {
 
-/// An incoming call of a peer, from its arrival until gRPC is told to finish it. Everything but the constructor runs on the event
-/// loop's thread.
-class ReceivedCall
-{
-public:
-    ReceivedCall(grpc::ServerUnaryReactor *reactor, const wire::Envelope *request, wire::EnvelopeReply *reply);
-
-    bool hasEnded() const;
-    /// Valid until end().
-    const wire::Envelope &request() const;
-    /// Valid until end().
-    wire::EnvelopeReply &reply();
-    /// Tells gRPC to finish the call with @p status, which frees the request and the reply. A second call is ignored.
-    void end(const grpc::Status &status);
-
-private:
-    grpc::ServerUnaryReactor *reactor_;
-    const wire::Envelope *request_;
-    wire::EnvelopeReply *reply_;
-};
-
 /// An outgoing call to a peer, with everything that gRPC needs until the call has ended.
 struct SentCall {
     grpc::ClientContext context;
--- a/src/peers/peersmodule.cpp
+++ b/src/peers/peersmodule.cpp
@@ -21,7 +21,7 @@
 
     std::vector<std::string_view> dependencies() const override
     {
-        return {"metrics"};
+        return {"clientbudget", "metrics"};
     }
 
     Result<void> start(Context &context) override
@@ -32,6 +32,7 @@
         options.address = settings->peers.address;
         options.port = settings->peers.port;
         options.token = settings->peerToken;
+        options.budget = context.get<clientbudget::ClientBudget>();
         BOOST_OUTCOME_TRY(files, settings::readTlsFiles(settings->peers));
         options.certificatePem = files.certificatePem;
         options.privateKeyPem = files.privateKeyPem;
--- a/src/peers/tests/grpctransport_test.cpp
+++ b/src/peers/tests/grpctransport_test.cpp
@@ -124,7 +124,9 @@
     context.set(std::make_shared<settings::Settings>(settings::standaloneSettings()));
     const auto metrics = moduleNamed("metrics");
     const auto peersModule = moduleNamed("peers");
+    const auto clientBudget = moduleNamed("clientbudget");
     ASSERT_TRUE(metrics->start(context));
+    ASSERT_TRUE(clientBudget->start(context));
     ASSERT_TRUE(peersModule->start(context));
     const auto transport = context.get<peers::PeerTransport>();
     auto token = std::make_shared<int>(0);
--- a/tests/crowds/chatcrowds_test.cpp
+++ b/tests/crowds/chatcrowds_test.cpp
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 // Clients that keep to the limits on requests, but that nobody controls, at the ports of an entry VM that serves chats.
 
 using namespace cardamomlift;
@@ -84,7 +86,9 @@
     /// Checks the process while the crowd stays and after it has left.
     void expectBearable(Crowd &crowd)
     {
-        test::waitIdle(fleet.processes[Entry]->pid());
+        for (const char *process : {"engine-1", "orders-1", Entry}) {
+            test::waitIdle(fleet.processes[process]->pid());
+        }
         expectOrdinaryCallersAnswered("beside the crowd");
         expectWithinLimits();
         crowd.close();
@@ -171,6 +175,22 @@
     entry.expectBearable(crowd);
 }
 
+// Guards against callers at the port between VMs who are read before it is known that they are none.
+TEST(ChatCrowd, PeerMessagesShortOfTheirEndStayInBounds)
+{
+    SmallEntry entry;
+    constexpr int Parts = 240;
+    constexpr std::size_t PartBytes = 16000;
+    Crowd crowd("127.0.0.1", entry.port("peers"), 60);
+    crowd.send(test::startOfPeerCall("/cardamomlift.peers.wire.Peers/Send", (Parts + 1) * PartBytes));
+    for (int i = 0; i < Parts; i++) {
+        crowd.send(test::partOfPeerCall(PartBytes));
+        // Within the window of the stream, which is opened as its message is read.
+        usleep(20 * 1000);
+    }
+    entry.expectBearable(crowd);
+}
+
 // Guards against limits so low that they meet a caller who does nothing unusual.
 TEST(ChatCrowd, TheLargestRequestIsServedInCalm)
 {
--- a/tests/crowds/crowdshapes.h
+++ b/tests/crowds/crowdshapes.h
@@ -32,6 +32,11 @@
 /// A whole request.
 std::string wholeRequest(const CrowdTarget &target, std::string_view body);
 
+/// The first frames of a gRPC call over HTTP/2 without a token, up to the start of its message.
+std::string startOfPeerCall(std::string_view path, std::size_t messageBytes);
+/// A frame with a further part of the message.
+std::string partOfPeerCall(std::size_t bytes);
+
 void PrintTo(const CrowdShape &shape, std::ostream *out);
 
 } // namespace cardamomlift::test
