--- a/tests/crowds/routecrowds_test.cpp
+++ b/tests/crowds/routecrowds_test.cpp
@@ -220,6 +220,24 @@
     entry.expectBearable(crowd);
 }
 
+// The parts of a prompt take many times their length in the header.
+TEST(RouteCrowd, OpenRequestsWithPromptsOfManyPartsStayInBounds)
+{
+    SmallEntry entry;
+    Json::Value slowStreams;
+    slowStreams["eventGapMs"] = 600000;
+    entry.controlWorkers(slowStreams);
+    CrowdTarget target = callersTarget("/stream/crowd");
+    std::string parts = "1:1";
+    while (parts.size() < 15000) {
+        parts += ",1:1";
+    }
+    target.headers += "X-Prompt-Prefix: " + parts + "\r\n";
+    Crowd crowd(entry.address(), test::entryport::Callers, 280);
+    crowd.send(test::wholeRequest(target, "body"));
+    entry.expectBearable(crowd);
+}
+
 // Guards against a listener that is asked again and again to accept what there is no descriptor for.
 TEST(RouteCrowd, ConnectionsBeyondTheDescriptorsOfTheProcessLeaveRoomForOrdinaryCallers)
 {
