Do not let a connection that is refused for memory cost others theirs

Seen by a test of the account: of two clients with 2 MB each, within 4 MB, both were refused where one had to yield.

Cause: while the refusal was written, the connection told the budget once more of the body that it was about to free, as a request being served, so that the next one in order had to go.

Nothing is told meanwhile. ServerBudgetTest.AnIncompleteRequestIsToldToComeBackInFavourOfANewOne and .ARequestThatIsServedIsNotClosedForIncompleteOnes: red before, green now.

--- a/src/http1/internal/serverconnection.cpp
+++ b/src/http1/internal/serverconnection.cpp
@@ -160,7 +160,7 @@
 
 void ServerConnection::updateAccount()
 {
-    if (!account_) {
+    if (!account_ || isRejecting_) {
         return;
     }
     account_->setActivity(activity());
@@ -261,8 +261,11 @@
     if (status == StatusUnavailable) {
         head.fields.add("Retry-After", "1");
     }
+    // NOTE What the request held is freed, or about to be: counted meanwhile, it would cost other connections theirs.
+    isRejecting_ = true;
     answer(std::move(head), {});
     reader_.reset();
+    isRejecting_ = false;
     updateAccount();
 }
 
--- a/src/http1/internal/serverconnection.h
+++ b/src/http1/internal/serverconnection.h
@@ -78,6 +78,7 @@
     bool continueSent_ = false;
     bool closeAfterResponse_ = false;
     bool headSent_ = false;
+    bool isRejecting_ = false;
     bool isWaitingForDrain_ = false; ///< The next request is read once the client has read the last answer.
     std::size_t handlerBytes_ = 0;
     Framing framing_ = Framing::Chunked; ///< Of a response whose body is sent in parts.
