Read the bytes of a connection in the order in which they came

Cause: after an answer the bytes that came behind its request are read by a message to the loop. Bytes that the socket delivers before that message were read first, as a new request.

They now wait behind the earlier ones.

--- a/src/http1/internal/serverconnection.cpp
+++ b/src/http1/internal/serverconnection.cpp
@@ -126,7 +126,9 @@
         return;
     }
     const auto self = shared_from_this();
-    if (isWaitingForDrain_) {
+    // NOTE Bytes that came earlier are read first, once the loop comes to it or the client has read the last answer.
+    const bool mustWait = phase_ == Phase::Idle && (isWaitingForDrain_ || !pipelinedBytes_.empty());
+    if (mustWait) {
         pipelinedBytes_ += bytes;
         updateAccount();
         return;
--- a/src/http1/tests/httpserver_test.cpp
+++ b/src/http1/tests/httpserver_test.cpp
@@ -173,6 +173,21 @@
     EXPECT_EQ(server_->openConnections(), 1U);
 }
 
+// Guards against bytes that arrive between an answer and the read of those that came before them, which must stay behind these.
+TEST_F(HttpServerTest, ReadsPipelinedRequestsInOrderAlsoWhileMoreArrive)
+{
+    constexpr int Requests = 200;
+    RawClient client(server_->port());
+    client.send("POST /0 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nbPOST /1 HTTP/1.1\r\nHost: a\r\nCont");
+    for (int i = 0; i < Requests; i++) {
+        ASSERT_TRUE(runUntil([&] { return exchanges_.size() == static_cast<std::size_t>(i) + 1; })) << "request " << i;
+        ASSERT_EQ(exchanges_[i]->head().target, "/" + std::to_string(i));
+        client.send("ent-Length: 1\r\n\r\nbPOST /" + std::to_string(i + 2) + " HTTP/1.1\r\nHost: a\r\nCont");
+        // From the loop, so that the bytes may be read in the same round as the answer.
+        loop_->post([exchange = exchanges_[i]] { exchange->answer(ok(), ""); });
+    }
+}
+
 TEST_F(HttpServerTest, SendsContinueIfExpected)
 {
     RawClient client(server_->port());
