--- a/tests/crowds/chatcrowds_test.cpp
+++ b/tests/crowds/chatcrowds_test.cpp
@@ -40,9 +40,9 @@
     std::string headers;
 };
 
-void PrintTo(const EntryPort &port, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const EntryPort &port)
 {
-    *out << port.name;
+    return out << port.name;
 }
 
 std::string bearer(const char *secret)
--- a/tests/crowds/crowdshapes.cpp
+++ b/tests/crowds/crowdshapes.cpp
@@ -124,9 +124,9 @@
     return frame(FrameType::Data, 0, 1, std::string(bytes, 'b'));
 }
 
-void PrintTo(const CrowdShape &shape, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const CrowdShape &shape)
 {
-    *out << shape.name;
+    return out << shape.name;
 }
 
 } // namespace cardamomlift::test
--- a/tests/crowds/crowdshapes.h
+++ b/tests/crowds/crowdshapes.h
@@ -37,6 +37,6 @@
 /// A frame with a further part of the message.
 std::string partOfPeerCall(std::size_t bytes);
 
-void PrintTo(const CrowdShape &shape, std::ostream *out);
+std::ostream &operator<<(std::ostream &out, const CrowdShape &shape);
 
 } // namespace cardamomlift::test
--- a/tests/crowds/routecrowds_test.cpp
+++ b/tests/crowds/routecrowds_test.cpp
@@ -33,9 +33,9 @@
     const char *path = "";
 };
 
-void PrintTo(const EntryPort &port, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const EntryPort &port)
 {
-    *out << port.name;
+    return out << port.name;
 }
 
 constexpr EntryPort EntryPorts[] = {{"callers", test::entryport::Callers, "POST", "/safe/crowd"},
