Wait at a shutdown for clients that still read their answers

Cause: the shutdown counted requests that are being answered; an answer that was written, but not read by its client yet, counted as done.

It now ends only once no response waits to be read, or shortly before the grace period ends, as ever.

HttpServerTest.TellsOfAnswersThatAreStillBeingRead is new.

--- a/src/forwarding/internal/routegateway.cpp
+++ b/src/forwarding/internal/routegateway.cpp
@@ -140,6 +140,11 @@
     return callers_->openExchanges() + (peers_ ? peers_->openExchanges() : 0);
 }
 
+bool RouteGateway::hasUnsentResponses() const
+{
+    return callers_->hasUnsentResponses() || (peers_ && peers_->hasUnsentResponses());
+}
+
 void RouteGateway::applyLimits()
 {
     tools_.budget->setLimits(clientLimits(tools_.settings));
@@ -204,7 +209,7 @@
 void RouteGateway::checkDrained()
 {
     const Duration elapsed = tools_.loop->now() - drainStartedAt_;
-    const bool isIdle = openExchanges() == 0 && elapsed >= BalancerRemovalTime;
+    const bool isIdle = openExchanges() == 0 && !hasUnsentResponses() && elapsed >= BalancerRemovalTime;
     if (!isIdle && elapsed < tools_.settings.shutdownGrace - GraceMargin) {
         return;
     }
--- a/src/forwarding/routegateway.h
+++ b/src/forwarding/routegateway.h
@@ -56,6 +56,7 @@
     std::vector<std::shared_ptr<http1::HttpServer>> requestServers() const;
     /// Requests that are being read or answered, also those of other VMs.
     std::size_t openExchanges() const;
+    bool hasUnsentResponses() const;
     void checkDrained();
     RouteGatewayTools tools_;
     std::shared_ptr<http1::HttpServer> callers_;
--- a/src/http1/httpserver.h
+++ b/src/http1/httpserver.h
@@ -74,6 +74,8 @@
     virtual std::size_t openConnections() const = 0;
     /// Requests that are being read or answered now.
     virtual std::size_t openExchanges() const = 0;
+    /// Whether a response, or a part of one, waits for its client to read it.
+    virtual bool hasUnsentResponses() const = 0;
     virtual std::uint16_t port() const = 0;
 };
 
--- a/src/http1/internal/httpserver.cpp
+++ b/src/http1/internal/httpserver.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <unordered_map>
 
@@ -102,6 +103,11 @@
         return state_->openExchanges;
     }
 
+    bool hasUnsentResponses() const override
+    {
+        return std::any_of(connections_.begin(), connections_.end(), [](const auto &entry) { return entry.second->hasUnsentResponse(); });
+    }
+
     std::uint16_t port() const override
     {
         return port_;
--- a/src/http1/internal/serverconnection.cpp
+++ b/src/http1/internal/serverconnection.cpp
@@ -451,6 +451,11 @@
     onDisconnected_ = nullptr;
 }
 
+bool ServerConnection::hasUnsentResponse() const
+{
+    return socket_->unsentBytes() > 0;
+}
+
 void ServerConnection::stopReading()
 {
     socket_->setReading(false);
--- a/src/http1/internal/serverconnection.h
+++ b/src/http1/internal/serverconnection.h
@@ -42,6 +42,7 @@
     /// Rejects a request that is received too slowly, and closes a connection that has been idle or lingering for too long.
     void checkTimeouts(TimePoint now);
     void stopReading();
+    bool hasUnsentResponse() const;
 
 private:
     enum class Phase { Idle, Reading, Answering, Lingering, Ended };
--- a/src/http1/tests/httpserver_test.cpp
+++ b/src/http1/tests/httpserver_test.cpp
@@ -157,6 +157,21 @@
     ASSERT_TRUE(runUntil([&] { return hasRequests(2); })) << "new connections are still accepted";
 }
 
+// Guards against a process that ends while clients still read its last answers.
+TEST_F(HttpServerTest, TellsOfAnswersThatAreStillBeingRead)
+{
+    constexpr std::size_t LargeBytes = 32u << 20;
+    RawClient client(server_->port());
+    client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return hasRequests(1); }));
+    server_->disableKeepAlive();
+    exchanges_[0]->answer(ok(), std::string(LargeBytes, 'b'));
+    EXPECT_EQ(server_->openExchanges(), 0U);
+    EXPECT_TRUE(server_->hasUnsentResponses());
+    ASSERT_TRUE(runUntil([&] { return client.received().size() > LargeBytes; }));
+    EXPECT_FALSE(server_->hasUnsentResponses());
+}
+
 TEST_F(HttpServerTest, NothingIsReadAfterStopReading)
 {
     RawClient kept(server_->port());
