Keep the connections of chats within the descriptors of the process

Seen: with 200 descriptors and 300 open requests allowed, 280 connections that send one byte leave ordinary callers without any answer, also after they have left.

Cause: the limit was the number of open requests, whatever the process may open; libmicrohttpd then gets no descriptor, and stops to accept.

The limit is now at most half of the process's descriptors, so that the longest idle connections yield before they are used up.

--- a/src/gateway/gatewaymodule.cpp
+++ b/src/gateway/gatewaymodule.cpp
@@ -5,6 +5,9 @@
 #include "settings/settingstypes.h"
 #include "settings/tlsfiles.h"
 
+#include <algorithm>
+#include <sys/resource.h>
+
 namespace cardamomlift::gateway {
 
 namespace {
@@ -14,7 +17,19 @@
 /// Clients may hold the memory of the process divided by this.
 constexpr std::size_t ClientMemoryDivisor = 4;
 /// Connections that are accepted beyond the limit, until others have been closed for them.
-constexpr unsigned AcceptMargin = 64;
+constexpr std::size_t AcceptMargin = 16;
+/// Connections to engines, services and other VMs, listeners and files have the rest of the process's descriptors.
+constexpr std::size_t ClientDescriptorDivisor = 2;
+
+/// As many connections as open requests are allowed, if the process has descriptors for them.
+std::size_t maxConnections(const settings::LimitSettings &limits)
+{
+    rlimit descriptors{};
+    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0 || descriptors.rlim_cur == RLIM_INFINITY) {
+        return limits.openRequests;
+    }
+    return std::min<std::size_t>(limits.openRequests, descriptors.rlim_cur / ClientDescriptorDivisor);
+}
 
 class GatewayModule : public Module
 {
@@ -70,9 +85,10 @@
         tools.metrics->gauge("resident_memory_bytes", [guard = tools.memory] { return static_cast<double>(guard->residentBytes()); });
         BOOST_OUTCOME_TRY(options, settings::serverOptions(settings->callers));
         options.maxBodyBytes = settings->limits.bodyKilobytes * BytesPerKilobyte;
-        options.maxConnections = static_cast<unsigned>(settings->limits.openRequests) + AcceptMargin;
+        const std::size_t connections = maxConnections(settings->limits);
+        options.maxConnections = static_cast<unsigned>(connections + AcceptMargin);
         const auto budget = context.get<clientbudget::ClientBudget>();
-        budget->setLimits({settings->limits.memoryMegabytes * BytesPerMegabyte / ClientMemoryDivisor, settings->limits.openRequests});
+        budget->setLimits({settings->limits.memoryMegabytes * BytesPerMegabyte / ClientMemoryDivisor, connections});
         budget->onEviction([](const clientbudget::ConnectionUse &use, clientbudget::Shortage shortage) {
             partLogger("gateway")->debug("Closed a client's connection in favour of others. shortage={} activity={} bytes={}",
                 clientbudget::shortageName(shortage),
--- a/tests/crowds/chatcrowds_test.cpp
+++ b/tests/crowds/chatcrowds_test.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 // Clients that keep to the limits on requests, but that nobody controls, at the ports of an entry VM that serves chats.
@@ -175,6 +176,22 @@
     entry.expectBearable(crowd);
 }
 
+// Guards against a limit on open requests that the descriptors of the process do not allow.
+TEST(ChatCrowd, ConnectionsBeyondTheDescriptorsOfTheProcessLeaveRoomForOrdinaryCallers)
+{
+    rlimit usual{};
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &usual), 0);
+    constexpr rlim_t FewDescriptors = 200;
+    // Inherited by the processes that the test starts.
+    const rlimit few{FewDescriptors, usual.rlim_max};
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &few), 0);
+    SmallEntry entry;
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &usual), 0);
+    Crowd crowd("127.0.0.1", entry.port("callers"), 280);
+    crowd.send("P");
+    entry.expectBearable(crowd);
+}
+
 // Guards against callers at the port between VMs who are read before it is known that they are none.
 TEST(ChatCrowd, PeerMessagesShortOfTheirEndStayInBounds)
 {
